Benches for faults and configuration, properties of the pure decisions

Cause: the promises had no proof at volume and no baseline beside them.

Change: `faults` plays one seeded schedule of kills, graceful stops, freezes, cut and delayed links, overtaking frames, cut zones, failing targets and log outages to cowsliproad and to a plain round-robin balancer with retries; `config` changes objects through racing operators while the log loses answers and goes down, with the entries of a zone replaced in an outage. Properties for fold, register, relay, queue, budget, routing and decoders.

--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -1,6 +1,8 @@
 //! The experiments, each a plug-in and a subcommand.
 
+pub mod config;
 pub mod demo;
+pub mod faults;
 
 use std::{collections::BTreeMap, process};
 
--- a/cowsliproad-bench/src/workload.rs
+++ b/cowsliproad-bench/src/workload.rs
@@ -144,7 +144,11 @@
     /// The id that the stand-ins count runs by. A new ticket gets a new id,
     /// so that a run under a refused ticket shows.
     pub fn run_id(&self, ticket: u32) -> String {
-        format!("{}-{}", self.number, ticket)
+        let mark = match self.kind.repeat {
+            Repeat::Never => "n",
+            Repeat::Repeatable => "r",
+        };
+        format!("{mark}{}-{ticket}", self.number)
     }
 
     /// The body under the given id.
--- a/cowsliproad-entry/src/callers.rs
+++ b/cowsliproad-entry/src/callers.rs
@@ -493,14 +493,13 @@
             response
         }
         Delivery::Stream => begin_stream(forward, from, finish).await,
-        Delivery::Async => match forward.next().await {
-            Some(Item::Accepted(token)) => {
+        Delivery::Async => match until_accepted(&mut forward).await {
+            Ok(token) => {
                 forward.leave();
                 finish.ended(None);
                 answer::accepted(&token)
             }
-            other => {
-                let failure = failure_of(other);
+            Err(failure) => {
                 finish.ended(Some(&failure));
                 reply::problem(&failure, "")
             }
@@ -508,6 +507,21 @@
     }
 }
 
+/// Waits for the token, which frames of the answer may overtake.
+async fn until_accepted(forward: &mut Forward) -> Result<String, Failure> {
+    loop {
+        match forward.next().await {
+            Some(Item::Accepted(token)) => return Ok(token),
+            Some(Item::Failed(failure)) => return Err(failure),
+            Some(Item::Bytes(_) | Item::Restart | Item::Done(_)) => {}
+            None => {
+                let code = Code::TargetFailed;
+                return Err(Failure::new(code, Ran::OutcomeUnknown));
+            }
+        }
+    }
+}
+
 /// Answers a failure that comes first as a plain problem document.
 async fn begin_stream<C: Companion>(
     mut forward: Forward,
@@ -536,13 +550,6 @@
     }
 }
 
-fn failure_of(item: Option<Item>) -> Failure {
-    match item {
-        Some(Item::Failed(failure)) => failure,
-        _ => Failure::new(Code::TargetFailed, Ran::OutcomeUnknown),
-    }
-}
-
 /// Counts a request in the entry while it lives.
 struct EntryGuard {
     shared: Arc<Shared>,
@@ -601,6 +608,11 @@
     request: &Request,
     view: &View,
 ) -> Result<Arc<Organisation>, Refused> {
+    if view.services.is_empty() {
+        // Nobody's key is known yet, so no key can be called wrong.
+        let failure = Failure::new(Code::NotReady, Ran::NotForwarded);
+        return Err(Refused::new(failure.with_retry_after(OVER_SHARE)));
+    }
     let value = request
         .headers()
         .get(header::AUTHORIZATION)
--- /dev/null
+++ b/tests/properties/main.rs
@@ -0,0 +1,23 @@
+//! Properties of the pure decisions, with fixed seeds.
+
+mod decoders;
+mod fold;
+mod queue;
+mod register;
+mod relay;
+mod routing;
+
+use proptest::{
+    prelude::ProptestConfig,
+    test_runner::{FileFailurePersistence, RngSeed},
+};
+
+/// The same cases in every run.
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0xC0_57_11),
+        failure_persistence: Some(Box::new(FileFailurePersistence::Off)),
+        ..ProptestConfig::default()
+    }
+}
--- /dev/null
+++ b/tests/properties/queue.rs
@@ -0,0 +1,149 @@
+//! Order, starvation and refusals of the queue; the retry budget.
+
+use cowsliproad::{
+    admission::{
+        budget::Budget,
+        queue::{Config, Item, Outcome, Pace, Queue},
+    },
+    kernel::{clock::Millis, wire::Urgency},
+};
+use proptest::prelude::*;
+
+const PACE: Pace = Pace { slots: 4, service_us: 10_000 };
+
+fn item(organisation: &str, urgency: Urgency, deadline: u64) -> Item<u64> {
+    Item {
+        organisation: organisation.into(),
+        share: 1,
+        urgency,
+        deadline: Millis(deadline),
+        work: 0,
+    }
+}
+
+#[test]
+fn urgent_work_goes_before_drafts_that_came_first() {
+    let mut queue = Queue::new(Config::new());
+    let draft = item("a", Urgency::Background, 100_000);
+    queue.push(draft, PACE, Millis(0));
+    queue.push(item("b", Urgency::Urgent, 100_000), PACE, Millis(500));
+    assert_eq!(queue.pop().map(|it| it.urgency), Some(Urgency::Urgent));
+}
+
+#[test]
+fn a_draft_goes_before_urgent_work_that_came_an_offset_later() {
+    let config = Config::new();
+    let offset = config.offset(Urgency::Background);
+    let mut queue = Queue::new(config);
+    let draft = item("a", Urgency::Background, 1_000_000);
+    queue.push(draft, PACE, Millis(0));
+    let later = offset + Millis(1);
+    queue.push(item("b", Urgency::Urgent, 1_000_000), PACE, later);
+    assert_eq!(queue.pop().map(|it| it.urgency), Some(Urgency::Background));
+}
+
+#[test]
+fn a_flood_waits_behind_another_organisation() {
+    let mut queue = Queue::new(Config::new());
+    for _ in 0..1_000 {
+        let flood = item("flood", Urgency::Urgent, 1_000_000);
+        queue.push(flood, PACE, Millis(0));
+    }
+    queue.push(item("other", Urgency::Urgent, 1_000_000), PACE, Millis(1));
+    let place = std::iter::from_fn(|| queue.pop())
+        .position(|it| &*it.organisation == "other");
+    assert!(place < Some(8), "{place:?}");
+}
+
+#[test]
+fn work_that_can_not_be_on_time_is_refused_at_once() {
+    let mut queue = Queue::new(Config::new());
+    for _ in 0..100 {
+        queue.push(item("a", Urgency::Urgent, 1_000_000), PACE, Millis(0));
+    }
+    let late = item("a", Urgency::Urgent, 100);
+    let outcome = queue.push(late, PACE, Millis(0));
+    assert!(matches!(outcome, Outcome::Refused(_, wait) if wait > Millis(0)));
+}
+
+#[test]
+fn a_full_queue_gives_up_its_least_urgent_work() {
+    let mut queue = Queue::new(Config::new().with_capacity(2));
+    for _ in 0..2 {
+        let draft = item("a", Urgency::Background, 1_000_000);
+        queue.push(draft, PACE, Millis(0));
+    }
+    let urgent = item("a", Urgency::Urgent, 1_000_000);
+    let outcome = queue.push(urgent, PACE, Millis(0));
+    assert!(matches!(
+        outcome,
+        Outcome::Displaced(it, _) if it.urgency == Urgency::Background
+    ));
+}
+
+fn urgency() -> impl Strategy<Value = Urgency> {
+    prop_oneof![
+        Just(Urgency::Urgent),
+        Just(Urgency::Normal),
+        Just(Urgency::Background),
+    ]
+}
+
+proptest! {
+    #![proptest_config(crate::config(256))]
+
+    #[test]
+    fn every_item_comes_out_exactly_once(
+        arrivals in prop::collection::vec(
+            (urgency(), 0..4u8, 0..50u64, 20..5_000u64),
+            1..120,
+        ),
+        capacity in 1..40usize,
+    ) {
+        let mut queue = Queue::new(Config::new().with_capacity(capacity));
+        let mut now = Millis(0);
+        let mut out = 0;
+        for (index, (urgency, organisation, wait, deadline)) in
+            arrivals.iter().enumerate()
+        {
+            now = now + Millis(*wait);
+            while queue.lapsed(PACE, now).is_some() {
+                out += 1;
+            }
+            let name = format!("o{organisation}");
+            let item = Item {
+                work: index as u64,
+                ..item(&name, *urgency, now.0 + deadline)
+            };
+            match queue.push(item, PACE, now) {
+                Outcome::Queued => {}
+                Outcome::Displaced(..) | Outcome::Refused(..) => out += 1,
+            }
+            prop_assert!(queue.len() <= capacity);
+        }
+        while queue.pop().is_some() {
+            out += 1;
+        }
+        prop_assert_eq!(out, arrivals.len());
+    }
+
+    #[test]
+    fn retries_are_bounded_by_successes(
+        steps in prop::collection::vec(any::<bool>(), 1..2_000),
+        percent in 0..50u32,
+        reserve in 0..50u32,
+    ) {
+        let mut budget = Budget::new(percent, reserve);
+        let (mut successes, mut retries) = (0u64, 0u64);
+        for success in steps {
+            if success {
+                budget.earn();
+                successes += 1;
+            } else if budget.spend() {
+                retries += 1;
+            }
+        }
+        let earned = successes * u64::from(percent) / 100;
+        prop_assert!(retries <= earned + u64::from(reserve));
+    }
+}
