--- a/cowsliproad-agent/src/links.rs
+++ b/cowsliproad-agent/src/links.rs
@@ -6,7 +6,11 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard},
+    pin::pin,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -21,7 +25,7 @@
 use slog::{Logger, info, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::Notify,
     task::AbortHandle,
     time::sleep,
 };
@@ -120,7 +124,7 @@
 /// An attempt that listens to work.
 struct Listener {
     work: Arc<Work>,
-    acknowledged: watch::Sender<u64>,
+    window: Arc<Window>,
     task: AbortHandle,
 }
 
@@ -141,7 +145,7 @@
             Frame::Reclaim(reclaim) => self.reclaim(&reclaim),
             Frame::Ack(ack) => {
                 if let Some(listener) = self.attempts.get(&ack.attempt) {
-                    listener.acknowledged.send_replace(ack.bytes);
+                    listener.window.open(ack.bytes);
                 }
             }
             Frame::Detach(attempt) => self.detach(attempt),
@@ -184,16 +188,16 @@
     fn listen(&mut self, attempt: id::Attempt, work: Arc<Work>, from: u64) {
         work.attach();
         self.attempts.retain(|_, listener| !listener.task.is_finished());
-        let acknowledged = watch::Sender::new(from);
+        let window = Arc::new(Window::new(from));
         let reader = Reader {
             attempt,
             work: work.clone(),
             sender: self.sender.clone(),
-            acknowledged: acknowledged.subscribe(),
+            window: window.clone(),
             links: self.links.clone(),
         };
         let task = tokio::spawn(reader.run(from)).abort_handle();
-        let listener = Listener { work, acknowledged, task };
+        let listener = Listener { work, window, task };
         self.attempts.insert(attempt, listener);
     }
 
@@ -239,28 +243,57 @@
     gate.abandon(&work);
 }
 
+/// How far ahead of the entry's acknowledgements an answer may be sent.
+#[derive(Debug)]
+struct Window {
+    acknowledged: AtomicU64,
+    opened: Notify,
+}
+
+impl Window {
+    fn new(from: u64) -> Window {
+        Window { acknowledged: AtomicU64::new(from), opened: Notify::new() }
+    }
+
+    fn open(&self, acknowledged: u64) {
+        self.acknowledged.fetch_max(acknowledged, Ordering::Release);
+        self.opened.notify_waiters();
+    }
+
+    /// Waits until more may be sent after the first `sent` bytes.
+    async fn wait(&self, sent: u64) {
+        loop {
+            let mut opened = pin!(self.opened.notified());
+            opened.as_mut().enable();
+            let acknowledged = self.acknowledged.load(Ordering::Acquire);
+            if sent < acknowledged + wire::WINDOW {
+                return;
+            }
+            opened.await;
+        }
+    }
+}
+
 /// Reads an answer out to one attempt.
 struct Reader {
     attempt: id::Attempt,
     work: Arc<Work>,
     sender: Sender,
-    acknowledged: watch::Receiver<u64>,
+    window: Arc<Window>,
     links: Arc<Links>,
 }
 
 impl Reader {
-    async fn run(mut self, from: u64) {
+    async fn run(self, from: u64) {
         let accepted =
             Accepted { attempt: self.attempt, request: self.work.request };
         if self.sender.send(Frame::Accepted(accepted)).await.is_err() {
             return;
         }
-        let mut version = self.work.subscribe();
         let mut sent = from;
         let mut sequence = 0;
         loop {
-            version.borrow_and_update();
-            match self.work.read(sent, PIECE) {
+            match self.work.next(sent, PIECE).await {
                 Piece::Bytes(bytes) => {
                     sent += bytes.len() as u64;
                     let attempt = self.attempt;
@@ -269,7 +302,7 @@
                     if self.sender.send(Frame::Data(data)).await.is_err() {
                         return;
                     }
-                    self.hold_to_window(sent).await;
+                    self.window.wait(sent).await;
                 }
                 Piece::End(ending) => {
                     let frame = self.ending(ending, sequence);
@@ -277,22 +310,12 @@
                     self.report_load().await;
                     return;
                 }
-                Piece::Nothing => {
-                    if version.changed().await.is_err() {
-                        return;
-                    }
-                }
+                // Waiting ends with a piece.
+                Piece::Nothing => {}
             }
         }
     }
 
-    async fn hold_to_window(&mut self, sent: u64) {
-        let within = |acked: &u64| sent < *acked + wire::WINDOW;
-        // A closed channel means that the link is gone, and this task with
-        // it.
-        let _ = self.acknowledged.wait_for(within).await;
-    }
-
     fn ending(&self, ending: Ending, sequence: u32) -> Frame {
         match ending {
             Ending::Whole { format, length, digest } => Frame::End(End {
--- a/cowsliproad-agent/src/main.rs
+++ b/cowsliproad-agent/src/main.rs
@@ -4,6 +4,10 @@
 
 use cowsliproad_agent::settings::Settings;
 use cowsliproad_net::program;
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
 
 fn main() {
     let about = "The gate in front of one target";
--- a/cowsliproad-agent/src/work.rs
+++ b/cowsliproad-agent/src/work.rs
@@ -4,9 +4,12 @@
 //! listeners can read it at their own pace and from any offset, also after
 //! it is finished.
 
-use std::sync::{
-    Mutex, MutexGuard,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    pin::pin,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
 };
 
 use bytes::Bytes;
@@ -16,7 +19,7 @@
     id,
     wire::{Answer, Content, Failure, Format, Persistence, Submit},
 };
-use tokio::sync::watch;
+use tokio::sync::Notify;
 
 /// The largest answer that is kept, in bytes.
 pub const MAX_ANSWER: usize = 8 << 20;
@@ -51,8 +54,9 @@
     pub key: Option<Name>,
     persistence: Persistence,
     progress: Mutex<Progress>,
-    version: watch::Sender<u64>,
-    cancel: watch::Sender<bool>,
+    changed: Notify,
+    cancelled: AtomicBool,
+    cancel: Notify,
     listeners: AtomicUsize,
 }
 
@@ -106,8 +110,9 @@
             key: submit.key.clone(),
             persistence: submit.persistence,
             progress: Mutex::new(Progress { bytes: Vec::new(), ending: None }),
-            version: watch::Sender::new(0),
-            cancel: watch::Sender::new(false),
+            changed: Notify::new(),
+            cancelled: AtomicBool::new(false),
+            cancel: Notify::new(),
             listeners: AtomicUsize::new(0),
         }
     }
@@ -157,7 +162,7 @@
     /// Adds bytes to the answer.
     pub fn append(&self, bytes: &[u8]) {
         self.lock().bytes.extend_from_slice(bytes);
-        self.version.send_modify(|version| *version += 1);
+        self.changed.notify_waiters();
     }
 
     /// The number of answer bytes so far.
@@ -180,7 +185,7 @@
             Err(failure) => Ending::Failed(failure),
         });
         drop(progress);
-        self.version.send_modify(|version| *version += 1);
+        self.changed.notify_waiters();
     }
 
     /// How it ended, if it did.
@@ -202,21 +207,35 @@
         }
     }
 
-    /// Told of every change.
-    pub fn subscribe(&self) -> watch::Receiver<u64> {
-        self.version.subscribe()
+    /// Waits for a piece at an offset, at most `most` bytes of it.
+    pub async fn next(&self, offset: u64, most: usize) -> Piece {
+        loop {
+            let mut changed = pin!(self.changed.notified());
+            // Enabled before the look, so that no change goes unnoticed.
+            changed.as_mut().enable();
+            match self.read(offset, most) {
+                Piece::Nothing => changed.await,
+                piece => return piece,
+            }
+        }
     }
 
     /// Asks the call to the target to stop.
     pub fn cancel(&self) {
-        self.cancel.send_replace(true);
+        self.cancelled.store(true, Ordering::Release);
+        self.cancel.notify_waiters();
     }
 
     /// Waits until the work is cancelled.
     pub async fn cancelled(&self) {
-        let mut cancel = self.cancel.subscribe();
-        // The sender lives as long as `self`, so waiting can't fail.
-        let _ = cancel.wait_for(|cancel| *cancel).await;
+        loop {
+            let mut cancel = pin!(self.cancel.notified());
+            cancel.as_mut().enable();
+            if self.cancelled.load(Ordering::Acquire) {
+                return;
+            }
+            cancel.await;
+        }
     }
 
     /// Notes a listener.
--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -3,6 +3,8 @@
 pub mod config;
 pub mod demo;
 pub mod faults;
+pub mod overhead;
+pub mod slopes;
 
 use std::{collections::BTreeMap, process};
 
--- a/cowsliproad-bench/src/lib.rs
+++ b/cowsliproad-bench/src/lib.rs
@@ -10,7 +10,8 @@
 //! * [`workload`]: what both users declare and send;
 //! * [`caller`]: a caller that does as `docs/CALLERS.md` says and checks
 //!   every answer;
-//! * [`tally`]: what is counted;
+//! * [`tally`]: what is counted; [`meter`]: what a node uses;
+//! * [`load`]: cheap load on one address;
 //! * [`experiment`]: the experiments.
 
 #![forbid(unsafe_code)]
@@ -18,6 +19,8 @@
 pub mod baseline;
 pub mod caller;
 pub mod experiment;
+pub mod load;
+pub mod meter;
 pub mod node;
 pub mod plant;
 pub mod tally;
--- a/cowsliproad-bench/src/main.rs
+++ b/cowsliproad-bench/src/main.rs
@@ -2,6 +2,11 @@
 
 #![forbid(unsafe_code)]
 
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 fn main() {
     cowsliproad_bench::experiment::main();
 }
--- a/cowsliproad-bench/src/node.rs
+++ b/cowsliproad-bench/src/node.rs
@@ -5,6 +5,7 @@
 
 use std::{io, thread, time::Duration};
 
+use cowsliproad_net::threads::{self, Threads};
 use tokio::{
     runtime::Builder,
     sync::{mpsc, oneshot},
@@ -63,6 +64,31 @@
         Ok(Node { handle, orders, ended: Some(ended) })
     }
 
+    /// Starts a program on the threads that it has in production.
+    pub async fn start_wide<F>(
+        name: &str,
+        workers: usize,
+        make: F,
+    ) -> io::Result<Node<T>>
+    where
+        F: AsyncFnOnce(Threads) -> io::Result<T> + Send + 'static,
+    {
+        let (orders, queue) = mpsc::unbounded_channel();
+        let (started, handle) = oneshot::channel();
+        let (done, ended) = oneshot::channel();
+        thread::Builder::new().name(name.into()).spawn(move || {
+            // An error shows as a handle that never comes.
+            let _ = threads::run(workers, async |threads| {
+                serve(make(threads).await, started, queue).await;
+            });
+            let _ = done.send(());
+        })?;
+        let handle = handle
+            .await
+            .map_err(|_| io::Error::other("the node's threads ended"))??;
+        Ok(Node { handle, orders, ended: Some(ended) })
+    }
+
     /// Stops the program gracefully and waits for its end.
     pub async fn stop(mut self) {
         self.order(Order::Stop);
@@ -95,7 +121,7 @@
 fn run<T, F>(
     make: F,
     started: oneshot::Sender<io::Result<T>>,
-    mut orders: mpsc::UnboundedReceiver<Order>,
+    orders: mpsc::UnboundedReceiver<Order>,
 ) where
     T: Program,
     F: AsyncFnOnce() -> io::Result<T>,
@@ -107,22 +133,29 @@
             return;
         }
     };
-    runtime.block_on(async {
-        let program = match make().await {
-            Ok(program) => program,
-            Err(error) => {
-                let _ = started.send(Err(error));
-                return;
-            }
-        };
-        let _ = started.send(Ok(program.clone()));
-        while let Some(order) = orders.recv().await {
-            match order {
-                Order::Stop => return program.stop().await,
-                Order::Kill => return,
-                Order::Freeze(time) => thread::sleep(time),
-            }
-        }
-    });
+    runtime.block_on(async { serve(make().await, started, orders).await });
     runtime.shutdown_background();
 }
+
+/// Obeys orders until the program's end.
+async fn serve<T: Program>(
+    program: io::Result<T>,
+    started: oneshot::Sender<io::Result<T>>,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+) {
+    let program = match program {
+        Ok(program) => program,
+        Err(error) => {
+            let _ = started.send(Err(error));
+            return;
+        }
+    };
+    let _ = started.send(Ok(program.clone()));
+    while let Some(order) = orders.recv().await {
+        match order {
+            Order::Stop => return program.stop().await,
+            Order::Kill => return,
+            Order::Freeze(time) => thread::sleep(time),
+        }
+    }
+}
--- a/cowsliproad-bench/src/plant.rs
+++ b/cowsliproad-bench/src/plant.rs
@@ -45,6 +45,17 @@
     pub silence: Duration,
     /// How much is logged.
     pub log: Level,
+    /// How a program's threads are laid out.
+    pub layout: Layout,
+}
+
+/// How a program's threads are laid out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Layout {
+    /// One thread for each program, which can be frozen alone.
+    Single,
+    /// A control thread and so many traffic threads, as in production.
+    Wide(usize),
 }
 
 impl Config {
@@ -61,6 +72,7 @@
             plain_slots: 16,
             silence: Duration::from_secs(2),
             log: Level::Off,
+            layout: Layout::Single,
         }
     }
 
@@ -273,10 +285,20 @@
         settings.silence_ms =
             cowsliproad_kernel::clock::Millis(millis(self.config.silence));
         settings.log = self.config.log;
-        let agent = Node::start(&site.name, async move || {
-            cowsliproad_agent::start(settings, Threads::here()).await
-        })
-        .await?;
+        let agent = match self.config.layout {
+            Layout::Single => {
+                Node::start(&site.name, async move || {
+                    cowsliproad_agent::start(settings, Threads::here()).await
+                })
+                .await?
+            }
+            Layout::Wide(workers) => {
+                Node::start_wide(&site.name, workers, async |threads| {
+                    cowsliproad_agent::start(settings, threads).await
+                })
+                .await?
+            }
+        };
         let site = &mut self.sites[index];
         site.link.lead_to(agent.handle.address);
         site.agent = Some(agent);
@@ -298,10 +320,20 @@
         settings.source = Some(source(gateway.zone));
         settings.grace_ms = cowsliproad_kernel::clock::Millis(200);
         settings.log = self.config.log;
-        let entry = Node::start(&gateway.name, async move || {
-            cowsliproad_entry::start(settings, Threads::here()).await
-        })
-        .await?;
+        let entry = match self.config.layout {
+            Layout::Single => {
+                Node::start(&gateway.name, async move || {
+                    cowsliproad_entry::start(settings, Threads::here()).await
+                })
+                .await?
+            }
+            Layout::Wide(workers) => {
+                Node::start_wide(&gateway.name, workers, async |threads| {
+                    cowsliproad_entry::start(settings, threads).await
+                })
+                .await?
+            }
+        };
         let gateway = &mut self.gateways[index];
         gateway.link.lead_to(entry.handle.link);
         self.balancer.add(entry.handle.http);
--- a/cowsliproad-entry/src/callers.rs
+++ b/cowsliproad-entry/src/callers.rs
@@ -153,11 +153,13 @@
                 let text = self.shared.metrics.text();
                 return reply::text(StatusCode::OK, &text);
             }
+            // Boxed, so that the common future stays small: the server
+            // moves it several times.
             (Method::GET, ["v1", "requests", token]) => {
-                self.reclaim(&request, token, guard).await
+                Box::pin(self.reclaim(&request, token, guard)).await
             }
             (Method::DELETE, ["v1", "requests", token]) => {
-                self.cancel(&request, token).await
+                Box::pin(self.cancel(&request, token)).await
             }
             (_, ["v1", "requests", _]) => {
                 Err(refused(Code::BadMethod, "GET or DELETE"))
@@ -166,7 +168,7 @@
                 self.tickets(&request, service, kind)
             }
             (Method::POST, ["v1", service, kind]) => {
-                self.submit(request, service, kind, guard).await
+                Box::pin(self.submit(request, service, kind, guard)).await
             }
             (_, ["v1", _, _]) => Err(refused(Code::BadMethod, "POST")),
             _ => Err(refused(Code::UnknownPath, "")),
--- a/cowsliproad-entry/src/main.rs
+++ b/cowsliproad-entry/src/main.rs
@@ -4,6 +4,10 @@
 
 use cowsliproad_entry::settings::Settings;
 use cowsliproad_net::program;
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
 
 fn main() {
     let about = "Where callers and operators come in";
--- a/cowsliproad-net/src/link.rs
+++ b/cowsliproad-net/src/link.rs
@@ -45,6 +45,10 @@
 /// Frames that may wait for the writer of a link.
 const QUEUE: usize = 1024;
 
+/// The bytes that one read of a link may take. The library clears its buffer
+/// before each read, which at its usual 128 KiB cost more than the decoding.
+const READ_BUFFER: usize = 8 << 10;
+
 /// Frames written between two flushes, so that none waits long for others.
 const BATCH: usize = 64;
 
@@ -235,6 +239,7 @@
 
 fn limits() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER)
         .max_message_size(Some(wire::MAX_MESSAGE))
         .max_frame_size(Some(wire::MAX_MESSAGE))
 }
--- a/cowsliproad-relay/src/lib.rs
+++ b/cowsliproad-relay/src/lib.rs
@@ -42,7 +42,8 @@
     attempt: id::Attempt,
     next: u32,
     length: u64,
-    hasher: Option<blake3::Hasher>,
+    /// Boxed, since an assembly is moved often and a hasher is large.
+    hasher: Option<Box<blake3::Hasher>>,
     early: BTreeMap<u32, Vec<u8>>,
     end: Option<End>,
 }
@@ -54,7 +55,7 @@
             attempt,
             next: 0,
             length: 0,
-            hasher: Some(blake3::Hasher::new()),
+            hasher: Some(Box::default()),
             early: BTreeMap::new(),
             end: None,
         }
@@ -74,7 +75,7 @@
 
     /// Takes an answer up at byte `from` without the bytes before it.
     pub fn tail(attempt: id::Attempt, from: u64) -> Assembly {
-        let hasher = (from == 0).then(blake3::Hasher::new);
+        let hasher = (from == 0).then(Box::default);
         Assembly { length: from, hasher, ..Assembly::new(attempt) }
     }
 
--- a/tests/properties/register.rs
+++ b/tests/properties/register.rs
@@ -119,9 +119,8 @@
         let Ok(changed) = String::from_utf8(bytes) else { return Ok(()) };
         // The last character may carry bits that the decoder refuses or
         // that stand for nothing, but never for another ticket.
-        match ticket::open(&changed, &key) {
-            Ok(read) => prop_assert_eq!(read, ticket(7)),
-            Err(ticket::Forged) => {}
+        if let Ok(read) = ticket::open(&changed, &key) {
+            prop_assert_eq!(read, ticket(7));
         }
     }
 }
