--- a/cowsliproad-admission/src/queue.rs
+++ b/cowsliproad-admission/src/queue.rs
@@ -1,12 +1,16 @@
 //! The order of waiting work at an agent.
 //!
-//! Each piece of work gets a rank when it arrives: the arrival time, plus an
-//! offset for its urgency, plus a penalty for the work that its organisation
-//! already has waiting. The lowest rank goes first. Since the rank is fixed
-//! on arrival and time passes, ageing needs no extra step: a draft that has
-//! waited its offset goes before an urgent request that arrives now, so
-//! nothing starves. The penalty spaces out a flooding organisation as if it
-//! had its share of the slots to itself, and leaves the others alone.
+//! The most urgent class that has work goes first. Within a class each
+//! piece of work has a rank, fixed when it arrives: the arrival time plus a
+//! penalty for the work of the same class that its organisation already has
+//! waiting, lowest first. The penalty spaces out a flooding organisation as
+//! if it had its share of the slots to itself, and leaves the others alone.
+//!
+//! So that drafts never starve, one turn in [`AGED_TURN`] goes to the work
+//! that has waited longest beyond its class's patience, whatever its class.
+//! A first version aged by adding the patience to the rank instead. Under
+//! lasting overload every draft is older than that, so urgent work waited
+//! behind drafts: 59% on time at 1.5 times the capacity.
 //!
 //! Work that can't meet its deadline any more is refused on arrival, and
 //! work whose deadline passes while it waits is given back at once by
@@ -16,6 +20,10 @@
 
 use cowsliproad_kernel::{Name, clock::Millis, wire::Urgency};
 
+/// One turn in so many goes to aged work, so that at least this share of the
+/// slots is open to it.
+pub const AGED_TURN: u64 = 16;
+
 /// What the queue needs to know of a piece of work.
 #[derive(Clone, Debug)]
 pub struct Item<T> {
@@ -31,12 +39,19 @@
     pub work: T,
 }
 
+impl<T> Item<T> {
+    /// What its share is counted by.
+    fn class(&self) -> (Name, Urgency) {
+        (self.organisation.clone(), self.urgency)
+    }
+}
+
 /// Limits of a queue.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
     capacity: usize,
-    normal_offset: Millis,
-    background_offset: Millis,
+    normal_patience: Millis,
+    background_patience: Millis,
 }
 
 impl Config {
@@ -44,8 +59,8 @@
     pub fn new() -> Config {
         Config {
             capacity: 4096,
-            normal_offset: Millis(2_000),
-            background_offset: Millis(30_000),
+            normal_patience: Millis(2_000),
+            background_patience: Millis(30_000),
         }
     }
 
@@ -54,13 +69,12 @@
         Config { capacity, ..self }
     }
 
-    /// The offset, which is also the longest time that later urgent work can
-    /// hold an item up for.
-    pub fn offset(&self, urgency: Urgency) -> Millis {
+    /// How long work may wait before it gets aged turns.
+    pub fn patience(&self, urgency: Urgency) -> Millis {
         match urgency {
             Urgency::Urgent => Millis(0),
-            Urgency::Normal => self.normal_offset,
-            Urgency::Background => self.background_offset,
+            Urgency::Normal => self.normal_patience,
+            Urgency::Background => self.background_patience,
         }
     }
 }
@@ -91,7 +105,7 @@
     Refused(Item<T>, Millis),
 }
 
-type Rank = (Millis, u64);
+type Rank = (Urgency, Millis, u64);
 
 /// Waiting work.
 #[derive(Debug)]
@@ -100,7 +114,11 @@
     arrivals: u64,
     items: BTreeMap<Rank, Item<T>>,
     deadlines: BTreeMap<(Millis, u64), Rank>,
-    waiting: HashMap<Name, u32>,
+    /// When each item's patience ends.
+    patience: BTreeMap<(Millis, u64), Rank>,
+    ends: HashMap<u64, Millis>,
+    turns: u64,
+    waiting: HashMap<(Name, Urgency), u32>,
 }
 
 impl<T> Queue<T> {
@@ -111,6 +129,9 @@
             arrivals: 0,
             items: BTreeMap::new(),
             deadlines: BTreeMap::new(),
+            patience: BTreeMap::new(),
+            ends: HashMap::new(),
+            turns: 0,
             waiting: HashMap::new(),
         }
     }
@@ -140,7 +161,7 @@
             return Outcome::Refused(item, self.back_off(pace));
         }
         if self.items.len() < self.config.capacity {
-            self.insert(rank, item);
+            self.insert(rank, item, now);
             return Outcome::Queued;
         }
         let back_off = self.back_off(pace);
@@ -149,7 +170,7 @@
             _ => return Outcome::Refused(item, back_off),
         }
         let displaced = self.remove_last();
-        self.insert(rank, item);
+        self.insert(rank, item, now);
         match displaced {
             Some(displaced) => Outcome::Displaced(displaced, back_off),
             None => Outcome::Queued,
@@ -157,8 +178,15 @@
     }
 
     /// The next item to serve.
-    pub fn pop(&mut self) -> Option<Item<T>> {
-        let rank = *self.items.first_key_value()?.0;
+    pub fn pop(&mut self, now: Millis) -> Option<Item<T>> {
+        let first = *self.items.first_key_value()?.0;
+        self.turns += 1;
+        let aged = self.patience.first_key_value();
+        let aged = aged.filter(|(end, _)| end.0 <= now);
+        let rank = match aged {
+            Some((_, rank)) if self.turns.is_multiple_of(AGED_TURN) => *rank,
+            _ => first,
+        };
         self.remove(rank)
     }
 
@@ -183,16 +211,20 @@
 
     fn rank(&mut self, item: &Item<T>, pace: Pace, now: Millis) -> Rank {
         self.arrivals += 1;
-        let waiting = self.waiting.get(&item.organisation).copied();
+        // Less urgent work doesn't count: an organisation's drafts must not
+        // hold up its own tow calls.
+        let waiting = self.waiting.get(&item.class()).copied();
         let ahead = u64::from(waiting.unwrap_or(0));
         let penalty = pace.wait(ahead).0 / u64::from(item.share.max(1));
-        let offset = self.config.offset(item.urgency);
-        (now + offset + Millis(penalty), self.arrivals)
+        (item.urgency, now + Millis(penalty), self.arrivals)
     }
 
-    fn insert(&mut self, rank: Rank, item: Item<T>) {
-        *self.waiting.entry(item.organisation.clone()).or_default() += 1;
-        self.deadlines.insert((item.deadline, rank.1), rank);
+    fn insert(&mut self, rank: Rank, item: Item<T>, now: Millis) {
+        *self.waiting.entry(item.class()).or_default() += 1;
+        self.deadlines.insert((item.deadline, rank.2), rank);
+        let end = now + self.config.patience(item.urgency);
+        self.patience.insert((end, rank.2), rank);
+        self.ends.insert(rank.2, end);
         self.items.insert(rank, item);
     }
 
@@ -203,11 +235,15 @@
 
     fn remove(&mut self, rank: Rank) -> Option<Item<T>> {
         let item = self.items.remove(&rank)?;
-        self.deadlines.remove(&(item.deadline, rank.1));
-        let waiting = self.waiting.get_mut(&item.organisation)?;
+        self.deadlines.remove(&(item.deadline, rank.2));
+        if let Some(end) = self.ends.remove(&rank.2) {
+            self.patience.remove(&(end, rank.2));
+        }
+        let class = item.class();
+        let waiting = self.waiting.get_mut(&class)?;
         *waiting -= 1;
         if *waiting == 0 {
-            self.waiting.remove(&item.organisation);
+            self.waiting.remove(&class);
         }
         Some(item)
     }
--- a/cowsliproad-agent/src/adapter/plain.rs
+++ b/cowsliproad-agent/src/adapter/plain.rs
@@ -27,6 +27,9 @@
     }
 }
 
+/// How late an answer may be.
+const LATE: Duration = Duration::from_millis(250);
+
 /// An adapter for plain services.
 #[derive(Debug)]
 pub struct Plain {
@@ -73,12 +76,13 @@
         .map_err(|_| Failure::new(Code::BadRequest, Ran::NotRun))
 }
 
-/// Work that may be repeated has until its deadline. Work that may not is
+/// Work that may be repeated has until shortly after its deadline: once it
+/// runs, a slightly late answer is worth more than none. Work that may not is
 /// awaited a while longer, since its outcome is worth knowing even late.
 fn patience(work: &Work, silence: Duration) -> Duration {
     let left = work.deadline.since(Millis::now()).duration();
     match work.repeat {
-        Repeat::Allowed => left.min(silence),
+        Repeat::Allowed => (left + LATE).min(silence),
         Repeat::Never => left.max(silence),
     }
 }
--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -483,7 +483,7 @@
         if inner.running >= self.settings.slots {
             return None;
         }
-        let item = inner.queue.pop()?;
+        let item = inner.queue.pop(Millis::now())?;
         inner.running += 1;
         Some(item.work)
     }
--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -4,6 +4,7 @@
 pub mod demo;
 pub mod faults;
 pub mod overhead;
+pub mod overload;
 pub mod placement;
 pub mod slopes;
 
--- a/cowsliproad-bench/src/experiment/slopes.rs
+++ b/cowsliproad-bench/src/experiment/slopes.rs
@@ -361,7 +361,7 @@
         let start = Instant::now();
         for index in 0..times {
             queue.push(item(index), pace, Millis(index as u64 / 10));
-            black_box(queue.pop());
+            black_box(queue.pop(Millis(index as u64 / 10)));
         }
         let each = start.elapsed().as_nanos() as f64 / times as f64 / 1e3;
         points.push((length as f64, each));
--- a/cowsliproad-bench/src/plant.rs
+++ b/cowsliproad-bench/src/plant.rs
@@ -317,6 +317,8 @@
         );
         let others = self.gateways.iter().filter(|it| it.name != gateway.name);
         settings.peers = others.map(|it| it.address).collect();
+        let near = self.sites.iter().filter(|it| it.zone == gateway.zone);
+        settings.seeds = near.map(|it| it.address).collect();
         settings.source = Some(source(gateway.zone));
         settings.grace_ms = cowsliproad_kernel::clock::Millis(200);
         settings.log = self.config.log;
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -54,6 +54,10 @@
 /// How often a lost link is looked for.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
+/// How long after the deadline the agent's own word may take. It says at
+/// the deadline whether the work ran; this entry can only say "unknown".
+const AGENT_WORD: Millis = Millis(500);
+
 /// When to ask again after an unknown outcome.
 const ASK_AGAIN: Millis = Millis(1_000);
 
@@ -328,7 +332,8 @@
     }
 
     async fn listen(&mut self, mut attempt: Attempt) {
-        let left = self.deadline.since(Millis::now()).duration();
+        let left = self.deadline.since(Millis::now()) + AGENT_WORD;
+        let left = left.duration();
         let event = match timeout(left, attempt.events.recv()).await {
             Ok(Some(event)) => event,
             Ok(None) => Event::Lost,
--- a/cowsliproad-entry/src/lib.rs
+++ b/cowsliproad-entry/src/lib.rs
@@ -147,6 +147,9 @@
     for peer in shared.settings.peers.clone() {
         threads.control.spawn(links::dial_peer(shared.clone(), peer));
     }
+    for seed in shared.settings.seeds.clone() {
+        threads.control.spawn(links::dial_seed(shared.clone(), seed));
+    }
     let callers = Arc::new(callers::Api::new(shared.clone()));
     threads.traffic.spawn(server::serve(http, callers, door.clone()));
     threads.control.spawn(admin::serve(shared.clone(), admin, door));
--- a/cowsliproad-entry/src/links.rs
+++ b/cowsliproad-entry/src/links.rs
@@ -26,6 +26,9 @@
 /// The time between an entry's heartbeats.
 const BEAT: Duration = Duration::from_millis(500);
 
+/// The offset of the first record; nothing is configured before it.
+const FIRST_OFFSET: u64 = 1;
+
 /// The shortest and longest time between two tries to dial.
 const REDIAL_MS: std::ops::Range<u64> = 50..150;
 
@@ -166,6 +169,19 @@
     }
 }
 
+/// Asks an agent for the configuration until there is one.
+pub async fn dial_seed(shared: Arc<Shared>, address: SocketAddr) {
+    let mut published = shared.published.subscribe();
+    let configured = async {
+        // The sender lives as long as `shared`, so waiting can't fail.
+        let _ = published.wait_for(|next| *next > FIRST_OFFSET).await;
+    };
+    tokio::select! {
+        () = dial_peer(shared.clone(), address) => {}
+        () = configured => {}
+    }
+}
+
 /// Accepts links from other entries for as long as the entry runs.
 pub async fn accept_peers(shared: Arc<Shared>, listener: TcpListener) {
     loop {
--- a/cowsliproad-entry/src/settings.rs
+++ b/cowsliproad-entry/src/settings.rs
@@ -28,6 +28,11 @@
     /// The other entries' link addresses.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
+    /// Agents' link addresses in its zone, as far as they were known when
+    /// the VM was made. They are asked for the configuration while the entry
+    /// has none, so that a zone that is cut off recovers by itself.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// The address to dial from, on a VM that has several.
     #[serde(default)]
     pub source: Option<IpAddr>,
@@ -86,6 +91,7 @@
             admin: any,
             link: any,
             peers: Vec::new(),
+            seeds: Vec::new(),
             source: None,
             log_service,
             vm_list,
