A stopping agent asks for its peers before it hands over

The agent's replica was some hundred milliseconds behind and did not have its peer yet, so its tickets became OUTCOME_UNKNOWN.

Change: a stopping agent without peers asks its entries for what it lacks, for at most a second, and an agent without any configuration gets it without the stagger.

--- a/cowsliproad-agent/src/handover.rs
+++ b/cowsliproad-agent/src/handover.rs
@@ -31,6 +31,12 @@
 /// How long a peer may take to confirm.
 const CONFIRM: Duration = Duration::from_secs(5);
 
+/// How long an agent that knows no peers waits to hear of them.
+const CONFIGURATION: Duration = Duration::from_secs(1);
+
+/// How often it asks for them.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+
 /// Bytes of answers in one message.
 const CHUNK: usize = 4 << 20;
 
@@ -42,8 +48,9 @@
     while agent.gate.in_hand() > 0 && Instant::now() < deadline {
         sleep(POLL).await;
     }
+    let peers = find_peers(agent).await;
     let estate = agent.gate.hand_over();
-    for peer in peers(agent) {
+    for peer in peers {
         if hand_to(agent, &peer, &estate).await {
             info!(agent.log, "handed_over";
                 "peer" => %peer.name,
@@ -55,6 +62,20 @@
     sleep(LINGER).await;
 }
 
+/// The agents that could take over. An agent may stop before it has heard
+/// of them, so it asks the entries for the latest configuration first.
+async fn find_peers(agent: &Agent) -> Vec<Target> {
+    let deadline = Instant::now() + CONFIGURATION;
+    loop {
+        let found = peers(agent);
+        if !found.is_empty() || Instant::now() >= deadline {
+            return found;
+        }
+        agent.links.pull();
+        sleep(ASK_AGAIN).await;
+    }
+}
+
 /// Reads the ticket records in a handover.
 pub fn decode(bytes: &[u8]) -> Option<Register> {
     ciborium::from_reader(bytes).ok()
--- a/cowsliproad-agent/src/links.rs
+++ b/cowsliproad-agent/src/links.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Asks every peer for the configuration that is lacking.
+    pub fn pull(&self) {
+        let pull = Frame::Pull(self.replica.next());
+        for link in self.lock().iter() {
+            // A full queue means a busy peer; others are asked too.
+            let _ = link.try_send(pull.clone());
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<Sender>> {
         self.open.lock().unwrap_or_else(|poison| poison.into_inner())
     }
--- a/cowsliproad-entry/src/links.rs
+++ b/cowsliproad-entry/src/links.rs
@@ -147,7 +147,9 @@
         }
         let now = Millis::now();
         let since = *self.behind_since.get_or_insert(now);
-        if now.since(since) < self.delay {
+        // A peer without any configuration doesn't wait its turn: it could
+        // not hand its work over yet if it had to stop.
+        if offset > FIRST_OFFSET && now.since(since) < self.delay {
             return;
         }
         if let Some(frame) = shared.control.lacking(offset).await {
