--- a/cowsliproad-standin/src/plain.rs
+++ b/cowsliproad-standin/src/plain.rs
@@ -5,7 +5,13 @@
 //! `GET /runs` gives the counts.
 
 use std::{
-    collections::HashMap, io, net::SocketAddr, sync::Arc, sync::Mutex,
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -50,6 +56,7 @@
     config: Config,
     slots: Semaphore,
     runs: Mutex<HashMap<String, u32>>,
+    calls: AtomicU64,
     /// Its faults.
     pub switch: Switch,
 }
@@ -63,6 +70,7 @@
         config,
         slots: Semaphore::new(config.slots),
         runs: Mutex::default(),
+        calls: AtomicU64::new(0),
         switch: Switch::new(),
     });
     let door = Door::new();
@@ -84,7 +92,13 @@
         self.lock().clone()
     }
 
+    /// Calls that came in, whatever became of them.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
     async fn run(&self, request_type: &str, request: Request) -> Response {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         if self.switch.get() == Fault::Error {
             return crate::status(StatusCode::INTERNAL_SERVER_ERROR);
         }
