--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -25,6 +25,7 @@
     clock::Millis,
     code::{Code, Ran},
     id,
+    sync::lock,
     wire::{
         Answer, Beat, Cancel, Failure, Handover, Load, Phase, Reclaim, Submit,
     },
@@ -493,7 +494,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(|poison| poison.into_inner())
+        lock(&self.inner)
     }
 }
 
--- a/cowsliproad-agent/src/links.rs
+++ b/cowsliproad-agent/src/links.rs
@@ -16,6 +16,7 @@
 
 use cowsliproad_kernel::{
     id,
+    sync::lock,
     wire::{
         self, Accepted, Data, End, Frame, Handover, Phase, Reclaim, Refusal,
         Submit,
@@ -81,7 +82,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Sender>> {
-        self.open.lock().unwrap_or_else(|poison| poison.into_inner())
+        lock(&self.open)
     }
 }
 
--- a/cowsliproad-agent/src/replica.rs
+++ b/cowsliproad-agent/src/replica.rs
@@ -7,6 +7,7 @@
 use std::sync::{Mutex, MutexGuard};
 
 use cowsliproad_config::{State, fold};
+use cowsliproad_kernel::sync::lock;
 use cowsliproad_kernel::wire::{Frame, Records, Snapshot};
 
 /// A folded configuration that only moves forward.
@@ -65,7 +66,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|poison| poison.into_inner())
+        lock(&self.state)
     }
 }
 
--- a/cowsliproad-agent/src/work.rs
+++ b/cowsliproad-agent/src/work.rs
@@ -17,6 +17,7 @@
     Name,
     clock::Millis,
     id,
+    sync::lock,
     wire::{Answer, Content, Failure, Format, Persistence, Submit},
 };
 use tokio::sync::Notify;
@@ -258,7 +259,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
-        self.progress.lock().unwrap_or_else(|poison| poison.into_inner())
+        lock(&self.progress)
     }
 }
 
--- a/cowsliproad-bench/src/caller.rs
+++ b/cowsliproad-bench/src/caller.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use cowsliproad_config::object::Repeat;
+use cowsliproad_kernel::sync::lock;
 use cowsliproad_net::client::{Client, Error};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
@@ -300,7 +301,3 @@
         is_final,
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poison| poison.into_inner())
-}
--- a/cowsliproad-bench/src/experiment/config.rs
+++ b/cowsliproad-bench/src/experiment/config.rs
@@ -24,6 +24,7 @@
     code::{Code, Ran},
     id,
     plugin::inventory,
+    sync::lock,
 };
 use cowsliproad_standin::fault::Fault;
 use hdrhistogram::Histogram;
@@ -422,7 +423,3 @@
     }
     Outcome::new(figures).with_broken(broken)
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poison| poison.into_inner())
-}
--- a/cowsliproad-bench/src/experiment/outage.rs
+++ b/cowsliproad-bench/src/experiment/outage.rs
@@ -12,7 +12,7 @@
 };
 
 use bytes::Bytes;
-use cowsliproad_kernel::plugin::inventory;
+use cowsliproad_kernel::{plugin::inventory, sync::lock};
 use cowsliproad_net::client::Client;
 use cowsliproad_standin::{fault::Fault, plain};
 use http::{Request, StatusCode, header};
@@ -231,7 +231,3 @@
     }
     good as f64 / all.max(1) as f64
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poison| poison.into_inner())
-}
--- a/cowsliproad-bench/src/experiment/overload.rs
+++ b/cowsliproad-bench/src/experiment/overload.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use cowsliproad_config::{Object, object::Repeat};
 use cowsliproad_kernel::{
-    clock::Millis, log::Level, plugin::inventory, wire::Urgency,
+    clock::Millis, log::Level, plugin::inventory, sync::lock, wire::Urgency,
 };
 use cowsliproad_net::client::Client;
 use cowsliproad_standin::plain;
@@ -352,7 +352,3 @@
     let patience = Duration::from_secs(15);
     client.call(request, 1 << 20, patience).await.ok()
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poison| poison.into_inner())
-}
--- a/cowsliproad-bench/src/experiment/slopes.rs
+++ b/cowsliproad-bench/src/experiment/slopes.rs
@@ -21,16 +21,18 @@
 use cowsliproad_config::{
     Object, State,
     fold::{self, Change, Record},
-    object::Organisation,
+    object::{self, Organisation},
 };
-use cowsliproad_entry::view::View;
+use cowsliproad_entry::{target::Target, view::View};
 use cowsliproad_kernel::{
     clock::Millis,
     id,
     plugin::inventory,
     wire::{self, Answer, Beat, Content, Format, Frame, Load, Phase, Urgency},
 };
+use cowsliproad_routing::choice;
 use cowsliproad_standin::{engine, plain};
+use rand::{SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 
 use super::{
@@ -74,6 +76,7 @@
     configuration(&mut figures);
     reports(&mut figures);
     queue_choice(&mut figures);
+    target_choice(&mut figures);
     Ok(Outcome::new(figures))
 }
 
@@ -161,7 +164,7 @@
             let _ = state.apply(offset, &record);
         }
         let view = View::new(Arc::new(state), &View::default(), |it| {
-            Arc::new(cowsliproad_entry::target::Target::new(it))
+            Arc::new(Target::new(it))
         });
         let grown = meter::memory().saturating_sub(before);
         points.push((count as f64, grown as f64));
@@ -237,7 +240,7 @@
         for _ in 0..5 {
             let state = Arc::new(state.clone());
             let view = View::new(state, &View::default(), |it| {
-                Arc::new(cowsliproad_entry::target::Target::new(it))
+                Arc::new(Target::new(it))
             });
             black_box(view);
         }
@@ -368,3 +371,36 @@
     }
     add(figures, "queue_us_per_waiting_item", "us a push and pop", &points);
 }
+
+/// Time of one choice among targets whose counters stand behind locks, as an
+/// entry's do.
+fn target_choice(figures: &mut Value) {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut points = Points::new();
+    for count in [100usize, 400, 1_600] {
+        let targets: Vec<Target> = (0..count).map(idle_target).collect();
+        let times = 50_000;
+        let start = Instant::now();
+        for _ in 0..times {
+            let found = choice::choose(count, &mut random, |index| {
+                Some(targets[index].score(0))
+            });
+            black_box(found);
+        }
+        let each = start.elapsed().as_nanos() as f64 / times as f64 / 1e3;
+        points.push((count as f64, each));
+        if count == 400 {
+            figures["choice_us_400"] = json!(each);
+        }
+    }
+    add(figures, "choice_us_per_target", "us", &points);
+}
+
+fn idle_target(index: usize) -> Target {
+    Target::new(&object::Target {
+        name: format!("target-{index}").as_str().into(),
+        service: "service".into(),
+        zone: "zone".into(),
+        agent: crate::plant::ANY,
+    })
+}
--- a/cowsliproad-bench/src/tally.rs
+++ b/cowsliproad-bench/src/tally.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use cowsliproad_kernel::sync::lock;
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 
@@ -162,7 +163,3 @@
 pub fn quantile(histogram: &Histogram<u64>, at: f64) -> f64 {
     histogram.value_at_quantile(at) as f64 / 1000.0
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poison| poison.into_inner())
-}
--- a/cowsliproad-entry/src/callers.rs
+++ b/cowsliproad-entry/src/callers.rs
@@ -1,5 +1,8 @@
 //! The callers' HTTP interface. `docs/CALLERS.md` describes it.
 
+mod finish;
+mod head;
+
 use std::{
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
@@ -11,7 +14,6 @@
 };
 use cowsliproad_config::object::RequestType;
 use cowsliproad_kernel::{
-    Name,
     clock::Millis,
     code::{Code, Ran},
     id,
@@ -22,20 +24,22 @@
     server::{self, BodyError, Handler},
 };
 use http::{HeaderValue, Method, StatusCode, header};
-use opentelemetry::{
-    KeyValue,
-    metrics::{Counter, Histogram, Meter},
-};
 use serde_json::json;
 use slog::info;
 use volo_http::{request::Request, response::Response};
 
+pub use self::finish::Instruments;
+use self::{
+    finish::{EntryGuard, Finish, Ignored},
+    head::{delivery, idempotency_key, organisation, query_number},
+};
 use crate::{
     Shared,
     answer::{self, Companion},
+    choose,
     forward::{Forward, Item, Order, needs_ticket},
-    target::{Event, Target},
-    view::{InFlight, Organisation, Service, View},
+    target::Event,
+    view::{InFlight, Organisation, Service},
 };
 
 /// The header that carries a ticket.
@@ -44,9 +48,6 @@
 /// The most tickets given out at once.
 const MAX_TICKETS: u64 = 100;
 
-/// The longest idempotency key.
-const MAX_KEY: usize = 128;
-
 /// How long a caller that asks for a kept answer as JSON waits for its end.
 const RECLAIM_WAIT: Millis = Millis(20_000);
 
@@ -59,23 +60,6 @@
 /// When to come back after the organisation's limit was met.
 const OVER_SHARE: Millis = Millis(200);
 
-/// The instruments that callers' requests are measured with.
-#[derive(Clone, Debug)]
-pub struct Instruments {
-    results: Counter<u64>,
-    seconds: Histogram<f64>,
-}
-
-impl Instruments {
-    /// Makes the instruments.
-    pub fn new(meter: &Meter) -> Instruments {
-        Instruments {
-            results: meter.u64_counter("entry_results").build(),
-            seconds: meter.f64_histogram("entry_request_seconds").build(),
-        }
-    }
-}
-
 /// The interface.
 #[derive(Debug)]
 pub struct Api {
@@ -256,7 +240,8 @@
         let forward = Forward::kept(shared, token, from, deadline);
         match delivery {
             Delivery::Stream => {
-                Ok(begin_stream(forward, from, Ignored(guard)).await)
+                Ok(begin_stream(forward, from, Ignored { _guard: guard })
+                    .await)
             }
             _ => Ok(kept_document(forward).await),
         }
@@ -324,23 +309,8 @@
 
     /// Makes a ticket for the target that suits best now.
     fn mint(&self, checked: &Checked) -> Option<String> {
-        let targets = &checked.service.targets;
-        let now = Millis::now();
-        let score = |index: usize| {
-            let target = &targets[index];
-            let healthy =
-                target.admits(now) != cowsliproad_routing::health::Admit::No;
-            let near = target.zone == self.shared.settings.zone;
-            let distance = if near { 0 } else { self.shared.settings.zone_us };
-            (target.is_open() && healthy).then(|| target.score(distance))
-        };
-        let mut random = rand::rng();
-        let found = cowsliproad_routing::choice::choose(
-            targets.len(),
-            &mut random,
-            score,
-        )?;
-        let target: &Target = &targets[found.chosen];
+        let found = choose::best(&self.shared, &checked.service, &[])?;
+        let target = &checked.service.targets[found.chosen];
         let (beat, at) = target.beat()?;
         let ticket = Ticket {
             purpose: Purpose::Ticket,
@@ -350,7 +320,7 @@
             target: target.name.clone(),
             incarnation: beat.incarnation,
             request: id::Request::random(),
-            expiry: beat.clock + now.since(at) + LIFETIME,
+            expiry: beat.clock + Millis::now().since(at) + LIFETIME,
         };
         info!(self.shared.log, "ticket";
             "request" => %ticket.request,
@@ -552,119 +522,6 @@
     }
 }
 
-/// Counts a request in the entry while it lives.
-struct EntryGuard {
-    shared: Arc<Shared>,
-}
-
-impl Drop for EntryGuard {
-    fn drop(&mut self) {
-        self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// What is kept while a request runs, and written down at its end.
-struct Finish {
-    shared: Arc<Shared>,
-    request: id::Request,
-    request_type: Arc<RequestType>,
-    arrival: Instant,
-    _guard: EntryGuard,
-    _share: InFlight,
-}
-
-impl Companion for Finish {
-    fn ended(&mut self, failure: Option<&Failure>) {
-        let code = failure.map_or(Code::Ok, |it| it.code);
-        let taken = self.arrival.elapsed();
-        let instruments = &self.shared.instruments;
-        let kind = self.request_type.name.to_string();
-        instruments.results.add(
-            1,
-            &[
-                KeyValue::new("type", kind.clone()),
-                KeyValue::new("code", code.name()),
-            ],
-        );
-        let kind = [KeyValue::new("type", kind)];
-        instruments.seconds.record(taken.as_secs_f64(), &kind);
-        if let Some(failure) = failure {
-            info!(self.shared.log, "failed";
-                "request" => %self.request,
-                "type" => %self.request_type.name,
-                "code" => failure.code.name(),
-                "ran" => failure.ran.as_str(),
-                "taken_ms" => taken.as_millis() as u64);
-        }
-    }
-}
-
-/// A kept answer that is read out is not measured as a request.
-struct Ignored(#[allow(dead_code)] EntryGuard);
-
-impl Companion for Ignored {
-    fn ended(&mut self, _: Option<&Failure>) {}
-}
-
-fn organisation(
-    request: &Request,
-    view: &View,
-) -> Result<Arc<Organisation>, Refused> {
-    if view.services.is_empty() {
-        // Nobody's key is known yet, so no key can be called wrong.
-        let failure = Failure::new(Code::NotReady, Ran::NotForwarded);
-        return Err(Refused::new(failure.with_retry_after(OVER_SHARE)));
-    }
-    let value = request
-        .headers()
-        .get(header::AUTHORIZATION)
-        .ok_or_else(|| refused(Code::NoKey, ""))?;
-    let key = value.to_str().ok().and_then(|it| it.strip_prefix("Bearer "));
-    let key = key.ok_or_else(|| refused(Code::NoKey, ""))?;
-    let hash = blake3::hash(key.as_bytes()).to_hex();
-    view.organisations
-        .get(hash.as_str())
-        .cloned()
-        .ok_or_else(|| refused(Code::WrongKey, ""))
-}
-
-fn delivery(request: &Request) -> Delivery {
-    let has = |name: &str, value: &str| {
-        let given = request.headers().get(name);
-        given
-            .and_then(|it| it.to_str().ok())
-            .is_some_and(|it| it.contains(value))
-    };
-    if has("prefer", "respond-async") {
-        Delivery::Async
-    } else if has("accept", "text/event-stream") {
-        Delivery::Stream
-    } else {
-        Delivery::Whole
-    }
-}
-
-fn idempotency_key(request: &Request) -> Result<Option<Name>, Refused> {
-    let Some(value) = request.headers().get("idempotency-key") else {
-        return Ok(None);
-    };
-    match value.to_str() {
-        Ok(text) if (1..=MAX_KEY).contains(&text.len()) => {
-            Ok(Some(text.into()))
-        }
-        _ => {
-            let text = "idempotency-key: 1 to 128 visible characters";
-            Err(refused(Code::BadRequest, text))
-        }
-    }
-}
-
-fn query_number(request: &Request, name: &str) -> Option<u64> {
-    let pairs = request.uri().query()?.split('&');
-    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
-}
-
 /// A refusal of something the entry itself looked at, so that this attempt
 /// did not leave it.
 fn refused(code: Code, detail: &str) -> Refused {
--- /dev/null
+++ b/cowsliproad-entry/src/choose.rs
@@ -0,0 +1,89 @@
+//! The choice of a target, and its log line.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_routing::{
+    choice::{self, Choice},
+    health::Admit,
+};
+use slog::info;
+
+use crate::{Shared, forward::Order, target::Target, view::Service};
+
+/// Chooses the target of an attempt, leaving out those tried before.
+pub fn target(
+    shared: &Shared,
+    order: &Order,
+    tried: &[Name],
+) -> Option<Arc<Target>> {
+    let targets = &order.service.targets;
+    if let Some(key) = &order.key {
+        let open = targets.iter().filter(|it| is_usable(it, tried));
+        let steered =
+            open.max_by_key(|it| steer(&order.organisation, key, &it.name));
+        log(shared, order, steered, "idempotency_key", None);
+        return steered.cloned();
+    }
+    let found = best(shared, &order.service, tried);
+    let chosen = found.map(|it| &targets[it.chosen]);
+    log(shared, order, chosen, "score", found);
+    chosen.cloned()
+}
+
+/// The best of a few sampled targets of a service. When more targets are
+/// left out for their failures than can be believed, none is.
+pub fn best(
+    shared: &Shared,
+    service: &Service,
+    tried: &[Name],
+) -> Option<Choice> {
+    let now = Millis::now();
+    let targets = &service.targets;
+    let is_out = |target: &Target| target.admits(now) == Admit::No;
+    let believe = !service.ejections_doubted.load(Ordering::Relaxed);
+    let score = |index: usize| {
+        let target = &targets[index];
+        if !is_usable(target, tried) || (believe && is_out(target)) {
+            return None;
+        }
+        let near = target.zone == shared.settings.zone;
+        let distance = if near { 0 } else { shared.settings.zone_us };
+        Some(target.score(distance))
+    };
+    choice::choose(targets.len(), &mut rand::rng(), score)
+}
+
+fn is_usable(target: &Target, tried: &[Name]) -> bool {
+    target.is_open() && !tried.contains(&target.name)
+}
+
+/// The weight of a target for an idempotency key: resends of one request go
+/// to the same target through any entry.
+fn steer(organisation: &str, key: &str, target: &str) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    for part in [organisation, key, target] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    *hasher.finalize().as_bytes()
+}
+
+fn log(
+    shared: &Shared,
+    order: &Order,
+    chosen: Option<&Arc<Target>>,
+    why: &str,
+    choice: Option<Choice>,
+) {
+    let targets = &order.service.targets;
+    let second = choice.and_then(|it| it.runner_up);
+    info!(shared.log, "route";
+        "request" => %order.request,
+        "type" => %order.request_type.name,
+        "target" => chosen.map_or("none", |it| &*it.name),
+        "why" => why,
+        "score_us" => choice.map_or(0, |it| it.score_us),
+        "runner_up" => second.map_or("none", |it| &*targets[it.0].name),
+        "runner_up_us" => second.map_or(0, |it| it.1));
+}
--- a/cowsliproad-entry/src/control.rs
+++ b/cowsliproad-entry/src/control.rs
@@ -8,6 +8,7 @@
 use std::{
     collections::{HashMap, HashSet, VecDeque},
     sync::{Arc, atomic::Ordering},
+    time::Duration,
 };
 
 use cowsliproad_config::{
@@ -16,7 +17,9 @@
     object::{Key, Kind},
 };
 use cowsliproad_kernel::{
-    Name, id,
+    Name,
+    clock::Millis,
+    id,
     wire::{Frame, Records, Snapshot},
 };
 use serde_bytes::ByteBuf;
@@ -74,6 +77,18 @@
     (Inbox { queue }, events)
 }
 
+/// How often ejections are counted.
+const WEIGH: Duration = Duration::from_millis(100);
+
+/// Counts ejections for as long as the entry runs, so that a choice needs
+/// not look at all targets.
+pub async fn weigh_ejections(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(WEIGH).await;
+        shared.published.load().weigh_ejections(Millis::now());
+    }
+}
+
 /// The control task's state.
 #[derive(Debug)]
 pub struct Control {
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -29,18 +29,17 @@
     clock::Millis,
     code::{Code, Ran},
     id,
+    sync::lock,
     wire::{Ack, End, Failure, Frame, Persistence, Reclaim, Submit, WINDOW},
 };
 use cowsliproad_relay::{Assembly, Step};
-use cowsliproad_routing::{choice, health, health::Admit};
-use slog::info;
 use tokio::{
     sync::mpsc,
     time::{sleep, timeout},
 };
 
 use crate::{
-    Shared,
+    Shared, choose,
     target::{Event, Link, Outcome, Target, outcome},
     view::Service,
 };
@@ -255,8 +254,7 @@
 
     async fn start_plain(&mut self) {
         let Task::Work(order) = &self.task else { return };
-        let now = Millis::now();
-        let chosen = choose(&self.shared, order, &self.tried, now);
+        let chosen = choose::target(&self.shared, order, &self.tried);
         let Some(target) = chosen else {
             let wait = COME_BACK;
             let failure = Failure::new(Code::NoTarget, self.ran());
@@ -522,7 +520,7 @@
             return true;
         }
         let budget = &order.service.budget;
-        budget.lock().unwrap_or_else(|it| it.into_inner()).spend()
+        lock(budget).spend()
     }
 
     /// What was given out belongs to an attempt that will not be finished.
@@ -545,7 +543,7 @@
     fn earn(&self) {
         if let Task::Work(order) = &self.task {
             let budget = &order.service.budget;
-            budget.lock().unwrap_or_else(|it| it.into_inner()).earn();
+            lock(budget).earn();
         }
     }
 
@@ -627,73 +625,6 @@
     }
 }
 
-/// Chooses the target of an attempt and logs the choice.
-fn choose(
-    shared: &Shared,
-    order: &Order,
-    tried: &[Name],
-    now: Millis,
-) -> Option<Arc<Target>> {
-    let targets = &order.service.targets;
-    let open = |target: &Arc<Target>| {
-        target.is_open() && !tried.contains(&target.name)
-    };
-    if let Some(key) = &order.key {
-        let steered = targets
-            .iter()
-            .filter(|it| open(it))
-            .max_by_key(|it| steer(&order.organisation, key, &it.name));
-        log_choice(shared, order, steered, "idempotency_key", None);
-        return steered.cloned();
-    }
-    let ejected =
-        targets.iter().filter(|it| it.admits(now) == Admit::No).count();
-    let config = health::Config::new();
-    let ignore = config.is_too_many(ejected, targets.len());
-    let score = |index: usize| {
-        let target = &targets[index];
-        if !open(target) || (!ignore && target.admits(now) == Admit::No) {
-            return None;
-        }
-        let near = target.zone == shared.settings.zone;
-        let distance = if near { 0 } else { shared.settings.zone_us };
-        Some(target.score(distance))
-    };
-    let mut random = rand::rng();
-    let found = choice::choose(targets.len(), &mut random, score);
-    let chosen = found.map(|it| &targets[it.chosen]);
-    log_choice(shared, order, chosen, "score", found.as_ref());
-    chosen.cloned()
-}
-
-fn steer(organisation: &str, key: &str, target: &str) -> [u8; 32] {
-    let mut hasher = blake3::Hasher::new();
-    for part in [organisation, key, target] {
-        hasher.update(part.as_bytes());
-        hasher.update(&[0]);
-    }
-    *hasher.finalize().as_bytes()
-}
-
-fn log_choice(
-    shared: &Shared,
-    order: &Order,
-    chosen: Option<&Arc<Target>>,
-    why: &str,
-    choice: Option<&choice::Choice>,
-) {
-    let targets = &order.service.targets;
-    let second = choice.and_then(|it| it.runner_up);
-    info!(shared.log, "route";
-        "request" => %order.request,
-        "type" => %order.request_type.name,
-        "target" => chosen.map_or("none", |it| &*it.name),
-        "why" => why,
-        "score_us" => choice.map_or(0, |it| it.score_us),
-        "runner_up" => second.map_or("none", |it| &*targets[it.0].name),
-        "runner_up_us" => second.map_or(0, |it| it.1));
-}
-
 fn unknown(code: Code) -> Failure {
     Failure::new(code, Ran::OutcomeUnknown).with_retry_after(ASK_AGAIN)
 }
--- a/cowsliproad-entry/src/lib.rs
+++ b/cowsliproad-entry/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! * [`callers`]: the callers' HTTP interface;
 //! * [`forward`]: one request's attempts, and its one whole answer;
-//! * [`target`]: what is known of each target;
+//! * [`choose`]: the choice of a target; [`target`]: what is known of each;
 //! * [`control`]: the control thread, which owns the replica and publishes
 //!   the [`view::View`] that traffic reads;
 //! * [`links`]: links to agents and between entries;
@@ -18,6 +18,7 @@
 pub mod admin;
 pub mod answer;
 pub mod callers;
+pub mod choose;
 pub mod control;
 pub mod forward;
 pub mod links;
@@ -140,6 +141,7 @@
         door: door.clone(),
     };
     threads.control.spawn(Control::new(shared.clone()).run(events));
+    threads.control.spawn(control::weigh_ejections(shared.clone()));
     threads.control.spawn(log::tail(shared.clone()));
     threads.control.spawn(vms::watch(shared.clone()));
     threads.control.spawn(links::beat(shared.clone()));
--- a/cowsliproad-entry/src/target.rs
+++ b/cowsliproad-entry/src/target.rs
@@ -8,7 +8,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Mutex, MutexGuard,
+        Mutex,
         atomic::{AtomicBool, Ordering},
     },
 };
@@ -19,6 +19,7 @@
     clock::Millis,
     code::Code,
     id,
+    sync::lock,
     wire::{Beat, Data, End, Failure, Frame, Load, Phase, Refusal},
 };
 use cowsliproad_net::link::{Gone, Sender};
@@ -317,7 +318,3 @@
         _ => Outcome::Neutral,
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poison| poison.into_inner())
-}
--- a/cowsliproad-entry/src/view.rs
+++ b/cowsliproad-entry/src/view.rs
@@ -14,7 +14,8 @@
     Object, State,
     object::{self, Backend},
 };
-use cowsliproad_kernel::{Name, id};
+use cowsliproad_kernel::{Name, clock::Millis, id};
+use cowsliproad_routing::health::{self, Admit};
 use tokio::sync::watch;
 
 use crate::target::Target;
@@ -58,6 +59,8 @@
     pub types: HashMap<Name, Arc<object::RequestType>>,
     /// Its targets.
     pub targets: Vec<Arc<Target>>,
+    /// Whether so many targets are ejected that none is left out for it.
+    pub ejections_doubted: AtomicBool,
     /// Its retry budget, shared by successive views.
     pub budget: Arc<Mutex<Budget>>,
 }
@@ -105,6 +108,7 @@
                     .map(|it| (it.name.clone(), Arc::new(it)))
                     .collect(),
                 targets: targets.remove(&it.name).unwrap_or_default(),
+                ejections_doubted: AtomicBool::new(false),
                 budget: old.services.get(&it.name).map_or_else(
                     || Arc::new(Mutex::new(budget())),
                     |old| old.budget.clone(),
@@ -115,6 +119,17 @@
         view
     }
 
+    /// Counts each service's ejected targets anew.
+    pub fn weigh_ejections(&self, now: Millis) {
+        let config = health::Config::new();
+        for service in self.services.values() {
+            let targets = &service.targets;
+            let out = targets.iter().filter(|it| it.admits(now) == Admit::No);
+            let doubted = config.is_too_many(out.count(), targets.len());
+            service.ejections_doubted.store(doubted, Ordering::Relaxed);
+        }
+    }
+
     /// The linked target whose agent is, or answers for, a process.
     pub fn holder(&self, incarnation: id::Incarnation) -> Option<Arc<Target>> {
         let mut linked = self
--- a/cowsliproad-kernel/src/lib.rs
+++ b/cowsliproad-kernel/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plugin;
 pub mod secret;
 pub mod settings;
+pub mod sync;
 pub mod wire;
 
 /// A shared immutable name of an organisation, service, target or VM.
--- a/cowsliproad-standin/src/engine.rs
+++ b/cowsliproad-standin/src/engine.rs
@@ -18,6 +18,7 @@
 };
 
 use bytes::Bytes;
+use cowsliproad_kernel::sync::lock;
 use cowsliproad_net::{
     reply,
     server::{self, Door, Handler, Listener},
@@ -452,10 +453,6 @@
     value.and_then(|it| it.to_str().ok()).unwrap_or_default().to_string()
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poison| poison.into_inner())
-}
-
 /// A stream that may be shared between threads, as response bodies must,
 /// although only one of them ever polls it.
 pub(crate) use cowsliproad_net::server::SyncStream;
--- a/cowsliproad-standin/src/fault.rs
+++ b/cowsliproad-standin/src/fault.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use cowsliproad_kernel::sync::lock;
 use serde::{Deserialize, Serialize};
 
 /// What is wrong with a stand-in.
@@ -74,6 +75,6 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Fault> {
-        self.fault.lock().unwrap_or_else(|poison| poison.into_inner())
+        lock(&self.fault)
     }
 }
--- a/cowsliproad-standin/src/log.rs
+++ b/cowsliproad-standin/src/log.rs
@@ -15,6 +15,7 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
+use cowsliproad_kernel::sync::lock;
 use cowsliproad_net::{
     reply,
     server::{self, Door, Handler, Listener},
@@ -74,7 +75,7 @@
 impl Log {
     /// Loses the answer of every `n`th append; 0 for none.
     pub fn lose_every(&self, n: u64) {
-        *self.lose_every.lock().unwrap_or_else(|it| it.into_inner()) = n;
+        *lock(&self.lose_every) = n;
     }
 
     /// Drops all but the last `count` records, as retention would.
@@ -103,7 +104,7 @@
             (offset, records.appends)
         };
         self.next.send_replace(offset + 1);
-        let every = *self.lose_every.lock().unwrap_or_else(|e| e.into_inner());
+        let every = *lock(&self.lose_every);
         let lost = every > 0 && count.is_multiple_of(every);
         if lost || self.switch.get() == Fault::LoseAnswer {
             return crate::engine::cut_response();
@@ -129,7 +130,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Records> {
-        self.records.lock().unwrap_or_else(|poison| poison.into_inner())
+        lock(&self.records)
     }
 }
 
--- a/cowsliproad-standin/src/plain.rs
+++ b/cowsliproad-standin/src/plain.rs
@@ -15,6 +15,7 @@
     time::Duration,
 };
 
+use cowsliproad_kernel::sync::lock;
 use cowsliproad_net::{
     reply,
     server::{self, Door, Handler, Listener},
@@ -133,7 +134,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, u32>> {
-        self.runs.lock().unwrap_or_else(|poison| poison.into_inner())
+        lock(&self.runs)
     }
 }
 
--- a/cowsliproad-standin/src/vms.rs
+++ b/cowsliproad-standin/src/vms.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use cowsliproad_kernel::sync::lock;
 use cowsliproad_net::{
     reply,
     server::{self, Door, Handler, Listener},
@@ -115,7 +116,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poison| poison.into_inner())
-}
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,282 @@
+//! Scripted scenarios in `testdata/scenarios`, which drive the real
+//! decisions under a manual clock. Run with `UPDATE_GOLDENFILES=1` after a
+//! wanted change, and read the difference.
+
+use std::{collections::BTreeMap, error::Error, path::Path, str::FromStr};
+
+use cowsliproad::{
+    admission::{
+        queue::{Config, Item, Outcome, Pace, Queue},
+        register::Register,
+        ticket::{Purpose, Ticket},
+    },
+    config::{
+        Object, State,
+        fold::{Change, Record, encode},
+        object::Organisation,
+    },
+    kernel::{clock::Millis, id, wire::Urgency},
+    mapswitch::{Generation, Member, Message, Proposal, Version, Weights},
+};
+use goldenscript::{Command, Context, Runner};
+
+/// How fast the scripted target works.
+const PACE: Pace = Pace { slots: 1, service_us: 100_000 };
+
+/// Everything that a script can touch.
+struct World {
+    now: Millis,
+    agent: Register,
+    tickets: BTreeMap<String, Ticket>,
+    queue: Queue<String>,
+    log: Vec<Vec<u8>>,
+    replicas: BTreeMap<String, State>,
+    group: Vec<Member>,
+    network: Vec<Message>,
+}
+
+impl World {
+    fn new() -> World {
+        let member = |rank| Member::new(rank, 3, Generation(1), Version(0));
+        World {
+            now: Millis(0),
+            agent: Register::new(100),
+            tickets: BTreeMap::new(),
+            queue: Queue::new(Config::new()),
+            log: Vec::new(),
+            replicas: BTreeMap::new(),
+            group: (0..3).map(member).collect(),
+            network: Vec::new(),
+        }
+    }
+
+    /// `ticket NAME`: an entry makes a ticket for this agent.
+    fn ticket(&mut self, name: &str) -> String {
+        let ticket = Ticket {
+            purpose: Purpose::Ticket,
+            organisation: "harju".into(),
+            service: "access".into(),
+            request_type: "tow-call".into(),
+            target: "access-1".into(),
+            incarnation: id::Incarnation(1),
+            request: id::Request(self.tickets.len() as u64),
+            expiry: self.now + cowsliproad::admission::register::LIFETIME,
+        };
+        self.tickets.insert(name.into(), ticket);
+        String::new()
+    }
+
+    /// `queue NAME URGENCY deadline=MS`: work arrives at the agent.
+    fn arrive(&mut self, name: &str, urgency: &str, deadline: u64) -> String {
+        let item = Item {
+            organisation: name.split('-').next().unwrap_or(name).into(),
+            share: 1,
+            urgency: match urgency {
+                "urgent" => Urgency::Urgent,
+                "normal" => Urgency::Normal,
+                _ => Urgency::Background,
+            },
+            deadline: self.now + Millis(deadline),
+            work: name.into(),
+        };
+        match self.queue.push(item, PACE, self.now) {
+            Outcome::Queued => "waits".into(),
+            Outcome::Displaced(it, _) => format!("waits, {} shed", it.work),
+            Outcome::Refused(_, wait) => format!("refused, back in {wait}"),
+        }
+    }
+
+    /// `put COMMAND base=N share=N`: an operator appends a change.
+    fn append(&mut self, command: u64, base: u64, share: u32) -> String {
+        let object = Object::Organisation(Organisation {
+            name: "harju".into(),
+            keys: Vec::new(),
+            share,
+            max_in_flight: 1,
+        });
+        let change = Change::Put { base, object };
+        let command = id::Command(command);
+        self.log.push(encode(&Record { command, change }));
+        format!("offset {}", self.log.len())
+    }
+
+    /// `read REPLICA to=N`: a replica folds the log up to an offset.
+    fn read(&mut self, name: &str, to: usize) -> String {
+        let state = self.replicas.entry(name.into());
+        let state = state.or_insert_with(State::new);
+        let from = state.next() as usize;
+        let mut text = Vec::new();
+        for offset in from..=to.min(self.log.len()) {
+            let verdict = state.apply(offset as u64, &self.log[offset - 1]);
+            text.push(format!("{offset}: {verdict:?}"));
+        }
+        text.join("\n")
+    }
+
+    /// `take FROM BY`: a replica takes over another's state.
+    fn take(&mut self, from: &str, by: &str) -> String {
+        let state = self.replicas.get(from).cloned().unwrap_or_default();
+        let own = self.replicas.entry(by.into()).or_insert_with(State::new);
+        format!("{:?}, next {}", own.advance(state), own.next())
+    }
+
+    /// `propose VERSION boundary=N rank=N`: a member hears a proposal.
+    fn propose(&mut self, version: u64, boundary: u64, rank: usize) -> String {
+        let proposal = Proposal {
+            generation: Generation(1),
+            base: Version(0),
+            version: Version(version),
+            boundary,
+        };
+        let ask = Message::Ask(proposal);
+        let answer = self.group[rank].take(ask, Weights::Loaded);
+        self.network.extend(answer);
+        format!("{answer:?}")
+    }
+
+    /// `deliver rank=N`: a member gets all votes so far.
+    fn deliver(&mut self, rank: usize) -> String {
+        for message in self.network.clone() {
+            self.group[rank].take(message, Weights::Loaded);
+        }
+        format!("{:?}", self.group[rank].next())
+    }
+}
+
+impl Runner for World {
+    type Command = Command;
+
+    fn run(
+        &mut self,
+        command: &Command,
+        _: &Context,
+    ) -> Result<String, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let output = match command.name.as_str() {
+            "wait" => {
+                let time: u64 = args.next_pos().ok_or("ms")?.parse()?;
+                self.now = self.now + Millis(time);
+                format!("now {}", self.now)
+            }
+            "ticket" => {
+                let name = args.next_pos().ok_or("name")?;
+                self.ticket(name)
+            }
+            "submit" | "refuse" => {
+                let name = args.next_pos().ok_or("name")?;
+                let ticket = self.tickets.get(name).ok_or("no ticket")?;
+                let verdict = match command.name.as_str() {
+                    "submit" => self.agent.submit(ticket, self.now),
+                    _ => self.agent.burn(ticket, self.now),
+                };
+                format!("{verdict:?}")
+            }
+            "seal" => {
+                self.agent.seal();
+                String::new()
+            }
+            "queue" => {
+                let name = args.next_pos().ok_or("name")?.to_string();
+                let urgency = args.next_pos().ok_or("urgency")?.to_string();
+                let deadline = number(args.take_key("deadline"), 60_000)?;
+                self.arrive(&name, &urgency, deadline)
+            }
+            "serve" => match self.queue.pop(self.now) {
+                Some(item) => item.work,
+                None => "nothing".into(),
+            },
+            "lapse" => match self.queue.lapsed(PACE, self.now) {
+                Some(item) => format!("{} not run", item.work),
+                None => "nothing".into(),
+            },
+            "put" => {
+                let name = args.next_pos().ok_or("command")?.parse()?;
+                let base = number(args.take_key("base"), 0)?;
+                let share = number(args.take_key("share"), 1)?;
+                self.append(name, base, share)
+            }
+            "read" => {
+                let name = args.next_pos().ok_or("replica")?.to_string();
+                let to = number(args.take_key("to"), self.log.len())?;
+                self.read(&name, to)
+            }
+            "take" => {
+                let from = args.next_pos().ok_or("from")?.to_string();
+                let by = args.next_pos().ok_or("by")?.to_string();
+                self.take(&from, &by)
+            }
+            "propose" => {
+                let version = args.next_pos().ok_or("version")?.parse()?;
+                let boundary = number(args.take_key("boundary"), 1)?;
+                let rank = number(args.take_key("rank"), 0)?;
+                self.propose(version, boundary, rank)
+            }
+            "step" => {
+                let rank = number(args.take_key("rank"), 0)?;
+                format!("{:?}", self.group[rank].run())
+            }
+            "deliver" => {
+                let rank = number(args.take_key("rank"), 0)?;
+                self.deliver(rank)
+            }
+            "renew" => {
+                let rank = number(args.take_key("rank"), 0)?;
+                self.group[rank].move_on(Generation(2), Version(0));
+                String::new()
+            }
+            other => return Err(format!("no command {other}").into()),
+        };
+        args.reject_next()?;
+        Ok(output)
+    }
+}
+
+/// The number given for a key, or the usual one.
+fn number<T: FromStr>(
+    given: Option<&str>,
+    usual: T,
+) -> Result<T, Box<dyn Error>>
+where
+    T::Err: Error + 'static,
+{
+    match given {
+        Some(text) => Ok(text.parse()?),
+        None => Ok(usual),
+    }
+}
+
+fn check(name: &str) {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let path = root.join("testdata/scenarios").join(name);
+    goldenscript::run(&mut World::new(), path).expect("it plays as written");
+}
+
+#[test]
+fn tow_call_once() {
+    check("tow_call_once");
+}
+
+#[test]
+fn planned_restart() {
+    check("planned_restart");
+}
+
+#[test]
+fn busy_evening() {
+    check("busy_evening");
+}
+
+#[test]
+fn racing_operators() {
+    check("racing_operators");
+}
+
+#[test]
+fn entry_replaced_with_the_log_down() {
+    check("entry_replaced_with_the_log_down");
+}
+
+#[test]
+fn paused_rank_and_new_generation() {
+    check("paused_rank_and_new_generation");
+}
