ctl ends quietly when nobody reads its output

Change: all output goes through one function that ends the program when it can't be written. Nothing else changed in what is printed.

--- a/cowsliproad-ctl/src/main.rs
+++ b/cowsliproad-ctl/src/main.rs
@@ -2,7 +2,7 @@
 
 #![forbid(unsafe_code)]
 
-use std::{fs, net::SocketAddr, path::PathBuf, process};
+use std::{fs, io::Write, net::SocketAddr, path::PathBuf, process};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use cowsliproad_config::{
@@ -59,7 +59,7 @@
         Some(("undrain", args)) => undrain(&client, args, output).await,
         Some(("hash-key", args)) => {
             let key = args.get_one::<String>("key").expect("it is required");
-            println!("{}", blake3::hash(key.as_bytes()).to_hex());
+            say(&format!("{}\n", blake3::hash(key.as_bytes()).to_hex()));
             Ok(())
         }
         _ => unreachable!("clap demands a subcommand"),
@@ -79,8 +79,8 @@
 ) -> Result<(), Error> {
     let found = client.get(&key(args)?).await?;
     match output {
-        Output::Json => println!("{}", show::object(&found)),
-        Output::Table => print!("{}", show::table(&[found])),
+        Output::Json => say(&format!("{}\n", show::object(&found))),
+        Output::Table => say(&show::table(&[found])),
     }
     Ok(())
 }
@@ -109,8 +109,8 @@
 async fn status(client: &Client, output: Output) -> Result<(), Error> {
     let status = client.status().await?;
     match output {
-        Output::Json => println!("{}", show::status_json(&status)),
-        Output::Table => print!("{}", show::status(&status)),
+        Output::Json => say(&format!("{}\n", show::status_json(&status))),
+        Output::Table => say(&show::status(&status)),
     }
     Ok(())
 }
@@ -183,30 +183,41 @@
 ) -> Result<(), Error> {
     for difference in differences {
         if output == Output::Table {
-            println!("{difference}");
+            say(&format!("{difference}\n"));
         }
         let revision = apply::change(client, difference, mode).await?;
         match output {
-            Output::Table => println!("  accepted @{revision}"),
-            Output::Json => println!("{}", json!({ "revision": revision })),
+            Output::Table => say(&format!("  accepted @{revision}\n")),
+            Output::Json => {
+                say(&format!("{}\n", json!({ "revision": revision })))
+            }
         }
     }
     if differences.is_empty() && output == Output::Table {
-        println!("nothing to change");
+        say("nothing to change\n");
     }
     Ok(())
 }
 
 fn print_list(next: u64, objects: &[Versioned], output: Output) {
     match output {
-        Output::Json => println!("{}", show::objects(next, objects)),
+        Output::Json => say(&format!("{}\n", show::objects(next, objects))),
         Output::Table => {
-            print!("{}", show::table(objects));
-            println!("{} objects, offset {next}", objects.len());
+            say(&show::table(objects));
+            say(&format!("{} objects, offset {next}\n", objects.len()));
         }
     }
 }
 
+/// Writes to standard output. When nobody reads it any more, as behind
+/// `head`, the rest has no use.
+fn say(text: &str) {
+    let mut out = std::io::stdout().lock();
+    if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
+        process::exit(0);
+    }
+}
+
 fn key(args: &ArgMatches) -> Result<Key, Error> {
     let kind = args.get_one::<String>("kind").expect("it is required");
     let name = args.get_one::<String>("name").expect("it is required");
