--- a/tests/callers/main.rs
+++ b/tests/callers/main.rs
@@ -157,6 +157,16 @@
     reply.check("BadRequest", "NOT_FORWARDED");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_configuration_no_key_is_called_wrong() {
+    let plant = Plant::start_empty(Config::new()).await.expect("it starts");
+    let scene = Scene { plant, client: Client::new() };
+    let reply = scene.post(HANGAR, GATE, &[], "{}").await;
+    reply.check("NotReady", "NOT_FORWARDED");
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(reply.json()["retry_after_ms"].is_u64());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_that_dribbles_its_head_is_dropped() {
     let scene = Scene::new().await;
--- a/tests/properties/fold.rs
+++ b/tests/properties/fold.rs
@@ -4,7 +4,8 @@
     config::{
         Object, State,
         fold::{
-            Change, Gap, Record, Verdict, decode_state, encode, encode_state,
+            Change, Gap, Record, Verdict, decode, decode_state, encode,
+            encode_state,
         },
         object::{Backend, Drain, Key, Kind, Organisation, Service, Target},
     },
@@ -96,6 +97,12 @@
         prop_assert_eq!(state, expected);
     }
 
+    #[test]
+    fn a_record_is_read_back(command in any::<u64>(), change in change()) {
+        let record = Record { command: Command(command), change };
+        prop_assert_eq!(decode(&encode(&record)), Some(record));
+    }
+
     #[test]
     fn a_verdict_never_changes(records in records()) {
         let mut state = State::new();
@@ -163,6 +170,12 @@
     assert_eq!(state.get(&key).map(|it| it.revision), Some(1));
 }
 
+#[test]
+fn a_default_state_is_a_new_one() {
+    assert_eq!(State::default(), State::new());
+    assert_eq!(State::default().next(), 1);
+}
+
 #[test]
 fn a_gap_is_refused() {
     let mut state = State::new();
