Read once more: one piece where two stood, and a holder found by name first

Cause, from reading the whole change: the constant-time comparison stood in the tickets and in the links, the query reader in the entry and in the stand-ins, the fault schedule's loop in both rivals, the zone rule twice in one function, the delayed read twice in the fault link. Finding who answers for a ticket copied the heartbeat of every target under its lock, for each submission, although the named one mostly answers itself. A handover field and a link function had no user, and the log stand-in's page named a route that does not exist.

Change: secret::equal, server::query_number, faults::play and link::read serve both sides; View::holder asks the named target first and copies nothing; the dead pieces are gone. No test, bound or check is touched.

--- a/cowsliproad-admission/src/ticket.rs
+++ b/cowsliproad-admission/src/ticket.rs
@@ -13,7 +13,7 @@
 use std::fmt;
 
 use base64::{Engine, engine::general_purpose::URL_SAFE_NO_PAD};
-use cowsliproad_kernel::{Name, clock::Millis, id};
+use cowsliproad_kernel::{Name, clock::Millis, id, secret};
 use serde::{Deserialize, Serialize};
 
 /// The length of the shared key in bytes.
@@ -86,7 +86,7 @@
     let split = bytes.len().checked_sub(MAC).ok_or(Forged)?;
     let (content, code) = bytes.split_at(split);
     let right = blake3::keyed_hash(key, content);
-    if !equal(code, &right.as_bytes()[..MAC]) {
+    if !secret::equal(code, &right.as_bytes()[..MAC]) {
         return Err(Forged);
     }
     ciborium::from_reader(content).map_err(|_| Forged)
@@ -99,12 +99,3 @@
 }
 
 impl std::error::Error for Forged {}
-
-/// Compares without stopping at the first difference.
-fn equal(left: &[u8], right: &[u8]) -> bool {
-    let difference = left
-        .iter()
-        .zip(right)
-        .fold(0u8, |difference, (a, b)| difference | (a ^ b));
-    left.len() == right.len() && difference == 0
-}
--- a/cowsliproad-agent/src/handover.rs
+++ b/cowsliproad-agent/src/handover.rs
@@ -137,7 +137,6 @@
         let handover = Handover {
             incarnation: own,
             clock: Millis(0),
-            holds: Vec::new(),
             tickets: Vec::new(),
             answers: chunk,
             more: true,
@@ -151,7 +150,6 @@
         let handover = Handover {
             incarnation: sealed.incarnation,
             clock: sealed.clock,
-            holds: Vec::new(),
             tickets,
             answers: Vec::new(),
             more: index > 0,
--- a/cowsliproad-bench/src/experiment/faults.rs
+++ b/cowsliproad-bench/src/experiment/faults.rs
@@ -16,7 +16,11 @@
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
-use tokio::{sync::Semaphore, task::JoinSet, time::sleep};
+use tokio::{
+    sync::Semaphore,
+    task::{JoinHandle, JoinSet},
+    time::sleep,
+};
 
 use super::{Extent, Options, Outcome, Plugin, block_on};
 use crate::{
@@ -140,25 +144,37 @@
     let mut plant = Plant::start(config).await?;
     let tally = Arc::new(Tally::new());
     let caller = Caller::new(plant.balancer.clone(), tally.clone());
-    let mut load = tokio::spawn(paced(caller, count, seed));
+    let load = tokio::spawn(paced(caller, count, seed));
+    let config = plant.config.clone();
+    let faults =
+        play(load, &config, seed, async |it| plant.suffer(it).await).await?;
+    let runs = tally.runs(&plant.runs());
+    let mut figures = tally.json(runs);
+    figures["faults"] = json!(faults);
+    Ok((figures, tally.is_kept(runs)))
+}
+
+/// Lets things go wrong until the load ends, and counts them. The schedule
+/// follows from the seed alone, so that rivals suffer the same.
+async fn play(
+    mut load: JoinHandle<()>,
+    config: &Config,
+    seed: u64,
+    mut suffer: impl AsyncFnMut(Action) -> io::Result<()>,
+) -> io::Result<u64> {
     let mut random = StdRng::seed_from_u64(seed ^ 0xFA17);
     let mut faults = 0;
     loop {
         tokio::select! {
             ended = &mut load => {
                 ended.map_err(io::Error::other)?;
-                break;
+                return Ok(faults);
             }
             () = sleep(gap(&mut random)) => {}
         }
-        let action = draw(&mut random, &plant.config);
         faults += 1;
-        plant.suffer(action).await?;
+        suffer(draw(&mut random, config)).await?;
     }
-    let runs = tally.runs(&plant.runs());
-    let mut figures = tally.json(runs);
-    figures["faults"] = json!(faults);
-    Ok((figures, tally.is_kept(runs)))
 }
 
 /// Sends requests at a steady rate with a bounded number under way.
@@ -251,19 +267,17 @@
     pub fn cut_zone(&self, zone: usize, time: Duration) {
         let others = (0..self.config.zones).filter(|it| *it != zone);
         let others: Vec<_> = others.map(source).collect();
+        // What stands in the zone is cut from the others, and what stands
+        // elsewhere from the zone.
+        let state = |own: usize| match own == zone {
+            true => State::CutFrom(others.clone()),
+            false => State::CutFrom(vec![source(zone)]),
+        };
         for site in &self.sites {
-            let sources = match site.zone == zone {
-                true => others.clone(),
-                false => vec![source(zone)],
-            };
-            cut(site.link.clone(), State::CutFrom(sources), time);
+            cut(site.link.clone(), state(site.zone), time);
         }
         for gateway in &self.gateways {
-            let sources = match gateway.zone == zone {
-                true => others.clone(),
-                false => vec![source(zone)],
-            };
-            cut(gateway.link.clone(), State::CutFrom(sources), time);
+            cut(gateway.link.clone(), state(gateway.zone), time);
             if gateway.zone == zone {
                 cut(gateway.log_link.clone(), State::Cut, time);
                 cut(gateway.vms_link.clone(), State::Cut, time);
@@ -329,19 +343,9 @@
     let tally = Arc::new(Tally::new());
     let caller = Caller::new(rival.balancer.clone(), tally.clone())
         .with_naive_retries();
-    let mut load = tokio::spawn(paced(caller, count, seed));
-    let mut random = StdRng::seed_from_u64(seed ^ 0xFA17);
-    loop {
-        tokio::select! {
-            ended = &mut load => {
-                ended.map_err(io::Error::other)?;
-                break;
-            }
-            () = sleep(gap(&mut random)) => {}
-        }
-        let action = draw(&mut random, &rival.plant.config);
-        rival.suffer(action).await?;
-    }
+    let load = tokio::spawn(paced(caller, count, seed));
+    let config = rival.plant.config.clone();
+    play(load, &config, seed, async |it| rival.suffer(it).await).await?;
     let runs: Runs = tally.runs(&rival.plant.runs());
     Ok(tally.json(runs))
 }
--- a/cowsliproad-entry/src/callers.rs
+++ b/cowsliproad-entry/src/callers.rs
@@ -31,7 +31,7 @@
 pub use self::finish::Instruments;
 use self::{
     finish::{EntryGuard, Finish, Ignored},
-    head::{delivery, idempotency_key, organisation, query_number},
+    head::{delivery, idempotency_key, organisation},
 };
 use crate::{
     Shared,
@@ -254,7 +254,7 @@
     ) -> Result<Response, Refused> {
         let token = self.token(request, token)?;
         let view = self.shared.published.load();
-        let holder = view.holder(token.incarnation);
+        let holder = view.holder(&token.target, token.incarnation);
         let link = holder.and_then(|target| target.link.load_full());
         let gone = || {
             let failure = Failure::new(Code::TargetGone, Ran::OutcomeUnknown);
@@ -295,7 +295,7 @@
             let text = "this type may be repeated and takes no tickets";
             return Err(refused(Code::BadRequest, text));
         }
-        let count = query_number(request, "count").unwrap_or(1);
+        let count = server::query_number(request, "count").unwrap_or(1);
         let count = count.clamp(1, MAX_TICKETS);
         let tickets: Option<Vec<String>> =
             (0..count).map(|_| self.mint(&checked)).collect();
--- a/cowsliproad-entry/src/callers/head.rs
+++ b/cowsliproad-entry/src/callers/head.rs
@@ -73,10 +73,3 @@
         }
     }
 }
-
-/// The number given for a name in the query.
-pub(super) fn query_number(request: &Request, name: &str) -> Option<u64> {
-    let pairs = request.uri().query()?.split('&');
-    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
-}
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -217,8 +217,8 @@
             }
             Task::Work(order) => match &order.ticket {
                 Some((_, ticket)) => {
-                    let incarnation = ticket.incarnation;
-                    self.start_ticket(incarnation).await;
+                    let name = ticket.target.clone();
+                    self.start_ticket(name, ticket.incarnation).await;
                 }
                 None => self.start_plain().await,
             },
@@ -226,7 +226,8 @@
     }
 
     async fn start_kept(&mut self, token: Ticket, from: u64) {
-        let Some(target) = self.holder(token.incarnation).await else {
+        let Some(target) = self.holder(&token.target, token.incarnation).await
+        else {
             return self.fail(self.out_of_reach(token.incarnation));
         };
         let attempt = id::Attempt::random();
@@ -242,11 +243,15 @@
     }
 
     /// Submits with the ticket to the process that it names.
-    async fn start_ticket(&mut self, incarnation: id::Incarnation) {
+    async fn start_ticket(
+        &mut self,
+        name: Name,
+        incarnation: id::Incarnation,
+    ) {
         if self.attempts >= MAX_ATTEMPTS {
             return self.fail(unknown(Code::LinkLost));
         }
-        let Some(target) = self.holder(incarnation).await else {
+        let Some(target) = self.holder(&name, incarnation).await else {
             return self.fail(self.out_of_reach(incarnation));
         };
         self.submit(target).await;
@@ -457,7 +462,9 @@
     /// Goes on with the same work if the same process comes back soon.
     async fn resume(&mut self, attempt: Attempt) {
         let incarnation = attempt.link.incarnation();
-        let Some(target) = self.holder(incarnation).await else {
+        let Some(target) =
+            self.holder(&attempt.target.name, incarnation).await
+        else {
             self.tried.push(attempt.target.name.clone());
             let failure = Failure::new(Code::LinkLost, Ran::OutcomeUnknown);
             return self.after_failure(failure);
@@ -562,6 +569,7 @@
     /// a broken link to come back.
     async fn holder(
         &self,
+        name: &str,
         incarnation: id::Incarnation,
     ) -> Option<Arc<Target>> {
         let now = Millis::now();
@@ -569,7 +577,7 @@
         let until = until.min(self.deadline.max(now));
         loop {
             let view = self.shared.published.load();
-            let found = view.holder(incarnation);
+            let found = view.holder(name, incarnation);
             if found.is_some() || Millis::now() >= until {
                 return found;
             }
--- a/cowsliproad-entry/src/target.rs
+++ b/cowsliproad-entry/src/target.rs
@@ -164,6 +164,18 @@
         stats.beat.clone().map(|beat| (beat, stats.beat_at))
     }
 
+    /// Whether it is linked and its agent is, or answers for, a process.
+    pub fn answers_for(&self, incarnation: id::Incarnation) -> bool {
+        let linked = self.link.load().is_some();
+        let stats = lock(&self.stats);
+        let beat = stats.beat.as_ref();
+        linked
+            && beat.is_some_and(|it| {
+                it.incarnation == incarnation
+                    || it.holds.contains(&incarnation)
+            })
+    }
+
     /// Whether new work may go there, leaving health aside.
     pub fn is_open(&self) -> bool {
         let stats = lock(&self.stats);
--- a/cowsliproad-entry/src/view.rs
+++ b/cowsliproad-entry/src/view.rs
@@ -130,20 +130,16 @@
         }
     }
 
-    /// The linked target whose agent is, or answers for, a process.
-    pub fn holder(&self, incarnation: id::Incarnation) -> Option<Arc<Target>> {
-        let mut linked = self
-            .targets
-            .values()
-            .filter(|target| target.link.load().is_some());
-        linked
-            .find(|target| {
-                target.beat().is_some_and(|(beat, _)| {
-                    beat.incarnation == incarnation
-                        || beat.holds.contains(&incarnation)
-                })
-            })
-            .cloned()
+    /// The linked target whose agent is, or answers for, a process. The one
+    /// that ran it is asked first, since it mostly still does.
+    pub fn holder(
+        &self,
+        name: &str,
+        incarnation: id::Incarnation,
+    ) -> Option<Arc<Target>> {
+        let named = self.targets.get(name).into_iter();
+        let mut targets = named.chain(self.targets.values());
+        targets.find(|target| target.answers_for(incarnation)).cloned()
     }
 
     fn add_organisation(
--- a/cowsliproad-kernel/src/secret.rs
+++ b/cowsliproad-kernel/src/secret.rs
@@ -44,3 +44,13 @@
         })
     }
 }
+
+/// Compares codes without stopping at the first difference, which would tell
+/// a forger how far it got.
+pub fn equal(left: &[u8], right: &[u8]) -> bool {
+    let difference = left
+        .iter()
+        .zip(right)
+        .fold(0u8, |difference, (a, b)| difference | (a ^ b));
+    left.len() == right.len() && difference == 0
+}
--- a/cowsliproad-kernel/src/wire.rs
+++ b/cowsliproad-kernel/src/wire.rs
@@ -379,8 +379,6 @@
     pub incarnation: id::Incarnation,
     /// How far the stopping agent's clock has come.
     pub clock: Millis,
-    /// Earlier incarnations it answered for.
-    pub holds: Vec<id::Incarnation>,
     /// Its ticket records.
     #[serde(with = "serde_bytes")]
     pub tickets: Vec<u8>,
--- a/cowsliproad-net/src/link.rs
+++ b/cowsliproad-net/src/link.rs
@@ -16,7 +16,7 @@
 };
 
 use cowsliproad_kernel::{
-    Name,
+    Name, secret,
     wire::{self, Beat, Challenge, Frame, Hello, Role},
 };
 use futures_util::{
@@ -117,11 +117,6 @@
         self.queue.try_send(frame).map_err(|_| Gone)
     }
 
-    /// Waits until the link is gone.
-    pub async fn gone(&self) {
-        self.queue.closed().await;
-    }
-
     /// Whether the link is gone.
     pub fn is_gone(&self) -> bool {
         self.queue.is_closed()
@@ -228,7 +223,7 @@
     let Frame::Hello(hello) = next(&mut socket).await? else {
         return Err(Error::Protocol("no introduction came"));
     };
-    if !is_proof(&hello.proof, &prove(key, &nonce, &hello.name)) {
+    if !secret::equal(&hello.proof, &prove(key, &nonce, &hello.name)) {
         return Err(Error::WrongKey);
     }
     put(&mut socket, &Frame::Welcome(beat)).await?;
@@ -251,14 +246,6 @@
     hasher.finalize().as_bytes().to_vec()
 }
 
-fn is_proof(given: &[u8], right: &[u8]) -> bool {
-    let difference = given
-        .iter()
-        .zip(right)
-        .fold(0u8, |difference, (a, b)| difference | (a ^ b));
-    given.len() == right.len() && difference == 0
-}
-
 async fn next<S>(socket: &mut WebSocketStream<S>) -> Result<Frame, Error>
 where
     S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin,
--- a/cowsliproad-net/src/server.rs
+++ b/cowsliproad-net/src/server.rs
@@ -274,3 +274,10 @@
         stream.as_mut().poll_next(context)
     }
 }
+
+/// The number given for a name in the query of a request.
+pub fn query_number(request: &Request, name: &str) -> Option<u64> {
+    let pairs = request.uri().query()?.split('&');
+    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+}
--- a/cowsliproad-standin/src/engine.rs
+++ b/cowsliproad-standin/src/engine.rs
@@ -320,7 +320,7 @@
                 self.complete(request).await
             }
             (Method::GET, ["v1", "streams", id]) => {
-                let from = crate::number(&request, "from").unwrap_or(0);
+                let from = server::query_number(&request, "from").unwrap_or(0);
                 self.resume(id, from as u32)
             }
             (Method::DELETE, ["v1", "streams", id]) => self.cancel(id),
--- a/cowsliproad-standin/src/lib.rs
+++ b/cowsliproad-standin/src/lib.rs
@@ -35,14 +35,6 @@
     path.split('/').filter(|it| !it.is_empty()).map(Into::into).collect()
 }
 
-/// The number given for a name in the query of a request.
-fn number(request: &Request, name: &str) -> Option<u64> {
-    let query = request.uri().query()?;
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let found = pairs.find(|(key, _)| *key == name)?;
-    found.1.parse().ok()
-}
-
 fn status(status: StatusCode) -> Response<Body> {
     reply::text(status, "")
 }
--- a/cowsliproad-standin/src/link.rs
+++ b/cowsliproad-standin/src/link.rs
@@ -121,21 +121,33 @@
 async fn copy(link: &Link, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
     let mut bytes = vec![0; 64 << 10];
     loop {
-        let Ok(length) = from.read(&mut bytes).await else { return };
-        if length == 0 {
+        let Some(length) = read(link, &mut from, &mut bytes).await else {
             return;
-        }
-        let most = link.delay_us.load(Ordering::Relaxed);
-        if most > 0 {
-            let wait = rand::random_range(0..most);
-            sleep(Duration::from_micros(wait)).await;
-        }
+        };
         if to.write_all(&bytes[..length]).await.is_err() {
             return;
         }
     }
 }
 
+/// Reads bytes and holds them back; `None` at the end.
+async fn read(
+    link: &Link,
+    from: &mut OwnedReadHalf,
+    bytes: &mut [u8],
+) -> Option<usize> {
+    let length = from.read(bytes).await.ok()?;
+    if length == 0 {
+        return None;
+    }
+    let most = link.delay_us.load(Ordering::Relaxed);
+    if most > 0 {
+        let wait = rand::random_range(0..most);
+        sleep(Duration::from_micros(wait)).await;
+    }
+    Some(length)
+}
+
 /// Messages at the start of a link that are never swapped: its introduction.
 const INTRODUCTION: usize = 3;
 
@@ -151,15 +163,9 @@
     let mut held: Option<Vec<u8>> = None;
     let mut count = 0;
     loop {
-        let Ok(length) = from.read(&mut bytes).await else { return };
-        if length == 0 {
+        let Some(length) = read(link, &mut from, &mut bytes).await else {
             return;
-        }
-        let most = link.delay_us.load(Ordering::Relaxed);
-        if most > 0 {
-            let wait = rand::random_range(0..most);
-            sleep(Duration::from_micros(wait)).await;
-        }
+        };
         let mut out = Vec::new();
         for message in splitter.push(&bytes[..length]) {
             count += 1;
--- a/cowsliproad-standin/src/log.rs
+++ b/cowsliproad-standin/src/log.rs
@@ -2,8 +2,9 @@
 //!
 //! `POST /records` appends the body and answers its offset, from 1 on.
 //! `GET /records?from=N&wait_ms=W` answers the records from N on, waiting
-//! for one when there is none yet. `GET /oldest` tells which records the
-//! retention has left. Faults: down, appends whose answer is lost, slow.
+//! for one when there is none yet. `POST /retain?count=N` drops all but the
+//! last records, as retention would. Faults: down, appends whose answer is
+//! lost, slow.
 
 use std::{
     collections::VecDeque,
@@ -150,13 +151,15 @@
         match (request.method().clone(), &path[..]) {
             (Method::POST, ["records"]) => self.append(request).await,
             (Method::POST, ["retain"]) => {
-                let count = crate::number(&request, "count").unwrap_or(0);
+                let count =
+                    server::query_number(&request, "count").unwrap_or(0);
                 self.retain(count as usize);
                 crate::status(StatusCode::NO_CONTENT)
             }
             (Method::GET, ["records"]) => {
-                let from = crate::number(&request, "from").unwrap_or(1);
-                let wait = crate::number(&request, "wait_ms").unwrap_or(0);
+                let from = server::query_number(&request, "from").unwrap_or(1);
+                let wait =
+                    server::query_number(&request, "wait_ms").unwrap_or(0);
                 self.read(from, Duration::from_millis(wait)).await
             }
             _ => crate::status(StatusCode::NOT_FOUND),
