--- a/cowsliproad-admission/src/lib.rs
+++ b/cowsliproad-admission/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod queue;
 pub mod register;
 pub mod ticket;
+pub mod window;
--- /dev/null
+++ b/cowsliproad-admission/src/window.rs
@@ -0,0 +1,80 @@
+//! The retry budget that all entries keep together without talking.
+//!
+//! In any span of some seconds the retries of a service may be a share of
+//! its requests and some more. Each entry keeps to the share of its own
+//! requests and to its part of the rest, so the sum over all entries keeps
+//! to the whole, also while they can't reach one another.
+
+use std::collections::VecDeque;
+
+use cowsliproad_kernel::clock::Millis;
+
+/// The steps in which the span slides.
+const STEP: Millis = Millis(500);
+
+/// What is used of the budget. The rest covers that targets count arrivals
+/// a little later than we count departures.
+const USED: f64 = 0.85;
+
+/// What a budget allows.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    ratio: f64,
+    slack: f64,
+    span: Millis,
+}
+
+impl Config {
+    /// Retries for each request, and retries beyond that for all entries
+    /// together, in any span.
+    pub fn new(ratio: f64, slack: f64, span: Millis) -> Config {
+        Config { ratio, slack, span }
+    }
+}
+
+/// The budget of one service at one entry.
+#[derive(Clone, Debug)]
+pub struct Window {
+    config: Config,
+    /// Requests and retries by step, the newest last.
+    steps: VecDeque<(u64, u32, u32)>,
+}
+
+impl Window {
+    /// Nothing sent yet.
+    pub fn new(config: Config) -> Window {
+        Window { config, steps: VecDeque::new() }
+    }
+
+    /// Notes a request.
+    pub fn request(&mut self, now: Millis) {
+        self.step(now).1 += 1;
+    }
+
+    /// Spends a retry, if there is one left for one of `entries`.
+    pub fn spend(&mut self, entries: usize, now: Millis) -> bool {
+        self.step(now);
+        let requests: u32 = self.steps.iter().map(|it| it.1).sum();
+        let retries: u32 = self.steps.iter().map(|it| it.2).sum();
+        let part = self.config.slack / entries.max(1) as f64;
+        let most = self.config.ratio * f64::from(requests) + part;
+        if f64::from(retries) + 1.0 > most * USED {
+            return false;
+        }
+        self.step(now).2 += 1;
+        true
+    }
+
+    fn step(&mut self, now: Millis) -> &mut (u64, u32, u32) {
+        let index = now.0 / STEP.0;
+        let oldest = index.saturating_sub(self.config.span.0 / STEP.0);
+        while self.steps.front().is_some_and(|it| it.0 < oldest) {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|it| it.0 < index) {
+            self.steps.push_back((index, 0, 0));
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+}
--- /dev/null
+++ b/cowsliproad-direct/src/callers.rs
@@ -0,0 +1,258 @@
+//! Connections of callers and their requests.
+//!
+//! Each connection has a task. It ends the connection when no request has
+//! come for the idle time in force, or when a request's head takes too long,
+//! but never between a request and its answer. Limits are read when they are
+//! applied, so a changed configuration holds for open connections too.
+//!
+//! On SIGTERM the entry isn't ready at once, but takes new connections until
+//! the balancer has noticed. Every answer then says that its connection
+//! closes, and idle connections are closed once no new ones come.
+
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::program;
+use cowsliproad_routing::catalog::Limits;
+use http::{HeaderValue, Request, Response, header};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use slog::info;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    entry::{Entry, Phase},
+    forward,
+    reply::Body,
+    upstream,
+};
+
+/// The balancer asks once a second and needs two misses.
+const NOTICE_TIME: Millis = Millis(3_200);
+
+/// What is left of the grace time for the process's own end.
+const END_MARGIN: Millis = Millis(400);
+
+/// How often a connection's idle time is looked at.
+const LOOK_TIME: Millis = Millis(1_000);
+
+/// How often the end of all requests is looked for while stopping.
+const STOP_LOOK_TIME: Millis = Millis(50);
+
+/// What idle connections are given beyond the limit that callers know, so
+/// that a request sent at the limit still finds its connection open.
+const IDLE_GRACE: Millis = Millis(2_000);
+
+/// Heads shorter than this are always read; the library asks for so much.
+const LEAST_HEAD_BYTES: usize = 8_192;
+
+/// Serves callers until the process was told to stop and all requests are
+/// answered, or the grace time is over.
+pub async fn serve(
+    entry: &Rc<Entry>,
+    listener: TcpListener,
+) -> io::Result<()> {
+    tokio::select! {
+        never = accept(entry, &listener) => match never {},
+        () = program::stopped() => {}
+    }
+    let end =
+        Instant::now() + (entry.settings.grace_ms - END_MARGIN).duration();
+    entry.phase.set(Phase::Leaving);
+    info!(entry.log, "stopping"; "under_way" => entry.under_way.get());
+    let noticed = Instant::now() + NOTICE_TIME.duration();
+    tokio::select! {
+        never = accept(entry, &listener) => match never {},
+        () = sleep_until(noticed) => {}
+    }
+    drop(listener);
+    while entry.under_way.get() > 0 && Instant::now() < end {
+        sleep(STOP_LOOK_TIME.duration()).await;
+    }
+    // The last answers are on their way through the sockets.
+    sleep(STOP_LOOK_TIME.duration()).await;
+    info!(entry.log, "stopping"; "left" => entry.under_way.get());
+    Ok(())
+}
+
+async fn accept(entry: &Rc<Entry>, listener: &TcpListener) -> Infallible {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(entry.clone(), stream));
+            }
+            Err(error) => {
+                info!(entry.log, "accept failed"; "error" => %error);
+                sleep(STOP_LOOK_TIME.duration()).await;
+            }
+        }
+    }
+}
+
+/// What a connection is doing.
+#[derive(Debug, Default)]
+struct Activity {
+    /// Requests that are being answered.
+    busy: Cell<usize>,
+    /// When the last answer ended or the connection began.
+    idle_since: Cell<Millis>,
+    /// When bytes came after that.
+    head_since: Cell<Option<Millis>>,
+}
+
+/// A request that is being answered.
+#[derive(Debug)]
+pub struct Busy {
+    entry: Rc<Entry>,
+    activity: Rc<Activity>,
+}
+
+impl Busy {
+    fn new(entry: &Rc<Entry>, activity: &Rc<Activity>) -> Busy {
+        entry.under_way.set(entry.under_way.get() + 1);
+        activity.busy.set(activity.busy.get() + 1);
+        Busy { entry: entry.clone(), activity: activity.clone() }
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.entry.under_way.set(self.entry.under_way.get() - 1);
+        self.activity.busy.set(self.activity.busy.get() - 1);
+        self.activity.idle_since.set(Millis::now());
+        self.activity.head_since.set(None);
+    }
+}
+
+async fn connection(entry: Rc<Entry>, stream: TcpStream) {
+    if let Err(error) = upstream::prepare(&stream) {
+        info!(entry.log, "connection lost"; "error" => %error);
+        return;
+    }
+    let activity = Rc::new(Activity::default());
+    activity.idle_since.set(Millis::now());
+    let service = service_fn(|request: Request<Incoming>| {
+        let (entry, activity) = (entry.clone(), activity.clone());
+        async move { Ok::<_, Infallible>(answer(entry, activity, request).await) }
+    });
+    let stream = Watched { stream, activity: activity.clone() };
+    let head = limits(&entry).header_bytes.max(LEAST_HEAD_BYTES);
+    let mut serving = std::pin::pin!(
+        http1::Builder::new()
+            .max_buf_size(head)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    loop {
+        tokio::select! {
+            // A connection that breaks has nobody left to tell.
+            _ = &mut serving => return,
+            () = sleep(LOOK_TIME.duration()) => {}
+        }
+        if is_over(&entry, &activity) {
+            serving.as_mut().graceful_shutdown();
+        }
+    }
+}
+
+async fn answer(
+    entry: Rc<Entry>,
+    activity: Rc<Activity>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let busy = Busy::new(&entry, &activity);
+    let mut answer = forward::answer(&entry, request, busy).await;
+    if entry.phase.get() == Phase::Leaving {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+fn is_over(entry: &Entry, activity: &Activity) -> bool {
+    if activity.busy.get() > 0 {
+        return false;
+    }
+    let limits = limits(entry);
+    let now = Millis::now();
+    match activity.head_since.get() {
+        Some(since) => now.since(since) > limits.header_time,
+        None => {
+            let idle = now.since(activity.idle_since.get());
+            idle > limits.idle_time + IDLE_GRACE
+        }
+    }
+}
+
+fn limits(entry: &Entry) -> Limits {
+    entry.catalog().map_or_else(Limits::new, |it| it.limits())
+}
+
+/// A stream that notes when the bytes of a head begin to come.
+struct Watched {
+    stream: TcpStream,
+    activity: Rc<Activity>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let idle = self.activity.busy.get() == 0
+            && self.activity.head_since.get().is_none();
+        if idle && buffer.filled().len() > before {
+            self.activity.head_since.set(Some(Millis::now()));
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/cowsliproad-direct/src/entry.rs
@@ -0,0 +1,299 @@
+//! What the process believes, shared by all its tasks.
+//!
+//! All state stands here, in one place: the configuration in force, the
+//! targets and how each has fared, the other entries. Tasks borrow it for a
+//! moment and never across a wait.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use cowsliproad_admission::window::{self, Window};
+use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_routing::{
+    catalog::Catalog,
+    fleet::{self, Change, Fleet, Target},
+    pick::{self, Candidate, Distance, Record},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use slog::{Logger, info};
+use tokio::sync::Notify;
+
+use crate::{
+    measure::Measure, peers::Peers, settings::Settings, upstream::Pool,
+};
+
+/// Where new facts came from, for logs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The platform's log.
+    Log,
+    /// Another entry.
+    Peer,
+    /// The entry's own requests.
+    Own,
+}
+
+/// The phases of the process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It was told to stop and serves on until the balancer knows.
+    Leaving,
+}
+
+/// What an entry keeps of one target beside what the log says.
+#[derive(Debug, Default)]
+pub struct Seat {
+    /// How it fared.
+    pub record: Record,
+    /// Idle connections.
+    pub pool: Pool,
+    /// Open connections, busy ones included.
+    pub open: usize,
+    /// What its agent last said of its group.
+    pub group: Option<Group>,
+}
+
+/// The group of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Group {
+    /// Its formation.
+    pub epoch: u64,
+    /// Whether it takes requests.
+    pub open: bool,
+    /// The last pass that was begun.
+    pub step: u64,
+    /// When this was heard.
+    pub heard: Millis,
+}
+
+/// The state of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its logger.
+    pub log: Logger,
+    /// Its counters.
+    pub measure: Measure,
+    /// The configuration in force, as decoded and as it came.
+    catalog: RefCell<Option<(Arc<Catalog>, Bytes)>>,
+    /// The targets.
+    pub fleet: RefCell<Fleet>,
+    /// Announcements as they came, for entries that start without the log.
+    pub announced: RefCell<HashMap<Name, Bytes>>,
+    seats: RefCell<HashMap<Name, Rc<RefCell<Seat>>>>,
+    budgets: RefCell<HashMap<Name, Window>>,
+    /// Other entries.
+    pub peers: RefCell<Peers>,
+    /// Wakes requests that wait for a target.
+    pub news: Notify,
+    /// Wakes the task that tells other entries.
+    pub rumour: Notify,
+    /// Requests that were taken and not answered in full.
+    pub under_way: Cell<usize>,
+    /// What the process is doing.
+    pub phase: Cell<Phase>,
+    random: RefCell<SmallRng>,
+}
+
+/// A target that was chosen.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The target.
+    pub target: Target,
+    /// What the entry keeps of it.
+    pub seat: Rc<RefCell<Seat>>,
+    /// Its cost when it was chosen, in milliseconds.
+    pub cost: f64,
+}
+
+impl Entry {
+    /// An entry that knows nothing yet.
+    pub fn new(settings: Settings, log: Logger) -> Entry {
+        let peers = Peers::new(&settings);
+        Entry {
+            settings,
+            log,
+            measure: Measure::new(),
+            catalog: RefCell::new(None),
+            fleet: RefCell::new(Fleet::new(fleet::Config::new())),
+            announced: RefCell::new(HashMap::new()),
+            seats: RefCell::new(HashMap::new()),
+            budgets: RefCell::new(HashMap::new()),
+            peers: RefCell::new(peers),
+            news: Notify::new(),
+            rumour: Notify::new(),
+            under_way: Cell::new(0),
+            phase: Cell::new(Phase::Serving),
+            random: RefCell::new(SmallRng::from_os_rng()),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.borrow().as_ref().map(|it| it.0.clone())
+    }
+
+    /// The configuration in force as it came.
+    pub fn raw_catalog(&self) -> Option<Bytes> {
+        self.catalog.borrow().as_ref().map(|it| it.1.clone())
+    }
+
+    /// The number of the configuration in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.catalog.borrow().as_ref().map_or(0, |it| it.0.version())
+    }
+
+    /// Puts a configuration in force unless it is older than what is.
+    pub fn adopt(&self, catalog: Catalog, raw: Bytes, source: Source) {
+        let before = self.version();
+        if before >= catalog.version() {
+            return;
+        }
+        info!(self.log, "catalog in force"; "version" => catalog.version(),
+            "before" => before, "routes" => catalog.routes(),
+            "source" => ?source);
+        *self.catalog.borrow_mut() = Some((Arc::new(catalog), raw));
+        self.news.notify_waiters();
+        self.rumour.notify_one();
+    }
+
+    /// Notes what became of a target.
+    pub fn changed(&self, id: &str, change: Change, source: Source) {
+        match change {
+            Change::None => return,
+            Change::Joined => {
+                let fleet = self.fleet.borrow();
+                let Some(target) = fleet.get(id) else { return };
+                info!(self.log, "target joined"; "target" => id,
+                    "service" => &*target.service,
+                    "address" => %target.address, "source" => ?source);
+            }
+            Change::Left => {
+                info!(self.log, "target left"; "target" => id,
+                    "source" => ?source);
+                self.seats.borrow_mut().remove(id);
+                self.announced.borrow_mut().remove(id);
+                self.rumour.notify_one();
+            }
+        }
+        self.news.notify_waiters();
+    }
+
+    /// What is kept of a target.
+    pub fn seat(&self, id: &Name) -> Rc<RefCell<Seat>> {
+        self.seats.borrow_mut().entry(id.clone()).or_default().clone()
+    }
+
+    /// Whether the entry can serve: it knows routes and targets.
+    pub fn is_ready(&self) -> bool {
+        self.phase.get() == Phase::Serving
+            && self.catalog.borrow().is_some()
+            && self.fleet.borrow().ready().next().is_some()
+    }
+
+    /// The target with the least cost among those of a service that `fits`
+    /// lets through.
+    pub fn choose(
+        &self,
+        service: &str,
+        now: Millis,
+        fits: impl Fn(&Target) -> bool,
+    ) -> Option<Choice> {
+        let fleet = self.fleet.borrow();
+        let most = self.connections(service);
+        let mut best: Option<Choice> = None;
+        let mut ties = 0;
+        for target in fleet.ready().filter(|it| &*it.service == service) {
+            if !fits(target) {
+                continue;
+            }
+            let seat = self.seat(&target.id);
+            let held = seat.borrow();
+            if held.group.is_some_and(|it| !it.open)
+                || held.open >= most && held.pool.is_empty()
+            {
+                continue;
+            }
+            let distance = if target.zone == self.settings.zone {
+                Distance::Near
+            } else {
+                Distance::Far
+            };
+            let record = &held.record;
+            let candidate =
+                Candidate { record, slots: target.slots, distance };
+            let cost = pick::cost(&candidate, now);
+            drop(held);
+            let least = best.as_ref().map_or(f64::INFINITY, |it| it.cost);
+            ties = if cost < least { 1 } else { ties + 1 };
+            let wins = cost < least || cost == least && self.one_of(ties);
+            if wins {
+                best = Some(Choice { target: target.clone(), seat, cost });
+            }
+        }
+        best
+    }
+
+    /// Whether a service has a target that could be chosen but for its group.
+    pub fn knows_targets(&self, service: &str) -> bool {
+        self.fleet.borrow().ready().any(|it| &*it.service == service)
+    }
+
+    /// Notes a request in its service's retry budget.
+    pub fn count_request(&self, service: &Name, now: Millis) {
+        self.budget(service, |it| it.request(now));
+    }
+
+    /// Spends a retry of a service, if there is one left.
+    pub fn spend_retry(&self, service: &Name, now: Millis) -> bool {
+        let entries = self.peers.borrow().entries();
+        self.budget(service, |it| it.spend(entries, now))
+    }
+
+    /// A random number from 0 to 1.
+    pub fn draw(&self) -> f64 {
+        rand::Rng::random(&mut *self.random.borrow_mut())
+    }
+
+    fn one_of(&self, count: u32) -> bool {
+        self.draw() * f64::from(count) < 1.0
+    }
+
+    fn budget<T>(
+        &self,
+        service: &Name,
+        with: impl FnOnce(&mut Window) -> T,
+    ) -> T {
+        let retries = self.settings.retries;
+        let config =
+            window::Config::new(retries.ratio, retries.slack, retries.span_ms);
+        let mut budgets = self.budgets.borrow_mut();
+        let window = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Window::new(config));
+        with(window)
+    }
+
+    /// Connections that this entry may have to one target of a service.
+    fn connections(&self, service: &str) -> usize {
+        let catalog = self.catalog.borrow();
+        let service = catalog.as_ref().and_then(|it| it.0.service(service));
+        let Some(most) = service.and_then(|it| it.connections) else {
+            return usize::MAX;
+        };
+        let entries = self.peers.borrow().entries();
+        (most as usize / entries).max(LEAST_CONNECTIONS)
+    }
+}
+
+/// Connections to a target that an entry may have however many entries there
+/// are: one that is busy and one for the next request.
+const LEAST_CONNECTIONS: usize = 2;
--- /dev/null
+++ b/cowsliproad-direct/src/forward.rs
@@ -0,0 +1,662 @@
+//! Tries at targets, until there is an answer to give.
+//!
+//! Each try ends in one of a few ways, and what may follow depends on what is
+//! certain:
+//!
+//! * the target answered: its answer is given unchanged, or, for a failure
+//!   of a request that may be repeated, another target is tried first;
+//! * it said that it did not run the request, or the request was never sent:
+//!   another try is free of risk;
+//! * anything else: the request may have run. Only one that may be repeated
+//!   is tried again; the caller of another is told that nobody knows.
+//!
+//! "Not run" is said only when every try ended in the second way. The number
+//! of targets that one request is sent to stays within its route's bound,
+//! and every try after the first draws on the retry budget.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_platform::header;
+use cowsliproad_routing::catalog::{Catalog, Organisation, Refusal, Route};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode,
+    Uri, header as standard, request, response,
+};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use slog::info;
+use tokio::time::{Instant, timeout};
+
+use crate::{
+    callers::Busy,
+    entry::{Choice, Entry, Seat, Source},
+    reply::{self, Body},
+    stream,
+    upstream::{self, Failure, Lease, Reuse},
+};
+
+/// The largest answer that is read whole before it is passed on.
+const MOST_ANSWER_BYTES: usize = 8 << 20;
+
+/// How long a caller waits that doesn't say how long.
+const USUAL_TIME: Millis = Millis(30_000);
+
+/// A first answer may take this part of the time it is wanted in, in
+/// percent, before another target is asked: what is left is enough for it.
+const FIRST_TRY_PERCENT: u64 = 50;
+
+/// The least time for a first try, three times the way there and back and
+/// the usual work.
+const LEAST_TRY: Millis = Millis(40);
+
+/// When to come back if an entry knows no configuration or no target yet.
+const STARTING_TIME: Millis = Millis(400);
+
+/// When to come back if all targets are full.
+const FULL_TIME: Millis = Millis(250);
+
+/// How long a request waits for a target of its service to be usable. A
+/// caller of a stream leaves after two seconds without an event.
+const WAIT_TIME: Millis = Millis(1_500);
+
+/// Tries beyond the targets that a route allows, at targets that were asked
+/// before and said that they did not run the request.
+const SPARE_TRIES: usize = 4;
+
+/// The pause before a target that refused is asked again.
+const AGAIN_TIME: Millis = Millis(60);
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    standard::CONNECTION,
+    standard::TRANSFER_ENCODING,
+    standard::TE,
+    standard::TRAILER,
+    standard::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Call {
+    /// Its id, for logs.
+    pub id: Name,
+    /// The rule it goes by.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: Name,
+    /// When its head arrived.
+    pub arrived: Millis,
+    /// When its caller gives up or its route ends it.
+    pub until: Millis,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    /// Since when it waits for a target.
+    waits_since: Millis,
+    /// Targets that it was sent to.
+    sent: Vec<Name>,
+    tries: usize,
+    /// Tries that may have run.
+    runs: usize,
+    /// Whether it may have run.
+    certainty: Certainty,
+}
+
+/// What is known of all tries so far.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Certainty {
+    /// No try ran.
+    NotRun,
+    /// Some try may have run.
+    Unknown,
+}
+
+/// How a try ended without an answer to pass on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Miss {
+    /// The target did not run it and never will.
+    Refused(&'static str),
+    /// It was not sent.
+    Unsent(&'static str),
+    /// It may have run.
+    Unknown(&'static str),
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct Opened {
+    /// Its status and headers.
+    pub head: response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// Its connection.
+    pub lease: Lease,
+}
+
+/// A request's stay at a target.
+#[derive(Debug)]
+pub struct Stay {
+    seat: Rc<RefCell<Seat>>,
+    began: Millis,
+}
+
+impl Stay {
+    /// Counts a request in.
+    pub fn new(choice: &Choice) -> Stay {
+        choice.seat.borrow_mut().record.start();
+        Stay { seat: choice.seat.clone(), began: Millis::now() }
+    }
+
+    /// Notes a good answer.
+    pub fn success(&self) {
+        let now = Millis::now();
+        let took = now.since(self.began);
+        self.seat.borrow_mut().record.success(took, now);
+    }
+
+    /// Notes a failure.
+    pub fn failure(&self) {
+        self.seat.borrow_mut().record.failure(Millis::now());
+    }
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        self.seat.borrow_mut().record.end();
+    }
+}
+
+/// Answers a caller's request.
+pub async fn answer(
+    entry: &Rc<Entry>,
+    request: Request<Incoming>,
+    busy: Busy,
+) -> Response<Body> {
+    let arrived = Millis::now();
+    let (head, body) = request.into_parts();
+    let id = head.headers.get(&header::REQUEST_ID).cloned();
+    let mut answer = match receive(entry, head, body, arrived).await {
+        Ok(mut call) => {
+            entry.count_request(&call.service, arrived);
+            let answer = if call.route.streams() {
+                stream::run(entry, call, busy).await
+            } else {
+                whole(entry, &mut call).await
+            };
+            return log_answer(entry, answer, id, arrived);
+        }
+        Err(answer) => answer,
+    };
+    if let Some(id) = &id {
+        reply::belongs(&mut answer, id);
+    }
+    log_answer(entry, answer, id, arrived)
+}
+
+fn log_answer(
+    entry: &Entry,
+    mut answer: Response<Body>,
+    id: Option<HeaderValue>,
+    arrived: Millis,
+) -> Response<Body> {
+    let took = Millis::now().since(arrived);
+    let status = answer.status().as_u16();
+    entry.measure.answered(status, took);
+    let text = id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("-");
+    info!(entry.log, "answered"; "request" => text, "status" => status,
+        "took" => took.0, "version" => entry.version());
+    if let Some(id) = &id
+        && !answer.headers().contains_key(&header::REQUEST_ID)
+    {
+        reply::belongs(&mut answer, id);
+    }
+    answer
+}
+
+/// Reads a request whole and finds out where it goes.
+async fn receive(
+    entry: &Rc<Entry>,
+    head: request::Parts,
+    body: Incoming,
+    arrived: Millis,
+) -> Result<Call, Response<Body>> {
+    let left = number(&head.headers, &header::TIME_LEFT).map(Millis);
+    let left = left.unwrap_or(USUAL_TIME);
+    let catalog = entry.catalog();
+    let most =
+        catalog.as_ref().map_or(usize::MAX, |it| it.limits().body_bytes);
+    let body = timeout(left.duration(), Limited::new(body, most).collect());
+    let body = match body.await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(reply::plain(status, "the body is too large\n"));
+        }
+        Ok(Err(_)) => {
+            let status = StatusCode::BAD_REQUEST;
+            return Err(reply::plain(status, "the body ends early\n"));
+        }
+        Err(_) => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            return Err(reply::plain(status, "the body takes too long\n"));
+        }
+    };
+    // A version that came while the body was read counts.
+    let Some(catalog) = entry.catalog() else {
+        return Err(reply::not_run("starting\n", STARTING_TIME));
+    };
+    let (route, organisation) = find(&catalog, &head)?;
+    let Some(service) = route.draw(entry.draw()).cloned() else {
+        return Err(reply::not_run("the route has no service\n", FULL_TIME));
+    };
+    let time = route.timeout.map_or(left, |it| it.min(left));
+    let id = head.headers.get(&header::REQUEST_ID);
+    let id = id.and_then(|it| it.to_str().ok()).unwrap_or("-").into();
+    let headers = passed_on(&head.headers, &route, organisation.as_deref());
+    Ok(Call {
+        id,
+        route,
+        service,
+        arrived,
+        until: arrived + time,
+        method: head.method,
+        uri: head.uri,
+        headers,
+        body,
+        waits_since: arrived,
+        sent: Vec::new(),
+        tries: 0,
+        runs: 0,
+        certainty: Certainty::NotRun,
+    })
+}
+
+fn find(
+    catalog: &Catalog,
+    head: &request::Parts,
+) -> Result<(Arc<Route>, Option<Arc<Organisation>>), Response<Body>> {
+    let text = |name: HeaderName| {
+        head.headers.get(name).and_then(|it| it.to_str().ok())
+    };
+    let host = text(standard::HOST).or(head.uri.host()).unwrap_or_default();
+    let key = text(standard::AUTHORIZATION).and_then(|it| {
+        let (scheme, key) = it.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then_some(key.trim())
+    });
+    catalog.find(host, head.uri.path(), key).map_err(|refusal| match refusal {
+        Refusal::NoRoute => {
+            reply::plain(StatusCode::NOT_FOUND, "no such route\n")
+        }
+        Refusal::BadKey => {
+            reply::plain(StatusCode::UNAUTHORIZED, "no such key\n")
+        }
+    })
+}
+
+/// The headers that targets get: the caller's, without those that concern
+/// one connection or that only we may set.
+fn passed_on(
+    headers: &HeaderMap,
+    route: &Route,
+    organisation: Option<&Organisation>,
+) -> HeaderMap {
+    let mut passed = headers.clone();
+    drop_hop_by_hop(&mut passed);
+    for name in [
+        standard::CONTENT_LENGTH,
+        standard::AUTHORIZATION,
+        standard::EXPECT,
+        header::ORGANISATION,
+        header::EXPECTED_TARGET,
+        header::URGENCY,
+    ] {
+        passed.remove(name);
+    }
+    let name = organisation.map(|it| &*it.name);
+    if let Some(name) = name.and_then(|it| HeaderValue::from_str(it).ok()) {
+        passed.insert(header::ORGANISATION, name);
+    }
+    let priority = organisation.and_then(|it| it.priority);
+    let rank = priority.unwrap_or(route.priority).min(9);
+    passed.insert(header::URGENCY, HeaderValue::from(u16::from(rank)));
+    passed
+}
+
+/// Drops the headers that concern one connection only, also those that the
+/// connection header names.
+pub fn drop_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(standard::CONNECTION)
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .filter_map(|it| HeaderName::from_bytes(it.trim().as_bytes()).ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Gets a whole answer that is passed on at once.
+async fn whole(entry: &Rc<Entry>, call: &mut Call) -> Response<Body> {
+    let mut kept = None;
+    loop {
+        let choice = match call.next_target(entry).await {
+            Ok(choice) => choice,
+            Err(answer) => return kept.unwrap_or(answer),
+        };
+        let stay = Stay::new(&choice);
+        let patience = call.patience();
+        let tried = timeout(patience.duration(), call.get(entry, &choice));
+        let miss = match tried.await {
+            Ok(Ok(answer)) if answer.status().is_server_error() => {
+                stay.failure();
+                entry.measure.tried("failed");
+                call.ran();
+                if !call.may_try_again(entry, &choice, "failed") {
+                    return answer;
+                }
+                kept = Some(answer);
+                continue;
+            }
+            Ok(Ok(answer)) => {
+                stay.success();
+                entry.measure.tried("answered");
+                return answer;
+            }
+            Ok(Err(miss)) => miss,
+            Err(_) => Miss::Unknown("no answer in time"),
+        };
+        stay.failure();
+        drop(stay);
+        if let Some(answer) = call.missed(entry, &choice, miss).await {
+            return kept.unwrap_or(answer);
+        }
+    }
+}
+
+impl Call {
+    /// Notes that a try may have run.
+    fn ran(&mut self) {
+        self.certainty = Certainty::Unknown;
+        self.runs += 1;
+    }
+
+    /// Notes that it begins to wait for a target anew.
+    pub fn waits_anew(&mut self) {
+        self.waits_since = Millis::now();
+    }
+
+    /// The time left.
+    pub fn left(&self) -> Millis {
+        self.until.since(Millis::now())
+    }
+
+    /// The moment at which the request ends.
+    pub fn end(&self) -> Instant {
+        Instant::now() + self.left().duration()
+    }
+
+    /// Chooses the next target, and waits for one if there is none.
+    pub async fn next_target(
+        &mut self,
+        entry: &Rc<Entry>,
+    ) -> Result<Choice, Response<Body>> {
+        let wait = self.until.min(self.waits_since + WAIT_TIME);
+        loop {
+            let news = entry.news.notified();
+            let now = Millis::now();
+            if let Some(choice) = self.choose(entry, now) {
+                self.log_choice(entry, &choice, now);
+                self.tries += 1;
+                return Ok(choice);
+            }
+            let patience = wait.since(now);
+            if patience.0 == 0
+                || timeout(patience.duration(), news).await.is_err()
+            {
+                return Err(self.give_up(entry, "no target can be used"));
+            }
+        }
+    }
+
+    /// The best target that the request may still be sent to: a new one while
+    /// its route allows more, else one that was asked before.
+    fn choose(&self, entry: &Entry, now: Millis) -> Option<Choice> {
+        let is_new = |id: &Name| !self.sent.contains(id);
+        if self.sent.len() < self.route.attempts as usize {
+            let new = entry.choose(&self.service, now, |it| is_new(&it.id));
+            if new.is_some() {
+                return new;
+            }
+        }
+        entry.choose(&self.service, now, |it| !is_new(&it.id))
+    }
+
+    fn log_choice(&self, entry: &Entry, choice: &Choice, now: Millis) {
+        let seat = choice.seat.borrow();
+        let age = seat.group.map_or(-1, |it| now.since(it.heard).0 as i64);
+        info!(entry.log, "chosen"; "request" => &*self.id,
+            "target" => &*choice.target.id, "route" => &*self.route.name,
+            "cost" => choice.cost as u64, "at_target" => seat.record.occupancy(),
+            "own" => seat.record.in_flight(), "report_age" => age,
+            "left" => self.left().0, "try" => self.tries + 1);
+    }
+
+    /// Sends the request and waits for the head of an answer of its own.
+    pub async fn open(
+        &mut self,
+        entry: &Rc<Entry>,
+        choice: &Choice,
+        resume: Option<u64>,
+    ) -> Result<Opened, Miss> {
+        let reuse =
+            if self.route.repeats() { Reuse::Any } else { Reuse::Fresh };
+        if !self.sent.contains(&choice.target.id) {
+            self.sent.push(choice.target.id.clone());
+        }
+        let request = self.request(choice, resume);
+        let (answer, lease) = upstream::send(choice, request, reuse)
+            .await
+            .map_err(|failure| match failure {
+                Failure::Unsent(why) => Miss::Unsent(why),
+                Failure::Unknown(why) => Miss::Unknown(why),
+            })?;
+        let (head, body) = answer.into_parts();
+        note_load(choice, &head.headers);
+        let echoed = head.headers.get(&header::REQUEST_ID);
+        let own = self.headers.get(&header::REQUEST_ID);
+        if echoed.is_some() && echoed != own {
+            return Err(Miss::Unknown("another request's answer"));
+        }
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            let id = &choice.target.id;
+            let change = entry.fleet.borrow_mut().leave(id, 0, Millis::now());
+            entry.changed(id, change, Source::Own);
+            return Err(Miss::Refused("another incarnation"));
+        }
+        if head.headers.contains_key(&header::NOT_RUN) {
+            let at_fault = head.headers.contains_key(&header::AT_FAULT);
+            drop(body);
+            return Err(Miss::Refused(if at_fault {
+                "its group is broken"
+            } else {
+                "refused by the target"
+            }));
+        }
+        if echoed.is_none()
+            || head.headers.contains_key(standard::CONTENT_ENCODING)
+            || head.status.is_success()
+                && !head.headers.contains_key(&header::SIGNATURE)
+        {
+            return Err(Miss::Unknown("not an answer of the target"));
+        }
+        Ok(Opened { head, body, lease })
+    }
+
+    /// A whole answer.
+    async fn get(
+        &mut self,
+        entry: &Rc<Entry>,
+        choice: &Choice,
+    ) -> Result<Response<Body>, Miss> {
+        let opened = self.open(entry, choice, None).await?;
+        read_whole(opened).await
+    }
+
+    fn request(
+        &self,
+        choice: &Choice,
+        resume: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self
+            .uri
+            .path_and_query()
+            .cloned()
+            .map_or_else(Uri::default, Uri::from);
+        let mut headers = self.headers.clone();
+        headers.insert(header::TIME_LEFT, HeaderValue::from(self.left().0));
+        if let Ok(id) = HeaderValue::from_str(&choice.target.id) {
+            headers.insert(header::EXPECTED_TARGET, id);
+        }
+        if let Some(event) = resume {
+            headers.insert(header::LAST_EVENT, HeaderValue::from(event));
+        }
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// How long the next try may take.
+    fn patience(&self) -> Millis {
+        let left = self.left();
+        let last = self.sent.len() + 1 >= self.route.attempts as usize;
+        let Some(aim) = self.route.aim else { return left };
+        if last || !self.route.repeats() {
+            return left;
+        }
+        let first = Millis(aim.0 * FIRST_TRY_PERCENT / 100);
+        first.max(LEAST_TRY).min(left)
+    }
+
+    /// Takes a miss in. Returns the final answer if nothing may follow.
+    pub async fn missed(
+        &mut self,
+        entry: &Rc<Entry>,
+        choice: &Choice,
+        miss: Miss,
+    ) -> Option<Response<Body>> {
+        let why = match miss {
+            Miss::Refused(why) => {
+                entry.measure.tried("refused");
+                why
+            }
+            Miss::Unsent(why) => {
+                entry.measure.tried("unsent");
+                self.sent.retain(|it| *it != choice.target.id);
+                why
+            }
+            Miss::Unknown(why) => {
+                entry.measure.tried("unknown");
+                self.ran();
+                why
+            }
+        };
+        if !self.may_try_again(entry, choice, why) {
+            return Some(self.give_up(entry, why));
+        }
+        let again = self.sent.len() >= self.route.attempts as usize;
+        if again && matches!(miss, Miss::Refused(_)) {
+            tokio::time::sleep(AGAIN_TIME.duration()).await;
+        }
+        None
+    }
+
+    /// Whether another try is allowed; spends a retry if so.
+    pub fn may_try_again(
+        &self,
+        entry: &Entry,
+        choice: &Choice,
+        why: &'static str,
+    ) -> bool {
+        let safe = self.certainty == Certainty::NotRun || self.route.repeats();
+        let attempts = self.route.attempts as usize;
+        let room = self.runs < attempts && self.tries < attempts + SPARE_TRIES;
+        let time = self.left().0 > 0;
+        let now = Millis::now();
+        let allowed = safe && room && time;
+        let spent = allowed && entry.spend_retry(&self.service, now);
+        info!(entry.log, "missed"; "request" => &*self.id,
+            "target" => &*choice.target.id, "why" => why,
+            "repeats" => self.route.repeats(), "tries" => self.tries,
+            "budget" => spent || !allowed, "again" => spent,
+            "left" => self.left().0);
+        spent
+    }
+
+    /// The final answer of a request that no target answers.
+    pub fn give_up(&self, entry: &Entry, why: &'static str) -> Response<Body> {
+        let left = self.left();
+        info!(entry.log, "given up"; "request" => &*self.id, "why" => why,
+            "certainty" => ?self.certainty, "tries" => self.tries,
+            "left" => left.0);
+        match self.certainty {
+            Certainty::NotRun => {
+                reply::not_run("not run: no target\n", self.come_back())
+            }
+            Certainty::Unknown if left.0 == 0 => reply::overdue(),
+            Certainty::Unknown => reply::unknown("no whole answer\n"),
+        }
+    }
+
+    /// When the caller should come back: callers wait for a third of what
+    /// they have left at most.
+    fn come_back(&self) -> Millis {
+        let third = Millis(self.left().0 / 3);
+        if self.route.streams() { third } else { third.min(FULL_TIME) }
+    }
+}
+
+/// Reads the body of an answer and keeps its connection.
+pub async fn read_whole(opened: Opened) -> Result<Response<Body>, Miss> {
+    let Opened { mut head, body, lease } = opened;
+    let body = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|_| Miss::Unknown("the answer was cut"))?;
+    lease.keep(Millis::now());
+    let promises = matches!(
+        head.status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+    );
+    if promises {
+        // It doesn't say that it did not run the request, so we can't.
+        return Err(Miss::Unknown("a refusal without a promise"));
+    }
+    drop_hop_by_hop(&mut head.headers);
+    head.headers.remove(standard::CONTENT_LENGTH);
+    let body = Body::Whole(Full::new(body.to_bytes()));
+    Ok(Response::from_parts(head, body))
+}
+
+/// Takes in the load that a target states with its answers.
+fn note_load(choice: &Choice, headers: &HeaderMap) {
+    let text = headers.get(&header::LOAD).and_then(|it| it.to_str().ok());
+    let Some(text) = text else { return };
+    let mut numbers = text.split(',').map(|it| it.trim().parse::<u32>());
+    if let (Some(Ok(running)), Some(Ok(waiting))) =
+        (numbers.next(), numbers.next())
+    {
+        choice.seat.borrow_mut().record.report(running + waiting);
+    }
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/cowsliproad-direct/src/lib.rs
@@ -0,0 +1,61 @@
+//! An entry that forwards callers' requests straight to targets.
+//!
+//! Where a target says truthfully that it did not run a request, and refuses
+//! one that was meant for another incarnation, one entry alone can keep "at
+//! most once" and "not run". Tickets and the hop through an agent buy
+//! nothing there.
+//!
+//! * [`settings`]: the settings file;
+//! * [`entry`]: what the process believes, shared by all its tasks;
+//! * [`callers`]: connections of callers and their requests;
+//! * [`forward`]: tries at targets, until there is an answer to give;
+//! * [`stream`]: answers that are streams of events, resumed elsewhere;
+//! * [`upstream`]: connections to targets;
+//! * [`follow`]: configuration and targets from the platform's log;
+//! * [`peers`]: what entries and agents tell one another;
+//! * [`reply`]: the entry's own answers.
+//!
+//! One thread does it all: a VM has a part of one core, and state that no
+//! other thread sees needs no locks.
+
+#![forbid(unsafe_code)]
+
+use std::{io, rc::Rc};
+
+use cowsliproad_kernel::log;
+use slog::info;
+use tokio::net::{TcpListener, UdpSocket};
+
+use crate::{entry::Entry, settings::Settings};
+
+pub mod callers;
+pub mod entry;
+pub mod follow;
+pub mod forward;
+pub mod measure;
+pub mod peers;
+pub mod readiness;
+pub mod reply;
+pub mod settings;
+pub mod stream;
+pub mod upstream;
+
+/// Runs an entry until it is told to stop and has finished its requests.
+pub async fn run(settings: Settings) -> io::Result<()> {
+    let log = log::logger("direct", &settings.vm, settings.log_level);
+    let callers = TcpListener::bind(settings.callers).await?;
+    let readiness = TcpListener::bind(settings.readiness).await?;
+    let peer_calls = TcpListener::bind(settings.peer_address()).await?;
+    let datagrams = Rc::new(UdpSocket::bind(settings.peer_address()).await?);
+    info!(log, "started"; "callers" => %settings.callers);
+    let entry = Rc::new(Entry::new(settings, log.clone()));
+    tokio::task::spawn_local(readiness::serve(entry.clone(), readiness));
+    tokio::task::spawn_local(peers::answer(entry.clone(), peer_calls));
+    tokio::task::spawn_local(peers::listen(entry.clone(), datagrams.clone()));
+    tokio::task::spawn_local(peers::tell(entry.clone(), datagrams));
+    tokio::task::spawn_local(follow::catalog(entry.clone()));
+    tokio::task::spawn_local(follow::targets(entry.clone()));
+    callers::serve(&entry, callers).await?;
+    info!(log, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/cowsliproad-direct/src/main.rs
@@ -0,0 +1,24 @@
+//! The program of an entry that forwards straight to targets.
+
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+use cowsliproad_direct::settings::Settings;
+use cowsliproad_net::program;
+use cowsliproad_platform::SETTINGS_VARIABLE;
+
+fn main() -> ExitCode {
+    let about = "Takes callers' requests straight to targets";
+    let example = Settings::example();
+    let name = "cowsliproad-direct";
+    let settings =
+        program::settings_or(name, about, &example, SETTINGS_VARIABLE);
+    match program::run_local(cowsliproad_direct::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("can't run: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/cowsliproad-direct/src/measure.rs
@@ -0,0 +1,61 @@
+//! The entry's counters and histograms.
+
+use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::metrics::Metrics;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram},
+};
+
+/// Counters and histograms, and the text that shows them.
+#[derive(Clone, Debug)]
+pub struct Measure {
+    metrics: Metrics,
+    answers: Counter<u64>,
+    tries: Counter<u64>,
+    first_byte: Histogram<u64>,
+    whole: Histogram<u64>,
+}
+
+impl Measure {
+    /// Nothing measured yet.
+    pub fn new() -> Measure {
+        let metrics = Metrics::new();
+        let meter = metrics.meter();
+        Measure {
+            answers: meter.u64_counter("answers").build(),
+            tries: meter.u64_counter("tries").build(),
+            first_byte: meter.u64_histogram("first_byte_ms").build(),
+            whole: meter.u64_histogram("whole_answer_ms").build(),
+            metrics,
+        }
+    }
+
+    /// Notes an answer's status and the time to its first byte.
+    pub fn answered(&self, status: u16, took: Millis) {
+        let status = KeyValue::new("status", i64::from(status));
+        self.answers.add(1, std::slice::from_ref(&status));
+        self.first_byte.record(took.0, &[status]);
+    }
+
+    /// Notes the time to the end of an answer.
+    pub fn ended(&self, took: Millis) {
+        self.whole.record(took.0, &[]);
+    }
+
+    /// Notes how a try at a target ended.
+    pub fn tried(&self, outcome: &'static str) {
+        self.tries.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// All of it as text.
+    pub fn text(&self) -> String {
+        self.metrics.text()
+    }
+}
+
+impl Default for Measure {
+    fn default() -> Measure {
+        Measure::new()
+    }
+}
--- /dev/null
+++ b/cowsliproad-direct/src/peers.rs
@@ -0,0 +1,371 @@
+//! What entries and agents tell one another.
+//!
+//! Each entry sends a short digest to the others twice a second, and at once
+//! when something changed: the version of its configuration and the targets
+//! that it saw leave. One that the platform's log turns away so learns of a
+//! new version, fetches it from whoever has it, and stops using a target in
+//! time. Entries meet through seeds and then through one another.
+//!
+//! Agents beside model engines report to whoever asks them to, so a new
+//! entry hears from all of them within a second, and nobody keeps a list.
+
+use std::{
+    collections::BTreeMap, convert::Infallible, net::SocketAddr, rc::Rc,
+};
+
+use bytes::Bytes;
+use cowsliproad_kernel::{
+    Name,
+    clock::Millis,
+    gossip::{self, Datagram, Digest, Load, Subscribe},
+};
+use cowsliproad_net::client::Client;
+use cowsliproad_platform::{catalog, log::Record};
+use cowsliproad_routing::catalog::Engine;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use rand::seq::IteratorRandom;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    time::{sleep, timeout},
+};
+
+use crate::{
+    entry::{Entry, Group, Source},
+    follow,
+    settings::Settings,
+};
+
+/// How often other entries are told. Two digests may be lost before an entry
+/// that the log turns away misses a change for longer than its bound.
+const TELL_TIME: Millis = Millis(500);
+
+/// Every so many digests the agents are asked to report.
+const ASK_EVERY: u32 = 2;
+
+/// Entries told at a time. With more of them news travels on by digests.
+const MOST_TOLD: usize = 16;
+
+/// Without a word for so long an entry is no longer told to others.
+const FORGET_TIME: Millis = Millis(12_000);
+
+/// How long the targets that left are told of.
+const LEFT_TIME: Millis = Millis(8_000);
+
+/// What the own reading of the log is given before a peer is asked.
+const OWN_TIME: Millis = Millis(120);
+
+/// The time for fetching a peer's state.
+const FETCH_TIME: Millis = Millis(1_000);
+
+/// The largest state that is fetched.
+const MOST_STATE_BYTES: usize = 16 << 20;
+
+/// The path of an entry's state.
+const STATE_PATH: &str = "/state";
+
+/// Other entries.
+#[derive(Debug)]
+pub struct Peers {
+    own: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    known: BTreeMap<SocketAddr, Peer>,
+    fetching: bool,
+}
+
+#[derive(Debug)]
+struct Peer {
+    vm: Name,
+    heard: Millis,
+}
+
+/// What an entry that starts without the log takes from another.
+#[derive(Debug, Deserialize, Serialize)]
+struct State {
+    #[serde(with = "serde_bytes")]
+    catalog: Vec<u8>,
+    targets: Vec<Announcement>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Announcement {
+    id: String,
+    #[serde(with = "serde_bytes")]
+    value: Vec<u8>,
+}
+
+impl Peers {
+    /// Nobody met yet.
+    pub fn new(settings: &Settings) -> Peers {
+        let own = settings.peer_address();
+        let seeds = settings.seeds.iter();
+        let seeds = seeds.map(|it| SocketAddr::new(it.ip(), own.port()));
+        Peers {
+            own,
+            seeds: seeds.filter(|it| *it != own).collect(),
+            known: BTreeMap::new(),
+            fetching: false,
+        }
+    }
+
+    /// The number of entries, this one included. Those that can't be reached
+    /// count for a while, since they go on serving.
+    pub fn entries(&self) -> usize {
+        self.known.len().max(self.seeds.len()) + 1
+    }
+
+    fn hear(&mut self, digest: &Digest, now: Millis) -> bool {
+        let peer = Peer { vm: digest.vm.clone(), heard: now };
+        // A VM that was replaced speaks from another address.
+        self.known.retain(|at, it| it.vm != peer.vm || *at == digest.address);
+        self.known.insert(digest.address, peer).is_none()
+    }
+
+    /// Notes entries that others speak of.
+    fn introduce(&mut self, peers: &[SocketAddr]) -> Vec<SocketAddr> {
+        let new = |it: &&SocketAddr| {
+            **it != self.own && !self.known.contains_key(*it)
+        };
+        peers.iter().filter(new).copied().collect()
+    }
+
+    fn told(&mut self, now: Millis) -> Vec<SocketAddr> {
+        self.known.retain(|_, it| now.since(it.heard) < FORGET_TIME);
+        let known = self.known.keys().copied();
+        let mut told = known.choose_multiple(&mut rand::rng(), MOST_TOLD);
+        let unmet = |it: &&SocketAddr| !self.known.contains_key(*it);
+        told.extend(self.seeds.iter().filter(unmet));
+        told
+    }
+}
+
+/// Tells other entries and asks agents, for ever.
+pub async fn tell(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
+    let mut round = 0;
+    loop {
+        let now = Millis::now();
+        let told = entry.peers.borrow_mut().told(now);
+        let digest = gossip::encode(&Datagram::Digest(digest(&entry, now)));
+        for peer in told {
+            send(&entry, &socket, &digest, peer).await;
+        }
+        if round % ASK_EVERY == 0 {
+            ask_agents(&entry, &socket).await;
+        }
+        round += 1;
+        let _ = timeout(TELL_TIME.duration(), entry.rumour.notified()).await;
+    }
+}
+
+fn digest(entry: &Entry, now: Millis) -> Digest {
+    let since = now - LEFT_TIME;
+    let fleet = entry.fleet.borrow();
+    Digest {
+        vm: entry.settings.vm.clone(),
+        address: entry.settings.peer_address(),
+        version: entry.version(),
+        left: fleet.left_since(since).cloned().collect(),
+        peers: entry.peers.borrow().known.keys().copied().collect(),
+    }
+}
+
+async fn ask_agents(entry: &Entry, socket: &UdpSocket) {
+    let Some(catalog) = entry.catalog() else { return };
+    let port = entry.settings.peer_port;
+    for service in catalog.services() {
+        let Some(engine) = &service.engine else { continue };
+        let agents: Vec<SocketAddr> = entry
+            .fleet
+            .borrow()
+            .ready()
+            .filter(|it| it.service == service.name)
+            .map(|it| SocketAddr::new(it.address.ip(), port))
+            .collect();
+        let message = gossip::encode(&subscribe(engine, &agents));
+        for agent in agents {
+            send(entry, socket, &message, agent).await;
+        }
+    }
+}
+
+fn subscribe(engine: &Engine, agents: &[SocketAddr]) -> Subscribe {
+    Subscribe {
+        agents: agents.to_vec(),
+        sets: engine.sets as u16,
+        experts: engine.experts as u16,
+        places: engine.places as u16,
+        spare: engine.spare as u16,
+    }
+}
+
+async fn send(
+    entry: &Entry,
+    socket: &UdpSocket,
+    message: &[u8],
+    to: SocketAddr,
+) {
+    if let Err(error) = socket.send_to(message, to).await {
+        slog::debug!(entry.log, "not told"; "peer" => %to, "error" => %error);
+    }
+}
+
+/// Takes datagrams for ever.
+pub async fn listen(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; gossip::MOST_BYTES];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            // An unreachable peer shows here; the next datagram may be good.
+            sleep(OWN_TIME.duration()).await;
+            continue;
+        };
+        match gossip::decode::<Datagram>(&buffer[..length]) {
+            Some(Datagram::Digest(digest)) => {
+                hear(&entry, &socket, digest).await;
+            }
+            Some(Datagram::Load(load)) => take_load(&entry, &load),
+            None => warn!(entry.log, "strange datagram"; "bytes" => length),
+        }
+    }
+}
+
+async fn hear(entry: &Rc<Entry>, socket: &UdpSocket, heard: Digest) {
+    let now = Millis::now();
+    for id in &heard.left {
+        let change = entry.fleet.borrow_mut().leave(id, 0, now);
+        entry.changed(id, change, Source::Peer);
+    }
+    let (is_new, others) = {
+        let mut peers = entry.peers.borrow_mut();
+        (peers.hear(&heard, now), peers.introduce(&heard.peers))
+    };
+    if is_new {
+        info!(entry.log, "peer met"; "peer" => &*heard.vm,
+            "address" => %heard.address);
+        let own = gossip::encode(&Datagram::Digest(digest(entry, now)));
+        for other in others.into_iter().chain([heard.address]) {
+            send(entry, socket, &own, other).await;
+        }
+    }
+    let behind = heard.version > entry.version()
+        || heard.version > 0 && !entry.is_ready();
+    if behind && !entry.peers.borrow().fetching {
+        entry.peers.borrow_mut().fetching = true;
+        let entry = entry.clone();
+        tokio::task::spawn_local(async move {
+            catch_up(&entry, &heard).await;
+            entry.peers.borrow_mut().fetching = false;
+        });
+    }
+}
+
+/// Fetches a peer's state if the log doesn't bring it in time.
+async fn catch_up(entry: &Rc<Entry>, heard: &Digest) {
+    sleep(OWN_TIME.duration()).await;
+    if entry.version() >= heard.version && entry.is_ready() {
+        return;
+    }
+    let uri = format!("http://{}{STATE_PATH}", heard.address);
+    let Ok(request) = Request::get(uri).body(Full::new(Bytes::new())) else {
+        return;
+    };
+    let client = Client::new();
+    let call = client.call(request, MOST_STATE_BYTES, FETCH_TIME.duration());
+    let body = match call.await {
+        Ok(answer) => answer.into_body(),
+        Err(error) => {
+            warn!(entry.log, "peer gave no state"; "peer" => &*heard.vm,
+                "error" => %error);
+            return;
+        }
+    };
+    let Some(state) = gossip::decode::<State>(&body) else {
+        warn!(entry.log, "strange state"; "peer" => &*heard.vm);
+        return;
+    };
+    take_state(entry, state);
+}
+
+fn take_state(entry: &Entry, state: State) {
+    let raw = Bytes::from(state.catalog);
+    match catalog::decode(&raw) {
+        Ok(catalog) => entry.adopt(catalog, raw, Source::Peer),
+        Err(error) => warn!(entry.log, "catalog refused"; "error" => %error),
+    }
+    // Own knowledge of the targets goes first as soon as there is any.
+    if entry.fleet.borrow().ready().next().is_some() {
+        return;
+    }
+    let now = Millis::now();
+    for announcement in state.targets {
+        let value = Some(announcement.value.into());
+        let record = Record { key: announcement.id, value };
+        follow::announce(entry, &record, now, Source::Peer);
+    }
+}
+
+/// Takes an agent's report in.
+fn take_load(entry: &Entry, load: &Load) {
+    let id = {
+        let fleet = entry.fleet.borrow();
+        let target = fleet.ready().find(|it| it.address == load.target);
+        target.map(|it| it.id.clone())
+    };
+    let Some(id) = id else { return };
+    let seat = entry.seat(&id);
+    let mut seat = seat.borrow_mut();
+    let before = seat.group.map(|it| (it.epoch, it.open));
+    seat.record.report(load.running + load.queued);
+    seat.group = Some(Group {
+        epoch: load.epoch,
+        open: load.open,
+        step: load.step,
+        heard: Millis::now(),
+    });
+    drop(seat);
+    if before != Some((load.epoch, load.open)) {
+        info!(entry.log, "group"; "target" => &*id, "epoch" => load.epoch,
+            "open" => load.open, "step" => load.step);
+        entry.news.notify_waiters();
+    }
+}
+
+/// Gives the entry's state to others, for ever.
+pub async fn answer(entry: Rc<Entry>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(OWN_TIME.duration()).await;
+            continue;
+        };
+        let entry = entry.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let answer = state(&entry, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let serving = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            // A peer that breaks off asks again.
+            let _ = timeout(FETCH_TIME.duration(), serving).await;
+        });
+    }
+}
+
+fn state(entry: &Entry, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let raw = entry.raw_catalog();
+    let (Some(raw), STATE_PATH) = (raw, request.uri().path()) else {
+        let mut answer = Response::new(Full::new(Bytes::new()));
+        *answer.status_mut() = StatusCode::NOT_FOUND;
+        return answer;
+    };
+    let announced = entry.announced.borrow();
+    let targets = announced.iter().map(|(id, value)| Announcement {
+        id: id.to_string(),
+        value: value.to_vec(),
+    });
+    let state = State { catalog: raw.to_vec(), targets: targets.collect() };
+    Response::new(Full::new(gossip::encode(&state).into()))
+}
--- /dev/null
+++ b/cowsliproad-direct/src/readiness.rs
@@ -0,0 +1,60 @@
+//! What the platform's balancer and operators ask an entry.
+
+use std::{convert::Infallible, rc::Rc};
+
+use bytes::Bytes;
+use cowsliproad_kernel::clock::Millis;
+use cowsliproad_platform::READINESS_PATH;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, time::sleep};
+
+use crate::entry::Entry;
+
+/// The path of the counters and histograms.
+const METRICS_PATH: &str = "/metrics";
+
+/// The pause after a failed accept, for example without a free descriptor.
+const PAUSE: Millis = Millis(50);
+
+/// Answers for ever.
+pub async fn serve(entry: Rc<Entry>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(PAUSE.duration()).await;
+            continue;
+        };
+        let entry = entry.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let answer = answer(&entry, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            // Whoever breaks off asks again.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn answer(
+    entry: &Entry,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let (status, text) = match request.uri().path() {
+        READINESS_PATH if entry.is_ready() => {
+            (StatusCode::OK, "ready\n".into())
+        }
+        READINESS_PATH => {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into())
+        }
+        METRICS_PATH => (StatusCode::OK, entry.measure.text()),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut answer = Response::new(Full::new(Bytes::from(text)));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/cowsliproad-direct/src/stream.rs
@@ -0,0 +1,314 @@
+//! Answers that are streams of events, resumed at another target within one
+//! answer.
+//!
+//! The caller gets whole events only. When a target breaks off, the stream
+//! goes on at another one after the last event that was passed on, so none
+//! is missing, doubled or joined. The answer keeps the head of its first
+//! target. A stream that can't go on is cut, so that it doesn't look
+//! complete.
+
+use std::rc::Rc;
+
+use cowsliproad_kernel::clock::Millis;
+use cowsliproad_relay::events::{Event, Splitter};
+use http::{Response, header as standard, response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use slog::info;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until, timeout},
+};
+
+use crate::{
+    callers::Busy,
+    entry::{Choice, Entry},
+    forward::{self, Call, Miss, Opened, Stay},
+    reply::{Body, Piece},
+    upstream::Lease,
+};
+
+/// Pieces that wait for a slow reader, a second's worth of events.
+const WAITING_PIECES: usize = 16;
+
+/// How long a target may be silent while its group goes on. Ten passes.
+const SILENT_TIME: Millis = Millis(800);
+
+/// How often a silent stream is looked at.
+const LOOK_TIME: Millis = Millis(400);
+
+/// Passes that a group must have begun to go on.
+const PASSES: u64 = 6;
+
+/// One target's part of a stream.
+struct Run {
+    choice: Choice,
+    stay: Stay,
+    body: Incoming,
+    lease: Option<Lease>,
+    splitter: Splitter,
+    last_bytes: Millis,
+    last_step: u64,
+}
+
+/// What came next.
+enum Next {
+    Event(Event),
+    End,
+    Miss(Miss),
+}
+
+/// Answers with a stream.
+pub async fn run(
+    entry: &Rc<Entry>,
+    mut call: Call,
+    busy: Busy,
+) -> Response<Body> {
+    let (head, run, first) = loop {
+        let choice = match call.next_target(entry).await {
+            Ok(choice) => choice,
+            Err(answer) => return answer,
+        };
+        match begin(entry, &mut call, &choice).await {
+            Ok(Begun::Stream(head, run, first)) => break (head, run, first),
+            Ok(Begun::Whole(answer)) => return answer,
+            Err(miss) => {
+                choice.seat.borrow_mut().record.failure(Millis::now());
+                if let Some(answer) = call.missed(entry, &choice, miss).await {
+                    return answer;
+                }
+            }
+        }
+    };
+    let (pieces, body) = mpsc::channel(WAITING_PIECES);
+    let relay =
+        Relay { entry: entry.clone(), call, pieces, last: None, events: 0 };
+    tokio::task::spawn_local(relay.run(*run, first, busy));
+    Response::from_parts(head, Body::Events(body))
+}
+
+enum Begun {
+    /// A stream with its first event.
+    Stream(response::Parts, Box<Run>, Option<Event>),
+    /// A failure, passed on as it is.
+    Whole(Response<Body>),
+}
+
+/// Sends the request and waits for the first event.
+async fn begin(
+    entry: &Rc<Entry>,
+    call: &mut Call,
+    choice: &Choice,
+) -> Result<Begun, Miss> {
+    let mut run = match open(entry, call, choice, None).await? {
+        Ok(opened) => opened,
+        Err(opened) => {
+            return forward::read_whole(opened).await.map(Begun::Whole);
+        }
+    };
+    let end = call.end();
+    let (mut head, run_ref) = (run.0, &mut run.1);
+    let first = match run_ref.next(entry, end).await {
+        Next::Event(event) => Some(event),
+        Next::End => None,
+        Next::Miss(miss) => return Err(miss),
+    };
+    forward::drop_hop_by_hop(&mut head.headers);
+    head.headers.remove(standard::CONTENT_LENGTH);
+    Ok(Begun::Stream(head, Box::new(run.1), first))
+}
+
+/// Opens a run; an answer that is no stream is the inner error.
+async fn open(
+    entry: &Rc<Entry>,
+    call: &mut Call,
+    choice: &Choice,
+    resume: Option<u64>,
+) -> Result<Result<(response::Parts, Run), Opened>, Miss> {
+    let stay = Stay::new(choice);
+    let left = call.left();
+    let opened = timeout(left.duration(), call.open(entry, choice, resume))
+        .await
+        .unwrap_or(Err(Miss::Unknown("no answer in time")))?;
+    if !opened.head.status.is_success() {
+        return Ok(Err(opened));
+    }
+    let group = choice.seat.borrow().group;
+    let run = Run {
+        choice: choice.clone(),
+        stay,
+        body: opened.body,
+        lease: Some(opened.lease),
+        splitter: Splitter::new(),
+        last_bytes: Millis::now(),
+        last_step: group.map_or(0, |it| it.step),
+    };
+    Ok(Ok((opened.head, run)))
+}
+
+impl Run {
+    /// The next whole event, the end, or why there is none.
+    async fn next(&mut self, entry: &Entry, end: Instant) -> Next {
+        loop {
+            if let Some(event) = self.splitter.next() {
+                return Next::Event(event);
+            }
+            if self.splitter.is_over_long() {
+                return Next::Miss(Miss::Unknown("an event without an end"));
+            }
+            let look = Instant::now() + LOOK_TIME.duration();
+            let frame = tokio::select! {
+                frame = self.body.frame() => frame,
+                () = sleep_until(end.min(look)) => {
+                    if Instant::now() >= end {
+                        return Next::Miss(Miss::Unknown("no time left"));
+                    }
+                    if self.is_silent() {
+                        info!(entry.log, "silent";
+                            "target" => &*self.choice.target.id);
+                        return Next::Miss(Miss::Unknown("silent"));
+                    }
+                    continue;
+                }
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    self.splitter.push(&bytes);
+                    self.note_bytes();
+                }
+                Some(Err(_)) => {
+                    return Next::Miss(Miss::Unknown("the stream was cut"));
+                }
+                None if self.splitter.is_inside() => {
+                    return Next::Miss(Miss::Unknown("cut inside an event"));
+                }
+                None => return Next::End,
+            }
+        }
+    }
+
+    fn note_bytes(&mut self) {
+        self.last_bytes = Millis::now();
+        if let Some(group) = self.choice.seat.borrow().group {
+            self.last_step = group.step;
+        }
+    }
+
+    /// Whether its group goes on without it: its connection fell silent.
+    fn is_silent(&self) -> bool {
+        let quiet = Millis::now().since(self.last_bytes);
+        let Some(group) = self.choice.seat.borrow().group else {
+            return false;
+        };
+        quiet > SILENT_TIME
+            && group.open
+            && group.step >= self.last_step + PASSES
+    }
+}
+
+/// Passes a stream on to its caller.
+struct Relay {
+    entry: Rc<Entry>,
+    call: Call,
+    pieces: mpsc::Sender<Piece>,
+    /// The last event that was passed on.
+    last: Option<u64>,
+    events: u64,
+}
+
+impl Relay {
+    async fn run(mut self, mut run: Run, first: Option<Event>, busy: Busy) {
+        let outcome = self.pass(&mut run, first).await;
+        drop(run);
+        let took = Millis::now().since(self.call.arrived);
+        self.entry.measure.ended(took);
+        info!(self.entry.log, "stream ended"; "request" => &*self.call.id,
+            "outcome" => outcome, "events" => self.events,
+            "took" => took.0);
+        drop(busy);
+    }
+
+    /// Passes events on until the stream ends in one way or another.
+    async fn pass(
+        &mut self,
+        run: &mut Run,
+        first: Option<Event>,
+    ) -> &'static str {
+        if let Some(event) = first
+            && !self.give(event).await
+        {
+            return "caller left";
+        }
+        loop {
+            let end = self.call.end();
+            let pieces = self.pieces.clone();
+            let next = tokio::select! {
+                next = run.next(&self.entry, end) => next,
+                () = pieces.closed() => return "caller left",
+            };
+            match next {
+                Next::Event(event) => {
+                    if !self.give(event).await {
+                        return "caller left";
+                    }
+                }
+                Next::End => {
+                    run.stay.success();
+                    if let Some(lease) = run.lease.take() {
+                        lease.keep(Millis::now());
+                    }
+                    // A caller that left needs no end.
+                    let _ = self.pieces.send(Piece::End).await;
+                    return "complete";
+                }
+                Next::Miss(miss) => {
+                    run.stay.failure();
+                    let resumed = tokio::select! {
+                        resumed = self.resume(run, miss) => resumed,
+                        () = pieces.closed() => return "caller left",
+                    };
+                    match resumed {
+                        Some(next) => *run = next,
+                        None => return "cut",
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on at another target, if that is allowed and one can be had.
+    async fn resume(&mut self, run: &Run, miss: Miss) -> Option<Run> {
+        let mut miss = miss;
+        let mut choice = run.choice.clone();
+        self.call.waits_anew();
+        loop {
+            self.call
+                .missed(&self.entry, &choice, miss)
+                .await
+                .is_none()
+                .then_some(())?;
+            choice = self.call.next_target(&self.entry).await.ok()?;
+            match open(&self.entry, &mut self.call, &choice, self.last).await {
+                Ok(Ok((_, next))) => return Some(next),
+                Ok(Err(_)) => miss = Miss::Unknown("a failure"),
+                Err(other) => miss = other,
+            }
+        }
+    }
+
+    /// Passes an event on, unless the caller has it.
+    async fn give(&mut self, event: Event) -> bool {
+        if event.id.is_some() && event.id <= self.last {
+            return true;
+        }
+        self.last = event.id.or(self.last);
+        self.events += 1;
+        let end = self.call.end();
+        let given = tokio::time::timeout_at(
+            end,
+            self.pieces.send(Piece::Events(event.bytes)),
+        );
+        matches!(given.await, Ok(Ok(())))
+    }
+}
--- /dev/null
+++ b/cowsliproad-direct/src/upstream.rs
@@ -0,0 +1,222 @@
+//! Connections to targets.
+//!
+//! A connection carries one request at a time. One that answered is kept for
+//! the next request, the latest used first, for less than the time that the
+//! target says it keeps idle ones. Extra bytes on an idle connection end it,
+//! and an answer must name its request, so a late one belongs to nobody.
+//!
+//! A request that must not be repeated takes a connection that was used a
+//! moment ago or a new one: the target may close an older one just then, and
+//! a request that was written to it may have run.
+
+use std::{cell::RefCell, rc::Rc};
+
+use bytes::Bytes;
+use cowsliproad_kernel::clock::Millis;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+use crate::entry::{Choice, Seat};
+
+/// A dropped opening packet is sent again after a second or more; another
+/// target is a better use of that time. The way there and back takes 3 ms.
+const CONNECT_TIME: Millis = Millis(250);
+
+/// Unacknowledged bytes for so long mean that the other side is gone.
+const SILENT_TIME: Millis = Millis(1_500);
+
+/// After so much silence the other side is asked whether it lives.
+const PROBE_TIME: Millis = Millis(1_000);
+
+/// How long an idle connection is kept if the target doesn't say.
+const USUAL_IDLE: Millis = Millis(4_000);
+
+/// The part of the time that a target keeps idle connections for which we
+/// use them, in percent. It may close them a little early.
+const IDLE_PERCENT: u64 = 60;
+
+/// How lately a connection must have been used for work that must not be
+/// repeated. Targets close idle connections after a second or more.
+const FRESH: Millis = Millis(300);
+
+/// Idle connections kept to one target.
+const MOST_IDLE: usize = 16;
+
+/// What may be done when a request was not answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// It was not sent.
+    Unsent(&'static str),
+    /// It was sent and may have run.
+    Unknown(&'static str),
+}
+
+/// Idle connections to one target.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Vec<Idle>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    until: Millis,
+    used: Millis,
+}
+
+/// Which connections a request may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// Any that is open.
+    Any,
+    /// One that was used a moment ago.
+    Fresh,
+}
+
+/// A connection whose answer is being read.
+#[derive(Debug)]
+pub struct Lease {
+    sender: SendRequest<Full<Bytes>>,
+    seat: Rc<RefCell<Seat>>,
+    keep: Millis,
+}
+
+impl Pool {
+    /// Whether no connection is idle.
+    pub fn is_empty(&self) -> bool {
+        self.idle.is_empty()
+    }
+
+    fn take(
+        &mut self,
+        reuse: Reuse,
+        now: Millis,
+    ) -> Option<SendRequest<Full<Bytes>>> {
+        self.idle.retain(|it| now < it.until && !it.sender.is_closed());
+        let fits = |it: &Idle| match reuse {
+            Reuse::Any => it.sender.is_ready(),
+            Reuse::Fresh => it.sender.is_ready() && now.since(it.used) < FRESH,
+        };
+        let at = self.idle.iter().rposition(fits)?;
+        Some(self.idle.swap_remove(at).sender)
+    }
+}
+
+impl Lease {
+    /// Keeps the connection for the next request, after a whole answer.
+    pub fn keep(self, now: Millis) {
+        if self.keep.0 == 0 || self.sender.is_closed() {
+            return;
+        }
+        let mut seat = self.seat.borrow_mut();
+        let idle = &mut seat.pool.idle;
+        if idle.len() < MOST_IDLE {
+            let until = now + self.keep;
+            idle.push(Idle { sender: self.sender, until, used: now });
+        }
+    }
+}
+
+/// Sends a request and waits for the head of its answer.
+pub async fn send(
+    choice: &Choice,
+    mut request: Request<Full<Bytes>>,
+    reuse: Reuse,
+) -> Result<(Response<Incoming>, Lease), Failure> {
+    loop {
+        let kept = {
+            let mut seat = choice.seat.borrow_mut();
+            seat.pool.take(reuse, Millis::now())
+        };
+        let was_kept = kept.is_some();
+        let mut sender = match kept {
+            Some(sender) => sender,
+            None => connect(choice).await?,
+        };
+        match sender.try_send_request(request).await {
+            Ok(answer) => {
+                let keep = idle_time(answer.headers());
+                let seat = choice.seat.clone();
+                return Ok((answer, Lease { sender, seat, keep }));
+            }
+            Err(mut error) => match error.take_message() {
+                // The connection had ended before a byte was written.
+                Some(unsent) if was_kept => request = unsent,
+                Some(_) => return Err(Failure::Unsent("closed at once")),
+                None => return Err(Failure::Unknown(reason(error.error()))),
+            },
+        }
+    }
+}
+
+fn reason(error: &hyper::Error) -> &'static str {
+    if error.is_parse() {
+        "no answer in the protocol"
+    } else if error.is_incomplete_message() {
+        "closed without an answer"
+    } else {
+        "the connection broke"
+    }
+}
+
+async fn connect(
+    choice: &Choice,
+) -> Result<SendRequest<Full<Bytes>>, Failure> {
+    let opening = TcpStream::connect(choice.target.address);
+    let stream = tokio::time::timeout(CONNECT_TIME.duration(), opening)
+        .await
+        .map_err(|_| Failure::Unsent("no connection in time"))?
+        .map_err(|_| Failure::Unsent("no connection"))?;
+    prepare(&stream).map_err(|_| Failure::Unsent("no connection"))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| Failure::Unsent("no connection"))?;
+    let seat = choice.seat.clone();
+    seat.borrow_mut().open += 1;
+    tokio::task::spawn_local(async move {
+        // How the connection failed shows in the request that it carried.
+        let _ = connection.await;
+        seat.borrow_mut().open -= 1;
+    });
+    Ok(sender)
+}
+
+/// Sets a connection up so that silence ends it within some seconds.
+pub fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENT_TIME.duration()))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_TIME.duration())
+        .with_interval(PROBE_TIME.duration())
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
+
+/// How long the connection of an answer may be kept; 0 for not at all.
+fn idle_time(headers: &HeaderMap) -> Millis {
+    let text = |name| {
+        headers.get(name).and_then(|it: &http::HeaderValue| it.to_str().ok())
+    };
+    let closes = text(http::header::CONNECTION)
+        .is_some_and(|it| it.to_ascii_lowercase().contains("close"));
+    if closes {
+        return Millis(0);
+    }
+    let stated = text(http::HeaderName::from_static("keep-alive"))
+        .and_then(|it| {
+            it.split(',').find_map(|part| part.trim().strip_prefix("timeout="))
+        })
+        .and_then(|it| it.trim().parse::<u64>().ok());
+    match stated {
+        Some(seconds) => Millis(seconds * 1_000 * IDLE_PERCENT / 100),
+        None => USUAL_IDLE,
+    }
+}
--- /dev/null
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -0,0 +1,102 @@
+//! The datagrams between entries and agents that stand beside targets.
+//!
+//! What they carry is repeated or corrected within a second, so a lost one
+//! costs little, a peer that is gone costs nothing, and no connection can
+//! fall silent. Each is one CBOR value. What must arrive whole and is large,
+//! the configuration, goes over HTTP between entries.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+
+/// Encodes a message. All of ours encode.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let encoded = ciborium::into_writer(message, &mut bytes);
+    debug_assert!(encoded.is_ok());
+    bytes
+}
+
+/// Decodes a message; `None` for anything that is none.
+pub fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Option<T> {
+    ciborium::from_reader(bytes).ok()
+}
+
+/// The largest datagram that is read.
+pub const MOST_BYTES: usize = 60_000;
+
+/// What entries take.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Datagram {
+    /// From another entry.
+    #[serde(rename = "d")]
+    Digest(Digest),
+    /// From an agent.
+    #[serde(rename = "l")]
+    Load(Load),
+}
+
+/// A message between entries.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Digest {
+    /// The sender's VM.
+    #[serde(rename = "v")]
+    pub vm: Name,
+    /// Where the sender takes datagrams and calls of other entries.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// The version of the configuration that it uses; 0 for none.
+    #[serde(rename = "c")]
+    pub version: u64,
+    /// Incarnations that it saw leave in the last seconds.
+    #[serde(rename = "l")]
+    pub left: Vec<Name>,
+    /// Other entries that it heard from lately.
+    #[serde(rename = "p")]
+    pub peers: Vec<SocketAddr>,
+}
+
+/// An entry's word to an agent: report to me.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Subscribe {
+    /// The agents of the service, this one included.
+    #[serde(rename = "a")]
+    pub agents: Vec<SocketAddr>,
+    /// Sets of layers with an expert map of their own.
+    #[serde(rename = "s")]
+    pub sets: u16,
+    /// Experts in each set.
+    #[serde(rename = "e")]
+    pub experts: u16,
+    /// Experts that a rank holds in each set.
+    #[serde(rename = "p")]
+    pub places: u16,
+    /// Experts that may be new to a rank in one map, in each set.
+    #[serde(rename = "n")]
+    pub spare: u16,
+}
+
+/// An agent's word to entries: how its engine stands.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Load {
+    /// Where the engine listens.
+    #[serde(rename = "a")]
+    pub target: SocketAddr,
+    /// Requests in its batch.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Requests that wait.
+    #[serde(rename = "q")]
+    pub queued: u32,
+    /// The formation of its group.
+    #[serde(rename = "e")]
+    pub epoch: u64,
+    /// The last pass that was begun.
+    #[serde(rename = "s")]
+    pub step: u64,
+    /// Whether its group takes requests.
+    #[serde(rename = "o")]
+    pub open: bool,
+}
--- a/cowsliproad-kernel/src/lib.rs
+++ b/cowsliproad-kernel/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod clock;
 pub mod code;
+pub mod gossip;
 pub mod id;
 pub mod log;
 pub mod plugin;
--- a/cowsliproad-kernel/src/log.rs
+++ b/cowsliproad-kernel/src/log.rs
@@ -1,6 +1,6 @@
 //! Structured logs: one `key=value` line for each event.
 //!
-//! Lines go to standard error through a bounded asynchronous drain. When the
+//! Lines go to standard output through a bounded asynchronous drain. When the
 //! drain is full, lines are dropped and counted rather than holding up
 //! traffic.
 
@@ -33,9 +33,9 @@
     let Some(least) = least(level) else {
         return Logger::root(slog::Discard, keys);
     };
-    let stderr = std::io::LineWriter::new(std::io::stderr());
+    let stdout = std::io::LineWriter::new(std::io::stdout());
     let lines =
-        slog_logfmt::Logfmt::new(stderr).set_prefix(prefix).build().fuse();
+        slog_logfmt::Logfmt::new(stdout).set_prefix(prefix).build().fuse();
     let lines =
         slog_async::Async::new(lines).chan_size(CHANNEL_LINES).build().fuse();
     Logger::root(slog::LevelFilter::new(lines, least).fuse(), keys)
--- a/cowsliproad-mapswitch/src/lib.rs
+++ b/cowsliproad-mapswitch/src/lib.rs
@@ -29,8 +29,12 @@
 
 #![forbid(unsafe_code)]
 
+pub mod order;
+
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 /// The place of a member in its group.
 pub type Rank = u8;
 
@@ -39,7 +43,18 @@
 pub struct Generation(pub u64);
 
 /// An expert map, named by whoever planned it.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
 pub struct Version(pub u64);
 
 /// A proposal to change maps.
--- a/cowsliproad-net/src/program.rs
+++ b/cowsliproad-net/src/program.rs
@@ -16,6 +16,33 @@
 /// Reads a program's settings as its command line says. Ends the process
 /// after `--check` and `--print-default`, and when the settings are bad.
 pub fn settings<T>(name: &'static str, about: &'static str, example: &T) -> T
+where
+    T: Check + DeserializeOwned + Serialize,
+{
+    read(name, about, example, None)
+}
+
+/// The same; without an argument the file's path stands in an environment
+/// variable.
+pub fn settings_or<T>(
+    name: &'static str,
+    about: &'static str,
+    example: &T,
+    variable: &str,
+) -> T
+where
+    T: Check + DeserializeOwned + Serialize,
+{
+    let path = std::env::var_os(variable).map(PathBuf::from);
+    read(name, about, example, path)
+}
+
+fn read<T>(
+    name: &'static str,
+    about: &'static str,
+    example: &T,
+    fallback: Option<PathBuf>,
+) -> T
 where
     T: Check + DeserializeOwned + Serialize,
 {
@@ -24,11 +51,12 @@
         println!("{}", settings::print(example));
         process::exit(0);
     }
-    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+    let path = matches.get_one::<PathBuf>("settings").cloned().or(fallback);
+    let Some(path) = path else {
         eprintln!("{name}: --settings FILE is needed");
         process::exit(BAD_SETTINGS);
     };
-    match settings::read(path) {
+    match settings::read(&path) {
         Ok(_) if matches.get_flag("check") => {
             println!("{}: good", path.display());
             process::exit(0);
@@ -50,6 +78,16 @@
     }
 }
 
+/// Runs a program's main task on this thread alone, which suits a VM with a
+/// part of one core: tasks share their state without locks.
+pub fn run_local(
+    main: impl Future<Output = io::Result<()>>,
+) -> io::Result<()> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, main)
+}
+
 /// Waits for SIGTERM or SIGINT.
 pub async fn stopped() {
     let (Ok(mut terminate), Ok(mut interrupt)) =
--- a/cowsliproad-relay/src/lib.rs
+++ b/cowsliproad-relay/src/lib.rs
@@ -13,6 +13,8 @@
 
 #![forbid(unsafe_code)]
 
+pub mod events;
+
 use std::collections::BTreeMap;
 
 use cowsliproad_kernel::{
--- /dev/null
+++ b/cowsliproad-routing/src/fleet.rs
@@ -0,0 +1,260 @@
+//! What an entry believes of the targets: which there are, where, and which
+//! may get new requests.
+//!
+//! News comes from the platform's log, from other entries and from what the
+//! entry meets itself, in no certain order:
+//!
+//! * an incarnation that was seen leaving stays so: an older entry of it, a
+//!   repeated one or a slow peer never brings it back;
+//! * a withdrawal counts at once while the log has been read without a gap.
+//!   After a gap it may be a lapse, since targets that couldn't renew their
+//!   entries drop out of the log too. Then the target stays in use for
+//!   [`Config::with_return_time`], in which a live one is back;
+//! * while the log is away nothing is withdrawn. What the entry meets itself
+//!   (another incarnation at the address) counts all the same.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use cowsliproad_kernel::{Name, clock::Millis};
+
+/// Whether a target takes new requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+}
+
+/// A target as it announced itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Its incarnation.
+    pub id: Name,
+    /// The service that it belongs to.
+    pub service: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: State,
+    /// Counts the announcements of this incarnation.
+    pub sequence: u64,
+}
+
+/// What a piece of news changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing.
+    None,
+    /// The target is new, or back.
+    Joined,
+    /// The target gets nothing new from now on.
+    Left,
+}
+
+/// Times of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    return_time: Millis,
+}
+
+impl Config {
+    /// The usual times.
+    pub fn new() -> Config {
+        Config { return_time: RETURN_TIME }
+    }
+
+    /// How long after a gap a live target needs to be in the log again.
+    pub fn with_return_time(self, return_time: Millis) -> Config {
+        Config { return_time }
+    }
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config::new()
+    }
+}
+
+/// Targets renew lapsed entries within about two seconds of the log's
+/// return, as its operators say; some more for the way to us.
+const RETURN_TIME: Millis = Millis(2_300);
+
+/// Incarnations whose leaving is remembered. One entry each is some 60 bytes.
+const REMEMBERED: usize = 2_048;
+
+/// The targets.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    config: Config,
+    targets: BTreeMap<Name, Belief>,
+    /// Incarnations that left, with their last sequence.
+    left: BTreeMap<Name, Departure>,
+    /// Until when a withdrawal may be a lapse.
+    doubtful_until: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Belief {
+    target: Target,
+    /// When its withdrawal counts, if it was withdrawn.
+    lapsing: Option<Millis>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    sequence: u64,
+    at: Millis,
+    way: Way,
+}
+
+/// How an incarnation left.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Way {
+    /// It said so: it never comes back.
+    Announced,
+    /// Its entry went; a later announcement brings it back.
+    Withdrawn,
+}
+
+impl Fleet {
+    /// No targets yet.
+    pub fn new(config: Config) -> Fleet {
+        Fleet {
+            config,
+            targets: BTreeMap::new(),
+            left: BTreeMap::new(),
+            doubtful_until: Millis(0),
+        }
+    }
+
+    /// Takes an announcement in.
+    pub fn announce(&mut self, target: Target, now: Millis) -> Change {
+        if let Some(departure) = self.left.get(&target.id)
+            && (departure.way == Way::Announced
+                || target.sequence <= departure.sequence)
+        {
+            return Change::None;
+        }
+        if let Some(known) = self.targets.get_mut(&target.id) {
+            if target.sequence < known.target.sequence {
+                return Change::None;
+            }
+            if target.state == State::Ready {
+                known.lapsing = None;
+                known.target = target;
+                return Change::None;
+            }
+        }
+        if target.state == State::Leaving {
+            return self.leave(&target.id, target.sequence, now);
+        }
+        self.left.remove(&target.id);
+        let id = target.id.clone();
+        self.targets.insert(id, Belief { target, lapsing: None });
+        Change::Joined
+    }
+
+    /// Notes that an incarnation leaves, from whoever knows.
+    pub fn leave(&mut self, id: &str, sequence: u64, now: Millis) -> Change {
+        self.depart(id, sequence, now, Way::Announced)
+    }
+
+    /// Takes a withdrawal from the log in.
+    pub fn withdraw(&mut self, id: &str, now: Millis) -> Change {
+        if now < self.doubtful_until {
+            if let Some(known) = self.targets.get_mut(id) {
+                known.lapsing.get_or_insert(self.doubtful_until);
+            }
+            return Change::None;
+        }
+        self.depart(id, 0, now, Way::Withdrawn)
+    }
+
+    /// Withdraws all that a complete list does not hold.
+    pub fn keep_only(
+        &mut self,
+        listed: impl Fn(&str) -> bool,
+        now: Millis,
+    ) -> Vec<Name> {
+        let missing: Vec<Name> =
+            self.targets.keys().filter(|id| !listed(id)).cloned().collect();
+        let left = |id: &Name| self.withdraw(id, now) == Change::Left;
+        missing.into_iter().filter(left).collect()
+    }
+
+    /// Notes that the log can be read again after a gap.
+    pub fn regained(&mut self, now: Millis) {
+        self.doubtful_until = now + self.config.return_time;
+    }
+
+    /// Lets withdrawals count whose time has come.
+    pub fn tick(&mut self, now: Millis) -> Vec<Name> {
+        let due = |it: &Belief| it.lapsing.is_some_and(|at| at <= now);
+        let gone: Vec<Name> = self
+            .targets
+            .iter()
+            .filter(|(_, belief)| due(belief))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.depart(id, 0, now, Way::Withdrawn);
+        }
+        gone
+    }
+
+    /// Whether new requests may go to an incarnation.
+    pub fn is_ready(&self, id: &str) -> bool {
+        self.targets.contains_key(id)
+    }
+
+    /// A target that takes new requests.
+    pub fn get(&self, id: &str) -> Option<&Target> {
+        self.targets.get(id).map(|it| &it.target)
+    }
+
+    /// The targets that take new requests.
+    pub fn ready(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values().map(|it| &it.target)
+    }
+
+    /// Incarnations that left since a moment, for other entries.
+    pub fn left_since(&self, since: Millis) -> impl Iterator<Item = &Name> {
+        let fresh = move |it: &Departure| it.at >= since;
+        self.left.iter().filter(move |it| fresh(it.1)).map(|it| it.0)
+    }
+
+    fn depart(
+        &mut self,
+        id: &str,
+        sequence: u64,
+        now: Millis,
+        way: Way,
+    ) -> Change {
+        let known = self.targets.remove(id);
+        let before = known.as_ref().map_or(0, |it| it.target.sequence);
+        let sequence = sequence.max(before);
+        let departure = Departure { sequence, at: now, way };
+        let held = self.left.entry(id.into()).or_insert(departure);
+        if way == Way::Announced {
+            held.way = way;
+        }
+        held.sequence = held.sequence.max(sequence);
+        self.forget();
+        if known.is_some() { Change::Left } else { Change::None }
+    }
+
+    fn forget(&mut self) {
+        if self.left.len() <= REMEMBERED {
+            return;
+        }
+        let oldest = self.left.iter().min_by_key(|it| it.1.at);
+        if let Some(id) = oldest.map(|it| it.0.clone()) {
+            self.left.remove(&id);
+        }
+    }
+}
--- a/cowsliproad-routing/src/lib.rs
+++ b/cowsliproad-routing/src/lib.rs
@@ -1,5 +1,8 @@
 //! Routing: which target an attempt goes to.
 //!
+//! * [`catalog`]: routes, services and organisations in force;
+//! * [`fleet`]: which targets there are;
+//! * [`pick`]: the target with the least expected time;
 //! * [`score`]: the predicted time to the first token at a target;
 //! * [`choice`]: the best of a few sampled targets;
 //! * [`health`]: which targets are left out for a while.
@@ -9,6 +12,9 @@
 
 #![forbid(unsafe_code)]
 
+pub mod catalog;
 pub mod choice;
+pub mod fleet;
 pub mod health;
+pub mod pick;
 pub mod score;
