Agents beside model engines lead the group's expert map

New: cowsliproad-rank, placement::live and placement::demand (small steps within what a rank may take in one map), mapswitch::order driven by reports.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -93,7 +93,7 @@
                 tokio::task::spawn_local(connection(entry.clone(), stream));
             }
             Err(error) => {
-                info!(entry.log, "accept failed"; "error" => %error);
+                info!(entry.log, "accept_failed"; "error" => %error);
                 sleep(STOP_LOOK_TIME.duration()).await;
             }
         }
@@ -137,7 +137,7 @@
 
 async fn connection(entry: Rc<Entry>, stream: TcpStream) {
     if let Err(error) = upstream::prepare(&stream) {
-        info!(entry.log, "connection lost"; "error" => %error);
+        info!(entry.log, "connection_lost"; "error" => %error);
         return;
     }
     let activity = Rc::new(Activity::default());
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -157,7 +157,7 @@
         if before >= catalog.version() {
             return;
         }
-        info!(self.log, "catalog in force"; "version" => catalog.version(),
+        info!(self.log, "catalog_in_force"; "version" => catalog.version(),
             "before" => before, "routes" => catalog.routes(),
             "source" => ?source);
         *self.catalog.borrow_mut() = Some((Arc::new(catalog), raw));
@@ -172,12 +172,12 @@
             Change::Joined => {
                 let fleet = self.fleet.borrow();
                 let Some(target) = fleet.get(id) else { return };
-                info!(self.log, "target joined"; "target" => id,
+                info!(self.log, "target_joined"; "target" => id,
                     "service" => &*target.service,
                     "address" => %target.address, "source" => ?source);
             }
             Change::Left => {
-                info!(self.log, "target left"; "target" => id,
+                info!(self.log, "target_left"; "target" => id,
                     "source" => ?source);
                 self.seats.borrow_mut().remove(id);
                 self.announced.borrow_mut().remove(id);
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -62,7 +62,7 @@
         let now = Millis::now();
         let away = now.since(self.last);
         if self.failures > 0 {
-            info!(entry.log, "log regained"; "topic" => self.topic,
+            info!(entry.log, "log_regained"; "topic" => self.topic,
                 "away" => away.0, "failures" => self.failures);
         }
         let found = if self.failures > 0 && away > GAP_TIME {
@@ -78,7 +78,7 @@
     /// Notes a failure and waits before the next call.
     async fn bad(&mut self, entry: &Entry, error: &Error) {
         if self.failures == 0 {
-            warn!(entry.log, "log lost"; "topic" => self.topic,
+            warn!(entry.log, "log_lost"; "topic" => self.topic,
                 "error" => %error);
         }
         let doubled = FIRST_PAUSE.0 << self.failures.min(4);
@@ -110,7 +110,7 @@
                 adopt_newest(&entry, page);
             }
             Err(Error::Expired) => {
-                info!(entry.log, "records expired"; "topic" => log::OPERATORS);
+                info!(entry.log, "records_expired"; "topic" => log::OPERATORS);
                 next = None;
             }
             Err(error) => contact.bad(&entry, &error).await,
@@ -125,7 +125,7 @@
         match catalog::decode(&raw) {
             Ok(catalog) => return entry.adopt(catalog, raw, Source::Log),
             Err(error) => {
-                warn!(entry.log, "catalog refused"; "error" => %error);
+                warn!(entry.log, "catalog_refused"; "error" => %error);
             }
         }
     }
@@ -154,7 +154,7 @@
                 sleep(jittered(period).duration()).await;
             }
             Err(Error::Expired) => {
-                info!(entry.log, "records expired"; "topic" => log::TARGETS);
+                info!(entry.log, "records_expired"; "topic" => log::TARGETS);
                 next = None;
             }
             Err(error) => contact.bad(&entry, &error).await,
@@ -197,7 +197,7 @@
                 change
             }
             Err(error) => {
-                warn!(entry.log, "target refused"; "target" => &*record.key,
+                warn!(entry.log, "target_refused"; "target" => &*record.key,
                     "error" => %error);
                 return;
             }
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -603,7 +603,7 @@
     /// The final answer of a request that no target answers.
     pub fn give_up(&self, entry: &Entry, why: &'static str) -> Response<Body> {
         let left = self.left();
-        info!(entry.log, "given up"; "request" => &*self.id, "why" => why,
+        info!(entry.log, "given_up"; "request" => &*self.id, "why" => why,
             "certainty" => ?self.certainty, "tries" => self.tries,
             "left" => left.0);
         match self.certainty {
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -209,7 +209,7 @@
     to: SocketAddr,
 ) {
     if let Err(error) = socket.send_to(message, to).await {
-        slog::debug!(entry.log, "not told"; "peer" => %to, "error" => %error);
+        slog::debug!(entry.log, "not_told"; "peer" => %to, "error" => %error);
     }
 }
 
@@ -227,7 +227,7 @@
                 hear(&entry, &socket, digest).await;
             }
             Some(Datagram::Load(load)) => take_load(&entry, &load),
-            None => warn!(entry.log, "strange datagram"; "bytes" => length),
+            None => warn!(entry.log, "strange_datagram"; "bytes" => length),
         }
     }
 }
@@ -243,7 +243,7 @@
         (peers.hear(&heard, now), peers.introduce(&heard.peers))
     };
     if is_new {
-        info!(entry.log, "peer met"; "peer" => &*heard.vm,
+        info!(entry.log, "peer_met"; "peer" => &*heard.vm,
             "address" => %heard.address);
         let own = gossip::encode(&Datagram::Digest(digest(entry, now)));
         for other in others.into_iter().chain([heard.address]) {
@@ -277,13 +277,13 @@
     let body = match call.await {
         Ok(answer) => answer.into_body(),
         Err(error) => {
-            warn!(entry.log, "peer gave no state"; "peer" => &*heard.vm,
+            warn!(entry.log, "peer_gave_no_state"; "peer" => &*heard.vm,
                 "error" => %error);
             return;
         }
     };
     let Some(state) = gossip::decode::<State>(&body) else {
-        warn!(entry.log, "strange state"; "peer" => &*heard.vm);
+        warn!(entry.log, "strange_state"; "peer" => &*heard.vm);
         return;
     };
     take_state(entry, state);
@@ -293,7 +293,7 @@
     let raw = Bytes::from(state.catalog);
     match catalog::decode(&raw) {
         Ok(catalog) => entry.adopt(catalog, raw, Source::Peer),
-        Err(error) => warn!(entry.log, "catalog refused"; "error" => %error),
+        Err(error) => warn!(entry.log, "catalog_refused"; "error" => %error),
     }
     // Own knowledge of the targets goes first as soon as there is any.
     if entry.fleet.borrow().ready().next().is_some() {
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -223,7 +223,7 @@
         drop(run);
         let took = Millis::now().since(self.call.arrived);
         self.entry.measure.ended(took);
-        info!(self.entry.log, "stream ended"; "request" => &*self.call.id,
+        info!(self.entry.log, "stream_ended"; "request" => &*self.call.id,
             "outcome" => outcome, "events" => self.events,
             "took" => took.0);
         drop(busy);
--- a/cowsliproad-placement/src/lib.rs
+++ b/cowsliproad-placement/src/lib.rs
@@ -10,6 +10,8 @@
 //! * [`load`]: smoothed token counts, kept twice so that noise shows;
 //! * [`pack`]: a map from nothing;
 //! * [`plan`]: few moves from the present map that pay for themselves;
+//! * [`demand`]: what is demanded now, from counts that only grow;
+//! * [`live`]: small steps towards balance, every second;
 //! * [`bound`]: a time that no map can beat.
 //!
 //! Weighed and not chosen: repacking from nothing at intervals (it moves
@@ -19,6 +21,8 @@
 #![forbid(unsafe_code)]
 
 pub mod bound;
+pub mod demand;
+pub mod live;
 pub mod load;
 pub mod map;
 pub mod pack;
--- /dev/null
+++ b/cowsliproad-placement/src/live.rs
@@ -0,0 +1,314 @@
+//! Small steps towards balance, for groups whose map may change every second
+//! but only by a few experts at each rank.
+//!
+//! From the present layer, the most loaded rank is relieved again and again
+//! by the change that lowers a steep sum over all ranks' loads most: the sum
+//! of their eighth powers, which is nearly their maximum but also tells
+//! apart changes that leave the maximum as it is. Of all the layers on this
+//! way the one is kept whose saving in the longest time, less the price of
+//! its copies, is best. A layer that saves too little stays as it is, so
+//! noise moves nothing.
+//!
+//! Weighed and not chosen: packing from nothing and walking there (it moves
+//! some four times as many experts), and looking at the longest time alone
+//! (the search ends at the first tie between two ranks).
+
+use crate::map::{Expert, Layer, Map, Rank, Shape};
+
+/// What the operators weigh.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    spare: usize,
+    price: f64,
+    threshold: f64,
+}
+
+impl Config {
+    /// At most `spare` new experts for a rank and layer in one map.
+    pub fn new(spare: usize) -> Config {
+        Config { spare, price: PRICE, threshold: THRESHOLD }
+    }
+
+    /// What a copy costs, as a share of the mean load of a rank.
+    pub fn with_price(self, price: f64) -> Config {
+        Config { price, ..self }
+    }
+
+    /// What a layer has to save, as a share of its longest time.
+    pub fn with_threshold(self, threshold: f64) -> Config {
+        Config { threshold, ..self }
+    }
+}
+
+/// A copy takes 15% of the pace for some 40 ms and is charged; at a mean of
+/// a few seconds between shifts of demand it pays from half a percent on.
+const PRICE: f64 = 0.006;
+
+/// Counts of half a second differ by some 2% by chance.
+const THRESHOLD: f64 = 0.03;
+
+/// Changes tried in a layer. Each rank may take two experts, and few need to.
+const TRIES: usize = 32;
+
+/// The power of the loads that are summed.
+const POWER: i32 = 8;
+
+/// A better map.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The map.
+    pub map: Map,
+    /// Copies to be moved.
+    pub moves: usize,
+    /// Step time before, in units of the ideal one.
+    pub before: f64,
+    /// Step time expected.
+    pub after: f64,
+}
+
+/// Plans from the present map; `None` if nothing pays.
+pub fn plan(
+    shape: Shape,
+    config: Config,
+    present: &Map,
+    loads: &[Vec<f64>],
+) -> Option<Plan> {
+    let mut map = present.clone();
+    let mut moves = 0;
+    for (layer, loads) in map.layers.iter_mut().zip(loads) {
+        if let Some((better, copies)) = improve(shape, config, layer, loads) {
+            *layer = better;
+            moves += copies;
+        }
+    }
+    if moves == 0 {
+        return None;
+    }
+    let speeds = vec![1.0; shape.ranks];
+    let ideal = crate::map::ideal_time(loads, &speeds);
+    let time = |map: &Map| map.step_time(loads, &speeds) / ideal;
+    Some(Plan { moves, before: time(present), after: time(&map), map })
+}
+
+/// A better layer and its copies.
+fn improve(
+    shape: Shape,
+    config: Config,
+    present: &Layer,
+    loads: &[f64],
+) -> Option<(Layer, usize)> {
+    let total: f64 = loads.iter().sum();
+    if total <= 0.0 {
+        return None;
+    }
+    let mean = total / shape.ranks as f64;
+    let mut search = Search::new(shape, config.spare, present, loads);
+    let before = search.longest();
+    let mut best = None;
+    let mut value = config.threshold * before;
+    for _ in 0..TRIES {
+        let Some(change) = search.relief() else { break };
+        search.make(change);
+        let copies = present.missing(&search.layer);
+        let saving = before - search.longest();
+        let worth = saving - config.price * mean * copies as f64;
+        if worth > value {
+            value = worth;
+            best = Some((search.layer.clone(), copies));
+        }
+    }
+    best
+}
+
+/// A change of a layer.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    /// The rank that is relieved.
+    from: Rank,
+    /// The expert that another rank gets.
+    expert: Expert,
+    /// That rank.
+    to: Rank,
+    /// The expert whose place it takes there, if none is free.
+    other: Option<Expert>,
+    kind: Kind,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Kind {
+    /// Both ranks hold it afterwards.
+    Copy,
+    /// Only the other rank does.
+    Move,
+    /// As a move, and the other expert comes back for it.
+    Swap,
+}
+
+struct Search<'a> {
+    shape: Shape,
+    spare: usize,
+    present: &'a Layer,
+    loads: &'a [f64],
+    layer: Layer,
+    times: Vec<f64>,
+}
+
+impl<'a> Search<'a> {
+    fn new(
+        shape: Shape,
+        spare: usize,
+        present: &'a Layer,
+        loads: &'a [f64],
+    ) -> Search<'a> {
+        let speeds = vec![1.0; shape.ranks];
+        let times = present.times(loads, &speeds);
+        let layer = present.clone();
+        Search { shape, spare, present, loads, layer, times }
+    }
+
+    fn longest(&self) -> f64 {
+        self.times.iter().copied().fold(0.0, f64::max)
+    }
+
+    /// The change that relieves the most loaded rank best.
+    fn relief(&self) -> Option<Change> {
+        let ranks = 0..self.shape.ranks as Rank;
+        let by_time =
+            |a: &Rank, b: &Rank| self.time(*a).total_cmp(&self.time(*b));
+        let from = ranks.clone().max_by(by_time)?;
+        let mut best: Option<(f64, Change)> = None;
+        for &expert in self.layer.held(from) {
+            for to in ranks.clone() {
+                if to == from || self.layer.has(to, expert) {
+                    continue;
+                }
+                if self.room(to, expert) == 0 {
+                    continue;
+                }
+                self.try_changes(from, expert, to, &mut best);
+            }
+        }
+        best.map(|it| it.1)
+    }
+
+    fn try_changes(
+        &self,
+        from: Rank,
+        expert: Expert,
+        to: Rank,
+        best: &mut Option<(f64, Change)>,
+    ) {
+        let mut consider = |kind, other| {
+            let change = Change { from, expert, to, other, kind };
+            let gain = self.gain(change);
+            if gain > best.as_ref().map_or(0.0, |it| it.0) {
+                *best = Some((gain, change));
+            }
+        };
+        if self.layer.held(to).len() < self.shape.slots {
+            consider(Kind::Copy, None);
+            consider(Kind::Move, None);
+            return;
+        }
+        for &other in self.layer.held(to) {
+            if self.layer.hosts(other).len() > 1 {
+                consider(Kind::Copy, Some(other));
+            }
+            let comes_back =
+                !self.layer.has(from, other) && self.room(from, other) > 0;
+            if comes_back {
+                consider(Kind::Swap, Some(other));
+            }
+        }
+    }
+
+    /// How many more new experts a rank may get, if this one is new to it.
+    fn room(&self, rank: Rank, expert: Expert) -> usize {
+        if self.present.has(rank, expert) {
+            return usize::MAX;
+        }
+        let new = |it: &&Expert| !self.present.has(rank, **it);
+        let news = self.layer.held(rank).iter().filter(new).count();
+        self.spare.saturating_sub(news)
+    }
+
+    /// By how much a change lowers the sum of powers.
+    fn gain(&self, change: Change) -> f64 {
+        let mut deltas = Deltas::new();
+        let hosts = self.layer.hosts(change.expert);
+        let load = self.loads[usize::from(change.expert)];
+        let old = load / hosts.len() as f64;
+        let leaves = change.kind != Kind::Copy;
+        let count = hosts.len() + 1 - usize::from(leaves);
+        let new = load / count as f64;
+        for &host in hosts {
+            let stays = !(leaves && host == change.from);
+            deltas.add(host, if stays { new - old } else { -old });
+        }
+        deltas.add(change.to, new);
+        if let Some(other) = change.other {
+            let hosts = self.layer.hosts(other);
+            let load = self.loads[usize::from(other)];
+            let old = load / hosts.len() as f64;
+            let back = change.kind == Kind::Swap;
+            let count = hosts.len() - usize::from(!back);
+            let new = load / count as f64;
+            for &host in hosts {
+                let leaves = host == change.to;
+                deltas.add(host, if leaves { -old } else { new - old });
+            }
+            if back {
+                deltas.add(change.from, new);
+            }
+        }
+        deltas
+            .iter()
+            .map(|(rank, delta)| {
+                let time = self.time(rank);
+                time.powi(POWER) - (time + delta).max(0.0).powi(POWER)
+            })
+            .sum()
+    }
+
+    fn make(&mut self, change: Change) {
+        let Change { from, expert, to, other, kind } = change;
+        if let Some(other) = other {
+            self.layer.remove(to, other);
+            if kind == Kind::Swap {
+                self.layer.add(from, other);
+            }
+        }
+        if kind != Kind::Copy {
+            self.layer.remove(from, expert);
+        }
+        self.layer.add(to, expert);
+        let speeds = vec![1.0; self.shape.ranks];
+        self.times = self.layer.times(self.loads, &speeds);
+    }
+
+    fn time(&self, rank: Rank) -> f64 {
+        self.times[usize::from(rank)]
+    }
+}
+
+/// What a change does to the few ranks that it touches.
+struct Deltas {
+    ranks: Vec<(Rank, f64)>,
+}
+
+impl Deltas {
+    fn new() -> Deltas {
+        Deltas { ranks: Vec::with_capacity(8) }
+    }
+
+    fn add(&mut self, rank: Rank, delta: f64) {
+        match self.ranks.iter_mut().find(|it| it.0 == rank) {
+            Some(known) => known.1 += delta,
+            None => self.ranks.push((rank, delta)),
+        }
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (Rank, f64)> {
+        self.ranks.iter().copied()
+    }
+}
--- a/cowsliproad-placement/src/map.rs
+++ b/cowsliproad-placement/src/map.rs
@@ -116,6 +116,49 @@
 }
 
 impl Map {
+    /// The map in which experts are dealt to ranks in turn, with nothing held
+    /// twice.
+    pub fn dealt(shape: Shape) -> Map {
+        let mut layer = Layer::new(shape);
+        for expert in 0..shape.experts {
+            layer.add((expert % shape.ranks) as Rank, expert as Expert);
+        }
+        Map { layers: vec![layer; shape.layers] }
+    }
+
+    /// A map from the experts of each rank, by layer; `None` unless it is
+    /// one of this shape.
+    pub fn from_experts(
+        shape: Shape,
+        experts: &[Vec<Vec<Expert>>],
+    ) -> Option<Map> {
+        let mut layers = Vec::with_capacity(shape.layers);
+        for ranks in experts {
+            let mut layer = Layer::new(shape);
+            for (rank, held) in ranks.iter().enumerate() {
+                for &expert in held {
+                    let known = usize::from(expert) < shape.experts;
+                    if rank >= shape.ranks || !known {
+                        return None;
+                    }
+                    if !layer.has(rank as Rank, expert) {
+                        layer.add(rank as Rank, expert);
+                    }
+                }
+            }
+            layers.push(layer);
+        }
+        let fits = layers.len() == shape.layers
+            && layers.iter().all(|it| it.is_valid(shape));
+        fits.then_some(Map { layers })
+    }
+
+    /// The experts of each rank, by layer.
+    pub fn experts(&self) -> Vec<Vec<Vec<Expert>>> {
+        let layers = self.layers.iter();
+        layers.map(|layer| layer.held.clone()).collect()
+    }
+
     /// The time of a step: each layer waits for its slowest rank.
     pub fn step_time(&self, loads: &[Vec<f64>], speeds: &[f64]) -> f64 {
         let layers = self.layers.iter().zip(loads);
--- /dev/null
+++ b/cowsliproad-rank/src/agent.rs
@@ -0,0 +1,487 @@
+//! The loop of an agent: look at the engine, do what is due, tell the others.
+//!
+//! The coordinator is whoever leads with the highest fencing number. Rank 0
+//! takes the lead when nobody does; when it is silent, the next ranks in
+//! turn wait a little longer each, so that mostly one of them takes over.
+
+use std::{collections::BTreeMap, io, net::SocketAddr};
+
+use cowsliproad_kernel::{
+    clock::Millis,
+    gossip::{self, Datagram, Load, Subscribe},
+};
+use cowsliproad_mapswitch::order::{
+    self, Aim, Directive, Epoch, Report, Standing, Verdict,
+};
+use cowsliproad_platform::{
+    engine::State,
+    log::{COORDINATORS, Client},
+};
+use slog::{Logger, info, warn};
+use tokio::{
+    net::UdpSocket,
+    task::JoinHandle,
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    engine::Engine,
+    lead::Lead,
+    settings::Settings,
+    wire::{Message, Plan, Status},
+};
+
+/// How often the engine is looked at while nothing is going on.
+const CALM_TIME: Millis = Millis(200);
+
+/// How often while a change of map is under way: less than a pass takes.
+const BUSY_TIME: Millis = Millis(30);
+
+/// How often entries are told of the load.
+const LOAD_TIME: Millis = Millis(400);
+
+/// How often the counts are read; see [`cowsliproad_placement::demand`].
+const COUNT_TIME: Millis = Millis(400);
+
+/// How often the coordinator speaks, and agents report to it, in calm times.
+const SPEAK_TIME: Millis = Millis(400);
+
+/// Entries that haven't asked for so long get no more reports.
+const FORGET_TIME: Millis = Millis(4_000);
+
+/// How long rank 0 waits for another coordinator before it leads.
+const FIRST_PATIENCE: Millis = Millis(600);
+
+/// How long rank 1 waits, and each next rank more. Three words may be lost.
+const NEXT_PATIENCE: Millis = Millis(1_300);
+const RANK_PATIENCE: Millis = Millis(400);
+
+/// The pause before the platform's log is asked for a number again.
+const AGAIN_TIME: Millis = Millis(1_000);
+
+/// An agent.
+pub struct Agent {
+    settings: Settings,
+    log: Logger,
+    engine: Engine,
+    entries_socket: UdpSocket,
+    agents_socket: UdpSocket,
+    own: SocketAddr,
+    /// Entries that asked for reports, and when.
+    entries: BTreeMap<SocketAddr, Millis>,
+    /// What entries say of the service.
+    shape: Option<Subscribe>,
+    state: Option<State>,
+    experts: Option<(Epoch, order::Version, Vec<Vec<u16>>)>,
+    counts: Option<(Epoch, Vec<Vec<u64>>)>,
+    plan: Option<Plan>,
+    /// The coordinator's last word, where it is, and when it came.
+    word: Option<(Directive, SocketAddr, Millis)>,
+    /// The highest fencing number met.
+    fence: u64,
+    lead: Option<Lead>,
+    /// A number that is being fetched from the platform's log.
+    candidacy: Option<JoinHandle<Option<u64>>>,
+    begun: Millis,
+    last: Times,
+}
+
+/// When things were done last.
+#[derive(Default)]
+struct Times {
+    load: Millis,
+    count: Millis,
+    status: Millis,
+    speech: Millis,
+    candidacy: Millis,
+    said: Option<Directive>,
+}
+
+impl Agent {
+    /// An agent that has looked at nothing yet.
+    pub async fn new(settings: Settings, log: Logger) -> io::Result<Agent> {
+        let at = |port| SocketAddr::new(settings.address, port);
+        let own = at(settings.agent_port);
+        Ok(Agent {
+            engine: Engine::new(settings.engine),
+            entries_socket: UdpSocket::bind(at(settings.peer_port)).await?,
+            agents_socket: UdpSocket::bind(own).await?,
+            own,
+            log,
+            entries: BTreeMap::new(),
+            shape: None,
+            state: None,
+            experts: None,
+            counts: None,
+            plan: None,
+            word: None,
+            fence: 0,
+            lead: None,
+            candidacy: None,
+            begun: Millis::now(),
+            last: Times::default(),
+            settings,
+        })
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) -> io::Result<()> {
+        let mut from_entries = vec![0; gossip::MOST_BYTES];
+        let mut from_agents = vec![0; gossip::MOST_BYTES];
+        let mut next = Instant::now();
+        loop {
+            // Words of others go first: one that was frozen learns that it
+            // no longer leads before it acts.
+            tokio::select! {
+                biased;
+                got = self.agents_socket.recv_from(&mut from_agents) => {
+                    if let Ok((length, _)) = got {
+                        self.hear(&from_agents[..length]).await;
+                    }
+                }
+                got = self.entries_socket.recv_from(&mut from_entries) => {
+                    if let Ok((length, from)) = got {
+                        self.subscribe(&from_entries[..length], from);
+                    }
+                }
+                () = sleep_until(next) => {
+                    self.look().await;
+                    next = Instant::now() + self.pause().duration();
+                }
+            }
+        }
+    }
+
+    fn pause(&self) -> Millis {
+        match &self.word {
+            Some((word, _, _)) if word.aim != Aim::Rest => BUSY_TIME,
+            _ => CALM_TIME,
+        }
+    }
+
+    fn subscribe(&mut self, bytes: &[u8], from: SocketAddr) {
+        let Some(asked) = gossip::decode::<Subscribe>(bytes) else {
+            warn!(self.log, "strange_datagram"; "from" => %from);
+            return;
+        };
+        let now = Millis::now();
+        if self.entries.insert(from, now).is_none() {
+            info!(self.log, "entry_met"; "entry" => %from);
+        }
+        self.entries.retain(|_, heard| now.since(*heard) < FORGET_TIME);
+        if !asked.agents.is_empty() {
+            self.shape = Some(asked);
+        }
+    }
+
+    /// Takes a word of another agent in.
+    async fn hear(&mut self, bytes: &[u8]) {
+        let now = Millis::now();
+        match gossip::decode::<Message>(bytes) {
+            Some(Message::Status(status)) => {
+                if let Some(lead) = &mut self.lead {
+                    if status.fence > lead.fence() {
+                        self.step_down(status.fence);
+                        return;
+                    }
+                    lead.take(*status, now);
+                    lead.look(self.shape.as_ref(), now);
+                    self.speak(now).await;
+                }
+            }
+            Some(Message::Directive(word, from)) => {
+                if word.fence < self.fence {
+                    return;
+                }
+                self.fence = word.fence;
+                if self.lead.as_ref().is_some_and(|it| it.fence() < word.fence)
+                {
+                    self.step_down(word.fence);
+                }
+                let before = self.word.as_ref().map(|it| it.0);
+                self.word = Some((word, from, now));
+                if before != Some(word) {
+                    self.look().await;
+                }
+            }
+            Some(Message::Plan(plan)) => {
+                if plan.fence >= self.fence {
+                    self.fence = plan.fence;
+                    self.plan = Some(plan);
+                }
+            }
+            None => warn!(self.log, "strange_datagram"),
+        }
+    }
+
+    fn step_down(&mut self, fence: u64) {
+        info!(self.log, "steps_down"; "fence" => fence);
+        self.fence = self.fence.max(fence);
+        self.lead = None;
+        self.last.said = None;
+    }
+
+    /// Looks at the engine, does what is due and tells the others.
+    async fn look(&mut self) {
+        let before = self.standing();
+        self.refresh().await;
+        if let Some((word, _, _)) = self.word
+            && self.carry_out(word).await
+        {
+            self.refresh().await;
+        }
+        let now = Millis::now();
+        let changed = self.standing() != before;
+        if changed {
+            info!(self.log, "standing"; "now" => ?self.standing());
+        }
+        if changed || now.since(self.last.load) >= LOAD_TIME {
+            self.last.load = now;
+            self.tell_entries().await;
+        }
+        self.count(now).await;
+        self.tell_coordinator(now).await;
+        self.consider_leading(now).await;
+    }
+
+    async fn refresh(&mut self) {
+        match self.engine.state().await {
+            Ok(state) => self.state = Some(state),
+            Err(error) => {
+                if self.state.take().is_some() {
+                    info!(self.log, "engine_lost"; "error" => %error);
+                }
+                return;
+            }
+        }
+        let Some(report) = self.report() else { return };
+        let (epoch, map) = (report.epoch, report.map);
+        let known = self.experts.as_ref().map(|it| (it.0, it.1));
+        if known != Some((epoch, map)) {
+            match self.engine.lists().await {
+                Ok(lists) => {
+                    self.experts = Some((epoch, lists.version, lists.experts));
+                }
+                Err(error) => {
+                    info!(self.log, "no_lists"; "error" => %error);
+                }
+            }
+        }
+    }
+
+    fn report(&self) -> Option<&Report> {
+        self.state.as_ref()?.report.as_ref()
+    }
+
+    fn standing(&self) -> Option<(Epoch, Standing)> {
+        self.report().map(|it| (it.epoch, it.standing))
+    }
+
+    /// Gives the order that is due, if any, and says whether it gave one.
+    async fn carry_out(&mut self, word: Directive) -> bool {
+        let plan = self.plan.as_ref();
+        let plan = plan.filter(|it| it.epoch == word.epoch);
+        let plan = plan.map(|it| (it.version, &it.experts));
+        let Some(due) =
+            self.report().and_then(|it| order::due(&word, it, plan))
+        else {
+            return false;
+        };
+        let given = self.engine.order(&due, word.epoch, word.fence).await;
+        let name = name(&due);
+        match given {
+            Ok(Verdict::Taken) => {
+                info!(self.log, "order_taken"; "order" => name,
+                    "aim" => ?word.aim);
+            }
+            Ok(Verdict::Unfit) => {
+                info!(self.log, "order_refused"; "order" => name,
+                    "aim" => ?word.aim, "report" => ?self.report());
+            }
+            Ok(Verdict::Fenced) => {
+                info!(self.log, "order_fenced"; "order" => name,
+                    "fence" => word.fence);
+                self.word = None;
+                if self.lead.is_some() {
+                    self.step_down(word.fence);
+                }
+            }
+            Err(error) => {
+                info!(self.log, "order_unanswered"; "order" => name,
+                    "aim" => ?word.aim, "error" => %error);
+            }
+        }
+        true
+    }
+
+    async fn tell_entries(&mut self) {
+        let Some(state) = &self.state else { return };
+        let report = state.report.as_ref();
+        let load = Datagram::Load(Load {
+            target: self.settings.engine,
+            running: state.running,
+            queued: state.queued,
+            epoch: report.map_or(0, |it| it.epoch.0),
+            step: report.map_or(0, |it| it.step),
+            open: report.is_none_or(|it| it.standing == Standing::Open),
+        });
+        let bytes = gossip::encode(&load);
+        for entry in self.entries.keys() {
+            send(&self.log, &self.entries_socket, &bytes, *entry).await;
+        }
+    }
+
+    async fn count(&mut self, now: Millis) {
+        if now.since(self.last.count) < COUNT_TIME || self.word.is_none() {
+            return;
+        }
+        let Some(shape) = &self.shape else { return };
+        self.last.count = now;
+        match self.engine.choices(usize::from(shape.experts)).await {
+            Ok(choices) => self.counts = Some((choices.epoch, choices.counts)),
+            Err(error) => info!(self.log, "no_counts"; "error" => %error),
+        }
+        self.last.status = Millis(0);
+    }
+
+    async fn tell_coordinator(&mut self, now: Millis) {
+        let Some((word, to, _)) = self.word else { return };
+        let busy = word.aim != Aim::Rest;
+        if !busy && now.since(self.last.status) < SPEAK_TIME {
+            return;
+        }
+        let with_counts = self.last.status == Millis(0);
+        let Some(status) = self.status(with_counts) else { return };
+        self.last.status = now;
+        if let Some(lead) = &mut self.lead {
+            lead.take(status, now);
+            lead.look(self.shape.as_ref(), now);
+            self.speak(now).await;
+            return;
+        }
+        let bytes = gossip::encode(&Message::Status(Box::new(status)));
+        send(&self.log, &self.agents_socket, &bytes, to).await;
+    }
+
+    fn status(&self, with_counts: bool) -> Option<Status> {
+        let report = self.report()?.clone();
+        let epoch = report.epoch;
+        let experts = self.experts.as_ref().filter(|it| it.0 == epoch);
+        let counts = self.counts.as_ref().filter(|it| it.0 == epoch);
+        let counts = counts.filter(|_| with_counts);
+        Some(Status {
+            agent: self.own,
+            fence: self.fence,
+            plan: self.plan.as_ref().map(|it| it.version),
+            experts: experts.map(|it| (it.1, it.2.clone())),
+            counts: counts.map(|it| it.1.clone()),
+            report,
+        })
+    }
+
+    /// Says the coordinator's word, if this agent is it.
+    async fn speak(&mut self, now: Millis) {
+        let Some(lead) = &self.lead else { return };
+        let word = lead.directive();
+        let new = self.last.said != Some(word);
+        let busy = word.aim != Aim::Rest;
+        let time = if busy { BUSY_TIME } else { SPEAK_TIME };
+        if !new && now.since(self.last.speech) < time {
+            return;
+        }
+        self.last.speech = now;
+        self.last.said = Some(word);
+        if let Some(plan) = lead.plan() {
+            self.plan = Some(plan.clone());
+            let bytes = gossip::encode(&Message::Plan(plan.clone()));
+            for agent in lead.lacking().filter(|it| *it != self.own) {
+                send(&self.log, &self.agents_socket, &bytes, agent).await;
+            }
+        }
+        let bytes = gossip::encode(&Message::Directive(word, self.own));
+        for agent in self.agents().filter(|it| *it != self.own) {
+            send(&self.log, &self.agents_socket, &bytes, agent).await;
+        }
+        self.word = Some((word, self.own, now));
+        if new {
+            self.carry_out(word).await;
+        }
+    }
+
+    fn agents(&self) -> impl Iterator<Item = SocketAddr> {
+        let port = self.settings.agent_port;
+        let agents = self.shape.iter().flat_map(|it| &it.agents);
+        agents.map(move |it| SocketAddr::new(it.ip(), port))
+    }
+
+    /// Takes the lead when nobody has it.
+    async fn consider_leading(&mut self, now: Millis) {
+        if self.lead.is_some() {
+            self.speak(now).await;
+            return;
+        }
+        if let Some(candidacy) = &mut self.candidacy {
+            if !candidacy.is_finished() {
+                return;
+            }
+            let number = candidacy.await.ok().flatten();
+            self.candidacy = None;
+            match number {
+                Some(fence) if fence > self.fence => {
+                    info!(self.log, "leads"; "fence" => fence);
+                    self.fence = fence;
+                    let price = self.settings.move_price;
+                    let log = self.log.clone();
+                    self.lead = Some(Lead::new(fence, price, log));
+                    self.speak(now).await;
+                }
+                _ => info!(self.log, "no_fencing_number"),
+            }
+            return;
+        }
+        let heard = self.word.as_ref().map_or(self.begun, |it| it.2);
+        let Some(rank) = self.report().map(|it| it.rank) else { return };
+        let patience = match rank {
+            0 => FIRST_PATIENCE,
+            rank => NEXT_PATIENCE + Millis(RANK_PATIENCE.0 * u64::from(rank)),
+        };
+        let silent = now.since(heard) > patience;
+        let again = now.since(self.last.candidacy) > AGAIN_TIME;
+        if silent && again && self.shape.is_some() {
+            self.last.candidacy = now;
+            info!(self.log, "asks_for_number"; "rank" => rank,
+                "silence" => now.since(heard).0);
+            let (log, vm) = (self.settings.log, self.settings.vm.clone());
+            let task = number(log, vm.to_string(), self.log.clone());
+            self.candidacy = Some(tokio::task::spawn_local(task));
+        }
+    }
+}
+
+/// A fencing number: one more than the offset of a record of ours, so that
+/// it is never 0 and always higher than all before.
+async fn number(log: SocketAddr, vm: String, logger: Logger) -> Option<u64> {
+    match Client::new(log).append(COORDINATORS, vm.as_bytes()).await {
+        Ok(offset) => Some(offset + 1),
+        Err(error) => {
+            warn!(logger, "log_lost"; "error" => %error);
+            None
+        }
+    }
+}
+
+async fn send(log: &Logger, socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
+    if let Err(error) = socket.send_to(bytes, to).await {
+        slog::debug!(log, "not_told"; "peer" => %to, "error" => %error);
+    }
+}
+
+fn name(order: &order::Order) -> &'static str {
+    match order {
+        order::Order::Prepare(..) => "prepare",
+        order::Order::Arm(..) => "arm",
+        order::Order::Disarm(_) => "disarm",
+        order::Order::Hold(_) => "hold",
+        order::Order::Go(_) => "go",
+    }
+}
