SIGHUP reloads, and a stopping entry closes its idle connections

A stopping entry left idle connections open, so a caller sent a request 7.5 s after SIGTERM that was cut at the grace time.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -50,6 +50,9 @@
 /// How often the end of all requests is looked for while stopping.
 const STOP_LOOK_TIME: Millis = Millis(50);
 
+/// The time for the last answers to leave the process.
+const LAST_TIME: Millis = Millis(100);
+
 /// What idle connections are given beyond the limit that callers know, so
 /// that a request sent at the limit still finds its connection open.
 const IDLE_GRACE: Millis = Millis(2_000);
@@ -68,7 +71,7 @@
         () = program::stopped() => {}
     }
     let end =
-        Instant::now() + (entry.settings.grace_ms - END_MARGIN).duration();
+        Instant::now() + (entry.settings().grace_ms - END_MARGIN).duration();
     entry.phase.set(Phase::Leaving);
     info!(entry.log, "stopping"; "under_way" => entry.under_way.get());
     let noticed = Instant::now() + NOTICE_TIME.duration();
@@ -77,11 +80,13 @@
         () = sleep_until(noticed) => {}
     }
     drop(listener);
+    entry.phase.set(Phase::Closing);
+    entry.closing.notify_waiters();
     while entry.under_way.get() > 0 && Instant::now() < end {
         sleep(STOP_LOOK_TIME.duration()).await;
     }
     // The last answers are on their way through the sockets.
-    sleep(STOP_LOOK_TIME.duration()).await;
+    sleep(LAST_TIME.duration()).await;
     info!(entry.log, "stopping"; "left" => entry.under_way.get());
     Ok(())
 }
@@ -158,6 +163,7 @@
             // A connection that breaks has nobody left to tell.
             _ = &mut serving => return,
             () = sleep(LOOK_TIME.duration()) => {}
+            () = entry.closing.notified() => {}
         }
         if is_over(&entry, &activity) {
             serving.as_mut().graceful_shutdown();
@@ -172,7 +178,7 @@
 ) -> Response<Body> {
     let busy = Busy::new(&entry, &activity);
     let mut answer = forward::answer(&entry, request, busy).await;
-    if entry.phase.get() == Phase::Leaving {
+    if entry.phase.get() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
     }
@@ -180,6 +186,10 @@
 }
 
 fn is_over(entry: &Entry, activity: &Activity) -> bool {
+    if entry.phase.get() == Phase::Closing {
+        // A request under way is answered first.
+        return true;
+    }
     if activity.busy.get() > 0 {
         return false;
     }
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -13,14 +13,14 @@
 
 use bytes::Bytes;
 use cowsliproad_admission::window::{self, Window};
-use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_kernel::{Name, clock::Millis, settings};
 use cowsliproad_routing::{
     catalog::Catalog,
     fleet::{self, Change, Fleet, Target},
     pick::{self, Candidate, Distance, Record},
 };
 use rand::{SeedableRng, rngs::SmallRng};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
 use crate::{
@@ -45,6 +45,8 @@
     Serving,
     /// It was told to stop and serves on until the balancer knows.
     Leaving,
+    /// No new connections come: it finishes what it has.
+    Closing,
 }
 
 /// What an entry keeps of one target beside what the log says.
@@ -76,8 +78,7 @@
 /// The state of an entry.
 #[derive(Debug)]
 pub struct Entry {
-    /// Its settings.
-    pub settings: Settings,
+    settings: RefCell<Rc<Settings>>,
     /// Its logger.
     pub log: Logger,
     /// Its counters.
@@ -94,6 +95,8 @@
     pub peers: RefCell<Peers>,
     /// Wakes requests that wait for a target.
     pub news: Notify,
+    /// Wakes idle connections that are to be closed.
+    pub closing: Notify,
     /// Wakes the task that tells other entries.
     pub rumour: Notify,
     /// Requests that were taken and not answered in full.
@@ -119,7 +122,7 @@
     pub fn new(settings: Settings, log: Logger) -> Entry {
         let peers = Peers::new(&settings);
         Entry {
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             log,
             measure: Measure::new(),
             catalog: RefCell::new(None),
@@ -129,6 +132,7 @@
             budgets: RefCell::new(HashMap::new()),
             peers: RefCell::new(peers),
             news: Notify::new(),
+            closing: Notify::new(),
             rumour: Notify::new(),
             under_way: Cell::new(0),
             phase: Cell::new(Phase::Serving),
@@ -136,6 +140,40 @@
         }
     }
 
+    /// Its settings.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts settings that were read again in force. Addresses stay what they
+    /// were: connections and other entries depend on them.
+    pub fn reload(&self, read: Result<Settings, settings::Error>) {
+        let new = match read {
+            Ok(new) => new,
+            Err(error) => {
+                warn!(self.log, "settings_refused"; "error" => %error);
+                return;
+            }
+        };
+        let old = self.settings();
+        info!(self.log, "settings_read";
+            "changed" => new != *old,
+            "needs_restart" => !new.same_addresses(&old));
+        let kept = Settings {
+            vm: old.vm.clone(),
+            zone: old.zone.clone(),
+            callers: old.callers,
+            readiness: old.readiness,
+            peer_port: old.peer_port,
+            ..new
+        };
+        if kept.retries != old.retries {
+            self.budgets.borrow_mut().clear();
+        }
+        self.peers.borrow_mut().reseed(&kept);
+        *self.settings.borrow_mut() = Rc::new(kept);
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.borrow().as_ref().map(|it| it.0.clone())
@@ -222,7 +260,7 @@
             {
                 continue;
             }
-            let distance = if target.zone == self.settings.zone {
+            let distance = if target.zone == self.settings().zone {
                 Distance::Near
             } else {
                 Distance::Far
@@ -272,7 +310,7 @@
         service: &Name,
         with: impl FnOnce(&mut Window) -> T,
     ) -> T {
-        let retries = self.settings.retries;
+        let retries = self.settings().retries;
         let config =
             window::Config::new(retries.ratio, retries.slack, retries.span_ms);
         let mut budgets = self.budgets.borrow_mut();
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -95,7 +95,7 @@
 
 /// Follows the configuration for ever.
 pub async fn catalog(entry: Rc<Entry>) {
-    let mut client = Client::new(entry.settings.log);
+    let mut client = Client::new(entry.settings().log);
     let mut contact = Contact::new(log::OPERATORS);
     let mut next = None;
     loop {
@@ -133,9 +133,9 @@
 
 /// Follows the targets for ever.
 pub async fn targets(entry: Rc<Entry>) {
-    let mut client = Client::new(entry.settings.log);
+    let mut client = Client::new(entry.settings().log);
     let mut contact = Contact::new(log::TARGETS);
-    let period = Millis(entry.settings.drain_ms.0 * READ_PERCENT / 100);
+    let period = Millis(entry.settings().drain_ms.0 * READ_PERCENT / 100);
     let mut next = None;
     loop {
         let read = match next {
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -20,9 +20,10 @@
 
 #![forbid(unsafe_code)]
 
-use std::{io, rc::Rc};
+use std::{io, path::PathBuf, rc::Rc};
 
 use cowsliproad_kernel::log;
+use cowsliproad_net::program;
 use slog::info;
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -41,7 +42,7 @@
 pub mod upstream;
 
 /// Runs an entry until it is told to stop and has finished its requests.
-pub async fn run(settings: Settings) -> io::Result<()> {
+pub async fn run(path: PathBuf, settings: Settings) -> io::Result<()> {
     let log = log::logger("direct", &settings.vm, settings.log_level);
     let callers = TcpListener::bind(settings.callers).await?;
     let readiness = TcpListener::bind(settings.readiness).await?;
@@ -55,6 +56,9 @@
     tokio::task::spawn_local(peers::tell(entry.clone(), datagrams));
     tokio::task::spawn_local(follow::catalog(entry.clone()));
     tokio::task::spawn_local(follow::targets(entry.clone()));
+    let reloaded = entry.clone();
+    let reload = program::reload(path, move |read| reloaded.reload(read));
+    tokio::task::spawn_local(reload);
     callers::serve(&entry, callers).await?;
     info!(log, "stopped");
     Ok(())
--- a/cowsliproad-direct/src/main.rs
+++ b/cowsliproad-direct/src/main.rs
@@ -12,9 +12,9 @@
     let about = "Takes callers' requests straight to targets";
     let example = Settings::example();
     let name = "cowsliproad-direct";
-    let settings =
+    let (path, settings) =
         program::settings_or(name, about, &example, SETTINGS_VARIABLE);
-    match program::run_local(cowsliproad_direct::run(settings)) {
+    match program::run_local(cowsliproad_direct::run(path, settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("can't run: {error}");
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -101,15 +101,22 @@
 impl Peers {
     /// Nobody met yet.
     pub fn new(settings: &Settings) -> Peers {
-        let own = settings.peer_address();
-        let seeds = settings.seeds.iter();
-        let seeds = seeds.map(|it| SocketAddr::new(it.ip(), own.port()));
-        Peers {
-            own,
-            seeds: seeds.filter(|it| *it != own).collect(),
+        let mut peers = Peers {
+            own: settings.peer_address(),
+            seeds: Vec::new(),
             known: BTreeMap::new(),
             fetching: false,
-        }
+        };
+        peers.reseed(settings);
+        peers
+    }
+
+    /// Takes new seeds.
+    pub fn reseed(&mut self, settings: &Settings) {
+        let own = self.own;
+        let seeds = settings.seeds.iter();
+        let seeds = seeds.map(|it| SocketAddr::new(it.ip(), own.port()));
+        self.seeds = seeds.filter(|it| *it != own).collect();
     }
 
     /// The number of entries, this one included. Those that can't be reached
@@ -165,8 +172,8 @@
     let since = now - LEFT_TIME;
     let fleet = entry.fleet.borrow();
     Digest {
-        vm: entry.settings.vm.clone(),
-        address: entry.settings.peer_address(),
+        vm: entry.settings().vm.clone(),
+        address: entry.settings().peer_address(),
         version: entry.version(),
         left: fleet.left_since(since).cloned().collect(),
         peers: entry.peers.borrow().known.keys().copied().collect(),
@@ -175,7 +182,7 @@
 
 async fn ask_agents(entry: &Entry, socket: &UdpSocket) {
     let Some(catalog) = entry.catalog() else { return };
-    let port = entry.settings.peer_port;
+    let port = entry.settings().peer_port;
     for service in catalog.services() {
         let Some(engine) = &service.engine else { continue };
         let agents: Vec<SocketAddr> = entry
--- a/cowsliproad-direct/src/settings.rs
+++ b/cowsliproad-direct/src/settings.rs
@@ -72,6 +72,15 @@
         }
     }
 
+    /// Whether all that can't change without a restart is alike.
+    pub fn same_addresses(&self, other: &Settings) -> bool {
+        self.vm == other.vm
+            && self.zone == other.zone
+            && self.callers == other.callers
+            && self.readiness == other.readiness
+            && self.peer_port == other.peer_port
+    }
+
     /// Where this entry takes datagrams and calls of other entries.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.callers.ip(), self.peer_port)
--- a/cowsliproad-net/src/program.rs
+++ b/cowsliproad-net/src/program.rs
@@ -1,10 +1,18 @@
 //! What the long-running programs have in common: their command line, their
 //! threads, their signals and their exit status.
 
-use std::{io, path::PathBuf, process};
+use std::{
+    io,
+    path::{Path, PathBuf},
+    process,
+    time::SystemTime,
+};
 
 use clap::{Arg, ArgAction, Command, value_parser};
-use cowsliproad_kernel::settings::{self, Check};
+use cowsliproad_kernel::{
+    clock::Millis,
+    settings::{self, Check},
+};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -19,17 +27,17 @@
 where
     T: Check + DeserializeOwned + Serialize,
 {
-    read(name, about, example, None)
+    read(name, about, example, None).1
 }
 
-/// The same; without an argument the file's path stands in an environment
-/// variable.
+/// The same, with the file's path; without an argument that stands in an
+/// environment variable.
 pub fn settings_or<T>(
     name: &'static str,
     about: &'static str,
     example: &T,
     variable: &str,
-) -> T
+) -> (PathBuf, T)
 where
     T: Check + DeserializeOwned + Serialize,
 {
@@ -42,7 +50,7 @@
     about: &'static str,
     example: &T,
     fallback: Option<PathBuf>,
-) -> T
+) -> (PathBuf, T)
 where
     T: Check + DeserializeOwned + Serialize,
 {
@@ -61,7 +69,7 @@
             println!("{}: good", path.display());
             process::exit(0);
         }
-        Ok(settings) => settings,
+        Ok(settings) => (path, settings),
         Err(error) => {
             eprintln!("{name}: {error}");
             process::exit(BAD_SETTINGS);
@@ -88,6 +96,36 @@
     tokio::task::LocalSet::new().block_on(&runtime, main)
 }
 
+/// How often a settings file is looked at that may change without a signal.
+const LOOK_TIME: Millis = Millis(5_000);
+
+/// Reads the settings again whenever SIGHUP comes or the file changes, and
+/// hands over what was read, for ever. SIGHUP never ends the process.
+pub async fn reload<T: Check + DeserializeOwned>(
+    path: PathBuf,
+    mut take: impl FnMut(Result<T, settings::Error>),
+) {
+    let mut seen = written(&path);
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return std::future::pending().await;
+    };
+    loop {
+        let told = tokio::select! {
+            told = hangup.recv() => told.is_some(),
+            () = tokio::time::sleep(LOOK_TIME.duration()) => false,
+        };
+        let now = written(&path);
+        if told || now != seen {
+            seen = now;
+            take(settings::read(&path));
+        }
+    }
+}
+
+fn written(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|it| it.modified()).ok()
+}
+
 /// Waits for SIGTERM or SIGINT.
 pub async fn stopped() {
     let (Ok(mut terminate), Ok(mut interrupt)) =
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -37,6 +37,10 @@
 /// How often while a change of map is under way: less than a pass takes.
 const BUSY_TIME: Millis = Millis(30);
 
+/// How long an order that was taken is given to show in the report before it
+/// is repeated. Copies of two experts take 80 ms.
+const TAKEN_TIME: Millis = Millis(120);
+
 /// How often entries are told of the load.
 const LOAD_TIME: Millis = Millis(400);
 
@@ -95,6 +99,8 @@
     speech: Millis,
     candidacy: Millis,
     said: Option<Directive>,
+    /// The aim for which an order was taken last, and when.
+    taken: Option<(Directive, Millis)>,
 }
 
 impl Agent {
@@ -287,10 +293,17 @@
         else {
             return false;
         };
+        if let Some((taken, at)) = self.last.taken
+            && taken == word
+            && Millis::now().since(at) < TAKEN_TIME
+        {
+            return false;
+        }
         let given = self.engine.order(&due, word.epoch, word.fence).await;
         let name = name(&due);
         match given {
             Ok(Verdict::Taken) => {
+                self.last.taken = Some((word, Millis::now()));
                 info!(self.log, "order_taken"; "order" => name,
                     "aim" => ?word.aim);
             }
--- a/cowsliproad-rank/src/lib.rs
+++ b/cowsliproad-rank/src/lib.rs
@@ -14,11 +14,11 @@
 
 #![forbid(unsafe_code)]
 
-use std::io;
+use std::{io, path::PathBuf};
 
 use cowsliproad_kernel::log;
 use cowsliproad_net::program;
-use slog::info;
+use slog::{Logger, info, warn};
 
 use crate::{agent::Agent, settings::Settings};
 
@@ -29,14 +29,27 @@
 pub mod wire;
 
 /// Runs an agent until it is told to stop.
-pub async fn run(settings: Settings) -> io::Result<()> {
+pub async fn run(path: PathBuf, settings: Settings) -> io::Result<()> {
     let log = log::logger("rank", &settings.vm, settings.log_level);
     info!(log, "started"; "engine" => %settings.engine);
     let agent = Agent::new(settings, log.clone()).await?;
     tokio::select! {
         outcome = agent.run() => outcome?,
         () = program::stopped() => {}
+        () = program::reload(path, |read| note(&log, read)) => {}
     }
     info!(log, "stopped");
     Ok(())
 }
+
+/// Notes settings that were read again. An agent keeps nothing that a
+/// restart would lose, so new settings hold from its next start.
+fn note(
+    log: &Logger,
+    read: Result<Settings, cowsliproad_kernel::settings::Error>,
+) {
+    match read {
+        Ok(_) => info!(log, "settings_read"; "in_force" => "at next start"),
+        Err(error) => warn!(log, "settings_refused"; "error" => %error),
+    }
+}
