--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -57,19 +57,10 @@
 /// When to come back if all targets are full.
 const FULL_TIME: Millis = Millis(250);
 
-/// How long a request waits for a target of its service to be usable. A
-/// caller of a stream leaves after two seconds without an event.
-const WAIT_TIME: Millis = Millis(1_500);
-
 /// Tries beyond the targets that a route allows, at targets that were asked
 /// before and said that they did not run the request.
 const SPARE_TRIES: usize = 4;
 
-/// Runs beyond the targets that a route allows, at the same targets. A target
-/// that failed an idempotent request mostly answers it the next time: with
-/// one failure in seven, two targets fail 2% and two more runs 0.04%.
-const SPARE_RUNS: usize = 2;
-
 /// The pause before a target that refused is asked again.
 const AGAIN_TIME: Millis = Millis(60);
 
@@ -412,7 +403,8 @@
         &mut self,
         entry: &Rc<Entry>,
     ) -> Result<Choice, Response<Body>> {
-        let wait = self.until.min(self.waits_since + WAIT_TIME);
+        let wait = entry.settings().wait_ms;
+        let wait = self.until.min(self.waits_since + wait);
         loop {
             let news = entry.news.notified();
             let now = Millis::now();
@@ -592,8 +584,7 @@
     ) -> bool {
         let safe = self.certainty == Certainty::NotRun || self.route.repeats();
         let attempts = self.route.attempts as usize;
-        let room = self.runs < attempts + SPARE_RUNS
-            && self.tries < attempts + SPARE_TRIES;
+        let room = self.runs < attempts && self.tries < attempts + SPARE_TRIES;
         let time = self.left().0 > 0;
         let now = Millis::now();
         let allowed = safe && room && time;
--- a/cowsliproad-direct/src/settings.rs
+++ b/cowsliproad-direct/src/settings.rs
@@ -29,6 +29,9 @@
     pub drain_ms: Millis,
     /// The time from SIGTERM to the process's end by force.
     pub grace_ms: Millis,
+    /// How long a request waits for a target to be usable. A caller of a
+    /// stream leaves after two seconds without an event.
+    pub wait_ms: Millis,
     /// What all entries together may send again.
     pub retries: Retries,
     /// How much is logged.
@@ -63,6 +66,7 @@
             heartbeat_ms: Millis(1_200),
             drain_ms: Millis(2_000),
             grace_ms: Millis(8_000),
+            wait_ms: Millis(1_500),
             retries: Retries {
                 ratio: 0.2,
                 slack: 90.0,
--- a/cowsliproad-mapswitch/src/order.rs
+++ b/cowsliproad-mapswitch/src/order.rs
@@ -241,7 +241,7 @@
 /// Times and distances of a change.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
-    lead: u64,
+    lead: (u64, u64),
     patience: Millis,
 }
 
@@ -251,9 +251,9 @@
         Config { lead: LEAD, patience: PATIENCE }
     }
 
-    /// How many passes ahead the boundary is set.
-    pub fn with_lead(self, lead: u64) -> Config {
-        Config { lead, ..self }
+    /// How many passes ahead the boundary is set, at least and at most.
+    pub fn with_lead(self, least: u64, most: u64) -> Config {
+        Config { lead: (least, most), ..self }
     }
 }
 
@@ -263,9 +263,11 @@
     }
 }
 
-/// A pass takes 50 to 80 ms, and hold, arm and go take three rounds of some
-/// 60 ms between agents and engines.
-const LEAD: u64 = 3;
+/// A pass takes 40 to 80 ms, and hold, arm and go take 30 ms together when
+/// each order is answered. Where orders go unanswered the boundary is set as
+/// far ahead as lately was needed, so that the group doesn't stand for them;
+/// with half of them lost that takes some 200 ms.
+const LEAD: (u64, u64) = (3, 16);
 
 /// The time for copies, which take 40 ms each, before a plan is given up.
 const PATIENCE: Millis = Millis(3_000);
@@ -301,14 +303,71 @@
 /// Leads a group from one map to the next.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Coordinator {
-    lead: u64,
+    lead: (u64, u64),
     patience: Millis,
     fence: u64,
     rank: u16,
     epoch: Epoch,
     phase: Phase,
+    pace: Pace,
 }
 
+/// What changes and passes took lately.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Pace {
+    /// From the order to hold until all were armed.
+    arming: Millis,
+    /// When that began.
+    began: Millis,
+    /// A pass, and where and when passes were counted from.
+    pass: Millis,
+    step: u64,
+    at: Millis,
+}
+
+impl Pace {
+    fn new() -> Pace {
+        Pace {
+            arming: Millis(0),
+            began: Millis(0),
+            pass: USUAL_PASS,
+            step: 0,
+            at: Millis(0),
+        }
+    }
+
+    /// Counts passes anew.
+    fn start(&mut self, step: u64, now: Millis) {
+        self.step = step;
+        self.at = now;
+    }
+
+    /// Takes the passes since then in, and notes that arming begins.
+    fn arm(&mut self, step: u64, now: Millis) {
+        let passes = step.saturating_sub(self.step);
+        if passes > 0 {
+            self.pass = Millis((now.since(self.at).0 / passes).max(1));
+        }
+        self.began = now;
+    }
+
+    /// Takes the time that arming took in. What was slow once is likely so
+    /// again, so it fades slowly.
+    fn armed(&mut self, now: Millis) {
+        let took = now.since(self.began);
+        let faded = Millis(self.arming.0 * 3 / 4);
+        self.arming = took.max(faded);
+    }
+
+    /// Passes in which arming is likely done.
+    fn passes(&self) -> u64 {
+        (self.arming.0 + self.arming.0 / 4) / self.pass.0 + 1
+    }
+}
+
+/// A pass before any was counted.
+const USUAL_PASS: Millis = Millis(50);
+
 impl Coordinator {
     /// A coordinator beside a rank with its fencing number, which has seen
     /// nothing yet.
@@ -320,6 +379,7 @@
             rank,
             epoch: Epoch(0),
             phase: Phase::Resting,
+            pace: Pace::new(),
         }
     }
 
@@ -353,6 +413,7 @@
         let newest = sights.iter().map(|it| newest(&it.report)).max();
         let version = Version(newest.map_or(0, |it| it.0) + 1);
         self.phase = Phase::Preparing { version, since: now };
+        self.pace.start(last(sights), now);
         version
     }
 
@@ -397,7 +458,7 @@
                 self.hold(sights, version, step, holder)
             }
             (Phase::Arming { version, step, except }, _) => {
-                self.arm(sights, version, step, except);
+                self.arm(sights, version, step, except, now);
                 Event::None
             }
         }
@@ -468,7 +529,8 @@
     ) -> Event {
         let has = |it: &Sight| it.report.prepared == Some(version);
         if absent == Absent::Nobody && sights.iter().all(has) {
-            let step = last(sights) + self.lead;
+            self.pace.arm(last(sights), now);
+            let step = self.boundary(sights);
             let holder = self.holder(sights);
             self.phase = Phase::Holding { version, step, holder };
             return Event::None;
@@ -480,6 +542,12 @@
         Event::None
     }
 
+    /// The pass from which the new map is to be used.
+    fn boundary(&self, sights: &[Sight]) -> u64 {
+        let (least, most) = self.lead;
+        last(sights) + self.pace.passes().clamp(least, most)
+    }
+
     fn holder(&self, sights: &[Sight]) -> u16 {
         let ranks = sights.iter().map(|it| it.report.rank);
         ranks.filter(|it| *it != self.rank).min().unwrap_or(self.rank)
@@ -498,7 +566,7 @@
             self.phase = Phase::Arming { version, step, except };
         } else if last(sights) >= step {
             // The group went past: nothing is armed, so another pass serves.
-            let step = last(sights) + self.lead;
+            let step = self.boundary(sights);
             self.phase = Phase::Holding { version, step, holder };
         }
         Event::None
@@ -510,12 +578,14 @@
         version: Version,
         step: u64,
         except: Option<u16>,
+        now: Millis,
     ) {
         let done = |it: &Sight| {
             it.report.armed == Some((version, step))
                 || it.report.map == version
         };
         if sights.iter().all(done) {
+            self.pace.armed(now);
             self.phase = Phase::Releasing { version, step };
             return;
         }
--- a/cowsliproad-placement/src/live.rs
+++ b/cowsliproad-placement/src/live.rs
@@ -21,12 +21,13 @@
     spare: usize,
     price: f64,
     threshold: f64,
+    least: f64,
 }
 
 impl Config {
     /// At most `spare` new experts for a rank and layer in one map.
     pub fn new(spare: usize) -> Config {
-        Config { spare, price: PRICE, threshold: THRESHOLD }
+        Config { spare, price: PRICE, threshold: THRESHOLD, least: LEAST }
     }
 
     /// What a copy costs, as a share of the mean load of a rank.
@@ -48,6 +49,10 @@
 /// Counts of half a second differ by some 2% by chance.
 const THRESHOLD: f64 = 0.03;
 
+/// What all layers together have to save, as a share of the step time. Each
+/// change is a risk to the pace while orders go unanswered.
+const LEAST: f64 = 0.04;
+
 /// Changes tried in a layer. Each rank may take two experts, and few need to.
 const TRIES: usize = 32;
 
@@ -88,7 +93,9 @@
     let speeds = vec![1.0; shape.ranks];
     let ideal = crate::map::ideal_time(loads, &speeds);
     let time = |map: &Map| map.step_time(loads, &speeds) / ideal;
-    Some(Plan { moves, before: time(present), after: time(&map), map })
+    let (before, after) = (time(present), time(&map));
+    let pays = before - after > config.least * before;
+    pays.then_some(Plan { moves, before, after, map })
 }
 
 /// A better layer and its copies.
--- a/cowsliproad-rank/src/engine.rs
+++ b/cowsliproad-rank/src/engine.rs
@@ -11,11 +11,14 @@
 use std::{io, net::SocketAddr};
 use tokio::{net::TcpStream, time::timeout};
 
-/// The time for an answer of the engine, which is on the same VM. An order
-/// that goes unanswered for so long is repeated once the report shows that
-/// it was not carried out.
+/// The time for an answer of the engine.
 const ANSWER_TIME: Millis = Millis(150);
 
+/// The time for an answer to an order. An engine answers within 5 ms, also
+/// from afar; a group may stand still while an order is waited for, and one
+/// that went unanswered is repeated without harm.
+const ORDER_TIME: Millis = Millis(40);
+
 /// A client of one engine.
 #[derive(Debug)]
 pub struct Engine {
@@ -55,17 +58,25 @@
         fence: u64,
     ) -> io::Result<Verdict> {
         let request = engine::order(order, epoch, fence);
-        let (status, _) = self.call(request).await?;
+        let (status, _) = self.call_within(ORDER_TIME, request).await?;
         Ok(engine::verdict(status))
     }
 
     async fn call(
         &mut self,
         request: Request<Full<Bytes>>,
+    ) -> io::Result<(StatusCode, Bytes)> {
+        self.call_within(ANSWER_TIME, request).await
+    }
+
+    async fn call_within(
+        &mut self,
+        time: Millis,
+        request: Request<Full<Bytes>>,
     ) -> io::Result<(StatusCode, Bytes)> {
         let exchange = self.exchange(request);
         let late = || io::Error::from(io::ErrorKind::TimedOut);
-        match timeout(ANSWER_TIME.duration(), exchange).await {
+        match timeout(time.duration(), exchange).await {
             Ok(outcome) => outcome,
             Err(_) => {
                 // An answer that comes after all belongs to nobody.
