--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -71,6 +71,8 @@
     pub open: bool,
     /// The last pass that was begun.
     pub step: u64,
+    /// How long the target's work takes, in percent of the usual.
+    pub pace: u32,
     /// When this was heard.
     pub heard: Millis,
 }
@@ -271,8 +273,9 @@
                 Distance::Far
             };
             let record = &held.record;
-            let candidate =
-                Candidate { record, slots: target.slots, distance };
+            let pace = held.group.map_or(100, |it| it.pace);
+            let slots = target.slots;
+            let candidate = Candidate { record, slots, distance, pace };
             let cost = pick::cost(&candidate, now);
             drop(held);
             let least = best.as_ref().map_or(f64::INFINITY, |it| it.cost);
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -335,6 +335,7 @@
         epoch: load.epoch,
         open: load.open,
         step: load.step,
+        pace: load.pace,
         heard: Millis::now(),
     });
     drop(seat);
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -90,6 +90,9 @@
     /// Requests that wait.
     #[serde(rename = "q")]
     pub queued: u32,
+    /// How long its work takes, in percent of the usual.
+    #[serde(rename = "p")]
+    pub pace: u32,
     /// The formation of its group.
     #[serde(rename = "e")]
     pub epoch: u64,
--- a/cowsliproad-placement/src/live.rs
+++ b/cowsliproad-placement/src/live.rs
@@ -78,11 +78,14 @@
     config: Config,
     present: &Map,
     loads: &[Vec<f64>],
+    speeds: &[f64],
 ) -> Option<Plan> {
     let mut map = present.clone();
     let mut moves = 0;
     for (layer, loads) in map.layers.iter_mut().zip(loads) {
-        if let Some((better, copies)) = improve(shape, config, layer, loads) {
+        if let Some((better, copies)) =
+            improve(shape, config, layer, loads, speeds)
+        {
             *layer = better;
             moves += copies;
         }
@@ -90,9 +93,8 @@
     if moves == 0 {
         return None;
     }
-    let speeds = vec![1.0; shape.ranks];
-    let ideal = crate::map::ideal_time(loads, &speeds);
-    let time = |map: &Map| map.step_time(loads, &speeds) / ideal;
+    let ideal = crate::map::ideal_time(loads, speeds);
+    let time = |map: &Map| step_time(map, loads, speeds) / ideal;
     let (before, after) = (time(present), time(&map));
     let pays = before - after > config.least * before;
     pays.then_some(Plan { moves, before, after, map })
@@ -104,13 +106,14 @@
     config: Config,
     present: &Layer,
     loads: &[f64],
+    speeds: &[f64],
 ) -> Option<(Layer, usize)> {
     let total: f64 = loads.iter().sum();
     if total <= 0.0 {
         return None;
     }
     let mean = total / shape.ranks as f64;
-    let mut search = Search::new(shape, config.spare, present, loads);
+    let mut search = Search::new(shape, config.spare, present, loads, speeds);
     let before = search.longest();
     let mut best = None;
     let mut value = config.threshold * before;
@@ -135,7 +138,7 @@
     from: Rank,
     /// The expert that another rank gets.
     expert: Expert,
-    /// That rank.
+    /// That rank; for a drop the rank itself.
     to: Rank,
     /// The expert whose place it takes there, if none is free.
     other: Option<Expert>,
@@ -150,6 +153,31 @@
     Move,
     /// As a move, and the other expert comes back for it.
     Swap,
+    /// The rank gives up an expert that others hold too.
+    Drop,
+}
+
+/// The time of each rank. Hosts of an expert share its work evenly, whatever
+/// their speed.
+fn times(layer: &Layer, loads: &[f64], speeds: &[f64]) -> Vec<f64> {
+    let mut times = vec![0.0; speeds.len()];
+    for (expert, load) in loads.iter().enumerate() {
+        let hosts = layer.hosts(expert as Expert);
+        for host in hosts {
+            let rank = usize::from(*host);
+            times[rank] += load / hosts.len() as f64 / speeds[rank];
+        }
+    }
+    times
+}
+
+/// The time of a step: each layer waits for its slowest rank.
+pub fn step_time(map: &Map, loads: &[Vec<f64>], speeds: &[f64]) -> f64 {
+    let layers = map.layers.iter().zip(loads);
+    let longest = |(layer, loads): (&Layer, &Vec<f64>)| {
+        times(layer, loads, speeds).into_iter().fold(0.0, f64::max)
+    };
+    layers.map(longest).sum()
 }
 
 struct Search<'a> {
@@ -157,6 +185,7 @@
     spare: usize,
     present: &'a Layer,
     loads: &'a [f64],
+    speeds: &'a [f64],
     layer: Layer,
     times: Vec<f64>,
 }
@@ -167,11 +196,11 @@
         spare: usize,
         present: &'a Layer,
         loads: &'a [f64],
+        speeds: &'a [f64],
     ) -> Search<'a> {
-        let speeds = vec![1.0; shape.ranks];
-        let times = present.times(loads, &speeds);
+        let times = times(present, loads, speeds);
         let layer = present.clone();
-        Search { shape, spare, present, loads, layer, times }
+        Search { shape, spare, present, loads, speeds, layer, times }
     }
 
     fn longest(&self) -> f64 {
@@ -186,6 +215,12 @@
         let from = ranks.clone().max_by(by_time)?;
         let mut best: Option<(f64, Change)> = None;
         for &expert in self.layer.held(from) {
+            if self.layer.hosts(expert).len() > 1 {
+                let kind = Kind::Drop;
+                let drop =
+                    Change { from, expert, to: from, other: None, kind };
+                consider(self, drop, &mut best);
+            }
             for to in ranks.clone() {
                 if to == from || self.layer.has(to, expert) {
                     continue;
@@ -207,11 +242,7 @@
         best: &mut Option<(f64, Change)>,
     ) {
         let mut consider = |kind, other| {
-            let change = Change { from, expert, to, other, kind };
-            let gain = self.gain(change);
-            if gain > best.as_ref().map_or(0.0, |it| it.0) {
-                *best = Some((gain, change));
-            }
+            consider(self, Change { from, expert, to, other, kind }, best);
         };
         if self.layer.held(to).len() < self.shape.slots {
             consider(Kind::Copy, None);
@@ -242,18 +273,21 @@
 
     /// By how much a change lowers the sum of powers.
     fn gain(&self, change: Change) -> f64 {
-        let mut deltas = Deltas::new();
+        let mut deltas = Deltas::new(self.speeds);
         let hosts = self.layer.hosts(change.expert);
         let load = self.loads[usize::from(change.expert)];
         let old = load / hosts.len() as f64;
         let leaves = change.kind != Kind::Copy;
-        let count = hosts.len() + 1 - usize::from(leaves);
+        let comes = change.kind != Kind::Drop;
+        let count = hosts.len() + usize::from(comes) - usize::from(leaves);
         let new = load / count as f64;
         for &host in hosts {
             let stays = !(leaves && host == change.from);
             deltas.add(host, if stays { new - old } else { -old });
         }
-        deltas.add(change.to, new);
+        if comes {
+            deltas.add(change.to, new);
+        }
         if let Some(other) = change.other {
             let hosts = self.layer.hosts(other);
             let load = self.loads[usize::from(other)];
@@ -289,9 +323,10 @@
         if kind != Kind::Copy {
             self.layer.remove(from, expert);
         }
-        self.layer.add(to, expert);
-        let speeds = vec![1.0; self.shape.ranks];
-        self.times = self.layer.times(self.loads, &speeds);
+        if kind != Kind::Drop {
+            self.layer.add(to, expert);
+        }
+        self.times = times(&self.layer, self.loads, self.speeds);
     }
 
     fn time(&self, rank: Rank) -> f64 {
@@ -299,17 +334,31 @@
     }
 }
 
-/// What a change does to the few ranks that it touches.
-struct Deltas {
+/// Keeps the change with the most gain.
+fn consider(
+    search: &Search,
+    change: Change,
+    best: &mut Option<(f64, Change)>,
+) {
+    let gain = search.gain(change);
+    if gain > best.as_ref().map_or(0.0, |it| it.0) {
+        *best = Some((gain, change));
+    }
+}
+
+/// What a change does to the times of the few ranks that it touches.
+struct Deltas<'a> {
+    speeds: &'a [f64],
     ranks: Vec<(Rank, f64)>,
 }
 
-impl Deltas {
-    fn new() -> Deltas {
-        Deltas { ranks: Vec::with_capacity(8) }
+impl Deltas<'_> {
+    fn new(speeds: &[f64]) -> Deltas<'_> {
+        Deltas { speeds, ranks: Vec::with_capacity(8) }
     }
 
-    fn add(&mut self, rank: Rank, delta: f64) {
+    fn add(&mut self, rank: Rank, load: f64) {
+        let delta = load / self.speeds[usize::from(rank)];
         match self.ranks.iter_mut().find(|it| it.0 == rank) {
             Some(known) => known.1 += delta,
             None => self.ranks.push((rank, delta)),
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -50,6 +50,9 @@
 /// How often the coordinator speaks, and agents report to it, in calm times.
 const SPEAK_TIME: Millis = Millis(400);
 
+/// Without a word for so long an agent tells all others that it is there.
+const SEEK_TIME: Millis = Millis(900);
+
 /// Entries that haven't asked for so long get no more reports.
 const FORGET_TIME: Millis = Millis(4_000);
 
@@ -363,6 +366,7 @@
             target: self.settings.engine,
             running: state.running,
             queued: state.queued,
+            pace: (state.pace * 100.0) as u32,
             epoch: report.map_or(0, |it| it.epoch.0),
             step: report.map_or(0, |it| it.step),
             open: report.is_none_or(|it| it.standing == Standing::Open),
@@ -387,7 +391,12 @@
     }
 
     async fn tell_coordinator(&mut self, now: Millis) {
-        let Some((word, to, _)) = self.word else { return };
+        let Some((word, to, heard)) = self.word else {
+            return self.seek_coordinator(now).await;
+        };
+        if self.lead.is_none() && now.since(heard) > SEEK_TIME {
+            return self.seek_coordinator(now).await;
+        }
         let busy = word.aim != Aim::Rest;
         if !busy && now.since(self.last.status) < SPEAK_TIME {
             return;
@@ -405,6 +414,20 @@
         send(&self.log, &self.agents_socket, &bytes, to).await;
     }
 
+    /// Tells all agents that it hears from no coordinator. One that was
+    /// frozen or cut off may be missing in the coordinator's list.
+    async fn seek_coordinator(&mut self, now: Millis) {
+        if now.since(self.last.status) < SPEAK_TIME {
+            return;
+        }
+        let Some(status) = self.status(false) else { return };
+        self.last.status = now;
+        let bytes = gossip::encode(&Message::Status(Box::new(status)));
+        for agent in self.agents().filter(|it| *it != self.own) {
+            send(&self.log, &self.agents_socket, &bytes, agent).await;
+        }
+    }
+
     fn status(&self, with_counts: bool) -> Option<Status> {
         let report = self.report()?.clone();
         let epoch = report.epoch;
@@ -417,6 +440,7 @@
             plan: self.plan.as_ref().map(|it| it.version),
             experts: experts.map(|it| (it.1, it.2.clone())),
             counts: counts.map(|it| it.1.clone()),
+            pace: self.state.as_ref().map_or(1.0, |it| it.pace as f32),
             sight: Sight { report, arms: self.arms() },
         })
     }
@@ -442,15 +466,15 @@
         self.last.reached += 1;
         self.last.reach = now;
         let mut engine = Engine::new(*target);
-        let report = match engine.state().await {
-            Ok(state) => state.report,
+        let state = match engine.state().await {
+            Ok(state) => state,
             Err(error) => {
                 info!(self.log, "engine_out_of_reach"; "target" => %target,
                     "error" => %error);
                 return;
             }
         };
-        let Some(report) = report else { return };
+        let Some(report) = state.report else { return };
         let word = lead.directive();
         let plan = lead.plan().filter(|it| it.epoch == word.epoch);
         let plan = plan.map(|it| (it.version, &it.experts));
@@ -470,6 +494,7 @@
             plan: None,
             experts: None,
             counts: None,
+            pace: state.pace as f32,
             sight: Sight { report, arms: Arms::InDoubt },
         };
         if let Some(lead) = &mut self.lead {
@@ -543,7 +568,10 @@
             }
         }
         let bytes = gossip::encode(&Message::Directive(word, self.own));
-        for agent in self.agents().filter(|it| *it != self.own) {
+        let mut agents: Vec<SocketAddr> = self.agents().collect();
+        let known = lead.agents().filter(|it| !agents.contains(it));
+        agents.extend(known.collect::<Vec<_>>());
+        for agent in agents.into_iter().filter(|it| *it != self.own) {
             send(&self.log, &self.agents_socket, &bytes, agent).await;
         }
         self.word = Some((word, self.own, now));
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -96,6 +96,11 @@
         self.plan.as_ref()
     }
 
+    /// The agents that it heard from.
+    pub fn agents(&self) -> impl Iterator<Item = SocketAddr> {
+        self.ranks.values().map(|it| it.0.agent)
+    }
+
     /// The agents that lack the plan in force.
     pub fn lacking(&self) -> impl Iterator<Item = SocketAddr> {
         let version = self.plan.as_ref().map(|it| it.version);
@@ -250,14 +255,16 @@
         };
         let config =
             live::Config::new(usize::from(shape.spare)).with_price(self.price);
-        let Some(plan) = live::plan(shape_of_map, config, &present, &loads)
-        else {
+        let speeds: Vec<f64> = self.ranks.values().map(speed).collect();
+        let plan = live::plan(shape_of_map, config, &present, &loads, &speeds);
+        let Some(plan) = plan else {
             return;
         };
         let version = self.coordinator.begin(sights, now);
         info!(self.log, "map_planned"; "version" => version.0,
             "skew" => format!("{:.3}", plan.before),
             "expected" => format!("{:.3}", plan.after),
+            "slowest" => speeds.iter().copied().fold(1.0, f64::min),
             "copies" => plan.moves, "step" => sights[0].report.step,
             "counted" => loads.iter().flatten().sum::<f64>());
         let directive = self.directive();
@@ -293,3 +300,11 @@
         Map::from_experts(shape, &experts)
     }
 }
+
+/// How fast a rank works, beside the usual.
+fn speed(rank: &(Status, Millis)) -> f64 {
+    1.0 / f64::from(rank.0.pace).max(LEAST_PACE)
+}
+
+/// An engine isn't taken to be faster than this.
+const LEAST_PACE: f64 = 0.5;
--- a/cowsliproad-rank/src/wire.rs
+++ b/cowsliproad-rank/src/wire.rs
@@ -30,6 +30,9 @@
     /// What its engine reports, and what the agent vouches for.
     #[serde(rename = "r")]
     pub sight: Sight,
+    /// How many times as long as usual its engine's work takes.
+    #[serde(rename = "t")]
+    pub pace: f32,
     /// The highest fencing number that it knows.
     #[serde(rename = "f")]
     pub fence: u64,
--- a/cowsliproad-routing/src/pick.rs
+++ b/cowsliproad-routing/src/pick.rs
@@ -26,6 +26,9 @@
 /// back, and what its bytes are charged.
 const FAR_MS: f64 = 4.0;
 
+/// The time taken for usual before a target's first answer, in milliseconds.
+const UNKNOWN_MS: f64 = 100.0;
+
 /// How a target has fared with this entry.
 #[derive(Clone, Copy, Debug)]
 pub struct Record {
@@ -126,6 +129,8 @@
     pub slots: u32,
     /// Where it is.
     pub distance: Distance,
+    /// How long its work takes, in percent of the usual.
+    pub pace: u32,
 }
 
 /// Where a target is, seen from an entry.
@@ -140,7 +145,11 @@
 /// The cost of a target, in milliseconds.
 pub fn cost(candidate: &Candidate, now: Millis) -> f64 {
     let record = candidate.record;
-    let usual = record.usual_ms.max(1.0);
+    let usual = match record.usual_ms {
+        0.0 => UNKNOWN_MS,
+        known => known.max(1.0),
+    };
+    let usual = usual * f64::from(candidate.pace.max(1)) / 100.0;
     let ahead = f64::from(record.occupancy());
     let slots = f64::from(candidate.slots.max(1));
     // Requests in one batch slow one another down before its slots are full;
