Streams are moved away from a rank that is far slower than the others

Cause: a rank's own part of a pass grows with the requests it runs; a dozen streams on a rank 12 times slower held all others back until they ended. And a boundary three passes ahead is 1.5 s away when passes take 0.5 s.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -237,6 +237,13 @@
         self.seats.borrow_mut().entry(id.clone()).or_default().clone()
     }
 
+    /// What is kept of a service's targets.
+    pub fn seats_of(&self, service: &str) -> Vec<Rc<RefCell<Seat>>> {
+        let fleet = self.fleet.borrow();
+        let targets = fleet.ready().filter(|it| &*it.service == service);
+        targets.map(|it| self.seat(&it.id)).collect()
+    }
+
     /// Whether the entry can serve: it knows routes and targets.
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -66,6 +66,9 @@
 /// The largest state that is fetched.
 const MOST_STATE_BYTES: usize = 16 << 20;
 
+/// Steps of a target's pace that are news to requests under way, in percent.
+const NEWS_PERCENT: u32 = 100;
+
 /// The path of an entry's state.
 const STATE_PATH: &str = "/state";
 
@@ -329,19 +332,21 @@
     let Some(id) = id else { return };
     let seat = entry.seat(&id);
     let mut seat = seat.borrow_mut();
-    let before = seat.group.map(|it| (it.epoch, it.open));
+    let stands = |it: Group| (it.epoch, it.open, it.pace / NEWS_PERCENT);
+    let before = seat.group.map(stands);
     seat.record.report(load.running + load.queued);
-    seat.group = Some(Group {
+    let group = Group {
         epoch: load.epoch,
         open: load.open,
         step: load.step,
         pace: load.pace,
         heard: Millis::now(),
-    });
+    };
+    seat.group = Some(group);
     drop(seat);
-    if before != Some((load.epoch, load.open)) {
+    if before != Some(stands(group)) {
         info!(entry.log, "group"; "target" => &*id, "epoch" => load.epoch,
-            "open" => load.open, "step" => load.step);
+            "open" => load.open, "step" => load.step, "pace" => load.pace);
         entry.news.notify_waiters();
     }
 }
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     callers::Busy,
-    entry::{Choice, Entry},
+    entry::{Choice, Entry, Group},
     forward::{self, Call, Miss, Opened, Stay},
     reply::{Body, Piece},
     upstream::Lease,
@@ -37,6 +37,11 @@
 /// How often a silent stream is looked at.
 const LOOK_TIME: Millis = Millis(400);
 
+/// From this pace on a target's streams are moved. A move costs that the
+/// prompt is read again, some 15 ms of its new target; with 12 streams a rank
+/// of this pace takes 100 ms more of each pass.
+const SLOW_PERCENT: u32 = 300;
+
 /// Passes that a group must have begun to go on.
 const PASSES: u64 = 6;
 
@@ -159,6 +164,15 @@
             let look = Instant::now() + LOOK_TIME.duration();
             let frame = tokio::select! {
                 frame = self.body.frame() => frame,
+                () = entry.news.notified() => {
+                    if self.slows_others(entry) {
+                        info!(entry.log, "moved";
+                            "target" => &*self.choice.target.id,
+                            "events_in" => self.last_step);
+                        return Next::Miss(Miss::Unknown("slow"));
+                    }
+                    continue;
+                }
                 () = sleep_until(end.min(look)) => {
                     if Instant::now() >= end {
                         return Next::Miss(Miss::Unknown("no time left"));
@@ -195,6 +209,21 @@
         }
     }
 
+    /// Whether its target is so slow that it sets the pace of its group, and
+    /// others of the service are not. A rank without requests takes no time
+    /// of its own in a pass, so moving a dozen streams away from it gives
+    /// all others their pace back.
+    fn slows_others(&self, entry: &Entry) -> bool {
+        let pace = |group: Option<Group>| group.map_or(100, |it| it.pace);
+        let own = pace(self.choice.seat.borrow().group);
+        let fit = |pace: u32| pace * SLOW_PERCENT / 100 <= own;
+        own >= SLOW_PERCENT && {
+            let service = &self.choice.target.service;
+            let seats = entry.seats_of(service);
+            seats.iter().any(|it| fit(pace(it.borrow().group)))
+        }
+    }
+
     /// Whether its group goes on without it: its connection fell silent.
     fn is_silent(&self) -> bool {
         let quiet = Millis::now().since(self.last_bytes);
--- a/cowsliproad-mapswitch/src/order.rs
+++ b/cowsliproad-mapswitch/src/order.rs
@@ -263,11 +263,13 @@
     }
 }
 
-/// A pass takes 40 to 80 ms, and hold, arm and go take 30 ms together when
-/// each order is answered. Where orders go unanswered the boundary is set as
-/// far ahead as lately was needed, so that the group doesn't stand for them;
-/// with half of them lost that takes some 200 ms.
-const LEAD: (u64, u64) = (3, 16);
+/// The boundary is set as far ahead as arming lately took, within these
+/// bounds, so that the group doesn't stand while orders go unanswered. With
+/// half of them lost arming takes some 200 ms.
+const LEAD: (u64, u64) = (2, 16);
+
+/// Hold, arm and go take 30 ms together when each order is answered.
+const LEAST_ARMING: Millis = Millis(60);
 
 /// The time for copies, which take 40 ms each, before a plan is given up.
 const PATIENCE: Millis = Millis(3_000);
@@ -359,9 +361,11 @@
         self.arming = took.max(faded);
     }
 
-    /// Passes in which arming is likely done.
+    /// Passes in which arming is likely done. The next pass may begin at any
+    /// moment, so it doesn't count.
     fn passes(&self) -> u64 {
-        (self.arming.0 + self.arming.0 / 4) / self.pass.0 + 1
+        let time = (self.arming.0 + self.arming.0 / 4).max(LEAST_ARMING.0);
+        time / self.pass.0 + 2
     }
 }
 
