A started agent leads after 250 ms; what never arrived draws on no budget

Cause: an agent took 'never asked' for 'asked at 0', so after a restart of everything nobody led for a second. Tries that could not connect spent the retry budget, so requests were refused 250 ms after a zone was cut.

--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -61,6 +61,10 @@
 /// before and said that they did not run the request.
 const SPARE_TRIES: usize = 4;
 
+/// Tries of one request of any kind. Those that can't connect end at once or
+/// after a quarter of a second each.
+const MOST_TRIES: usize = 12;
+
 /// The pause before a target that refused is asked again.
 const AGAIN_TIME: Millis = Millis(60);
 
@@ -557,6 +561,12 @@
             Miss::Unsent(why) => {
                 entry.measure.tried("unsent");
                 self.sent.retain(|it| *it != choice.target.id);
+                // What never arrived is no repeat.
+                if self.left().0 > 0 && self.tries < MOST_TRIES {
+                    info!(entry.log, "unsent"; "request" => &*self.id,
+                        "target" => &*choice.target.id, "why" => why);
+                    return None;
+                }
                 why
             }
             Miss::Unknown(why) => {
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -114,7 +114,7 @@
     count: Millis,
     status: Millis,
     speech: Millis,
-    candidacy: Millis,
+    candidacy: Option<Millis>,
     said: Option<Directive>,
     /// When an *arm* went unanswered.
     unanswered_arm: Option<Millis>,
@@ -597,8 +597,9 @@
         if self.candidacy.is_some() || !self.misses_coordinator(now) {
             return;
         }
-        if now.since(self.last.candidacy) > AGAIN_TIME {
-            self.last.candidacy = now;
+        let again = |at: Millis| now.since(at) > AGAIN_TIME;
+        if self.last.candidacy.is_none_or(again) {
+            self.last.candidacy = Some(now);
             info!(self.log, "asks_for_number";
                 "standing" => ?self.standing());
             let (log, vm) = (self.settings.log, self.settings.vm.clone());
