Late requests go behind those that can be on time, in the target's queue

Cause: after an outage the backlog stands before every new request, so all are late for as long as it lasts.

--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -61,6 +61,12 @@
 /// before and said that they did not run the request.
 const SPARE_TRIES: usize = 4;
 
+/// Ranks that a request falls back in a target's queue once it is late.
+const LATE_RANKS: u16 = 2;
+
+/// The last rank of a target's queue.
+const LAST_RANK: u16 = 9;
+
 /// Tries of one request of any kind. Those that can't connect end at once or
 /// after a quarter of a second each.
 const MOST_TRIES: usize = 12;
@@ -92,6 +98,8 @@
     pub arrived: Millis,
     /// When its caller gives up or its route ends it.
     pub until: Millis,
+    /// Its rank among others, 0 first.
+    priority: u8,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -257,13 +265,18 @@
     let time = route.timeout.map_or(left, |it| it.min(left));
     let id = head.headers.get(&header::REQUEST_ID);
     let id = id.and_then(|it| it.to_str().ok()).unwrap_or("-").into();
-    let headers = passed_on(&head.headers, &route, organisation.as_deref());
+    let headers = passed_on(&head.headers, organisation.as_deref());
+    let route_priority = route.priority;
     Ok(Call {
         id,
         route,
         service,
         arrived,
         until: arrived + time,
+        priority: organisation
+            .as_ref()
+            .and_then(|it| it.priority)
+            .unwrap_or(route_priority),
         method: head.method,
         uri: head.uri,
         headers,
@@ -302,7 +315,6 @@
 /// one connection or that only we may set.
 fn passed_on(
     headers: &HeaderMap,
-    route: &Route,
     organisation: Option<&Organisation>,
 ) -> HeaderMap {
     let mut passed = headers.clone();
@@ -321,9 +333,6 @@
     if let Some(name) = name.and_then(|it| HeaderValue::from_str(it).ok()) {
         passed.insert(header::ORGANISATION, name);
     }
-    let priority = organisation.and_then(|it| it.priority);
-    let rank = priority.unwrap_or(route.priority).min(9);
-    passed.insert(header::URGENCY, HeaderValue::from(u16::from(rank)));
     passed
 }
 
@@ -524,6 +533,7 @@
             .map_or_else(Uri::default, Uri::from);
         let mut headers = self.headers.clone();
         headers.insert(header::TIME_LEFT, HeaderValue::from(self.left().0));
+        headers.insert(header::URGENCY, HeaderValue::from(self.urgency()));
         if let Ok(id) = HeaderValue::from_str(&choice.target.id) {
             headers.insert(header::EXPECTED_TARGET, id);
         }
@@ -534,6 +544,18 @@
         request
     }
 
+    /// Its rank in the target's queue. One that can't be on time any more
+    /// goes behind those that can: after an outage the others would all be
+    /// late too, for as long as the backlog lasts.
+    fn urgency(&self) -> u16 {
+        let time = self.route.timeout.unwrap_or(USUAL_TIME);
+        let waited = time.since(self.left());
+        let late = self.route.aim.is_some_and(|aim| waited > aim);
+        let rank = u16::from(self.priority);
+        let rank = if late { rank + LATE_RANKS } else { rank };
+        rank.min(LAST_RANK)
+    }
+
     /// How long the next try may take.
     fn patience(&self) -> Millis {
         let left = self.left();
