Stand-ins of the users' platform, and an entry's promises as tests

Three faults found by the tests, each seen failing first: * a target that had not answered yet was taken to be slow, so a new one was never tried while the known ones were idle (dropped_history_hides_nothing); * a connection whose head never ended stayed open, as the library's graceful end waits for the rest (a_head_that_never_ends_is_given_up); * two of the tests' own time budgets were shorter than their streams.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -165,12 +165,23 @@
             () = sleep(LOOK_TIME.duration()) => {}
             () = entry.closing.notified() => {}
         }
-        if is_over(&entry, &activity) {
-            serving.as_mut().graceful_shutdown();
+        match verdict(&entry, &activity) {
+            Verdict::Stay => {}
+            // A request under way is answered first.
+            Verdict::End => serving.as_mut().graceful_shutdown(),
+            // The library waits for the rest of a head for ever.
+            Verdict::Drop => return,
         }
     }
 }
 
+/// What is to become of a connection.
+enum Verdict {
+    Stay,
+    End,
+    Drop,
+}
+
 async fn answer(
     entry: Rc<Entry>,
     activity: Rc<Activity>,
@@ -185,23 +196,22 @@
     answer
 }
 
-fn is_over(entry: &Entry, activity: &Activity) -> bool {
-    if entry.phase.get() == Phase::Closing {
-        // A request under way is answered first.
-        return true;
-    }
-    if activity.busy.get() > 0 {
-        return false;
-    }
+fn verdict(entry: &Entry, activity: &Activity) -> Verdict {
+    let busy = activity.busy.get() > 0;
     let limits = limits(entry);
     let now = Millis::now();
-    match activity.head_since.get() {
-        Some(since) => now.since(since) > limits.header_time,
-        None => {
-            let idle = now.since(activity.idle_since.get());
-            idle > limits.idle_time + IDLE_GRACE
-        }
+    let head = activity.head_since.get();
+    let late = |since: Millis| now.since(since) > limits.header_time;
+    if !busy && head.is_some_and(late) {
+        return Verdict::Drop;
+    }
+    let idle = now.since(activity.idle_since.get());
+    let spent =
+        !busy && head.is_none() && idle > limits.idle_time + IDLE_GRACE;
+    if spent || entry.phase.get() == Phase::Closing {
+        return Verdict::End;
     }
+    Verdict::Stay
 }
 
 fn limits(entry: &Entry) -> Limits {
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -261,6 +261,12 @@
     ) -> Option<Choice> {
         let fleet = self.fleet.borrow();
         let most = self.connections(service);
+        let guess_ms = self
+            .seats_of(service)
+            .iter()
+            .filter_map(|it| it.borrow().record.usual_ms())
+            .reduce(f64::min)
+            .unwrap_or(pick::UNKNOWN_MS);
         let mut best: Option<Choice> = None;
         let mut ties = 0;
         for target in fleet.ready().filter(|it| &*it.service == service) {
@@ -282,7 +288,8 @@
             let record = &held.record;
             let pace = held.group.map_or(100, |it| it.pace);
             let slots = target.slots;
-            let candidate = Candidate { record, slots, distance, pace };
+            let candidate =
+                Candidate { record, slots, distance, pace, guess_ms };
             let cost = pick::cost(&candidate, now);
             drop(held);
             let least = best.as_ref().map_or(f64::INFINITY, |it| it.cost);
--- /dev/null
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -0,0 +1,246 @@
+//! Entries as separate processes on loopback, before stand-ins.
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use cowsliproad_direct::settings::Settings;
+use cowsliproad_net::client::{Client, Error};
+use cowsliproad_platform::{READINESS_PATH, SETTINGS_VARIABLE, header};
+use cowsliproad_platform_standin::{
+    catalog::{Catalog, Kind},
+    log::{self, Log},
+    target::{self, Config, Target},
+};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::time::sleep;
+
+/// How long anything may take that has no bound of its own.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The key that the plant's organisation holds.
+pub const KEY: &str = "key-1";
+
+/// Ports are the same on all VMs; each VM has an address.
+const CALLERS: u16 = 18_080;
+const READINESS: u16 = 18_081;
+const PEERS: u16 = 18_082;
+const TARGETS: u16 = 18_083;
+
+/// A platform with targets and entries.
+pub struct Plant {
+    net: (u8, u8),
+    pub log: Arc<Log>,
+    pub log_address: SocketAddr,
+    pub catalog: Catalog,
+    next: u8,
+}
+
+/// An entry's process.
+pub struct Entry {
+    pub settings: Settings,
+    pub file: PathBuf,
+    child: Child,
+}
+
+/// Networks of this test program, so that its tests can run at once.
+static NETWORK: AtomicU8 = AtomicU8::new(1);
+
+/// Numbers requests.
+static REQUEST: AtomicU64 = AtomicU64::new(1);
+
+impl Plant {
+    /// A platform whose configuration has a route of each kind and two
+    /// services, `plain` and `model`.
+    pub async fn start() -> Plant {
+        let block = 16 + (std::process::id() % 200) as u8;
+        let net = (block, NETWORK.fetch_add(1, Ordering::Relaxed));
+        let address = Ipv4Addr::new(127, net.0, net.1, 250);
+        let address = SocketAddr::from((address, TARGETS));
+        let (log, log_address) = log::start(address).await.expect("a log");
+        let mut catalog = Catalog::new()
+            .with_service("plain")
+            .with_service("model")
+            .with_route("/once/", Kind::Once, "plain", 4_000)
+            .with_route("/many/", Kind::Idempotent, "plain", 4_000)
+            .with_route("/many/model/", Kind::Idempotent, "model", 4_000)
+            .with_route("/stream/", Kind::Stream, "model", 8_000)
+            .with_organisation("harju", &[KEY]);
+        catalog.publish(&log);
+        Plant { net, log, log_address, catalog, next: 1 }
+    }
+
+    /// An address for one more VM.
+    pub fn vm(&mut self) -> Ipv4Addr {
+        self.next += 1;
+        Ipv4Addr::new(127, self.net.0, self.net.1, self.next)
+    }
+
+    /// One more target.
+    pub async fn target(&mut self, id: &str, service: &str) -> Arc<Target> {
+        let config = Config::new(id, service, "a");
+        self.target_with(config).await
+    }
+
+    /// One more target of a kind.
+    pub async fn target_with(&mut self, config: Config) -> Arc<Target> {
+        let address = SocketAddr::from((self.vm(), TARGETS));
+        target::start(address, config, &self.log).await.expect("a target")
+    }
+
+    /// Settings of one more entry.
+    pub fn settings(&mut self, seeds: &[&Entry]) -> Settings {
+        let vm = self.vm();
+        let at = |port| SocketAddr::from((vm, port));
+        Settings {
+            vm: format!("entry-{}", self.next).into(),
+            callers: at(CALLERS),
+            readiness: at(READINESS),
+            peer_port: PEERS,
+            seeds: seeds.iter().map(|it| it.settings.callers).collect(),
+            log: self.log_address,
+            ..Settings::example()
+        }
+    }
+
+    /// One more entry, ready.
+    pub async fn entry(&mut self) -> Entry {
+        let settings = self.settings(&[]);
+        let entry = Entry::start(settings);
+        entry.until_ready().await;
+        entry
+    }
+}
+
+impl Entry {
+    /// Starts a process.
+    pub fn start(settings: Settings) -> Entry {
+        Entry::start_with(settings, Stdio::null())
+    }
+
+    /// Starts a process whose log goes somewhere.
+    pub fn start_with(settings: Settings, output: Stdio) -> Entry {
+        let directory = std::env::temp_dir();
+        let name = format!("cowsliproad-{}.json", settings.callers.ip());
+        let file = directory.join(name);
+        write(&file, &settings);
+        let child = Command::new(env!("CARGO_BIN_EXE_cowsliproad-direct"))
+            .env(SETTINGS_VARIABLE, &file)
+            .stdout(output)
+            .spawn()
+            .expect("the program starts");
+        Entry { settings, file, child }
+    }
+
+    /// Waits until the balancer would send callers.
+    pub async fn until_ready(&self) {
+        until("the entry is ready", async || self.is_ready().await).await;
+    }
+
+    /// What the balancer is told.
+    pub async fn is_ready(&self) -> bool {
+        let path = READINESS_PATH;
+        let uri = format!("http://{}{path}", self.settings.readiness);
+        let request = Request::get(uri).body(Full::default());
+        let request = request.expect("a request");
+        let answer = Client::new().call(request, 1_000, PATIENCE).await;
+        answer.is_ok_and(|it| it.status() == StatusCode::OK)
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("the process is there");
+    }
+
+    /// Waits for the process's own end.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let begun = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status;
+            }
+            assert!(begun.elapsed() < PATIENCE, "the process does not end");
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+
+    /// Sends a request on a new connection and reads the whole answer.
+    pub async fn ask(&self, path: &str) -> Result<Response<Bytes>, Error> {
+        self.ask_with(path, KEY, "body").await
+    }
+
+    /// The same with a key and a body.
+    pub async fn ask_with(
+        &self,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> Result<Response<Bytes>, Error> {
+        let request = self.request(path, key, body);
+        Client::new().call(request, 1 << 20, PATIENCE).await
+    }
+
+    /// A request to this entry.
+    pub fn request(
+        &self,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> Request<Full<Bytes>> {
+        let number = REQUEST.fetch_add(1, Ordering::Relaxed);
+        Request::post(format!("http://{}{path}", self.settings.callers))
+            .header(http::header::HOST, "host.example")
+            .header(http::header::AUTHORIZATION, format!("Bearer {key}"))
+            .header(header::REQUEST_ID, format!("q{number}"))
+            .header(header::TIME_LEFT, "4000")
+            .body(Full::new(Bytes::from(body.to_string())))
+            .expect("a request")
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+/// Writes a settings file.
+pub fn write(file: &PathBuf, settings: &Settings) {
+    let text = cowsliproad_kernel::settings::print(settings);
+    fs::write(file, text).expect("a settings file");
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds().await {
+        assert!(begun.elapsed() < PATIENCE, "never: {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// The numbers of the events in a stream.
+pub fn numbers(body: &[u8]) -> Vec<u64> {
+    let text = String::from_utf8_lossy(body);
+    let ids = text.lines().filter_map(|it| it.strip_prefix("id: "));
+    ids.filter_map(|it| it.parse().ok()).collect()
+}
--- /dev/null
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -0,0 +1,8 @@
+//! What an entry promises, seen from callers and targets.
+
+mod answers;
+mod callers;
+mod harness;
+mod news;
+mod stop;
+mod streams;
--- /dev/null
+++ b/cowsliproad-direct/tests/entry/news.rs
@@ -0,0 +1,172 @@
+//! Configuration and targets, with a log that has troubles.
+
+use std::time::{Duration, Instant};
+
+use cowsliproad_kernel::clock::Millis;
+use cowsliproad_platform::log::{OPERATORS, TARGETS};
+use cowsliproad_platform_standin::{catalog::Kind, log::Fault};
+use http::StatusCode;
+
+use crate::harness::{Entry, KEY, Plant, until};
+
+/// The time in which news has to be in force.
+const BOUND: Duration = Duration::from_millis(2_000);
+
+async fn status(entry: &Entry, path: &str, key: &str) -> StatusCode {
+    let answer = entry.ask_with(path, key, "").await;
+    answer.expect("an answer").status()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn routes_and_keys_come_and_go_in_time() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    assert_eq!(status(&entry, "/new/", KEY).await, StatusCode::NOT_FOUND);
+    let catalog = plant
+        .catalog
+        .clone()
+        .with_route("/new/", Kind::Idempotent, "plain", 1_000)
+        .without_route("/once/")
+        .with_organisation("harju", &["key-2"]);
+    plant.catalog = catalog;
+    plant.catalog.publish(&plant.log);
+    let changed = Instant::now();
+    until("the new key holds", async || {
+        status(&entry, "/new/", "key-2").await == StatusCode::OK
+    })
+    .await;
+    assert!(changed.elapsed() < BOUND);
+    let old = status(&entry, "/new/", KEY).await;
+    assert_eq!(old, StatusCode::UNAUTHORIZED);
+    let gone = status(&entry, "/once/", "key-2").await;
+    assert_eq!(gone, StatusCode::NOT_FOUND);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dropped_history_hides_nothing() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    plant.log.set(Fault::Refusing);
+    let two = plant.target("i-2", "plain").await;
+    plant.catalog = plant.catalog.clone().with_route(
+        "/new/",
+        Kind::Idempotent,
+        "plain",
+        1_000,
+    );
+    plant.catalog.publish(&plant.log);
+    plant.log.forget(OPERATORS);
+    plant.log.forget(TARGETS);
+    plant.log.set(Fault::None);
+    until("the new route holds", async || {
+        status(&entry, "/new/", KEY).await == StatusCode::OK
+    })
+    .await;
+    until("the new target serves", async || {
+        status(&entry, "/new/", KEY).await;
+        two.arrivals() > 0
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_the_log_turns_away_learns_from_another() {
+    let mut plant = Plant::start().await;
+    let target = plant.target("i-1", "plain").await;
+    let first = plant.entry().await;
+    let mut settings = plant.settings(&[&first]);
+    // Nobody listens there.
+    settings.log.set_port(1);
+    let second = Entry::start(settings);
+    second.until_ready().await;
+    assert_eq!(status(&second, "/many/a", KEY).await, StatusCode::OK);
+    plant.catalog =
+        plant.catalog.clone().with_organisation("harju", &["key-2"]);
+    plant.catalog.publish(&plant.log);
+    let changed = Instant::now();
+    until("the key is taken away", async || {
+        status(&second, "/many/a", KEY).await == StatusCode::UNAUTHORIZED
+    })
+    .await;
+    assert!(changed.elapsed() < BOUND);
+    target.announce(&plant.log, "draining");
+    let left = Instant::now();
+    until("the leaving target gets nothing", async || {
+        let before = target.arrivals();
+        status(&second, "/once/a", "key-2").await;
+        target.arrivals() == before
+    })
+    .await;
+    // One answer above waits for a target for up to its own patience.
+    let waited = Duration::from_millis(second.settings.wait_ms.0);
+    assert!(left.elapsed() < BOUND + waited);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_target_gets_nothing_new() {
+    let mut plant = Plant::start().await;
+    let one = plant.target("i-1", "plain").await;
+    plant.target("i-2", "plain").await;
+    let entry = plant.entry().await;
+    one.announce(&plant.log, "draining");
+    tokio::time::sleep(BOUND).await;
+    let before = one.arrivals();
+    for _ in 0..40 {
+        assert_eq!(status(&entry, "/many/a", KEY).await, StatusCode::OK);
+    }
+    assert_eq!(one.arrivals(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_address_used_again_runs_nothing_of_the_old_service() {
+    let mut plant = Plant::start().await;
+    let old = plant.target("i-1", "plain").await;
+    let new = plant.target("i-2", "plain").await;
+    let entry = plant.entry().await;
+    // The log still lists the old incarnation at an address where another
+    // listens now.
+    let address = new.address().expect("it listens");
+    let entry_of_old = format!(
+        r#"{{"service":"model","address":"{address}","zone":"a",
+            "slots":8,"state":"ready","seq":9}}"#
+    );
+    plant.log.put(TARGETS, "i-gone", Some(entry_of_old.as_bytes()));
+    until("the old incarnation is met and found gone", async || {
+        status(&entry, "/many/model/a", KEY).await
+            == StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+    assert_eq!((old.runs().len(), new.runs().len()), (0, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_starts_while_the_log_is_away() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    plant.log.set(Fault::Silent);
+    let settings = plant.settings(&[]);
+    let entry = Entry::start(settings);
+    until("the entry answers", async || entry.ask("/many/a").await.is_ok())
+        .await;
+    let early = status(&entry, "/many/a", KEY).await;
+    assert_eq!(early, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!entry.is_ready().await);
+    plant.log.set(Fault::None);
+    entry.until_ready().await;
+    assert_eq!(status(&entry, "/many/a", KEY).await, StatusCode::OK);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_calm_entry_calls_the_log_at_most_twice_a_second() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    let before = plant.log.calls();
+    let span = Duration::from_secs(3);
+    tokio::time::sleep(span).await;
+    let calls = plant.log.calls() - before;
+    assert!(calls <= 2 * span.as_secs(), "{calls} calls");
+    assert!(entry.settings.drain_ms > Millis(0));
+}
--- /dev/null
+++ b/cowsliproad-direct/tests/entry/stop.rs
@@ -0,0 +1,96 @@
+//! Signals: stopping cuts nothing, reloading ends nothing.
+
+use std::{
+    process::Stdio,
+    time::{Duration, Instant},
+};
+
+use cowsliproad_net::client::Client;
+use cowsliproad_platform_standin::target::Config;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use rustix::process::Signal;
+
+use crate::harness::{Entry, KEY, Plant, numbers, until, write};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_finishes_its_streams_and_ends_well() {
+    let mut plant = Plant::start().await;
+    let config = Config::new("i-1", "model", "a")
+        .with_events(20, Duration::from_millis(150));
+    plant.target_with(config).await;
+    let mut entry = plant.entry().await;
+    let request = entry.request("/stream/a", KEY, "");
+    let client = Client::new();
+    let answer = client.send(request).await.expect("an answer");
+    entry.signal(Signal::TERM);
+    until("it isn't ready", async || !entry.is_ready().await).await;
+    let body = answer.into_body().collect().await.expect("a whole stream");
+    assert_eq!(numbers(&body.to_bytes()), (1..=20).collect::<Vec<_>>());
+    assert!(entry.ended().await.success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_serves_until_the_balancer_knows() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let mut entry = plant.entry().await;
+    entry.signal(Signal::TERM);
+    until("it isn't ready", async || !entry.is_ready().await).await;
+    let answer = entry.ask("/many/a").await.expect("an answer");
+    assert_eq!(answer.status(), StatusCode::OK);
+    let close = answer.headers().get(http::header::CONNECTION);
+    assert_eq!(close.and_then(|it| it.to_str().ok()), Some("close"));
+    // A second signal changes nothing.
+    entry.signal(Signal::TERM);
+    assert!(entry.ended().await.success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_does_not_keep_a_stopping_entry() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let mut entry = plant.entry().await;
+    let client = Client::new();
+    let request = entry.request("/many/a", KEY, "");
+    let answer = client.send(request).await.expect("an answer");
+    answer.into_body().collect().await.expect("a body");
+    let told = Instant::now();
+    entry.signal(Signal::TERM);
+    assert!(entry.ended().await.success());
+    // Sooner than by the end of the grace time.
+    assert!(told.elapsed() < Duration::from_secs(6), "{told:?}");
+    drop(client);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reloading_takes_new_settings_and_ends_nothing() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let mut entry = plant.entry().await;
+    let mut settings = entry.settings.clone();
+    settings.retries.ratio = 0.1;
+    write(&entry.file, &settings);
+    entry.signal(Signal::HUP);
+    std::fs::write(&entry.file, "{").expect("a broken file");
+    entry.signal(Signal::HUP);
+    for _ in 0..20 {
+        let answer = entry.ask("/many/a").await.expect("an answer");
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    assert!(entry.is_running());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_that_nobody_reads_holds_nothing_up() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let settings = plant.settings(&[]);
+    // A pipe holds 64 KiB; the lines of these requests are over 200 KiB.
+    let entry = Entry::start_with(settings, Stdio::piped());
+    entry.until_ready().await;
+    for _ in 0..600 {
+        let answer = entry.ask("/many/a").await.expect("an answer");
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+}
--- a/cowsliproad-routing/src/pick.rs
+++ b/cowsliproad-routing/src/pick.rs
@@ -26,8 +26,10 @@
 /// back, and what its bytes are charged.
 const FAR_MS: f64 = 4.0;
 
-/// The time taken for usual before a target's first answer, in milliseconds.
-const UNKNOWN_MS: f64 = 100.0;
+/// The time taken for usual while no target of a service has answered, in
+/// milliseconds. It is large beside what another availability zone adds, so
+/// that a starting entry spreads its requests over all of them.
+pub const UNKNOWN_MS: f64 = 100.0;
 
 /// How a target has fared with this entry.
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +93,11 @@
         self.failures += 1.0;
     }
 
+    /// The usual time of its answers in milliseconds, once there was one.
+    pub fn usual_ms(&self) -> Option<f64> {
+        (self.usual_ms > 0.0).then_some(self.usual_ms)
+    }
+
     /// Requests there, as far as this entry can tell.
     pub fn occupancy(&self) -> u32 {
         let known = (self.reported + self.sent).saturating_sub(self.done);
@@ -131,6 +138,9 @@
     pub distance: Distance,
     /// How long its work takes, in percent of the usual.
     pub pace: u32,
+    /// The time taken for usual before its first answer, in milliseconds:
+    /// that of the quickest of its service, so that a new target is tried.
+    pub guess_ms: f64,
 }
 
 /// Where a target is, seen from an entry.
@@ -146,7 +156,7 @@
 pub fn cost(candidate: &Candidate, now: Millis) -> f64 {
     let record = candidate.record;
     let usual = match record.usual_ms {
-        0.0 => UNKNOWN_MS,
+        0.0 => candidate.guess_ms,
         known => known.max(1.0),
     };
     let usual = usual * f64::from(candidate.pace.max(1)) / 100.0;
