The switch explored completely; two faults that it found

Cause, found by the exploration of a takeover: * a successor that had called a change off went forward again with a map of its own making once all ranks were in sight; * an agent that still followed an older word could disarm a rank after it had been counted as armed.

Now: calling off has no way back, begins only when nothing is in doubt, and counts a rank only once its agent follows this coordinator; an engine whose agent is silent is made to by an order with the new number.

--- a/cowsliproad-mapswitch/src/order.rs
+++ b/cowsliproad-mapswitch/src/order.rs
@@ -129,13 +129,24 @@
     InDoubt,
 }
 
-/// An engine's report and what its agent vouches for.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+/// Whose word a rank obeys.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Follows {
+    /// This coordinator's, and no older one's any more.
+    Us,
+    /// Perhaps another's: its agent has not heard of this coordinator.
+    Another,
+}
+
+/// An engine's report and what is known beside it.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Sight {
     /// The report.
     pub report: Report,
     /// The orders that it may not show yet.
     pub arms: Arms,
+    /// Whose word it obeys.
+    pub follows: Follows,
 }
 
 /// Which ranks a coordinator doesn't hear from.
@@ -173,8 +184,8 @@
         /// The coordinator's rank, until all others are armed.
         except: Option<u16>,
     },
-    /// None changes to this map.
-    Disarmed(Version),
+    /// None is to change.
+    Disarmed,
     /// No rank keeps the group from beginning this pass.
     Released(u64),
 }
@@ -218,10 +229,7 @@
                 && except != Some(report.rank);
             due.then_some(Order::Arm(version, step))
         }
-        Aim::Disarmed(version) => {
-            let armed = report.armed.is_some_and(|it| it.0 == version);
-            armed.then_some(Order::Disarm(version))
-        }
+        Aim::Disarmed => report.armed.map(|it| Order::Disarm(it.0)),
         Aim::Released(step) => {
             (report.held == Some(step)).then_some(Order::Go(step))
         }
@@ -281,7 +289,7 @@
     Preparing { version: Version, since: Millis },
     Holding { version: Version, step: u64, holder: u16 },
     Arming { version: Version, step: u64, except: Option<u16> },
-    Disarming { version: Version, step: u64 },
+    Disarming { step: u64 },
     Releasing { version: Version, step: u64 },
 }
 
@@ -406,7 +414,7 @@
             Phase::Arming { version, step, except } => {
                 Aim::Armed { version, step, except }
             }
-            Phase::Disarming { version, .. } => Aim::Disarmed(version),
+            Phase::Disarming { .. } => Aim::Disarmed,
             Phase::Releasing { step, .. } => Aim::Released(step),
         };
         Directive { fence: self.fence, epoch: self.epoch, aim }
@@ -443,14 +451,12 @@
         match (self.phase, absent) {
             (Phase::Resting, Absent::Nobody) => self.tidy(sights),
             (Phase::Resting, Absent::Predecessor) => self.call_off(sights),
-            (Phase::Disarming { version, step }, Absent::Predecessor) => {
-                self.disarm(sights, version, step)
-            }
-            (Phase::Disarming { version, step }, Absent::Nobody) => {
-                // Back in sight: what it knows decides anew.
-                self.phase = Phase::Arming { version, step, except: None };
-                Event::TakenUp(version)
-            }
+            // Not forward again, even with all in sight: an agent may still
+            // act on the word to disarm.
+            (
+                Phase::Disarming { step },
+                Absent::Predecessor | Absent::Nobody,
+            ) => self.disarm(sights, step),
             (Phase::Releasing { version, step }, _) => {
                 self.release(sights, version, step)
             }
@@ -493,31 +499,24 @@
         let Some(step) = held else { return Event::None };
         let armed = sights.iter().find_map(|it| it.report.armed);
         // One that has not armed and never will says that the former
-        // coordinator, who arms last, has not either.
-        let vouches = |it: &Sight| {
-            it.report.armed.is_none()
-                && it.report.step < step
-                && it.arms == Arms::Answered
-        };
-        if !sights.iter().any(vouches) {
+        // coordinator, who arms last, has not either. While any is in doubt
+        // it is better to wait: the former coordinator may be back sooner,
+        // and then the change is completed.
+        let certain = sights.iter().all(is_certain);
+        let unarmed =
+            |it: &Sight| it.report.armed.is_none() && it.report.step < step;
+        if !certain || !sights.iter().any(unarmed) {
             return Event::None;
         }
         let version = armed.map_or(sights[0].report.map, |it| it.0);
-        self.phase = Phase::Disarming { version, step };
+        self.phase = Phase::Disarming { step };
         Event::CalledOff(version)
     }
 
-    fn disarm(
-        &mut self,
-        sights: &[Sight],
-        version: Version,
-        step: u64,
-    ) -> Event {
-        let clear = |it: &Sight| {
-            it.report.armed.is_none() && it.arms == Arms::Answered
-        };
+    fn disarm(&mut self, sights: &[Sight], step: u64) -> Event {
+        let clear = |it: &Sight| it.report.armed.is_none() && is_certain(it);
         if sights.iter().all(clear) {
-            let version = version.min(sights[0].report.map);
+            let version = sights[0].report.map;
             self.phase = Phase::Releasing { version, step };
         }
         Event::None
@@ -584,8 +583,10 @@
         except: Option<u16>,
         now: Millis,
     ) {
+        // One that obeys another's word could be disarmed yet.
         let done = |it: &Sight| {
             it.report.armed == Some((version, step))
+                && it.follows == Follows::Us
                 || it.report.map == version
         };
         if sights.iter().all(done) {
@@ -622,6 +623,12 @@
     prepared.map_or(report.map, |it| it.max(report.map))
 }
 
+/// Whether nothing can happen at a rank that its report doesn't show, but by
+/// this coordinator's word.
+fn is_certain(sight: &Sight) -> bool {
+    sight.arms == Arms::Answered && sight.follows == Follows::Us
+}
+
 /// The map that all ranks have and none uses yet.
 fn ready(sights: &[Sight]) -> Option<Version> {
     let version = sights.first()?.report.prepared?;
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -11,7 +11,7 @@
     gossip::{self, Datagram, Load, Subscribe},
 };
 use cowsliproad_mapswitch::order::{
-    self, Aim, Arms, Directive, Epoch, Report, Sight, Standing, Verdict,
+    self, Aim, Arms, Directive, Epoch, Report, Standing, Verdict,
 };
 use cowsliproad_platform::{
     engine::State,
@@ -441,7 +441,8 @@
             experts: experts.map(|it| (it.1, it.2.clone())),
             counts: counts.map(|it| it.1.clone()),
             pace: self.state.as_ref().map_or(1.0, |it| it.pace as f32),
-            sight: Sight { report, arms: self.arms() },
+            arms: self.arms(),
+            report,
         })
     }
 
@@ -478,24 +479,42 @@
         let word = lead.directive();
         let plan = lead.plan().filter(|it| it.epoch == word.epoch);
         let plan = plan.map(|it| (it.version, &it.experts));
-        if let Some(due) = order::due(&word, &report, plan) {
+        // An engine that took an order of ours refuses those with lower
+        // numbers, whatever its agent may yet do. So one that is armed is
+        // armed once more.
+        let again = match word.aim {
+            Aim::Armed { version, step, .. }
+                if report.armed == Some((version, step)) =>
+            {
+                Some(order::Order::Arm(version, step))
+            }
+            _ => None,
+        };
+        let due = order::due(&word, &report, plan).or(again);
+        let mut fence = 0;
+        if let Some(due) = due {
             let given = engine.order(&due, word.epoch, word.fence).await;
             info!(self.log, "order_from_afar"; "order" => name(&due),
                 "aim" => ?word.aim, "target" => %target,
                 "outcome" => ?given.as_ref().ok());
-            if matches!(given, Ok(Verdict::Fenced)) {
-                self.step_down(word.fence);
-                return;
+            match given {
+                Ok(Verdict::Fenced) => {
+                    self.step_down(word.fence);
+                    return;
+                }
+                Ok(Verdict::Taken) => fence = word.fence,
+                Ok(Verdict::Unfit) | Err(_) => {}
             }
         }
         let status = Status {
             agent: SocketAddr::new(target.ip(), self.settings.agent_port),
-            fence: self.fence,
+            fence,
             plan: None,
             experts: None,
             counts: None,
             pace: state.pace as f32,
-            sight: Sight { report, arms: Arms::InDoubt },
+            arms: Arms::InDoubt,
+            report,
         };
         if let Some(lead) = &mut self.lead {
             lead.take(status, Millis::now());
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -9,8 +9,8 @@
 
 use cowsliproad_kernel::{clock::Millis, gossip::Subscribe};
 use cowsliproad_mapswitch::order::{
-    Absent, Config, Coordinator, Directive, Event, Experts, Order, Sight,
-    Standing, Version, due_at_holder,
+    Absent, Config, Coordinator, Directive, Event, Experts, Follows, Order,
+    Sight, Standing, Version, due_at_holder,
 };
 use cowsliproad_placement::{
     demand::{Counts, Demand},
@@ -116,9 +116,9 @@
 
     /// Takes a rank's status in.
     pub fn take(&mut self, mut status: Status, now: Millis) {
-        let rank = status.sight.report.rank;
+        let rank = status.report.rank;
         if let Some((known, _)) = self.ranks.get_mut(&rank) {
-            let newer = known.sight.report.epoch <= status.sight.report.epoch;
+            let newer = known.report.epoch <= status.report.epoch;
             if !newer {
                 return;
             }
@@ -156,7 +156,18 @@
     /// What is known freshly of the ranks.
     fn sights(&self, now: Millis) -> Vec<Sight> {
         let fresh = self.ranks.values().filter(|it| now.since(it.1) < FRESH);
-        fresh.map(|it| it.0.sight.clone()).collect()
+        fresh.map(|it| self.sight(&it.0)).collect()
+    }
+
+    /// What a status says. An agent that has not heard of this coordinator
+    /// may yet do what another told it.
+    fn sight(&self, status: &Status) -> Sight {
+        let follows = if status.fence >= self.fence() {
+            Follows::Us
+        } else {
+            Follows::Another
+        };
+        Sight { report: status.report.clone(), arms: status.arms, follows }
     }
 
     /// Who of the group is missing among them.
@@ -164,7 +175,7 @@
         let fresh = |it: &&(Status, Millis)| now.since(it.1) < FRESH;
         let fresh: Vec<&Status> =
             self.ranks.values().filter(fresh).map(|it| &it.0).collect();
-        let ranks = fresh.first().map_or(0, |it| it.sight.report.ranks);
+        let ranks = fresh.first().map_or(0, |it| it.report.ranks);
         if ranks > 0 && fresh.len() == usize::from(ranks) {
             return Absent::Nobody;
         }
@@ -184,7 +195,7 @@
     pub fn hold(&self) -> Option<(IpAddr, Order)> {
         let word = self.directive();
         self.ranks.values().find_map(|(status, _)| {
-            let order = due_at_holder(&word, &status.sight.report)?;
+            let order = due_at_holder(&word, &status.report)?;
             Some((status.agent.ip(), order))
         })
     }
@@ -289,10 +300,10 @@
             vec![vec![Vec::new(); shape.ranks]; shape.layers];
         for (status, _) in self.ranks.values() {
             let (listed, sets) = status.experts.as_ref()?;
-            if *listed != version || status.sight.report.map != version {
+            if *listed != version || status.report.map != version {
                 return None;
             }
-            let rank = usize::from(status.sight.report.rank);
+            let rank = usize::from(status.report.rank);
             for (set, held) in sets.iter().enumerate() {
                 *experts.get_mut(set)?.get_mut(rank)? = held.clone();
             }
--- a/cowsliproad-rank/src/wire.rs
+++ b/cowsliproad-rank/src/wire.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use cowsliproad_mapswitch::order::{
-    Directive, Epoch, Experts, Sight, Version,
+    Arms, Directive, Epoch, Experts, Report, Version,
 };
 use serde::{Deserialize, Serialize};
 
@@ -27,9 +27,12 @@
     /// The agent.
     #[serde(rename = "a")]
     pub agent: SocketAddr,
-    /// What its engine reports, and what the agent vouches for.
+    /// What its engine reports.
     #[serde(rename = "r")]
-    pub sight: Sight,
+    pub report: Report,
+    /// What the agent vouches for beside it.
+    #[serde(rename = "o")]
+    pub arms: Arms,
     /// How many times as long as usual its engine's work takes.
     #[serde(rename = "t")]
     pub pace: f32,
