Agents as processes beside a lock-step group, as tests

Cause, found by a_group_that_forms_anew_is_balanced_again: versions began at 1 again in a new formation, and a rank may refuse what isn't higher than all that it has had. Versions count from the coordinator's fencing number on now.

Ruled out for a_killed_coordinator_is_followed_by_another: the test started the new process before the old had ended, so its address was taken.

--- a/cowsliproad-mapswitch/src/order.rs
+++ b/cowsliproad-mapswitch/src/order.rs
@@ -282,6 +282,11 @@
 /// The time for copies, which take 40 ms each, before a plan is given up.
 const PATIENCE: Millis = Millis(3_000);
 
+/// Versions of one coordinator. A rank refuses a version that isn't higher
+/// than all that it has had, also in formations that nobody remembers. So
+/// each coordinator counts from its fencing number on.
+pub const VERSIONS: u64 = 10_000;
+
 /// What a coordinator is doing.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum Phase {
@@ -318,6 +323,8 @@
     fence: u64,
     rank: u16,
     epoch: Epoch,
+    /// The newest version that it planned.
+    newest: Version,
     phase: Phase,
     pace: Pace,
 }
@@ -390,6 +397,7 @@
             fence,
             rank,
             epoch: Epoch(0),
+            newest: Version(0),
             phase: Phase::Resting,
             pace: Pace::new(),
         }
@@ -423,7 +431,10 @@
     /// Begins a plan; all ranks are in sight.
     pub fn begin(&mut self, sights: &[Sight], now: Millis) -> Version {
         let newest = sights.iter().map(|it| newest(&it.report)).max();
-        let version = Version(newest.map_or(0, |it| it.0) + 1);
+        let known = newest.unwrap_or(self.newest).max(self.newest);
+        let own = self.fence * VERSIONS;
+        let version = Version(own.max(known.0 + 1));
+        self.newest = version;
         self.phase = Phase::Preparing { version, since: now };
         self.pace.start(last(sights), now);
         version
--- /dev/null
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -0,0 +1,257 @@
+//! Agents as separate processes beside a lock-step group.
+//!
+//! An entry's part, asking the agents to report, is played here. No test
+//! counts on how long a change takes, only that it comes.
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use cowsliproad_kernel::gossip::{self, Datagram, Load, Subscribe};
+use cowsliproad_platform::{SETTINGS_VARIABLE, log::COORDINATORS};
+use cowsliproad_platform_standin::{
+    group::{self, Frozen, Group},
+    log::{self, Log},
+};
+use cowsliproad_rank::settings::Settings;
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::{net::UdpSocket, time::sleep};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const ENGINES: u16 = 19_080;
+const PEERS: u16 = 19_081;
+const AGENTS: u16 = 19_082;
+const RANKS: u8 = 4;
+const EXPERTS: usize = 16;
+
+/// Networks of this test program, so that its tests can run at once.
+static NETWORK: AtomicU8 = AtomicU8::new(1);
+
+struct Plant {
+    net: (u8, u8),
+    group: Arc<Group>,
+    log: Arc<Log>,
+    log_address: SocketAddr,
+    agents: Vec<Agent>,
+    loads: Arc<std::sync::Mutex<Vec<Load>>>,
+}
+
+struct Agent {
+    child: Child,
+    file: PathBuf,
+}
+
+impl Plant {
+    async fn start() -> Plant {
+        let block = 16 + (std::process::id() % 200) as u8;
+        let net = (block, NETWORK.fetch_add(1, Ordering::Relaxed));
+        let address = SocketAddr::from((vm(net, 250), ENGINES));
+        let (log, log_address) = log::start(address).await.expect("a log");
+        let engines: Vec<SocketAddr> =
+            (1..=RANKS).map(|it| (vm(net, it), ENGINES).into()).collect();
+        let pass = Duration::from_millis(20);
+        let group = group::start(&engines, (2, EXPERTS), pass).await;
+        let group = group.expect("a group");
+        let mut plant = Plant {
+            net,
+            group,
+            log,
+            log_address,
+            agents: Vec::new(),
+            loads: Arc::default(),
+        };
+        for rank in 1..=RANKS {
+            let agent = plant.agent(rank);
+            plant.agents.push(agent);
+        }
+        plant.ask(engines).await;
+        plant
+    }
+
+    fn agent(&self, number: u8) -> Agent {
+        let vm = vm(self.net, number);
+        let settings = Settings {
+            vm: format!("agent-{number}").into(),
+            address: vm.into(),
+            engine: (vm, ENGINES).into(),
+            peer_port: PEERS,
+            agent_port: AGENTS,
+            log: self.log_address,
+            ..Settings::example()
+        };
+        let name = format!("cowsliproad-{vm}.json");
+        let file = std::env::temp_dir().join(name);
+        let text = cowsliproad_kernel::settings::print(&settings);
+        fs::write(&file, text).expect("a settings file");
+        let child = Command::new(env!("CARGO_BIN_EXE_cowsliproad-rank"))
+            .env(SETTINGS_VARIABLE, &file)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        Agent { child, file }
+    }
+
+    /// Asks all agents to report, as an entry does, and keeps what they say.
+    async fn ask(&self, targets: Vec<SocketAddr>) {
+        let own = SocketAddr::from((vm(self.net, 200), PEERS));
+        let socket = Arc::new(UdpSocket::bind(own).await.expect("a socket"));
+        let message = gossip::encode(&Subscribe {
+            targets: targets.clone(),
+            sets: 2,
+            experts: EXPERTS as u16,
+            places: 6,
+            spare: 2,
+        });
+        let asking = socket.clone();
+        tokio::spawn(async move {
+            loop {
+                for target in &targets {
+                    let agent = SocketAddr::new(target.ip(), PEERS);
+                    let _ = asking.send_to(&message, agent).await;
+                }
+                sleep(Duration::from_millis(200)).await;
+            }
+        });
+        let loads = self.loads.clone();
+        tokio::spawn(async move {
+            let mut buffer = [0; 2_048];
+            while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
+                let read = gossip::decode::<Datagram>(&buffer[..length]);
+                if let Some(Datagram::Load(load)) = read {
+                    loads.lock().expect("no panic").push(load);
+                }
+            }
+        });
+    }
+
+    /// Waits until the demand is spread well, with no pass ever mixed.
+    async fn until_balanced(&self) {
+        let group = &self.group;
+        until("the map follows the demand", || group.skew() < 1.35).await;
+        assert_eq!(group.tally().mixed, 0, "{:?}", group.tally());
+    }
+
+    fn signal(&self, agent: usize, signal: Signal) {
+        let pid = Pid::from_child(&self.agents[agent].child);
+        kill_process(pid, signal).expect("the process is there");
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+fn vm(net: (u8, u8), number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, net.0, net.1, number)
+}
+
+/// A demand in which a few experts, from one on, are liked far more.
+fn liked(first: usize) -> Vec<u64> {
+    let weight = |expert: usize| {
+        let place = (expert + EXPERTS - first) % EXPERTS;
+        if place < 4 { 4_000 / (place as u64 + 1) } else { 100 }
+    };
+    (0..EXPERTS).map(weight).collect()
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "never: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_map_follows_a_demand_that_shifts() {
+    let plant = Plant::start().await;
+    for first in [0, 5, 11] {
+        plant.group.demand(liked(first));
+        plant.until_balanced().await;
+    }
+    assert!(plant.group.tally().changes >= 3);
+    assert_eq!(plant.log.records(COORDINATORS), 1, "one led all the time");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_and_late_orders_mix_no_maps() {
+    let plant = Plant::start().await;
+    plant.group.lose_every(3);
+    for first in [0, 7] {
+        plant.group.demand(liked(first));
+        plant.until_balanced().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_coordinator_is_followed_by_another() {
+    let mut plant = Plant::start().await;
+    plant.group.demand(liked(0));
+    plant.until_balanced().await;
+    for round in 0..2 {
+        // The first to lead is rank 0; it is killed as a change is due.
+        plant.group.demand(liked(5 + 3 * round));
+        // Its address is free once the process has ended.
+        plant.signal(round, Signal::KILL);
+        plant.agents[round].child.wait().expect("it ends");
+        plant.agents[round] = plant.agent(round as u8 + 1);
+        plant.until_balanced().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_coordinator_holds_nobody_up_and_stops_when_it_wakes() {
+    let plant = Plant::start().await;
+    plant.group.demand(liked(0));
+    plant.until_balanced().await;
+    plant.group.demand(liked(8));
+    plant.signal(0, Signal::STOP);
+    plant.group.freeze(0, Frozen::Yes);
+    let steps = plant.group.tally().steps;
+    until("the group goes on", || plant.group.tally().steps > steps + 100)
+        .await;
+    plant.group.freeze(0, Frozen::No);
+    plant.signal(0, Signal::CONT);
+    plant.until_balanced().await;
+    assert!(plant.log.records(COORDINATORS) >= 2, "another took over");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_that_forms_anew_is_balanced_again() {
+    let plant = Plant::start().await;
+    plant.group.demand(liked(0));
+    plant.until_balanced().await;
+    plant.group.form();
+    assert!(plant.group.skew() > 1.35);
+    plant.until_balanced().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_log_nobody_leads_and_load_is_reported() {
+    let plant = Plant::start().await;
+    plant.log.set(log::Fault::Refusing);
+    until("every agent reports", || {
+        let loads = plant.loads.lock().expect("no panic");
+        let mut targets: Vec<SocketAddr> =
+            loads.iter().map(|it| it.target).collect();
+        targets.sort();
+        targets.dedup();
+        targets.len() == usize::from(RANKS)
+    })
+    .await;
+    plant.log.set(log::Fault::None);
+    plant.group.demand(liked(0));
+    plant.until_balanced().await;
+}
--- a/tests/order/main.rs
+++ b/tests/order/main.rs
@@ -17,7 +17,7 @@
     kernel::clock::Millis,
     mapswitch::order::{
         self, Absent, Aim, Arms, Config, Coordinator, Directive, Epoch,
-        Follows, Order, Report, Sight, Standing, Version,
+        Follows, Order, Report, Sight, Standing, VERSIONS, Version,
     },
 };
 
@@ -28,6 +28,9 @@
 const FIRST: u16 = 1;
 const SECOND: u16 = 0;
 
+/// The first map of the first coordinator.
+const FIRST_MAP: u64 = VERSIONS;
+
 /// Worlds that a scope may have; a larger one would take too long.
 const MOST_WORLDS: usize = 600_000;
 
@@ -120,8 +123,8 @@
         // Preparing is done: its orders change no pass.
         let engine = Engine {
             map: 0,
-            prepared: Some(1),
-            newest: 1,
+            prepared: Some(FIRST_MAP),
+            newest: FIRST_MAP,
             armed: None,
             held: None,
             fence: 0,
@@ -544,7 +547,7 @@
     while let Some((world, number)) = queue.pop_front() {
         for next in world.next(&scope) {
             assert!(!next.mixed, "two maps in one pass: {next:#?}");
-            changed |= next.engines.iter().all(|it| it.map == 1);
+            changed |= next.engines.iter().all(|it| it.map == FIRST_MAP);
             let count = numbers.len() as u32;
             let known = *numbers.entry(hash(&next)).or_insert(count);
             if known == count {
