--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -6,7 +6,7 @@
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddr},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc,
@@ -91,12 +91,7 @@
         let file = std::env::temp_dir().join(name);
         let text = cowsliproad_kernel::settings::print(&settings);
         fs::write(&file, text).expect("a settings file");
-        let child = Command::new(env!("CARGO_BIN_EXE_cowsliproad-rank"))
-            .env(SETTINGS_VARIABLE, &file)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the program starts");
-        Agent { child, file }
+        Agent { child: spawn(&file), file }
     }
 
     /// Asks all agents to report, as an entry does, and keeps what they say.
@@ -145,6 +140,22 @@
     }
 }
 
+impl Agent {
+    /// Starts again once the process has ended and its address is free.
+    fn restart(&mut self) {
+        self.child.wait().expect("it ends");
+        self.child = spawn(&self.file);
+    }
+}
+
+fn spawn(file: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_cowsliproad-rank"))
+        .env(SETTINGS_VARIABLE, file)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the program starts")
+}
+
 impl Drop for Agent {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -203,10 +214,8 @@
     for round in 0..2 {
         // The first to lead is rank 0; it is killed as a change is due.
         plant.group.demand(liked(5 + 3 * round));
-        // Its address is free once the process has ended.
         plant.signal(round, Signal::KILL);
-        plant.agents[round].child.wait().expect("it ends");
-        plant.agents[round] = plant.agent(round as u8 + 1);
+        plant.agents[round].restart();
         plant.until_balanced().await;
     }
 }
