--- /dev/null
+++ b/cowsliproad-direct/src/call.rs
@@ -0,0 +1,504 @@
+//! Tries at targets, until there is an answer to give.
+//!
+//! Each try ends in one of a few ways, and what may follow depends on what is
+//! certain:
+//!
+//! * the target answered: its answer is given unchanged, or, for a failure
+//!   of a request that may be repeated, another target is tried first;
+//! * it said that it did not run the request, or the request was never sent:
+//!   another try is free of risk;
+//! * anything else: the request may have run. Only one that may be repeated
+//!   is tried again; the caller of another is told that nobody knows.
+//!
+//! "Not run" is said only when every try ended in the second way. The number
+//! of targets that one request is sent to stays within its route's bound,
+//! and every try after the first draws on the retry budget.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_platform::header;
+use cowsliproad_routing::catalog::Route;
+use http::{
+    HeaderMap, HeaderValue, Request, Response, StatusCode, Uri,
+    header as standard, request, response,
+};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use slog::info;
+use tokio::time::{Instant, timeout};
+
+use crate::{
+    entry::{Choice, Entry, Seat, Source},
+    receive::{USUAL_TIME, drop_hop_by_hop},
+    reply::{self, Body},
+    upstream::{self, Failure, Lease, Reuse},
+};
+
+/// The largest answer that is read whole before it is passed on.
+const MOST_ANSWER_BYTES: usize = 8 << 20;
+
+/// A first answer may take this part of the time it is wanted in, in
+/// percent, before another target is asked: what is left is enough for it.
+const FIRST_TRY_PERCENT: u64 = 50;
+
+/// The least time for a first try, three times the way there and back and
+/// the usual work.
+const LEAST_TRY: Millis = Millis(40);
+
+/// When to come back if all targets are full.
+pub const FULL_TIME: Millis = Millis(250);
+
+/// Tries beyond the targets that a route allows, at targets that were asked
+/// before and said that they did not run the request.
+const SPARE_TRIES: usize = 4;
+
+/// Ranks that a request falls back in a target's queue once it is late.
+const LATE_RANKS: u16 = 2;
+
+/// The last rank of a target's queue.
+const LAST_RANK: u16 = 9;
+
+/// Tries of one request of any kind. Those that can't connect end at once or
+/// after a quarter of a second each.
+const MOST_TRIES: usize = 12;
+
+/// The pause before a target that refused is asked again.
+const AGAIN_TIME: Millis = Millis(60);
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Call {
+    /// Its id, for logs.
+    pub id: Name,
+    /// The rule it goes by.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: Name,
+    /// When its head arrived.
+    pub arrived: Millis,
+    /// When its caller gives up or its route ends it.
+    pub until: Millis,
+    /// Its rank among others, 0 first.
+    priority: u8,
+    head: request::Parts,
+    body: Bytes,
+    /// Since when it waits for a target.
+    waits_since: Millis,
+    /// Targets that it was sent to.
+    sent: Vec<Name>,
+    tries: usize,
+    /// Tries that may have run.
+    runs: usize,
+    /// Whether it may have run.
+    certainty: Certainty,
+}
+
+/// What is known of all tries so far.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Certainty {
+    /// No try ran.
+    NotRun,
+    /// Some try may have run.
+    Unknown,
+}
+
+/// How a try ended without an answer to pass on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Miss {
+    /// The target did not run it and never will.
+    Refused(&'static str),
+    /// It was not sent.
+    Unsent(&'static str),
+    /// It may have run.
+    Unknown(&'static str),
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct Opened {
+    /// Its status and headers.
+    pub head: response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// Its connection.
+    pub lease: Lease,
+}
+
+/// A request's stay at a target.
+#[derive(Debug)]
+pub struct Stay {
+    seat: Rc<RefCell<Seat>>,
+    began: Millis,
+}
+
+impl Stay {
+    /// Counts a request in.
+    pub fn new(choice: &Choice) -> Stay {
+        choice.seat.borrow_mut().record.start();
+        Stay { seat: choice.seat.clone(), began: Millis::now() }
+    }
+
+    /// Notes a good answer.
+    pub fn success(&self) {
+        let now = Millis::now();
+        let took = now.since(self.began);
+        self.seat.borrow_mut().record.success(took, now);
+    }
+
+    /// Notes a failure.
+    pub fn failure(&self) {
+        self.seat.borrow_mut().record.failure(Millis::now());
+    }
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        self.seat.borrow_mut().record.end();
+    }
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub struct Destination {
+    /// The rule it goes by.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: Name,
+    /// Its rank among others, 0 first.
+    pub priority: u8,
+}
+
+/// When a request began and when it ends.
+#[derive(Clone, Copy, Debug)]
+pub struct Span {
+    /// When its head arrived.
+    pub arrived: Millis,
+    /// When its caller gives up or its route ends it.
+    pub until: Millis,
+}
+
+impl Call {
+    /// A request with the headers that targets get.
+    pub fn new(
+        head: request::Parts,
+        body: Bytes,
+        destination: Destination,
+        span: Span,
+    ) -> Call {
+        let id = head.headers.get(&header::REQUEST_ID);
+        let id = id.and_then(|it| it.to_str().ok()).unwrap_or("-").into();
+        Call {
+            id,
+            route: destination.route,
+            service: destination.service,
+            priority: destination.priority,
+            arrived: span.arrived,
+            until: span.until,
+            head,
+            body,
+            waits_since: span.arrived,
+            sent: Vec::new(),
+            tries: 0,
+            runs: 0,
+            certainty: Certainty::NotRun,
+        }
+    }
+
+    /// Notes that a try may have run.
+    pub fn ran(&mut self) {
+        self.certainty = Certainty::Unknown;
+        self.runs += 1;
+    }
+
+    /// Notes that it begins to wait for a target anew.
+    pub fn waits_anew(&mut self) {
+        self.waits_since = Millis::now();
+    }
+
+    /// The time left.
+    pub fn left(&self) -> Millis {
+        self.until.since(Millis::now())
+    }
+
+    /// The moment at which the request ends.
+    pub fn end(&self) -> Instant {
+        Instant::now() + self.left().duration()
+    }
+
+    /// Chooses the next target, and waits for one if there is none.
+    pub async fn next_target(
+        &mut self,
+        entry: &Rc<Entry>,
+    ) -> Result<Choice, Response<Body>> {
+        let wait = entry.settings().wait_ms;
+        let wait = self.until.min(self.waits_since + wait);
+        loop {
+            let news = entry.news.notified();
+            let now = Millis::now();
+            if let Some(choice) = self.choose(entry, now) {
+                self.log_choice(entry, &choice, now);
+                self.tries += 1;
+                return Ok(choice);
+            }
+            let patience = wait.since(now);
+            if patience.0 == 0
+                || timeout(patience.duration(), news).await.is_err()
+            {
+                return Err(self.give_up(entry, "no target can be used"));
+            }
+        }
+    }
+
+    /// The best target that the request may still be sent to: a new one while
+    /// its route allows more, else one that was asked before.
+    fn choose(&self, entry: &Entry, now: Millis) -> Option<Choice> {
+        let is_new = |id: &Name| !self.sent.contains(id);
+        if self.sent.len() < self.route.attempts as usize {
+            let new = entry.choose(&self.service, now, |it| is_new(&it.id));
+            if new.is_some() {
+                return new;
+            }
+        }
+        entry.choose(&self.service, now, |it| !is_new(&it.id))
+    }
+
+    fn log_choice(&self, entry: &Entry, choice: &Choice, now: Millis) {
+        let seat = choice.seat.borrow();
+        let age = seat.group.map_or(-1, |it| now.since(it.heard).0 as i64);
+        info!(entry.log, "chosen"; "request" => &*self.id,
+            "target" => &*choice.target.id, "route" => &*self.route.name,
+            "cost" => choice.cost as u64, "at_target" => seat.record.occupancy(),
+            "own" => seat.record.in_flight(), "report_age" => age,
+            "left" => self.left().0, "try" => self.tries + 1);
+    }
+
+    /// Sends the request and waits for the head of an answer of its own.
+    pub async fn open(
+        &mut self,
+        entry: &Rc<Entry>,
+        choice: &Choice,
+        resume: Option<u64>,
+    ) -> Result<Opened, Miss> {
+        let reuse =
+            if self.route.repeats() { Reuse::Any } else { Reuse::Fresh };
+        if !self.sent.contains(&choice.target.id) {
+            self.sent.push(choice.target.id.clone());
+        }
+        let request = self.request(choice, resume);
+        let (answer, lease) = upstream::send(choice, request, reuse)
+            .await
+            .map_err(|failure| match failure {
+                Failure::Unsent(why) => Miss::Unsent(why),
+                Failure::Unknown(why) => Miss::Unknown(why),
+            })?;
+        let (head, body) = answer.into_parts();
+        note_load(choice, &head.headers);
+        let echoed = head.headers.get(&header::REQUEST_ID);
+        let own = self.head.headers.get(&header::REQUEST_ID);
+        if echoed.is_some() && echoed != own {
+            return Err(Miss::Unknown("another request's answer"));
+        }
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            let id = &choice.target.id;
+            let change = entry.fleet.borrow_mut().leave(id, 0, Millis::now());
+            entry.changed(id, change, Source::Own);
+            return Err(Miss::Refused("another incarnation"));
+        }
+        if head.headers.contains_key(&header::NOT_RUN) {
+            let at_fault = head.headers.contains_key(&header::AT_FAULT);
+            drop(body);
+            return Err(Miss::Refused(if at_fault {
+                "its group is broken"
+            } else {
+                "refused by the target"
+            }));
+        }
+        if echoed.is_none()
+            || head.headers.contains_key(standard::CONTENT_ENCODING)
+            || head.status.is_success()
+                && !head.headers.contains_key(&header::SIGNATURE)
+        {
+            return Err(Miss::Unknown("not an answer of the target"));
+        }
+        Ok(Opened { head, body, lease })
+    }
+
+    /// A whole answer.
+    pub async fn get(
+        &mut self,
+        entry: &Rc<Entry>,
+        choice: &Choice,
+    ) -> Result<Response<Body>, Miss> {
+        let opened = self.open(entry, choice, None).await?;
+        read_whole(opened).await
+    }
+
+    fn request(
+        &self,
+        choice: &Choice,
+        resume: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self
+            .head
+            .uri
+            .path_and_query()
+            .cloned()
+            .map_or_else(Uri::default, Uri::from);
+        let mut headers = self.head.headers.clone();
+        headers.insert(header::TIME_LEFT, HeaderValue::from(self.left().0));
+        headers.insert(header::URGENCY, HeaderValue::from(self.urgency()));
+        if let Ok(id) = HeaderValue::from_str(&choice.target.id) {
+            headers.insert(header::EXPECTED_TARGET, id);
+        }
+        if let Some(event) = resume {
+            headers.insert(header::LAST_EVENT, HeaderValue::from(event));
+        }
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Its rank in the target's queue. One that can't be on time any more
+    /// goes behind those that can: after an outage the others would all be
+    /// late too, for as long as the backlog lasts.
+    fn urgency(&self) -> u16 {
+        let time = self.route.timeout.unwrap_or(USUAL_TIME);
+        let waited = time.since(self.left());
+        let late = self.route.aim.is_some_and(|aim| waited > aim);
+        let rank = u16::from(self.priority);
+        let rank = if late { rank + LATE_RANKS } else { rank };
+        rank.min(LAST_RANK)
+    }
+
+    /// How long the next try may take.
+    pub fn patience(&self) -> Millis {
+        let left = self.left();
+        let last = self.sent.len() + 1 >= self.route.attempts as usize;
+        let Some(aim) = self.route.aim else { return left };
+        if last || !self.route.repeats() {
+            return left;
+        }
+        let first = Millis(aim.0 * FIRST_TRY_PERCENT / 100);
+        first.max(LEAST_TRY).min(left)
+    }
+
+    /// Takes a miss in. Returns the final answer if nothing may follow.
+    pub async fn missed(
+        &mut self,
+        entry: &Rc<Entry>,
+        choice: &Choice,
+        miss: Miss,
+    ) -> Option<Response<Body>> {
+        let why = match miss {
+            Miss::Refused(why) => {
+                entry.measure.tried("refused");
+                why
+            }
+            Miss::Unsent(why) => {
+                entry.measure.tried("unsent");
+                self.sent.retain(|it| *it != choice.target.id);
+                // What never arrived is no repeat.
+                if self.left().0 > 0 && self.tries < MOST_TRIES {
+                    info!(entry.log, "unsent"; "request" => &*self.id,
+                        "target" => &*choice.target.id, "why" => why);
+                    return None;
+                }
+                why
+            }
+            Miss::Unknown(why) => {
+                entry.measure.tried("unknown");
+                self.ran();
+                why
+            }
+        };
+        if !self.may_try_again(entry, choice, why) {
+            return Some(self.give_up(entry, why));
+        }
+        let again = self.sent.len() >= self.route.attempts as usize;
+        if again && matches!(miss, Miss::Refused(_)) {
+            tokio::time::sleep(AGAIN_TIME.duration()).await;
+        }
+        None
+    }
+
+    /// Whether another try is allowed; spends a retry if so.
+    pub fn may_try_again(
+        &self,
+        entry: &Entry,
+        choice: &Choice,
+        why: &'static str,
+    ) -> bool {
+        let safe = self.certainty == Certainty::NotRun || self.route.repeats();
+        let attempts = self.route.attempts as usize;
+        let room = self.runs < attempts && self.tries < attempts + SPARE_TRIES;
+        let time = self.left().0 > 0;
+        let now = Millis::now();
+        let allowed = safe && room && time;
+        let spent = allowed && entry.spend_retry(&self.service, now);
+        info!(entry.log, "missed"; "request" => &*self.id,
+            "target" => &*choice.target.id, "why" => why,
+            "repeats" => self.route.repeats(), "tries" => self.tries,
+            "budget" => spent || !allowed, "again" => spent,
+            "left" => self.left().0);
+        spent
+    }
+
+    /// The final answer of a request that no target answers.
+    pub fn give_up(&self, entry: &Entry, why: &'static str) -> Response<Body> {
+        let left = self.left();
+        info!(entry.log, "given_up"; "request" => &*self.id, "why" => why,
+            "certainty" => ?self.certainty, "tries" => self.tries,
+            "left" => left.0);
+        match self.certainty {
+            Certainty::NotRun => {
+                reply::not_run("not run: no target\n", self.come_back())
+            }
+            Certainty::Unknown if left.0 == 0 => reply::overdue(),
+            Certainty::Unknown => reply::unknown("no whole answer\n"),
+        }
+    }
+
+    /// When the caller should come back: callers wait for a third of what
+    /// they have left at most.
+    fn come_back(&self) -> Millis {
+        let third = Millis(self.left().0 / 3);
+        if self.route.streams() { third } else { third.min(FULL_TIME) }
+    }
+}
+
+/// Reads the body of an answer and keeps its connection.
+pub async fn read_whole(opened: Opened) -> Result<Response<Body>, Miss> {
+    let Opened { mut head, body, lease } = opened;
+    let body = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|_| Miss::Unknown("the answer was cut"))?;
+    lease.keep(Millis::now());
+    let promises = matches!(
+        head.status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+    );
+    if promises {
+        // It doesn't say that it did not run the request, so we can't.
+        return Err(Miss::Unknown("a refusal without a promise"));
+    }
+    drop_hop_by_hop(&mut head.headers);
+    head.headers.remove(standard::CONTENT_LENGTH);
+    let body = Body::Whole(Full::new(body.to_bytes()));
+    Ok(Response::from_parts(head, body))
+}
+
+/// Takes in the load that a target states with its answers.
+fn note_load(choice: &Choice, headers: &HeaderMap) {
+    let text = headers.get(&header::LOAD).and_then(|it| it.to_str().ok());
+    let Some(text) = text else { return };
+    let mut numbers = text.split(',').map(|it| it.trim().parse::<u32>());
+    if let (Some(Ok(running)), Some(Ok(waiting))) =
+        (numbers.next(), numbers.next())
+    {
+        choice.seat.borrow_mut().record.report(running + waiting);
+    }
+}
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -8,12 +8,15 @@
 //! * [`settings`]: the settings file;
 //! * [`entry`]: what the process believes, shared by all its tasks;
 //! * [`callers`]: connections of callers and their requests;
-//! * [`forward`]: tries at targets, until there is an answer to give;
+//! * [`receive`]: a request read whole, and where it goes;
+//! * [`forward`]: from a request to its answer;
+//! * [`call`]: tries at targets, and what may follow each;
 //! * [`stream`]: answers that are streams of events, resumed elsewhere;
 //! * [`upstream`]: connections to targets;
 //! * [`follow`]: configuration and targets from the platform's log;
 //! * [`peers`]: what entries and agents tell one another;
-//! * [`reply`]: the entry's own answers.
+//! * [`reply`]: the entry's own answers;
+//! * [`readiness`], [`measure`]: what the balancer and operators ask.
 //!
 //! One thread does it all: a VM has a part of one core, and state that no
 //! other thread sees needs no locks.
@@ -29,6 +32,7 @@
 
 use crate::{entry::Entry, settings::Settings};
 
+pub mod call;
 pub mod callers;
 pub mod entry;
 pub mod follow;
@@ -36,6 +40,7 @@
 pub mod measure;
 pub mod peers;
 pub mod readiness;
+pub mod receive;
 pub mod reply;
 pub mod settings;
 pub mod stream;
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -21,9 +21,10 @@
 };
 
 use crate::{
+    call::{Call, Miss, Opened, Stay, read_whole},
     callers::Busy,
     entry::{Choice, Entry, Group},
-    forward::{self, Call, Miss, Opened, Stay},
+    receive::drop_hop_by_hop,
     reply::{Body, Piece},
     upstream::Lease,
 };
@@ -108,7 +109,7 @@
     let mut run = match open(entry, call, choice, None).await? {
         Ok(opened) => opened,
         Err(opened) => {
-            return forward::read_whole(opened).await.map(Begun::Whole);
+            return read_whole(opened).await.map(Begun::Whole);
         }
     };
     let end = call.end();
@@ -118,7 +119,7 @@
         Next::End => None,
         Next::Miss(miss) => return Err(miss),
     };
-    forward::drop_hop_by_hop(&mut head.headers);
+    drop_hop_by_hop(&mut head.headers);
     head.headers.remove(standard::CONTENT_LENGTH);
     Ok(Begun::Stream(head, Box::new(run.1), first))
 }
@@ -155,7 +156,7 @@
     /// The next whole event, the end, or why there is none.
     async fn next(&mut self, entry: &Entry, end: Instant) -> Next {
         loop {
-            if let Some(event) = self.splitter.next() {
+            if let Some(event) = self.splitter.pop() {
                 return Next::Event(event);
             }
             if self.splitter.is_over_long() {
--- /dev/null
+++ b/cowsliproad-mapswitch/src/order/coordinator.rs
@@ -0,0 +1,415 @@
+//! The state of whoever leads a change; see the parent module for why each
+//! step is as it is.
+
+use cowsliproad_kernel::clock::Millis;
+
+use super::{
+    Absent, Aim, Arms, Directive, Epoch, Follows, Report, Sight, Version,
+};
+
+/// Times and distances of a change.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    lead: (u64, u64),
+    patience: Millis,
+}
+
+impl Config {
+    /// The usual ones.
+    pub fn new() -> Config {
+        Config { lead: LEAD, patience: PATIENCE }
+    }
+
+    /// How many passes ahead the boundary is set, at least and at most.
+    pub fn with_lead(self, least: u64, most: u64) -> Config {
+        Config { lead: (least, most), ..self }
+    }
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config::new()
+    }
+}
+
+/// The boundary is set as far ahead as arming lately took, within these
+/// bounds, so that the group doesn't stand while orders go unanswered. With
+/// half of them lost arming takes some 200 ms.
+const LEAD: (u64, u64) = (2, 16);
+
+/// Hold, arm and go take 30 ms together when each order is answered.
+const LEAST_ARMING: Millis = Millis(60);
+
+/// The time for copies, which take 40 ms each, before a plan is given up.
+const PATIENCE: Millis = Millis(3_000);
+
+/// Versions of one coordinator. A rank refuses a version that isn't higher
+/// than all that it has had, also in formations that nobody remembers. So
+/// each coordinator counts from its fencing number on.
+pub const VERSIONS: u64 = 10_000;
+
+/// What a coordinator is doing.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Phase {
+    Resting,
+    Preparing { version: Version, since: Millis },
+    Holding { version: Version, step: u64, holder: u16 },
+    Arming { version: Version, step: u64, except: Option<u16> },
+    Disarming { step: u64 },
+    Releasing { version: Version, step: u64 },
+}
+
+/// What ended or began with the last look at the reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// Nothing of note.
+    None,
+    /// All ranks have changed.
+    Changed(Version),
+    /// A plan was given up before anything was armed.
+    GivenUp(Version),
+    /// A change that another coordinator began is completed.
+    TakenUp(Version),
+    /// A change that another coordinator began is called off.
+    CalledOff(Version),
+    /// The group formed anew; all is forgotten.
+    Reset(Epoch),
+}
+
+/// Leads a group from one map to the next.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Coordinator {
+    lead: (u64, u64),
+    patience: Millis,
+    fence: u64,
+    rank: u16,
+    epoch: Epoch,
+    /// The newest version that it planned.
+    newest: Version,
+    phase: Phase,
+    pace: Pace,
+}
+
+/// What changes and passes took lately.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Pace {
+    /// From the order to hold until all were armed.
+    arming: Millis,
+    /// When that began.
+    began: Millis,
+    /// A pass, and where and when passes were counted from.
+    pass: Millis,
+    step: u64,
+    at: Millis,
+}
+
+impl Pace {
+    fn new() -> Pace {
+        Pace {
+            arming: Millis(0),
+            began: Millis(0),
+            pass: USUAL_PASS,
+            step: 0,
+            at: Millis(0),
+        }
+    }
+
+    /// Counts passes anew.
+    fn start(&mut self, step: u64, now: Millis) {
+        self.step = step;
+        self.at = now;
+    }
+
+    /// Takes the passes since then in, and notes that arming begins.
+    fn arm(&mut self, step: u64, now: Millis) {
+        let passes = step.saturating_sub(self.step);
+        if let Some(pass) = now.since(self.at).0.checked_div(passes) {
+            self.pass = Millis(pass.max(1));
+        }
+        self.began = now;
+    }
+
+    /// Takes the time that arming took in. What was slow once is likely so
+    /// again, so it fades slowly.
+    fn armed(&mut self, now: Millis) {
+        let took = now.since(self.began);
+        let faded = Millis(self.arming.0 * 3 / 4);
+        self.arming = took.max(faded);
+    }
+
+    /// Passes in which arming is likely done. The next pass may begin at any
+    /// moment, so it doesn't count.
+    fn passes(&self) -> u64 {
+        let time = (self.arming.0 + self.arming.0 / 4).max(LEAST_ARMING.0);
+        time / self.pass.0 + 2
+    }
+}
+
+/// A pass before any was counted.
+const USUAL_PASS: Millis = Millis(50);
+
+impl Coordinator {
+    /// A coordinator beside a rank with its fencing number, which has seen
+    /// nothing yet.
+    pub fn new(config: Config, fence: u64, rank: u16) -> Coordinator {
+        Coordinator {
+            lead: config.lead,
+            patience: config.patience,
+            fence,
+            rank,
+            epoch: Epoch(0),
+            newest: Version(0),
+            phase: Phase::Resting,
+            pace: Pace::new(),
+        }
+    }
+
+    /// Its fencing number.
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Whether a new plan may begin.
+    pub fn is_resting(&self) -> bool {
+        self.phase == Phase::Resting
+    }
+
+    /// The word to all agents.
+    pub fn directive(&self) -> Directive {
+        let aim = match self.phase {
+            Phase::Resting => Aim::Rest,
+            Phase::Preparing { version, .. } => Aim::Prepared(version),
+            Phase::Holding { step, holder, .. } => Aim::Held { step, holder },
+            Phase::Arming { version, step, except } => {
+                Aim::Armed { version, step, except }
+            }
+            Phase::Disarming { .. } => Aim::Disarmed,
+            Phase::Releasing { step, .. } => Aim::Released(step),
+        };
+        Directive { fence: self.fence, epoch: self.epoch, aim }
+    }
+
+    /// Begins a plan; all ranks are in sight.
+    pub fn begin(&mut self, sights: &[Sight], now: Millis) -> Version {
+        let newest = sights.iter().map(|it| newest(&it.report)).max();
+        let known = newest.unwrap_or(self.newest).max(self.newest);
+        let own = self.fence * VERSIONS;
+        let version = Version(own.max(known.0 + 1));
+        self.newest = version;
+        self.phase = Phase::Preparing { version, since: now };
+        self.pace.start(last(sights), now);
+        version
+    }
+
+    /// Looks at what the ranks report now.
+    pub fn look(
+        &mut self,
+        sights: &[Sight],
+        absent: Absent,
+        now: Millis,
+    ) -> Event {
+        let Some(first) = sights.first() else { return Event::None };
+        let epoch = first.report.epoch;
+        // Ranks that learn of a new formation at different moments don't
+        // agree for a while.
+        if sights.iter().any(|it| it.report.epoch != epoch) {
+            return Event::None;
+        }
+        if epoch != self.epoch {
+            self.epoch = epoch;
+            self.phase = Phase::Resting;
+            return Event::Reset(epoch);
+        }
+        match (self.phase, absent) {
+            (Phase::Resting, Absent::Nobody) => self.tidy(sights),
+            (Phase::Resting, Absent::Predecessor) => self.call_off(sights),
+            // Not forward again, even with all in sight: an agent may still
+            // act on the word to disarm.
+            (
+                Phase::Disarming { step },
+                Absent::Predecessor | Absent::Nobody,
+            ) => self.disarm(sights, step),
+            (Phase::Releasing { version, step }, _) => {
+                self.release(sights, version, step)
+            }
+            (Phase::Preparing { version, since }, _) => {
+                self.prepare(sights, absent, version, since, now)
+            }
+            (_, Absent::Predecessor | Absent::Others) => Event::None,
+            (Phase::Holding { version, step, holder }, _) => {
+                self.hold(sights, version, step, holder)
+            }
+            (Phase::Arming { version, step, except }, _) => {
+                self.arm(sights, version, step, except, now);
+                Event::None
+            }
+        }
+    }
+
+    /// Completes what another coordinator left, and releases a stray hold.
+    fn tidy(&mut self, sights: &[Sight]) -> Event {
+        let armed = sights.iter().find_map(|it| it.report.armed);
+        if let Some((version, step)) = armed {
+            self.phase = Phase::Arming { version, step, except: None };
+            return Event::TakenUp(version);
+        }
+        let Some(step) = sights.iter().find_map(|it| it.report.held) else {
+            return Event::None;
+        };
+        // An *arm* for this very pass may be on its way to any rank that has
+        // the next map. Completing forward is right in either case.
+        self.phase = match ready(sights) {
+            Some(version) => Phase::Arming { version, step, except: None },
+            None => Phase::Releasing { version: sights[0].report.map, step },
+        };
+        Event::None
+    }
+
+    /// Calls off what a coordinator left that is out of reach now.
+    fn call_off(&mut self, sights: &[Sight]) -> Event {
+        let held = sights.iter().find_map(|it| it.report.held);
+        let Some(step) = held else { return Event::None };
+        let armed = sights.iter().find_map(|it| it.report.armed);
+        // One that has not armed and never will says that the former
+        // coordinator, who arms last, has not either. While any is in doubt
+        // it is better to wait: the former coordinator may be back sooner,
+        // and then the change is completed.
+        let certain = sights.iter().all(is_certain);
+        let unarmed =
+            |it: &Sight| it.report.armed.is_none() && it.report.step < step;
+        if !certain || !sights.iter().any(unarmed) {
+            return Event::None;
+        }
+        let version = armed.map_or(sights[0].report.map, |it| it.0);
+        self.phase = Phase::Disarming { step };
+        Event::CalledOff(version)
+    }
+
+    fn disarm(&mut self, sights: &[Sight], step: u64) -> Event {
+        let clear = |it: &Sight| it.report.armed.is_none() && is_certain(it);
+        if sights.iter().all(clear) {
+            let version = sights[0].report.map;
+            self.phase = Phase::Releasing { version, step };
+        }
+        Event::None
+    }
+
+    fn prepare(
+        &mut self,
+        sights: &[Sight],
+        absent: Absent,
+        version: Version,
+        since: Millis,
+        now: Millis,
+    ) -> Event {
+        let has = |it: &Sight| it.report.prepared == Some(version);
+        if absent == Absent::Nobody && sights.iter().all(has) {
+            self.pace.arm(last(sights), now);
+            let step = self.boundary(sights);
+            let holder = self.holder(sights);
+            self.phase = Phase::Holding { version, step, holder };
+            return Event::None;
+        }
+        if now.since(since) > self.patience {
+            self.phase = Phase::Resting;
+            return Event::GivenUp(version);
+        }
+        Event::None
+    }
+
+    /// The pass from which the new map is to be used.
+    fn boundary(&self, sights: &[Sight]) -> u64 {
+        let (least, most) = self.lead;
+        last(sights) + self.pace.passes().clamp(least, most)
+    }
+
+    fn holder(&self, sights: &[Sight]) -> u16 {
+        let ranks = sights.iter().map(|it| it.report.rank);
+        ranks.filter(|it| *it != self.rank).min().unwrap_or(self.rank)
+    }
+
+    fn hold(
+        &mut self,
+        sights: &[Sight],
+        version: Version,
+        step: u64,
+        holder: u16,
+    ) -> Event {
+        let held = sights.iter().any(|it| it.report.held == Some(step));
+        if held {
+            let except = Some(self.rank);
+            self.phase = Phase::Arming { version, step, except };
+        } else if last(sights) >= step {
+            // The group went past: nothing is armed, so another pass serves.
+            let step = self.boundary(sights);
+            self.phase = Phase::Holding { version, step, holder };
+        }
+        Event::None
+    }
+
+    fn arm(
+        &mut self,
+        sights: &[Sight],
+        version: Version,
+        step: u64,
+        except: Option<u16>,
+        now: Millis,
+    ) {
+        // One that obeys another's word could be disarmed yet.
+        let done = |it: &Sight| {
+            it.report.armed == Some((version, step))
+                && it.follows == Follows::Us
+                || it.report.map == version
+        };
+        if sights.iter().all(done) {
+            self.pace.armed(now);
+            self.phase = Phase::Releasing { version, step };
+            return;
+        }
+        let others = |it: &&Sight| Some(it.report.rank) != except;
+        if except.is_some() && sights.iter().filter(others).all(done) {
+            self.phase = Phase::Arming { version, step, except: None };
+        }
+    }
+
+    fn release(
+        &mut self,
+        sights: &[Sight],
+        version: Version,
+        step: u64,
+    ) -> Event {
+        let held = sights.iter().any(|it| it.report.held == Some(step));
+        let changed = sights.iter().all(|it| it.report.map == version);
+        if held || !changed {
+            return Event::None;
+        }
+        self.phase = Phase::Resting;
+        Event::Changed(version)
+    }
+}
+
+/// The newest version that a rank has had in any way.
+fn newest(report: &Report) -> Version {
+    let armed = report.armed.map(|it| it.0);
+    let prepared = report.prepared.max(armed);
+    prepared.map_or(report.map, |it| it.max(report.map))
+}
+
+/// Whether nothing can happen at a rank that its report doesn't show, but by
+/// this coordinator's word.
+fn is_certain(sight: &Sight) -> bool {
+    sight.arms == Arms::Answered && sight.follows == Follows::Us
+}
+
+/// The map that all ranks have and none uses yet.
+fn ready(sights: &[Sight]) -> Option<Version> {
+    let version = sights.first()?.report.prepared?;
+    let fits = |it: &Sight| {
+        it.report.prepared == Some(version) && it.report.map < version
+    };
+    sights.iter().all(fits).then_some(version)
+}
+
+fn last(sights: &[Sight]) -> u64 {
+    sights.iter().map(|it| it.report.step).max().unwrap_or_default()
+}
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -11,12 +11,9 @@
     gossip::{self, Datagram, Load, Subscribe},
 };
 use cowsliproad_mapswitch::order::{
-    self, Aim, Arms, Directive, Epoch, Report, Standing, Verdict,
-};
-use cowsliproad_platform::{
-    engine::State,
-    log::{COORDINATORS, Client},
+    self, Aim, Directive, Epoch, Report, Standing,
 };
+use cowsliproad_platform::engine::State;
 use slog::{Logger, info, warn};
 use tokio::{
     net::UdpSocket,
@@ -24,23 +21,23 @@
     time::{Instant, sleep_until},
 };
 
+use self::chair::candidate;
 use crate::{
     engine::Engine,
-    lead::{Lead, Start},
+    lead::Lead,
     settings::Settings,
     wire::{Message, Plan, Status},
 };
 
+mod chair;
+mod orders;
+
 /// How often the engine is looked at while nothing is going on.
 const CALM_TIME: Millis = Millis(200);
 
 /// How often while a change of map is under way: less than a pass takes.
 const BUSY_TIME: Millis = Millis(30);
 
-/// How long an order that was taken is given to show in the report before it
-/// is repeated. Copies of two experts take 80 ms.
-const TAKEN_TIME: Millis = Millis(120);
-
 /// How often entries are told of the load.
 const LOAD_TIME: Millis = Millis(400);
 
@@ -56,27 +53,6 @@
 /// Entries that haven't asked for so long get no more reports.
 const FORGET_TIME: Millis = Millis(4_000);
 
-/// How long rank 0 waits for another coordinator before it leads.
-const FIRST_PATIENCE: Millis = Millis(250);
-
-/// How long rank 1 waits, and each next rank more. Three words may be lost.
-const NEXT_PATIENCE: Millis = Millis(1_300);
-const RANK_PATIENCE: Millis = Millis(400);
-
-/// How long rank 0 waits in the middle of a change, when a word comes every
-/// 30 ms and the group may stand still.
-const BUSY_PATIENCE: Millis = Millis(350);
-
-/// The longest time after which an unanswered order was seen carried out, and
-/// some more.
-const LATE_TIME: Millis = Millis(13_000);
-
-/// How often an engine whose agent is silent is asked from afar.
-const REACH_TIME: Millis = Millis(100);
-
-/// The pause before the platform's log is asked for a number again.
-const AGAIN_TIME: Millis = Millis(1_000);
-
 /// A fencing number on its way from the platform's log.
 type Candidacy = JoinHandle<Option<u64>>;
 
@@ -249,13 +225,6 @@
         }
     }
 
-    fn step_down(&mut self, fence: u64) {
-        info!(self.log, "steps_down"; "fence" => fence);
-        self.fence = self.fence.max(fence);
-        self.lead = None;
-        self.last.said = None;
-    }
-
     /// Looks at the engine, does what is due and tells the others.
     async fn look(&mut self) {
         let before = self.standing();
@@ -312,53 +281,6 @@
         self.report().map(|it| (it.epoch, it.standing))
     }
 
-    /// Gives the order that is due, if any, and says whether it gave one.
-    async fn carry_out(&mut self, word: Directive) -> bool {
-        let plan = self.plan.as_ref();
-        let plan = plan.filter(|it| it.epoch == word.epoch);
-        let plan = plan.map(|it| (it.version, &it.experts));
-        let Some(due) =
-            self.report().and_then(|it| order::due(&word, it, plan))
-        else {
-            return false;
-        };
-        if let Some((taken, at)) = self.last.taken
-            && taken == word
-            && Millis::now().since(at) < TAKEN_TIME
-        {
-            return false;
-        }
-        let given = self.engine.order(&due, word.epoch, word.fence).await;
-        let name = name(&due);
-        match given {
-            Ok(Verdict::Taken) => {
-                self.last.taken = Some((word, Millis::now()));
-                info!(self.log, "order_taken"; "order" => name,
-                    "aim" => ?word.aim);
-            }
-            Ok(Verdict::Unfit) => {
-                info!(self.log, "order_refused"; "order" => name,
-                    "aim" => ?word.aim, "report" => ?self.report());
-            }
-            Ok(Verdict::Fenced) => {
-                info!(self.log, "order_fenced"; "order" => name,
-                    "fence" => word.fence);
-                self.word = None;
-                if self.lead.is_some() {
-                    self.step_down(word.fence);
-                }
-            }
-            Err(error) => {
-                if matches!(due, order::Order::Arm(..)) {
-                    self.last.unanswered_arm = Some(Millis::now());
-                }
-                info!(self.log, "order_unanswered"; "order" => name,
-                    "aim" => ?word.aim, "error" => %error);
-            }
-        }
-        true
-    }
-
     async fn tell_entries(&mut self) {
         let Some(state) = &self.state else { return };
         let report = state.report.as_ref();
@@ -446,127 +368,6 @@
         })
     }
 
-    /// Does an agent's work for it, while it is silent and the group may stand
-    /// still for it. Calls from afar are dear and hold the caller up, so one
-    /// VM is reached at a time.
-    async fn reach_silent(&mut self, now: Millis) {
-        let (Some(lead), Some(shape)) = (&self.lead, &self.shape) else {
-            return;
-        };
-        let calm = lead.directive().aim == Aim::Rest;
-        if calm || now.since(self.last.reach) < REACH_TIME {
-            return;
-        }
-        let silent = |it: &&SocketAddr| lead.is_silent(it.ip(), now);
-        let silent: Vec<SocketAddr> =
-            shape.targets.iter().filter(silent).copied().collect();
-        let count = silent.len().max(1);
-        let Some(target) = silent.get(self.last.reached % count) else {
-            return;
-        };
-        self.last.reached += 1;
-        self.last.reach = now;
-        let mut engine = Engine::new(*target);
-        let state = match engine.state().await {
-            Ok(state) => state,
-            Err(error) => {
-                info!(self.log, "engine_out_of_reach"; "target" => %target,
-                    "error" => %error);
-                return;
-            }
-        };
-        let Some(report) = state.report else { return };
-        let word = lead.directive();
-        let plan = lead.plan().filter(|it| it.epoch == word.epoch);
-        let plan = plan.map(|it| (it.version, &it.experts));
-        // An engine that took an order of ours refuses those with lower
-        // numbers, whatever its agent may yet do. So one that is armed is
-        // armed once more.
-        let again = match word.aim {
-            Aim::Armed { version, step, .. }
-                if report.armed == Some((version, step)) =>
-            {
-                Some(order::Order::Arm(version, step))
-            }
-            _ => None,
-        };
-        let due = order::due(&word, &report, plan).or(again);
-        let mut fence = 0;
-        if let Some(due) = due {
-            let given = engine.order(&due, word.epoch, word.fence).await;
-            info!(self.log, "order_from_afar"; "order" => name(&due),
-                "aim" => ?word.aim, "target" => %target,
-                "outcome" => ?given.as_ref().ok());
-            match given {
-                Ok(Verdict::Fenced) => {
-                    self.step_down(word.fence);
-                    return;
-                }
-                Ok(Verdict::Taken) => fence = word.fence,
-                Ok(Verdict::Unfit) | Err(_) => {}
-            }
-        }
-        let status = Status {
-            agent: SocketAddr::new(target.ip(), self.settings.agent_port),
-            fence,
-            plan: None,
-            experts: None,
-            counts: None,
-            pace: state.pace as f32,
-            arms: Arms::InDoubt,
-            report,
-        };
-        if let Some(lead) = &mut self.lead {
-            lead.take(status, Millis::now());
-            lead.look(self.shape.as_ref(), Millis::now());
-        }
-    }
-
-    /// Whether an *arm* of this agent may still be carried out.
-    fn arms(&self) -> Arms {
-        let now = Millis::now();
-        let unsure = [Some(self.begun), self.last.unanswered_arm];
-        let recent = |at: &Millis| now.since(*at) < LATE_TIME;
-        if unsure.iter().flatten().any(recent) {
-            Arms::InDoubt
-        } else {
-            Arms::Answered
-        }
-    }
-
-    /// Orders the hold, which another rank's engine has to take from afar.
-    async fn order_hold(&mut self) {
-        let now = Millis::now();
-        let Some((vm, due)) = self.lead.as_ref().and_then(|it| it.hold())
-        else {
-            return;
-        };
-        let word = self.lead.as_ref().map(|it| it.directive());
-        let target = self
-            .shape
-            .iter()
-            .flat_map(|it| &it.targets)
-            .find(|it| it.ip() == vm);
-        let (Some(word), Some(target)) = (word, target.copied()) else {
-            return;
-        };
-        let again = self.last.hold == Some(word)
-            && now.since(self.last.held) < TAKEN_TIME;
-        if again {
-            return;
-        }
-        self.last.hold = Some(word);
-        self.last.held = now;
-        let mut engine = Engine::new(target);
-        let given = engine.order(&due, word.epoch, word.fence).await;
-        info!(self.log, "order_from_afar"; "order" => name(&due),
-            "aim" => ?word.aim, "target" => %target,
-            "outcome" => ?given.as_ref().ok());
-        if matches!(given, Ok(Verdict::Fenced)) {
-            self.step_down(word.fence);
-        }
-    }
-
     /// Says the coordinator's word, if this agent is it.
     async fn speak(&mut self, now: Millis) {
         let Some(lead) = &self.lead else { return };
@@ -605,80 +406,6 @@
         let agents = self.shape.iter().flat_map(|it| &it.targets);
         agents.map(move |it| SocketAddr::new(it.ip(), port))
     }
-
-    /// Takes the lead when nobody has it.
-    async fn consider_leading(&mut self, now: Millis) {
-        if self.lead.is_some() {
-            self.reach_silent(now).await;
-            self.speak(now).await;
-            return;
-        }
-        if self.candidacy.is_some() || !self.misses_coordinator(now) {
-            return;
-        }
-        let again = |at: Millis| now.since(at) > AGAIN_TIME;
-        if self.last.candidacy.is_none_or(again) {
-            self.last.candidacy = Some(now);
-            info!(self.log, "asks_for_number";
-                "standing" => ?self.standing());
-            let (log, vm) = (self.settings.log, self.settings.vm.clone());
-            let task = number(log, vm.to_string(), self.log.clone());
-            self.candidacy = Some(tokio::task::spawn_local(task));
-        }
-    }
-
-    /// Leads, if nobody else does by now.
-    async fn take_number(&mut self, number: Option<u64>) {
-        let now = Millis::now();
-        let Some(fence) = number else {
-            info!(self.log, "no_fencing_number");
-            return;
-        };
-        if fence <= self.fence || !self.misses_coordinator(now) {
-            info!(self.log, "number_unused"; "fence" => fence);
-            return;
-        }
-        info!(self.log, "leads"; "fence" => fence);
-        self.fence = fence;
-        let price = self.settings.move_price;
-        let Some(rank) = self.report().map(|it| it.rank) else { return };
-        let predecessor = self.word.as_ref().map(|it| it.1.ip());
-        let start = Start { fence, rank, predecessor };
-        self.lead = Some(Lead::new(start, price, self.log.clone()));
-        self.speak(now).await;
-    }
-
-    /// Whether the group is open and nobody has led it for too long.
-    fn misses_coordinator(&self, now: Millis) -> bool {
-        let Some(report) = self.report() else { return false };
-        if report.standing == Standing::Broken || self.shape.is_none() {
-            return false;
-        }
-        let busy = |it: &Directive| it.aim != Aim::Rest;
-        let patience = match (report.rank, &self.word) {
-            (0, None) => FIRST_PATIENCE,
-            (rank, Some((word, _, _))) if busy(word) => {
-                BUSY_PATIENCE + Millis(RANK_PATIENCE.0 * u64::from(rank) / 4)
-            }
-            (rank, _) => {
-                NEXT_PATIENCE + Millis(RANK_PATIENCE.0 * u64::from(rank))
-            }
-        };
-        let heard = self.word.as_ref().map_or(self.begun, |it| it.2);
-        now.since(heard) > patience
-    }
-}
-
-/// A fencing number: one more than the offset of a record of ours, so that
-/// it is never 0 and always higher than all before.
-async fn number(log: SocketAddr, vm: String, logger: Logger) -> Option<u64> {
-    match Client::new(log).append(COORDINATORS, vm.as_bytes()).await {
-        Ok(offset) => Some(offset + 1),
-        Err(error) => {
-            warn!(logger, "log_lost"; "error" => %error);
-            None
-        }
-    }
 }
 
 async fn send(log: &Logger, socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
@@ -686,21 +413,3 @@
         slog::debug!(log, "not_told"; "peer" => %to, "error" => %error);
     }
 }
-
-fn name(order: &order::Order) -> &'static str {
-    match order {
-        order::Order::Prepare(..) => "prepare",
-        order::Order::Arm(..) => "arm",
-        order::Order::Disarm(_) => "disarm",
-        order::Order::Hold(_) => "hold",
-        order::Order::Go(_) => "go",
-    }
-}
-
-/// The number that was asked for, once it has come.
-async fn candidate(candidacy: &mut Option<Candidacy>) -> Option<u64> {
-    match candidacy {
-        Some(task) => task.await.ok().flatten(),
-        None => std::future::pending().await,
-    }
-}
--- /dev/null
+++ b/cowsliproad-rank/src/agent/chair.rs
@@ -0,0 +1,118 @@
+//! Who leads: when an agent takes the lead, and when it gives it up.
+
+use std::net::SocketAddr;
+
+use cowsliproad_kernel::clock::Millis;
+use cowsliproad_mapswitch::order::{Aim, Directive, Standing};
+use cowsliproad_platform::log::{COORDINATORS, Client};
+use slog::{Logger, info, warn};
+
+use super::{Agent, Candidacy};
+use crate::lead::{Lead, Start};
+
+/// How long rank 0 waits for another coordinator before it leads.
+const FIRST_PATIENCE: Millis = Millis(250);
+
+/// How long rank 1 waits, and each next rank more. Three words may be lost.
+const NEXT_PATIENCE: Millis = Millis(1_300);
+const RANK_PATIENCE: Millis = Millis(400);
+
+/// How long rank 0 waits in the middle of a change, when a word comes every
+/// 30 ms and the group may stand still.
+const BUSY_PATIENCE: Millis = Millis(350);
+
+/// The pause before the platform's log is asked for a number again.
+const AGAIN_TIME: Millis = Millis(1_000);
+
+impl Agent {
+    /// Leads, if nobody else does by now.
+    pub(super) async fn take_number(&mut self, number: Option<u64>) {
+        let now = Millis::now();
+        let Some(fence) = number else {
+            info!(self.log, "no_fencing_number");
+            return;
+        };
+        if fence <= self.fence || !self.misses_coordinator(now) {
+            info!(self.log, "number_unused"; "fence" => fence);
+            return;
+        }
+        info!(self.log, "leads"; "fence" => fence);
+        self.fence = fence;
+        let price = self.settings.move_price;
+        let Some(rank) = self.report().map(|it| it.rank) else { return };
+        let predecessor = self.word.as_ref().map(|it| it.1.ip());
+        let start = Start { fence, rank, predecessor };
+        self.lead = Some(Lead::new(start, price, self.log.clone()));
+        self.speak(now).await;
+    }
+
+    /// Whether the group is open and nobody has led it for too long.
+    pub(super) fn misses_coordinator(&self, now: Millis) -> bool {
+        let Some(report) = self.report() else { return false };
+        if report.standing == Standing::Broken || self.shape.is_none() {
+            return false;
+        }
+        let busy = |it: &Directive| it.aim != Aim::Rest;
+        let patience = match (report.rank, &self.word) {
+            (0, None) => FIRST_PATIENCE,
+            (rank, Some((word, _, _))) if busy(word) => {
+                BUSY_PATIENCE + Millis(RANK_PATIENCE.0 * u64::from(rank) / 4)
+            }
+            (rank, _) => {
+                NEXT_PATIENCE + Millis(RANK_PATIENCE.0 * u64::from(rank))
+            }
+        };
+        let heard = self.word.as_ref().map_or(self.begun, |it| it.2);
+        now.since(heard) > patience
+    }
+
+    /// Takes the lead when nobody has it.
+    pub(super) async fn consider_leading(&mut self, now: Millis) {
+        if self.lead.is_some() {
+            self.reach_silent(now).await;
+            self.speak(now).await;
+            return;
+        }
+        if self.candidacy.is_some() || !self.misses_coordinator(now) {
+            return;
+        }
+        let again = |at: Millis| now.since(at) > AGAIN_TIME;
+        if self.last.candidacy.is_none_or(again) {
+            self.last.candidacy = Some(now);
+            info!(self.log, "asks_for_number";
+                "standing" => ?self.standing());
+            let (log, vm) = (self.settings.log, self.settings.vm.clone());
+            let task = number(log, vm.to_string(), self.log.clone());
+            self.candidacy = Some(tokio::task::spawn_local(task));
+        }
+    }
+
+    pub(super) fn step_down(&mut self, fence: u64) {
+        info!(self.log, "steps_down"; "fence" => fence);
+        self.fence = self.fence.max(fence);
+        self.lead = None;
+        self.last.said = None;
+    }
+}
+
+/// A fencing number: one more than the offset of a record of ours, so that
+/// it is never 0 and always higher than all before.
+async fn number(log: SocketAddr, vm: String, logger: Logger) -> Option<u64> {
+    match Client::new(log).append(COORDINATORS, vm.as_bytes()).await {
+        Ok(offset) => Some(offset + 1),
+        Err(error) => {
+            warn!(logger, "log_lost"; "error" => %error);
+            None
+        }
+    }
+}
+
+/// The number that was asked for, once it has come.
+pub(super) async fn candidate(
+    candidacy: &mut Option<Candidacy>,
+) -> Option<u64> {
+    match candidacy {
+        Some(task) => task.await.ok().flatten(),
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -0,0 +1,202 @@
+//! Orders of an agent: to its own engine, and from afar where an agent is
+//! silent or the hold must not be its own.
+
+use std::net::SocketAddr;
+
+use cowsliproad_kernel::clock::Millis;
+use cowsliproad_mapswitch::order::{self, Aim, Arms, Directive, Verdict};
+use slog::info;
+
+use super::Agent;
+use crate::{engine::Engine, wire::Status};
+
+/// How long an order that was taken is given to show in the report before it
+/// is repeated. Copies of two experts take 80 ms.
+const TAKEN_TIME: Millis = Millis(120);
+
+/// The longest time after which an unanswered order was seen carried out, and
+/// some more.
+const LATE_TIME: Millis = Millis(13_000);
+
+/// How often an engine whose agent is silent is asked from afar.
+const REACH_TIME: Millis = Millis(100);
+
+impl Agent {
+    /// Gives the order that is due, if any, and says whether it gave one.
+    pub(super) async fn carry_out(&mut self, word: Directive) -> bool {
+        let plan = self.plan.as_ref();
+        let plan = plan.filter(|it| it.epoch == word.epoch);
+        let plan = plan.map(|it| (it.version, &it.experts));
+        let Some(due) =
+            self.report().and_then(|it| order::due(&word, it, plan))
+        else {
+            return false;
+        };
+        if let Some((taken, at)) = self.last.taken
+            && taken == word
+            && Millis::now().since(at) < TAKEN_TIME
+        {
+            return false;
+        }
+        let given = self.engine.order(&due, word.epoch, word.fence).await;
+        let name = name(&due);
+        match given {
+            Ok(Verdict::Taken) => {
+                self.last.taken = Some((word, Millis::now()));
+                info!(self.log, "order_taken"; "order" => name,
+                    "aim" => ?word.aim);
+            }
+            Ok(Verdict::Unfit) => {
+                info!(self.log, "order_refused"; "order" => name,
+                    "aim" => ?word.aim, "report" => ?self.report());
+            }
+            Ok(Verdict::Fenced) => {
+                info!(self.log, "order_fenced"; "order" => name,
+                    "fence" => word.fence);
+                self.word = None;
+                if self.lead.is_some() {
+                    self.step_down(word.fence);
+                }
+            }
+            Err(error) => {
+                if matches!(due, order::Order::Arm(..)) {
+                    self.last.unanswered_arm = Some(Millis::now());
+                }
+                info!(self.log, "order_unanswered"; "order" => name,
+                    "aim" => ?word.aim, "error" => %error);
+            }
+        }
+        true
+    }
+
+    /// Does an agent's work for it, while it is silent and the group may stand
+    /// still for it. Calls from afar are dear and hold the caller up, so one
+    /// VM is reached at a time.
+    pub(super) async fn reach_silent(&mut self, now: Millis) {
+        let (Some(lead), Some(shape)) = (&self.lead, &self.shape) else {
+            return;
+        };
+        let calm = lead.directive().aim == Aim::Rest;
+        if calm || now.since(self.last.reach) < REACH_TIME {
+            return;
+        }
+        let silent = |it: &&SocketAddr| lead.is_silent(it.ip(), now);
+        let silent: Vec<SocketAddr> =
+            shape.targets.iter().filter(silent).copied().collect();
+        let count = silent.len().max(1);
+        let Some(target) = silent.get(self.last.reached % count) else {
+            return;
+        };
+        self.last.reached += 1;
+        self.last.reach = now;
+        let mut engine = Engine::new(*target);
+        let state = match engine.state().await {
+            Ok(state) => state,
+            Err(error) => {
+                info!(self.log, "engine_out_of_reach"; "target" => %target,
+                    "error" => %error);
+                return;
+            }
+        };
+        let Some(report) = state.report else { return };
+        let word = lead.directive();
+        let plan = lead.plan().filter(|it| it.epoch == word.epoch);
+        let plan = plan.map(|it| (it.version, &it.experts));
+        // An engine that took an order of ours refuses those with lower
+        // numbers, whatever its agent may yet do. So one that is armed is
+        // armed once more.
+        let again = match word.aim {
+            Aim::Armed { version, step, .. }
+                if report.armed == Some((version, step)) =>
+            {
+                Some(order::Order::Arm(version, step))
+            }
+            _ => None,
+        };
+        let due = order::due(&word, &report, plan).or(again);
+        let mut fence = 0;
+        if let Some(due) = due {
+            let given = engine.order(&due, word.epoch, word.fence).await;
+            info!(self.log, "order_from_afar"; "order" => name(&due),
+                "aim" => ?word.aim, "target" => %target,
+                "outcome" => ?given.as_ref().ok());
+            match given {
+                Ok(Verdict::Fenced) => {
+                    self.step_down(word.fence);
+                    return;
+                }
+                Ok(Verdict::Taken) => fence = word.fence,
+                Ok(Verdict::Unfit) | Err(_) => {}
+            }
+        }
+        let status = Status {
+            agent: SocketAddr::new(target.ip(), self.settings.agent_port),
+            fence,
+            plan: None,
+            experts: None,
+            counts: None,
+            pace: state.pace as f32,
+            arms: Arms::InDoubt,
+            report,
+        };
+        if let Some(lead) = &mut self.lead {
+            lead.take(status, Millis::now());
+            lead.look(self.shape.as_ref(), Millis::now());
+        }
+    }
+
+    /// Whether an *arm* of this agent may still be carried out.
+    pub(super) fn arms(&self) -> Arms {
+        let now = Millis::now();
+        let unsure = [Some(self.begun), self.last.unanswered_arm];
+        let recent = |at: &Millis| now.since(*at) < LATE_TIME;
+        if unsure.iter().flatten().any(recent) {
+            Arms::InDoubt
+        } else {
+            Arms::Answered
+        }
+    }
+
+    /// Orders the hold, which another rank's engine has to take from afar.
+    pub(super) async fn order_hold(&mut self) {
+        let now = Millis::now();
+        let Some((vm, due)) = self.lead.as_ref().and_then(|it| it.hold())
+        else {
+            return;
+        };
+        let word = self.lead.as_ref().map(|it| it.directive());
+        let target = self
+            .shape
+            .iter()
+            .flat_map(|it| &it.targets)
+            .find(|it| it.ip() == vm);
+        let (Some(word), Some(target)) = (word, target.copied()) else {
+            return;
+        };
+        let again = self.last.hold == Some(word)
+            && now.since(self.last.held) < TAKEN_TIME;
+        if again {
+            return;
+        }
+        self.last.hold = Some(word);
+        self.last.held = now;
+        let mut engine = Engine::new(target);
+        let given = engine.order(&due, word.epoch, word.fence).await;
+        info!(self.log, "order_from_afar"; "order" => name(&due),
+            "aim" => ?word.aim, "target" => %target,
+            "outcome" => ?given.as_ref().ok());
+        if matches!(given, Ok(Verdict::Fenced)) {
+            self.step_down(word.fence);
+        }
+    }
+}
+
+fn name(order: &order::Order) -> &'static str {
+    match order {
+        order::Order::Prepare(..) => "prepare",
+        order::Order::Arm(..) => "arm",
+        order::Order::Disarm(_) => "disarm",
+        order::Order::Hold(_) => "hold",
+        order::Order::Go(_) => "go",
+    }
+}
--- a/cowsliproad-relay/src/events.rs
+++ b/cowsliproad-relay/src/events.rs
@@ -38,7 +38,7 @@
     }
 
     /// The next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn pop(&mut self) -> Option<Event> {
         let from = self.seen.saturating_sub(3);
         let Some(length) = end(&self.rest, from) else {
             self.seen = self.rest.len();
--- a/cowsliproad-routing/src/catalog.rs
+++ b/cowsliproad-routing/src/catalog.rs
@@ -149,6 +149,15 @@
     BadKey,
 }
 
+/// Where a request goes and who sent it.
+#[derive(Clone, Debug)]
+pub struct Found {
+    /// The rule that it goes by.
+    pub route: Arc<Route>,
+    /// The organisation whose key it carries.
+    pub organisation: Option<Arc<Organisation>>,
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug)]
 pub struct Catalog {
@@ -192,18 +201,18 @@
         host: &str,
         path: &str,
         key: Option<&str>,
-    ) -> Result<(Arc<Route>, Option<Arc<Organisation>>), Refusal> {
+    ) -> Result<Found, Refusal> {
         let name = host.rsplit_once(':').map_or(host, |it| it.0);
         let name = name.to_ascii_lowercase();
         let routes = self.hosts.get(name.as_str()).ok_or(Refusal::NoRoute)?;
         let fits = |route: &&Arc<Route>| path.starts_with(&*route.prefix);
         let route = routes.iter().find(fits).ok_or(Refusal::NoRoute)?.clone();
-        let sender = key.and_then(|key| self.keys.get(key)).cloned();
+        let organisation = key.and_then(|key| self.keys.get(key)).cloned();
         let open = !self.keyed || route.access == Access::Public;
-        if sender.is_none() && !open {
+        if organisation.is_none() && !open {
             return Err(Refusal::BadKey);
         }
-        Ok((route, sender))
+        Ok(Found { route, organisation })
     }
 }
 
--- a/tests/properties/direct.rs
+++ b/tests/properties/direct.rs
@@ -43,7 +43,7 @@
     made.organisation(harju, vec!["key".into()]);
     let catalog = made.build();
     let find = |host: &str, path: &str, key: Option<&str>| {
-        catalog.find(host, path, key).map(|it| it.0.name.to_string())
+        catalog.find(host, path, key).map(|it| it.route.name.to_string())
     };
     let key = Some("key");
     assert_eq!(find("host.example:80", "/a/x", key), Ok("/a/".into()));
@@ -178,7 +178,7 @@
             let length = cuts.next().unwrap_or(1).min(rest.len());
             splitter.push(&rest[..length]);
             rest = &rest[length..];
-            while let Some(event) = splitter.next() {
+            while let Some(event) = splitter.pop() {
                 ids.extend(event.id);
                 bytes.extend_from_slice(&event.bytes);
             }
@@ -193,7 +193,7 @@
 fn a_broken_off_event_stays_inside() {
     let mut splitter = Splitter::new();
     splitter.push(b"id: 1\ndata: x\n\nid: 2\nda");
-    assert_eq!(splitter.next().and_then(|it| it.id), Some(1));
-    assert_eq!(splitter.next(), None);
+    assert_eq!(splitter.pop().and_then(|it| it.id), Some(1));
+    assert_eq!(splitter.pop(), None);
     assert!(splitter.is_inside());
 }
