--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -261,8 +261,12 @@
     ) -> Option<Choice> {
         let fleet = self.fleet.borrow();
         let most = self.connections(service);
-        let guess_ms = self
-            .seats_of(service)
+        let seats = self.seats_of(service);
+        // Where most agents report, a target that none has spoken of yet is
+        // not idle but unknown, and may be the one to keep away from.
+        let known = seats.iter().filter(|it| it.borrow().group.is_some());
+        let reported = known.count() * 2 > seats.len();
+        let guess_ms = seats
             .iter()
             .filter_map(|it| it.borrow().record.usual_ms())
             .reduce(f64::min)
@@ -275,7 +279,7 @@
             }
             let seat = self.seat(&target.id);
             let held = seat.borrow();
-            if held.group.is_some_and(|it| !it.open)
+            if held.group.map_or(reported, |it| !it.open)
                 || held.open >= most && held.pool.is_empty()
             {
                 continue;
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -17,7 +17,7 @@
 use slog::info;
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep_until, timeout},
+    time::{Instant, sleep_until},
 };
 
 use crate::{
@@ -132,10 +132,22 @@
     resume: Option<u64>,
 ) -> Result<Result<(response::Parts, Run), Opened>, Miss> {
     let stay = Stay::new(choice);
-    let left = call.left();
-    let opened = timeout(left.duration(), call.open(entry, choice, resume))
-        .await
-        .unwrap_or(Err(Miss::Unknown("no answer in time")))?;
+    let end = call.end();
+    let mut opening = std::pin::pin!(call.open(entry, choice, resume));
+    let opened = loop {
+        let look = Instant::now() + LOOK_TIME.duration();
+        tokio::select! {
+            opened = &mut opening => break opened?,
+            () = entry.news.notified() => {}
+            () = sleep_until(end.min(look)) => {}
+        }
+        if Instant::now() >= end {
+            return Err(Miss::Unknown("no answer in time"));
+        }
+        if slows_others(entry, choice) {
+            return Err(Miss::Unknown("slow"));
+        }
+    };
     if !opened.head.status.is_success() {
         return Ok(Err(opened));
     }
@@ -166,10 +178,7 @@
             let frame = tokio::select! {
                 frame = self.body.frame() => frame,
                 () = entry.news.notified() => {
-                    if self.slows_others(entry) {
-                        info!(entry.log, "moved";
-                            "target" => &*self.choice.target.id,
-                            "events_in" => self.last_step);
+                    if slows_others(entry, &self.choice) {
                         return Next::Miss(Miss::Unknown("slow"));
                     }
                     continue;
@@ -178,6 +187,9 @@
                     if Instant::now() >= end {
                         return Next::Miss(Miss::Unknown("no time left"));
                     }
+                    if slows_others(entry, &self.choice) {
+                        return Next::Miss(Miss::Unknown("slow"));
+                    }
                     if self.is_silent() {
                         info!(entry.log, "silent";
                             "target" => &*self.choice.target.id);
@@ -210,21 +222,6 @@
         }
     }
 
-    /// Whether its target is so slow that it sets the pace of its group, and
-    /// others of the service are not. A rank without requests takes no time
-    /// of its own in a pass, so moving a dozen streams away from it gives
-    /// all others their pace back.
-    fn slows_others(&self, entry: &Entry) -> bool {
-        let pace = |group: Option<Group>| group.map_or(100, |it| it.pace);
-        let own = pace(self.choice.seat.borrow().group);
-        let fit = |pace: u32| pace * SLOW_PERCENT / 100 <= own;
-        own >= SLOW_PERCENT && {
-            let service = &self.choice.target.service;
-            let seats = entry.seats_of(service);
-            seats.iter().any(|it| fit(pace(it.borrow().group)))
-        }
-    }
-
     /// Whether its group goes on without it: its connection fell silent.
     fn is_silent(&self) -> bool {
         let quiet = Millis::now().since(self.last_bytes);
@@ -237,6 +234,20 @@
     }
 }
 
+/// Whether a target is so slow that it sets the pace of its group, and others
+/// of the service are not. A rank without requests takes no time of its own
+/// in a pass, so moving a dozen streams away from it gives all others their
+/// pace back.
+fn slows_others(entry: &Entry, choice: &Choice) -> bool {
+    let pace = |group: Option<Group>| group.map_or(100, |it| it.pace);
+    let own = pace(choice.seat.borrow().group);
+    let fit = |pace: u32| pace * SLOW_PERCENT / 100 <= own;
+    own >= SLOW_PERCENT && {
+        let seats = entry.seats_of(&choice.target.service);
+        seats.iter().any(|it| fit(pace(it.borrow().group)))
+    }
+}
+
 /// Passes a stream on to its caller.
 struct Relay {
     entry: Rc<Entry>,
--- a/cowsliproad-mapswitch/src/order/coordinator.rs
+++ b/cowsliproad-mapswitch/src/order/coordinator.rs
@@ -35,7 +35,7 @@
 /// The boundary is set as far ahead as arming lately took, within these
 /// bounds, so that the group doesn't stand while orders go unanswered. With
 /// half of them lost arming takes some 200 ms.
-const LEAD: (u64, u64) = (2, 16);
+const LEAD: (u64, u64) = (2, 8);
 
 /// Hold, arm and go take 30 ms together when each order is answered.
 const LEAST_ARMING: Millis = Millis(60);
@@ -130,10 +130,10 @@
     }
 
     /// Takes the time that arming took in. What was slow once is likely so
-    /// again, so it fades slowly.
+    /// again, so it fades by half.
     fn armed(&mut self, now: Millis) {
         let took = now.since(self.began);
-        let faded = Millis(self.arming.0 * 3 / 4);
+        let faded = Millis(self.arming.0 / 2);
         self.arming = took.max(faded);
     }
 
