--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -83,6 +83,15 @@
     last: Times,
 }
 
+/// An *arm* without an answer.
+#[derive(Clone, Copy)]
+struct Unanswered {
+    epoch: Epoch,
+    /// The pass that it is for.
+    step: u64,
+    at: Millis,
+}
+
 /// When things were done last.
 #[derive(Default)]
 struct Times {
@@ -92,8 +101,8 @@
     speech: Millis,
     candidacy: Option<Millis>,
     said: Option<Directive>,
-    /// When an *arm* went unanswered.
-    unanswered_arm: Option<Millis>,
+    /// The last *arm* that went unanswered.
+    unanswered_arm: Option<Unanswered>,
     /// The word for which a hold was ordered last, and when.
     hold: Option<Directive>,
     held: Millis,
@@ -363,7 +372,7 @@
             experts: experts.map(|it| (it.1, it.2.clone())),
             counts: counts.map(|it| it.1.clone()),
             pace: self.state.as_ref().map_or(1.0, |it| it.pace as f32),
-            arms: self.arms(),
+            arms: self.arms(&report),
             report,
         })
     }
--- a/cowsliproad-rank/src/agent/orders.rs
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 
 use cowsliproad_kernel::clock::Millis;
-use cowsliproad_mapswitch::order::{self, Aim, Arms, Directive, Verdict};
+use cowsliproad_mapswitch::order::{
+    self, Aim, Arms, Directive, Report, Verdict,
+};
 use slog::info;
 
-use super::Agent;
+use super::{Agent, Unanswered};
 use crate::{engine::Engine, wire::Status};
 
 /// How long an order that was taken is given to show in the report before it
@@ -59,8 +61,10 @@
                 }
             }
             Err(error) => {
-                if matches!(due, order::Order::Arm(..)) {
-                    self.last.unanswered_arm = Some(Millis::now());
+                if let order::Order::Arm(_, step) = due {
+                    let (epoch, at) = (word.epoch, Millis::now());
+                    let arm = Unanswered { epoch, step, at };
+                    self.last.unanswered_arm = Some(arm);
                 }
                 info!(self.log, "order_unanswered"; "order" => name,
                     "aim" => ?word.aim, "error" => %error);
@@ -145,16 +149,17 @@
         }
     }
 
-    /// Whether an *arm* of this agent may still be carried out.
-    pub(super) fn arms(&self) -> Arms {
+    /// Whether an *arm* of this agent, or of its process before this one, may
+    /// still be carried out. Those for passes that were begun can't.
+    pub(super) fn arms(&self, report: &Report) -> Arms {
         let now = Millis::now();
-        let unsure = [Some(self.begun), self.last.unanswered_arm];
-        let recent = |at: &Millis| now.since(*at) < LATE_TIME;
-        if unsure.iter().flatten().any(recent) {
-            Arms::InDoubt
-        } else {
-            Arms::Answered
-        }
+        let recent = |at: Millis| now.since(at) < LATE_TIME;
+        let open = self.last.unanswered_arm.is_some_and(|arm| {
+            arm.epoch == report.epoch
+                && arm.step > report.step
+                && recent(arm.at)
+        });
+        if open || recent(self.begun) { Arms::InDoubt } else { Arms::Answered }
     }
 
     /// Orders the hold, which another rank's engine has to take from afar.
--- a/tests/order/main.rs
+++ b/tests/order/main.rs
@@ -75,7 +75,8 @@
 struct Agent {
     fence: u64,
     word: Option<Directive>,
-    doubt: Arms,
+    /// The pass of its last unanswered *arm*.
+    unanswered: u64,
 }
 
 /// A coordinator and what it saw last of each rank.
@@ -129,7 +130,7 @@
             held: None,
             fence: 0,
         };
-        let agent = Agent { fence: 0, word: None, doubt: Arms::Answered };
+        let agent = Agent { fence: 0, word: None, unanswered: 0 };
         let mut first = chair(1, FIRST);
         let report = |rank| Report {
             epoch: EPOCH,
@@ -179,6 +180,11 @@
         }
     }
 
+    fn arms(&self, rank: u16) -> Arms {
+        let step = self.agents[usize::from(rank)].unanswered;
+        if step > self.step { Arms::InDoubt } else { Arms::Answered }
+    }
+
     fn is_out_of_reach(&self, rank: u16) -> bool {
         self.frozen && rank == FIRST
     }
@@ -244,7 +250,7 @@
             let mut world = self.clone();
             world.late.clear();
             for agent in &mut world.agents {
-                agent.doubt = Arms::Answered;
+                agent.unanswered = 0;
             }
             worlds.push(world);
         }
@@ -311,8 +317,8 @@
         let mut world = self.clone();
         world.lost += 1;
         world.late.insert(Late { rank, order: due, fence });
-        if matches!(due, Plain::Arm(..)) {
-            world.agents[usize::from(rank)].doubt = Arms::InDoubt;
+        if let Plain::Arm(_, step) = due {
+            world.agents[usize::from(rank)].unanswered = step;
         }
         worlds.push(world);
     }
@@ -322,7 +328,7 @@
         let agent = &self.agents[usize::from(rank)];
         let sight = Sight {
             report: self.report(rank),
-            arms: agent.doubt,
+            arms: self.arms(rank),
             follows: Follows::Another,
         };
         for index in 0..self.chairs.len() {
@@ -378,7 +384,7 @@
             let agent = &self.agents[usize::from(rank)];
             Sight {
                 report: self.report(rank),
-                arms: agent.doubt,
+                arms: self.arms(rank),
                 follows: follows(agent.fence, fence),
             }
         };
