Counts as growth in a byte each; plans handed on; words by the size of the group

Cause: on the grown site nobody could lead 72 ranks: each status carried 1,728 numbers five times a second (2.5 MB/s into a link of 8 Mbit/s), and every word sent the whole plan to all that lacked it. No map changed.

--- a/cowsliproad-placement/src/lib.rs
+++ b/cowsliproad-placement/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`pack`]: a map from nothing;
 //! * [`plan`]: few moves from the present map that pay for themselves;
 //! * [`demand`]: what is demanded now, from counts that only grow;
+//! * [`growth`]: what counts grew by, in a byte for each expert;
 //! * [`live`]: small steps towards balance, every second;
 //! * [`bound`]: a time that no map can beat.
 //!
@@ -22,6 +23,7 @@
 
 pub mod bound;
 pub mod demand;
+pub mod growth;
 pub mod live;
 pub mod load;
 pub mod map;
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -13,6 +13,7 @@
 use cowsliproad_mapswitch::order::{
     self, Aim, Directive, Epoch, Report, Standing,
 };
+use cowsliproad_placement::growth::Growth;
 use cowsliproad_platform::engine::State;
 use slog::{Logger, info, warn};
 use tokio::{
@@ -26,7 +27,7 @@
     engine::Engine,
     lead::Lead,
     settings::Settings,
-    wire::{Message, Plan, Status},
+    wire::{Choices, Message, News, Plan, Status},
 };
 
 mod chair;
@@ -44,6 +45,19 @@
 /// How often the counts are read; see [`cowsliproad_placement::demand`].
 const COUNT_TIME: Millis = Millis(200);
 
+/// Bytes of counts that a coordinator is sent in a millisecond: 1 Mbit/s, an
+/// eighth of the smallest link of a VM.
+const COUNT_RATE: u64 = 125;
+
+/// Ranks up to which words are repeated every [`BUSY_TIME`].
+const BUSY_RANKS: u64 = 16;
+
+/// After so many words a plan is sent again to those that lack it.
+const PLAN_PAUSES: u64 = 5;
+
+/// Agents that the coordinator sends a plan to itself.
+const FAN_OUT: usize = 16;
+
 /// How often the coordinator speaks, and agents report to it, in calm times.
 const SPEAK_TIME: Millis = Millis(400);
 
@@ -106,6 +120,11 @@
     /// The word for which a hold was ordered last, and when.
     hold: Option<Directive>,
     held: Millis,
+    /// What the coordinator was told last.
+    told: Option<News>,
+    /// The plan that was handed out last, and when.
+    planned: Option<order::Version>,
+    handed: Millis,
     /// When an engine was asked from afar, and how often.
     reach: Millis,
     reached: usize,
@@ -224,10 +243,19 @@
                     self.look().await;
                 }
             }
-            Some(Message::Plan(plan)) => {
+            Some(Message::Choices(choices)) => {
+                let shape = self.shape.as_ref();
+                let experts = shape.map_or(0, |it| it.experts.into());
+                if let Some(lead) = &mut self.lead {
+                    lead.count(choices, experts);
+                }
+            }
+            Some(Message::Plan(mut plan)) => {
                 if plan.fence >= self.fence {
                     self.fence = plan.fence;
-                    self.plan = Some(plan);
+                    let pass_on = std::mem::take(&mut plan.pass_on);
+                    self.plan = Some(plan.clone());
+                    self.tell(&Message::Plan(plan), &pass_on).await;
                 }
             }
             None => warn!(self.log, "strange_datagram"),
@@ -309,16 +337,35 @@
     }
 
     async fn count(&mut self, now: Millis) {
-        if now.since(self.last.count) < COUNT_TIME || self.word.is_none() {
+        let (Some(shape), Some(report)) = (&self.shape, self.report()) else {
+            return;
+        };
+        let experts = usize::from(shape.experts);
+        let numbers = u64::from(shape.sets) * u64::from(shape.experts);
+        let round = Millis(numbers * u64::from(report.ranks) / COUNT_RATE);
+        let time = round.max(COUNT_TIME);
+        let Some((_, to, _)) = self.word else { return };
+        if now.since(self.last.count) < time {
             return;
         }
-        let Some(shape) = &self.shape else { return };
         self.last.count = now;
-        match self.engine.choices(usize::from(shape.experts)).await {
-            Ok(choices) => self.counts = Some((choices.epoch, choices.counts)),
-            Err(error) => info!(self.log, "no_counts"; "error" => %error),
+        let choices = match self.engine.choices(experts).await {
+            Ok(choices) => (choices.epoch, choices.counts),
+            Err(error) => {
+                info!(self.log, "no_counts"; "error" => %error);
+                return;
+            }
+        };
+        let before = self.counts.replace(choices.clone());
+        let growth = before
+            .filter(|it| it.0 == choices.0)
+            .and_then(|it| Growth::between(&it.1, &choices.1));
+        let Some(Growth { scale, units }) = growth else { return };
+        let choices = Choices { scale, units };
+        match &mut self.lead {
+            Some(lead) => lead.count(choices, experts),
+            None => self.tell(&Message::Choices(choices), &[to]).await,
         }
-        self.last.status = Millis(0);
     }
 
     async fn tell_coordinator(&mut self, now: Millis) {
@@ -329,12 +376,15 @@
             return self.seek_coordinator(now).await;
         }
         let busy = word.aim != Aim::Rest;
-        if !busy && now.since(self.last.status) < SPEAK_TIME {
+        let time = if busy { self.busy_time() } else { SPEAK_TIME };
+        let Some(status) = self.status() else { return };
+        let news = status.news();
+        let new = self.last.told.as_ref() != Some(&news);
+        if !new && now.since(self.last.status) < time {
             return;
         }
-        let with_counts = self.last.status == Millis(0);
-        let Some(status) = self.status(with_counts) else { return };
         self.last.status = now;
+        self.last.told = Some(news);
         if let Some(lead) = &mut self.lead {
             lead.take(status, now);
             lead.look(self.shape.as_ref(), now);
@@ -351,7 +401,7 @@
         if now.since(self.last.status) < SPEAK_TIME {
             return;
         }
-        let Some(status) = self.status(false) else { return };
+        let Some(status) = self.status() else { return };
         self.last.status = now;
         let bytes = gossip::encode(&Message::Status(Box::new(status)));
         for agent in self.agents().filter(|it| *it != self.own) {
@@ -359,18 +409,15 @@
         }
     }
 
-    fn status(&self, with_counts: bool) -> Option<Status> {
+    fn status(&self) -> Option<Status> {
         let report = self.report()?.clone();
         let epoch = report.epoch;
         let experts = self.experts.as_ref().filter(|it| it.0 == epoch);
-        let counts = self.counts.as_ref().filter(|it| it.0 == epoch);
-        let counts = counts.filter(|_| with_counts);
         Some(Status {
             agent: self.own,
             fence: self.fence,
             plan: self.plan.as_ref().map(|it| it.version),
             experts: experts.map(|it| (it.1, it.2.clone())),
-            counts: counts.map(|it| it.1.clone()),
             pace: self.state.as_ref().map_or(1.0, |it| it.pace as f32),
             arms: self.arms(&report),
             report,
@@ -383,26 +430,26 @@
         let word = lead.directive();
         let new = self.last.said != Some(word);
         let busy = word.aim != Aim::Rest;
-        let time = if busy { BUSY_TIME } else { SPEAK_TIME };
+        let time = if busy { self.busy_time() } else { SPEAK_TIME };
         if !new && now.since(self.last.speech) < time {
             return;
         }
         self.last.speech = now;
         self.last.said = Some(word);
-        if let Some(plan) = lead.plan() {
+        if let Some(plan) = lead.plan().cloned() {
+            let lacking = lead.lacking().filter(|it| *it != self.own);
+            let lacking = lacking.collect();
             self.plan = Some(plan.clone());
-            let bytes = gossip::encode(&Message::Plan(plan.clone()));
-            for agent in lead.lacking().filter(|it| *it != self.own) {
-                send(&self.log, &self.agents_socket, &bytes, agent).await;
-            }
+            self.hand_out(plan, lacking, now).await;
         }
-        let bytes = gossip::encode(&Message::Directive(word, self.own));
         let mut agents: Vec<SocketAddr> = self.agents().collect();
-        let known = lead.agents().filter(|it| !agents.contains(it));
-        agents.extend(known.collect::<Vec<_>>());
-        for agent in agents.into_iter().filter(|it| *it != self.own) {
-            send(&self.log, &self.agents_socket, &bytes, agent).await;
+        if let Some(lead) = &self.lead {
+            let known = lead.agents().filter(|it| !agents.contains(it));
+            agents.extend(known.collect::<Vec<_>>());
         }
+        agents.retain(|it| *it != self.own);
+        let message = Message::Directive(word, self.own);
+        self.tell(&message, &agents).await;
         self.word = Some((word, self.own, now));
         if new {
             self.carry_out(word).await;
@@ -410,6 +457,44 @@
         self.order_hold().await;
     }
 
+    /// Sends a plan to those that lack it, and to most of them through
+    /// others: at 72 ranks it would take the own link half a second.
+    async fn hand_out(
+        &mut self,
+        plan: Plan,
+        lacking: Vec<SocketAddr>,
+        now: Millis,
+    ) {
+        let again = Millis(self.busy_time().0 * PLAN_PAUSES);
+        let new = self.last.planned != Some(plan.version);
+        if lacking.is_empty() || !new && now.since(self.last.handed) < again {
+            return;
+        }
+        self.last.planned = Some(plan.version);
+        self.last.handed = now;
+        let size = lacking.len().div_ceil(FAN_OUT).max(1);
+        for chunk in lacking.chunks(size) {
+            let pass_on = chunk[1..].to_vec();
+            let plan = Plan { pass_on, ..plan.clone() };
+            self.tell(&Message::Plan(plan), &chunk[..1]).await;
+        }
+    }
+
+    async fn tell(&self, message: &Message, agents: &[SocketAddr]) {
+        let bytes = gossip::encode(message);
+        for agent in agents {
+            send(&self.log, &self.agents_socket, &bytes, *agent).await;
+        }
+    }
+
+    /// How often words are repeated while a change is under way. A larger
+    /// group says them less often, so that the coordinator's link and
+    /// processor bear it.
+    fn busy_time(&self) -> Millis {
+        let ranks = self.report().map_or(0, |it| u64::from(it.ranks));
+        Millis(BUSY_TIME.0 * ranks.div_ceil(BUSY_RANKS).max(1))
+    }
+
     fn agents(&self) -> impl Iterator<Item = SocketAddr> {
         let port = self.settings.agent_port;
         let agents = self.shape.iter().flat_map(|it| &it.targets);
--- a/cowsliproad-rank/src/agent/orders.rs
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -138,7 +138,6 @@
             fence,
             plan: None,
             experts: None,
-            counts: None,
             pace: state.pace as f32,
             arms: Arms::InDoubt,
             report,
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -14,12 +14,13 @@
 };
 use cowsliproad_placement::{
     demand::{Counts, Demand},
+    growth::Growth,
     live,
     map::{Map, Shape},
 };
 use slog::{Logger, info};
 
-use crate::wire::{Plan, Status};
+use crate::wire::{Choices, Plan, Status};
 
 /// A report older than this isn't planned or acted on.
 const FRESH: Millis = Millis(900);
@@ -42,6 +43,8 @@
     /// The VM of the one that led before.
     predecessor: Option<IpAddr>,
     ranks: BTreeMap<u16, (Status, Millis)>,
+    /// What all ranks together counted since this one leads.
+    total: Counts,
     demand: Demand,
     sampled: Millis,
     planned: Millis,
@@ -72,6 +75,7 @@
             ),
             predecessor: start.predecessor,
             ranks: BTreeMap::new(),
+            total: Counts::new(),
             demand: Demand::new(),
             sampled: Millis(0),
             planned: Millis(0),
@@ -122,13 +126,18 @@
             if !newer {
                 return;
             }
-            // Counts and lists don't come with every status.
-            status.counts = status.counts.or(known.counts.take());
+            // Lists don't come with every status.
             status.experts = status.experts.or(known.experts.take());
         }
         self.ranks.insert(rank, (status, now));
     }
 
+    /// Takes what a rank counted in.
+    pub fn count(&mut self, choices: Choices, experts: usize) {
+        let Choices { scale, units } = choices;
+        Growth { scale, units }.add_to(&mut self.total, experts);
+    }
+
     /// Looks at all ranks and goes on.
     pub fn look(&mut self, shape: Option<&Subscribe>, now: Millis) {
         let sights = self.sights(now);
@@ -228,28 +237,8 @@
         if now.since(self.sampled) < SAMPLE_TIME {
             return;
         }
-        if let Some(counts) = self.counts() {
-            self.sampled = now;
-            self.demand.add(now, counts);
-        }
-    }
-
-    /// The counts of all ranks, summed.
-    fn counts(&self) -> Option<Counts> {
-        let mut sum: Option<Counts> = None;
-        for (status, _) in self.ranks.values() {
-            let counts = status.counts.as_ref()?;
-            let Some(sum) = &mut sum else {
-                sum = Some(counts.clone());
-                continue;
-            };
-            for (sum, counts) in sum.iter_mut().zip(counts) {
-                for (sum, count) in sum.iter_mut().zip(counts) {
-                    *sum += count;
-                }
-            }
-        }
-        sum
+        self.sampled = now;
+        self.demand.add(now, self.total.clone());
     }
 
     /// Begins a better map if there is one.
@@ -284,6 +273,7 @@
             epoch: directive.epoch,
             version,
             experts: Arc::new(plan.map.experts()),
+            pass_on: Vec::new(),
         });
     }
 
--- a/cowsliproad-rank/src/wire.rs
+++ b/cowsliproad-rank/src/wire.rs
@@ -13,6 +13,9 @@
     /// From each agent to the coordinator.
     #[serde(rename = "s")]
     Status(Box<Status>),
+    /// From each agent to the coordinator.
+    #[serde(rename = "c")]
+    Choices(Choices),
     /// From the coordinator: what is to be brought about.
     #[serde(rename = "d")]
     Directive(Directive, SocketAddr),
@@ -45,9 +48,37 @@
     /// The engine's experts by set, and the map that they are of.
     #[serde(rename = "x")]
     pub experts: Option<(Version, Vec<Vec<u16>>)>,
-    /// How often its requests chose each expert, by set.
-    #[serde(rename = "c")]
-    pub counts: Option<Vec<Vec<u64>>>,
+}
+
+/// The part of a status that a coordinator acts on at once.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    report: Report,
+    arms: Arms,
+    fence: u64,
+    plan: Option<Version>,
+}
+
+impl Status {
+    /// What of it the coordinator acts on at once.
+    pub fn news(&self) -> News {
+        // Each pass would be news otherwise.
+        let report = Report { step: 0, ..self.report.clone() };
+        let (arms, fence, plan) = (self.arms, self.fence, self.plan);
+        News { report, arms, fence, plan }
+    }
+}
+
+/// How much oftener a rank's requests chose each expert than when it said so
+/// last. A lost one makes the demand seem a little smaller for a moment.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Choices {
+    /// What one unit stands for.
+    #[serde(rename = "s")]
+    pub scale: u64,
+    /// Units by set and expert, one set after the other.
+    #[serde(rename = "u", with = "serde_bytes")]
+    pub units: Vec<u8>,
 }
 
 /// A map to be prepared.
@@ -65,4 +96,7 @@
     /// The experts of every rank.
     #[serde(rename = "x")]
     pub experts: Arc<Experts>,
+    /// Agents that whoever gets this passes it on to.
+    #[serde(rename = "p")]
+    pub pass_on: Vec<SocketAddr>,
 }
