--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -26,15 +26,18 @@
 
 /// How long the log may hold a read of the configuration. A connection that
 /// fell silent is noticed when this is over; other entries tell us sooner.
-const HOLD_TIME: Millis = Millis(8_000);
+const HOLD_TIME: Millis = Millis(15_000);
 
 /// The pauses between calls that fail, doubled from the first to the last.
 const FIRST_PAUSE: Millis = Millis(150);
 const LONGEST_PAUSE: Millis = Millis(1_200);
 
 /// The part of the time for a leaving target in which the targets are read
-/// once, in percent. Two readings and the answer fit, one may be lost.
-const READ_PERCENT: u64 = 42;
+/// once at the latest, in percent. Each entry reads at its own moments and
+/// tells the others who left, so mostly it is known much sooner; this bound
+/// is for one that hears nobody. Readings twice as frequent cost 0.4% of a
+/// day more and served no better.
+const READ_PERCENT: u64 = 80;
 
 /// Without an answer for so long, entries may have lapsed unseen.
 const GAP_TIME: Millis = Millis(2_000);
@@ -88,9 +91,10 @@
     }
 }
 
-/// A time between half and the whole of one, so that entries spread.
+/// A time between three quarters and the whole of one, so that entries
+/// spread.
 fn jittered(time: Millis) -> Millis {
-    Millis(rand::rng().random_range(time.0 / 2..=time.0))
+    Millis(rand::rng().random_range(time.0 * 3 / 4..=time.0))
 }
 
 /// Follows the configuration for ever.
--- a/cowsliproad-direct/tests/entry/streams.rs
+++ b/cowsliproad-direct/tests/entry/streams.rs
@@ -38,13 +38,14 @@
     let one = plant.target_with(engine("i-1", 2)).await;
     let two = plant.target_with(engine("i-2", 2)).await;
     let entry = plant.entry().await;
-    for _ in 0..4 {
-        one.set(Fault::Cut);
+    one.set(Fault::Cut);
+    // Which target a stream begins at is left to chance.
+    until("a stream was cut and went on elsewhere", async || {
         let answer = entry.ask("/stream/a").await.expect("an answer");
         assert_eq!(numbers(answer.body()), (1..=20).collect::<Vec<_>>());
-    }
-    let resumed = two.runs().iter().any(|it| it.after == Some(2));
-    assert!(resumed, "{:?}", two.runs());
+        two.runs().iter().any(|it| it.after == Some(2))
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/cowsliproad-mapswitch/src/order/coordinator.rs
+++ b/cowsliproad-mapswitch/src/order/coordinator.rs
@@ -35,10 +35,11 @@
 /// The boundary is set as far ahead as arming lately took, within these
 /// bounds, so that the group doesn't stand while orders go unanswered. With
 /// half of them lost arming takes some 200 ms.
-const LEAD: (u64, u64) = (2, 8);
+const LEAD: (u64, u64) = (2, 10);
 
-/// Hold, arm and go take 30 ms together when each order is answered.
-const LEAST_ARMING: Millis = Millis(60);
+/// Hold, arm and go take 30 to 60 ms together when each order is answered,
+/// and what is known of the group's pass is up to 30 ms old.
+const LEAST_ARMING: Millis = Millis(90);
 
 /// The time for copies, which take 40 ms each, before a plan is given up.
 const PATIENCE: Millis = Millis(3_000);
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -39,6 +39,10 @@
 /// How often while a change of map is under way: less than a pass takes.
 const BUSY_TIME: Millis = Millis(30);
 
+/// How often the holder looks while the hold is on its way: the group may
+/// stand from then on until all are armed.
+const HOLD_TIME: Millis = Millis(6);
+
 /// How often entries are told of the load.
 const LOAD_TIME: Millis = Millis(400);
 
@@ -94,6 +98,8 @@
     /// A number that is being fetched from the platform's log.
     candidacy: Option<Candidacy>,
     begun: Millis,
+    /// Whether the engine is to be looked at without a pause.
+    prompt: bool,
     last: Times,
 }
 
@@ -154,6 +160,7 @@
             lead: None,
             candidacy: None,
             begun: Millis::now(),
+            prompt: false,
             last: Times::default(),
             settings,
         })
@@ -188,13 +195,20 @@
                     next = Instant::now() + self.pause().duration();
                 }
             }
+            // What was just ordered or heard shows in the next report.
+            if std::mem::take(&mut self.prompt) {
+                next = Instant::now();
+            }
         }
     }
 
     fn pause(&self) -> Millis {
-        match &self.word {
-            Some((word, _, _)) if word.aim != Aim::Rest => BUSY_TIME,
-            _ => CALM_TIME,
+        let aim = self.word.as_ref().map_or(Aim::Rest, |it| it.0.aim);
+        let rank = self.report().map(|it| it.rank);
+        match aim {
+            Aim::Rest => CALM_TIME,
+            Aim::Held { holder, .. } if Some(holder) == rank => HOLD_TIME,
+            _ => BUSY_TIME,
         }
     }
 
@@ -241,6 +255,7 @@
                 self.word = Some((word, from, now));
                 if before != Some(word) {
                     self.look().await;
+                    self.prompt = matches!(word.aim, Aim::Held { .. });
                 }
             }
             Some(Message::Choices(choices)) => {
@@ -453,7 +468,7 @@
         self.tell(&message, &agents).await;
         self.word = Some((word, self.own, now));
         if new {
-            self.carry_out(word).await;
+            self.prompt = self.carry_out(word).await;
         }
         self.order_hold().await;
     }
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -17,6 +17,10 @@
     check_settings(serde_json::to_value(entry).expect("it is JSON"));
     let agent = cowsliproad_agent::settings::Settings::example();
     check_settings(serde_json::to_value(agent).expect("it is JSON"));
+    let direct = cowsliproad_direct::settings::Settings::example();
+    check_settings(serde_json::to_value(direct).expect("it is JSON"));
+    let rank = cowsliproad_rank::settings::Settings::example();
+    check_settings(serde_json::to_value(rank).expect("it is JSON"));
 }
 
 /// The events that the sources of a program log.
@@ -43,6 +47,8 @@
     let mut found = BTreeSet::new();
     events(&root.join("cowsliproad-entry/src"), &mut found);
     events(&root.join("cowsliproad-agent/src"), &mut found);
+    events(&root.join("cowsliproad-direct/src"), &mut found);
+    events(&root.join("cowsliproad-rank/src"), &mut found);
     assert!(found.len() > 20, "{found:?}");
     for event in found {
         assert!(PAGE.contains(&format!("`{event}`")), "event {event}");
