One client with one connection, one small server; news between events is seen

Cause of a test that failed once (streams_are_moved_away_from_a_rank_that_ turns_slow): a stream that was passing an event on when a rank's pace was told missed it for good, as its timer began anew with each event.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -101,6 +101,8 @@
     pub peers: RefCell<Peers>,
     /// Wakes requests that wait for a target.
     pub news: Notify,
+    /// Counts the news, for requests that were not waiting when some came.
+    pub news_told: Cell<u64>,
     /// Wakes idle connections that are to be closed.
     pub closing: Notify,
     /// Wakes the task that tells other entries.
@@ -141,6 +143,7 @@
             broken: RefCell::new(HashMap::new()),
             peers: RefCell::new(peers),
             news: Notify::new(),
+            news_told: Cell::new(0),
             closing: Notify::new(),
             rumour: Notify::new(),
             joined: Cell::new(0),
@@ -209,7 +212,7 @@
             "before" => before, "routes" => catalog.routes(),
             "source" => ?source);
         *self.catalog.borrow_mut() = Some((Arc::new(catalog), raw));
-        self.news.notify_waiters();
+        self.tell_news();
         self.rumour.notify_one();
     }
 
@@ -234,6 +237,12 @@
                 self.rumour.notify_one();
             }
         }
+        self.tell_news();
+    }
+
+    /// Tells requests under way that targets or groups have changed.
+    pub fn tell_news(&self) {
+        self.news_told.set(self.news_told.get() + 1);
         self.news.notify_waiters();
     }
 
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -55,8 +55,11 @@
     let datagrams = Rc::new(UdpSocket::bind(settings.peer_address()).await?);
     info!(log, "started"; "callers" => %settings.callers);
     let entry = Rc::new(Entry::new(settings, log.clone()));
-    tokio::task::spawn_local(readiness::serve(entry.clone(), readiness));
-    tokio::task::spawn_local(peers::answer(entry.clone(), peer_calls));
+    let answers =
+        readiness::serve(entry.clone(), readiness, readiness::answer);
+    tokio::task::spawn_local(answers);
+    let states = readiness::serve(entry.clone(), peer_calls, peers::state);
+    tokio::task::spawn_local(states);
     tokio::task::spawn_local(peers::listen(entry.clone(), datagrams.clone()));
     tokio::task::spawn_local(peers::tell(entry.clone(), datagrams));
     tokio::task::spawn_local(follow::catalog(entry.clone()));
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -9,9 +9,7 @@
 //! Agents beside model engines report to whoever asks them to, so a new
 //! entry hears from all of them within a second, and nobody keeps a list.
 
-use std::{
-    collections::BTreeMap, convert::Infallible, net::SocketAddr, rc::Rc,
-};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use cowsliproad_kernel::{
@@ -24,13 +22,12 @@
 use cowsliproad_routing::catalog::Engine;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::UdpSocket,
     time::{sleep, timeout},
 };
 
@@ -349,32 +346,15 @@
     if before != Some(after) {
         info!(entry.log, "group"; "target" => &*id, "epoch" => load.epoch,
             "open" => load.open, "step" => load.step, "pace" => load.pace);
-        entry.news.notify_waiters();
-    }
-}
-
-/// Gives the entry's state to others, for ever.
-pub async fn answer(entry: Rc<Entry>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(OWN_TIME.duration()).await;
-            continue;
-        };
-        let entry = entry.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|request: Request<Incoming>| {
-                let answer = state(&entry, &request);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let serving = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service);
-            // A peer that breaks off asks again.
-            let _ = timeout(FETCH_TIME.duration(), serving).await;
-        });
+        entry.tell_news();
     }
 }
 
-fn state(entry: &Entry, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+/// The entry's state, for one that starts or is turned away by the log.
+pub fn state(
+    entry: &Entry,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let raw = entry.raw_catalog();
     let (Some(raw), STATE_PATH) = (raw, request.uri().path()) else {
         let mut answer = Response::new(Full::new(Bytes::new()));
--- a/cowsliproad-direct/src/readiness.rs
+++ b/cowsliproad-direct/src/readiness.rs
@@ -1,4 +1,5 @@
-//! What the platform's balancer and operators ask an entry.
+//! What the platform's balancer and operators ask an entry, and the server
+//! for such small questions.
 
 use std::{convert::Infallible, rc::Rc};
 
@@ -9,18 +10,29 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{
+    net::TcpListener,
+    time::{sleep, timeout},
+};
 
 use crate::entry::Entry;
 
 /// The path of the counters and histograms.
 const METRICS_PATH: &str = "/metrics";
 
+/// The longest that a connection is kept. The balancer asks once a second.
+const CONNECTION_TIME: Millis = Millis(20_000);
+
 /// The pause after a failed accept, for example without a free descriptor.
 const PAUSE: Millis = Millis(50);
 
-/// Answers for ever.
-pub async fn serve(entry: Rc<Entry>, listener: TcpListener) {
+/// Takes connections for ever and answers each request at once, as `answer`
+/// says.
+pub async fn serve(
+    entry: Rc<Entry>,
+    listener: TcpListener,
+    answer: fn(&Entry, &Request<Incoming>) -> Response<Full<Bytes>>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(PAUSE.duration()).await;
@@ -32,15 +44,16 @@
                 let answer = answer(&entry, &request);
                 async move { Ok::<_, Infallible>(answer) }
             });
-            // Whoever breaks off asks again.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let serving = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            // Whoever breaks off, or keeps a connection, asks again.
+            let _ = timeout(CONNECTION_TIME.duration(), serving).await;
         });
     }
 }
 
-fn answer(
+/// Says whether callers may come, and shows the counters.
+pub fn answer(
     entry: &Entry,
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -54,6 +54,8 @@
     lease: Option<Lease>,
     splitter: Splitter,
     last_bytes: Moment,
+    /// The news that it knows of.
+    news: u64,
 }
 
 /// What came next.
@@ -163,6 +165,7 @@
         lease: Some(opened.lease),
         splitter: Splitter::new(),
         last_bytes: Moment::new(entry, choice),
+        news: 0,
     };
     Ok(Ok((opened.head, run)))
 }
@@ -177,22 +180,22 @@
             if self.splitter.is_over_long() {
                 return Next::Miss(Miss::Unknown("an event without an end"));
             }
+            // News may have come while an event was passed on.
+            let told = entry.news_told.get();
+            if self.news != told {
+                self.news = told;
+                if slows_others(entry, &self.choice) {
+                    return Next::Miss(Miss::Unknown("slow"));
+                }
+            }
             let look = Instant::now() + LOOK_TIME.duration();
             let frame = tokio::select! {
                 frame = self.body.frame() => frame,
-                () = entry.news.notified() => {
-                    if slows_others(entry, &self.choice) {
-                        return Next::Miss(Miss::Unknown("slow"));
-                    }
-                    continue;
-                }
+                () = entry.news.notified() => continue,
                 () = sleep_until(end.min(look)) => {
                     if Instant::now() >= end {
                         return Next::Miss(Miss::Unknown("no time left"));
                     }
-                    if slows_others(entry, &self.choice) {
-                        return Next::Miss(Miss::Unknown("slow"));
-                    }
                     if is_left_behind(entry, &self.choice, self.last_bytes) {
                         info!(entry.log, "silent";
                             "target" => &*self.choice.target.id);
--- a/cowsliproad-net/src/lib.rs
+++ b/cowsliproad-net/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod program;
 pub mod reply;
 pub mod server;
+pub mod single;
 pub mod threads;
--- a/cowsliproad-rank/src/engine.rs
+++ b/cowsliproad-rank/src/engine.rs
@@ -1,15 +1,14 @@
 //! Calls to the engine on this VM.
 
+use std::{io, net::SocketAddr};
+
 use bytes::Bytes;
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_mapswitch::order::{Epoch, Order, Verdict};
+use cowsliproad_net::single::Single;
 use cowsliproad_platform::engine::{self, Choices, Lists, State};
-use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
-use std::{io, net::SocketAddr};
-use tokio::{net::TcpStream, time::timeout};
+use http::{Request, StatusCode};
+use http_body_util::Full;
 
 /// The time for an answer of the engine.
 const ANSWER_TIME: Millis = Millis(150);
@@ -19,17 +18,19 @@
 /// that went unanswered is repeated without harm.
 const ORDER_TIME: Millis = Millis(40);
 
+/// The largest answer that is taken: counts of some hundred thousand experts.
+const MOST_BYTES: usize = 4 << 20;
+
 /// A client of one engine.
 #[derive(Debug)]
 pub struct Engine {
-    address: SocketAddr,
-    open: Option<SendRequest<Full<Bytes>>>,
+    connection: Single,
 }
 
 impl Engine {
     /// A client that has not connected yet.
     pub fn new(address: SocketAddr) -> Engine {
-        Engine { address, open: None }
+        Engine { connection: Single::new(address) }
     }
 
     /// Load and standing.
@@ -74,48 +75,9 @@
         time: Millis,
         request: Request<Full<Bytes>>,
     ) -> io::Result<(StatusCode, Bytes)> {
-        let exchange = self.exchange(request);
-        let late = || io::Error::from(io::ErrorKind::TimedOut);
-        match timeout(time.duration(), exchange).await {
-            Ok(outcome) => outcome,
-            Err(_) => {
-                // An answer that comes after all belongs to nobody.
-                self.open = None;
-                Err(late())
-            }
-        }
-    }
-
-    async fn exchange(
-        &mut self,
-        mut request: Request<Full<Bytes>>,
-    ) -> io::Result<(StatusCode, Bytes)> {
-        let host = self.address.to_string();
-        let host = host.parse().map_err(io::Error::other)?;
-        request.headers_mut().insert(header::HOST, host);
-        let mut sender = match self.open.take() {
-            Some(sender) if sender.is_ready() => sender,
-            _ => connect(self.address).await?,
-        };
-        let answer =
-            sender.send_request(request).await.map_err(io::Error::other)?;
-        let status = answer.status();
-        let body = answer.into_body().collect().await;
-        let body = body.map_err(io::Error::other)?.to_bytes();
-        self.open = Some(sender);
-        Ok((status, body))
+        let time = time.duration();
+        let call = self.connection.call(request, MOST_BYTES, time).await;
+        let answer = call.map_err(io::Error::other)?;
+        Ok((answer.status(), answer.into_body()))
     }
 }
-
-async fn connect(address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(io::Error::other)?;
-    // A failure of the connection shows in the call that meets it.
-    tokio::task::spawn_local(async move {
-        let _ = connection.await;
-    });
-    Ok(sender)
-}
