--- a/cowsliproad-direct/tests/entry/callers.rs
+++ b/cowsliproad-direct/tests/entry/callers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cowsliproad_platform::header;
 use http::StatusCode;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -105,3 +106,15 @@
     let read = timeout(PATIENCE, stream.read(&mut buffer)).await;
     assert!(read.is_ok(), "the connection stays open");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_never_comes_is_refused_as_not_run() {
+    let mut plant = Plant::start().await;
+    let target = plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    let left = format!("{}: 400\r\n", header::TIME_LEFT);
+    let more = format!("{left}Content-Length: 10\r\n");
+    let read = exchange(&entry, &head("/once/1", &more)).await;
+    assert!(read.starts_with("HTTP/1.1 408"), "{read}");
+    assert!(target.runs().is_empty());
+}
--- a/cowsliproad-direct/tests/entry/news.rs
+++ b/cowsliproad-direct/tests/entry/news.rs
@@ -4,7 +4,7 @@
 
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_platform::log::{OPERATORS, TARGETS};
-use cowsliproad_platform_standin::{catalog::Kind, log::Fault};
+use cowsliproad_platform_standin::{catalog::Kind, log::Fault, target};
 use http::StatusCode;
 
 use crate::harness::{Entry, KEY, Plant, until};
@@ -170,3 +170,49 @@
     assert!(calls <= 2 * span.as_secs(), "{calls} calls");
     assert!(entry.settings.drain_ms > Millis(0));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_big_configuration_comes_in_force_while_requests_go_on() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    let mut catalog = plant.catalog.clone();
+    for number in 0..3_000 {
+        let prefix = format!("/big{number}/");
+        catalog =
+            catalog.with_route(&prefix, Kind::Idempotent, "plain", 1_000);
+    }
+    plant.catalog = catalog;
+    plant.catalog.publish(&plant.log);
+    let changed = Instant::now();
+    until("the last of its routes serves", async || {
+        assert_eq!(status(&entry, "/once/a", KEY).await, StatusCode::OK);
+        status(&entry, "/big2999/", KEY).await == StatusCode::OK
+    })
+    .await;
+    assert!(changed.elapsed() < BOUND);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shorter_timeout_holds_for_new_requests() {
+    let mut plant = Plant::start().await;
+    let target = plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    plant.catalog = plant
+        .catalog
+        .clone()
+        .without_route("/once/")
+        .with_route("/once/", Kind::Once, "plain", 300)
+        .with_route("/new/", Kind::Once, "plain", 300);
+    plant.catalog.publish(&plant.log);
+    until("it is in force", async || {
+        status(&entry, "/new/", KEY).await == StatusCode::OK
+    })
+    .await;
+    target.set(target::Fault::Silent);
+    let asked = Instant::now();
+    let answer = status(&entry, "/once/a", KEY).await;
+    assert_eq!(answer, StatusCode::GATEWAY_TIMEOUT);
+    // The caller itself would wait for 4 s.
+    assert!(asked.elapsed() < BOUND);
+}
