Read once more: pieces that stood twice, and a scan on the way of each event

Cause: seen in a last reading of the whole change. For each event of a stream the entry collected what it keeps of all targets, copying each name; it looks without copying now.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -252,7 +252,7 @@
     }
 
     /// What is kept of a service's targets.
-    pub fn seats_of(&self, service: &str) -> Vec<Rc<RefCell<Seat>>> {
+    fn seats_of(&self, service: &str) -> Vec<Rc<RefCell<Seat>>> {
         let fleet = self.fleet.borrow();
         let targets = fleet.ready().filter(|it| &*it.service == service);
         targets.map(|it| self.seat(&it.id)).collect()
@@ -291,11 +291,27 @@
 
     /// The last pass that any group of a service is known to have begun.
     pub fn step_of(&self, service: &str) -> u64 {
-        let steps = self.seats_of(service).into_iter();
-        let step = |it: Rc<RefCell<Seat>>| {
-            it.borrow().group.as_ref().map(|it| it.step)
-        };
-        steps.filter_map(step).max().unwrap_or_default()
+        let mut last = 0;
+        self.each_group(service, |group| {
+            last = last.max(group.map_or(0, |it| it.step));
+        });
+        last
+    }
+
+    /// Looks at what is known of the group of each of a service's targets.
+    /// Streams ask with each event, so nothing is copied.
+    pub fn each_group(
+        &self,
+        service: &str,
+        mut look: impl FnMut(Option<&Group>),
+    ) {
+        let (fleet, seats) = (self.fleet.borrow(), self.seats.borrow());
+        for target in fleet.ready().filter(|it| &*it.service == service) {
+            match seats.get(&target.id) {
+                Some(seat) => look(seat.borrow().group.as_ref()),
+                None => look(None),
+            }
+        }
     }
 
     /// Whether the entry can serve: it knows routes and targets.
@@ -367,11 +383,6 @@
         best
     }
 
-    /// Whether a service has a target that could be chosen but for its group.
-    pub fn knows_targets(&self, service: &str) -> bool {
-        self.fleet.borrow().ready().any(|it| &*it.service == service)
-    }
-
     /// Notes a request in its service's retry budget.
     pub fn count_request(&self, service: &Name, now: Millis) {
         self.budget(service, |it| it.request(now));
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -11,7 +11,7 @@
 
 use std::{collections::HashSet, rc::Rc};
 
-use cowsliproad_kernel::clock::Millis;
+use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_platform::{
     catalog, log,
     log::{Client, Error, Page, Record},
@@ -164,9 +164,7 @@
             Err(error) => contact.bad(&entry, &error).await,
         }
         let gone = entry.fleet.borrow_mut().tick(Millis::now());
-        for id in gone {
-            entry.changed(&id, Change::Left, Source::Log);
-        }
+        note_gone(&entry, &gone);
     }
 }
 
@@ -182,8 +180,12 @@
         page.records.iter().map(|it| it.key.as_str()).collect();
     let gone =
         entry.fleet.borrow_mut().keep_only(|id| listed.contains(id), now);
+    note_gone(entry, &gone);
+}
+
+fn note_gone(entry: &Entry, gone: &[Name]) {
     for id in gone {
-        entry.changed(&id, Change::Left, Source::Log);
+        entry.changed(id, Change::Left, Source::Log);
     }
 }
 
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -27,21 +27,17 @@
     let arrived = Millis::now();
     let (head, body) = request.into_parts();
     let id = head.headers.get(&header::REQUEST_ID).cloned();
-    let mut answer = match receive(entry, head, body, arrived).await {
+    let answer = match receive(entry, head, body, arrived).await {
         Ok(mut call) => {
             entry.count_request(&call.service, arrived);
-            let answer = if call.route.streams() {
+            if call.route.streams() {
                 stream::run(entry, call, busy).await
             } else {
                 whole(entry, &mut call).await
-            };
-            return log_answer(entry, answer, id, arrived);
+            }
         }
         Err(answer) => answer,
     };
-    if let Some(id) = &id {
-        reply::belongs(&mut answer, id);
-    }
     log_answer(entry, answer, id, arrived)
 }
 
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -7,7 +7,7 @@
 //! target. A stream that can't go on is cut, so that it doesn't look
 //! complete.
 
-use std::{cell::RefCell, rc::Rc};
+use std::rc::Rc;
 
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_relay::events::{Event, Splitter};
@@ -23,7 +23,7 @@
 use crate::{
     call::{Call, Miss, Opened, Stay, read_whole},
     callers::Busy,
-    entry::{Choice, Entry, Seat},
+    entry::{Choice, Entry, Group},
     receive::drop_hop_by_hop,
     reply::{Body, Piece},
     upstream::Lease,
@@ -250,15 +250,15 @@
 /// in a pass, so moving a dozen streams away from it gives all others their
 /// pace back.
 fn slows_others(entry: &Entry, choice: &Choice) -> bool {
-    let pace = |seat: &Rc<RefCell<Seat>>| {
-        seat.borrow().group.as_ref().map_or(100, |it| it.pace)
-    };
-    let own = pace(&choice.seat);
-    let fit = |pace: u32| pace * SLOW_PERCENT / 100 <= own;
-    own >= SLOW_PERCENT && {
-        let seats = entry.seats_of(&choice.target.service);
-        seats.iter().any(|it| fit(pace(it)))
+    let pace = |group: Option<&Group>| group.map_or(100, |it| it.pace);
+    let own = pace(choice.seat.borrow().group.as_ref());
+    if own < SLOW_PERCENT {
+        return false;
     }
+    let mut least = u32::MAX;
+    let service = &choice.target.service;
+    entry.each_group(service, |group| least = least.min(pace(group)));
+    u64::from(least) * u64::from(SLOW_PERCENT) / 100 <= u64::from(own)
 }
 
 /// Passes a stream on to its caller.
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -407,8 +407,7 @@
             self.speak(now).await;
             return;
         }
-        let bytes = gossip::encode(&Message::Status(Box::new(status)));
-        send(&self.log, &self.agents_socket, &bytes, to).await;
+        self.tell(&Message::Status(Box::new(status)), &[to]).await;
     }
 
     /// Tells all agents that it hears from no coordinator. One that was
@@ -419,10 +418,9 @@
         }
         let Some(status) = self.status() else { return };
         self.last.status = now;
-        let bytes = gossip::encode(&Message::Status(Box::new(status)));
-        for agent in self.agents().filter(|it| *it != self.own) {
-            send(&self.log, &self.agents_socket, &bytes, agent).await;
-        }
+        let others = self.agents().filter(|it| *it != self.own);
+        let others: Vec<SocketAddr> = others.collect();
+        self.tell(&Message::Status(Box::new(status)), &others).await;
     }
 
     fn status(&self) -> Option<Status> {
--- a/cowsliproad-rank/src/agent/orders.rs
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -120,17 +120,11 @@
         let due = order::due(&word, &report, plan).or(again);
         let mut fence = 0;
         if let Some(due) = due {
-            let given = engine.order(&due, word.epoch, word.fence).await;
-            info!(self.log, "order_from_afar"; "order" => name(&due),
-                "aim" => ?word.aim, "target" => %target,
-                "outcome" => ?given.as_ref().ok());
-            match given {
-                Ok(Verdict::Fenced) => {
-                    self.step_down(word.fence);
-                    return;
-                }
-                Ok(Verdict::Taken) => fence = word.fence,
-                Ok(Verdict::Unfit) | Err(_) => {}
+            let target = *target;
+            match self.order_from_afar(&mut engine, target, &due, word).await {
+                Some(Verdict::Fenced) => return,
+                Some(Verdict::Taken) => fence = word.fence,
+                Some(Verdict::Unfit) | None => {}
             }
         }
         let status = Status {
@@ -185,13 +179,25 @@
         self.last.hold = Some(word);
         self.last.held = now;
         let mut engine = Engine::new(target);
-        let given = engine.order(&due, word.epoch, word.fence).await;
-        info!(self.log, "order_from_afar"; "order" => name(&due),
-            "aim" => ?word.aim, "target" => %target,
-            "outcome" => ?given.as_ref().ok());
-        if matches!(given, Ok(Verdict::Fenced)) {
+        self.order_from_afar(&mut engine, target, &due, word).await;
+    }
+
+    /// Gives an order to another's engine, and steps down if a higher number
+    /// was seen there. Without an answer nobody knows.
+    async fn order_from_afar(
+        &mut self,
+        engine: &mut Engine,
+        target: SocketAddr,
+        due: &order::Order,
+        word: Directive,
+    ) -> Option<Verdict> {
+        let given = engine.order(due, word.epoch, word.fence).await.ok();
+        info!(self.log, "order_from_afar"; "order" => name(due),
+            "aim" => ?word.aim, "target" => %target, "outcome" => ?given);
+        if given == Some(Verdict::Fenced) {
             self.step_down(word.fence);
         }
+        given
     }
 }
 
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -126,7 +126,7 @@
             if !newer {
                 return;
             }
-            // Lists don't come with every status.
+            // A report from afar comes without lists.
             status.experts = status.experts.or(known.experts.take());
         }
         self.ranks.insert(rank, (status, now));
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -168,15 +168,6 @@
     Ipv4Addr::new(127, net.0, net.1, number)
 }
 
-/// A demand in which a few experts, from one on, are liked far more.
-fn liked(first: usize) -> Vec<u64> {
-    let weight = |expert: usize| {
-        let place = (expert + EXPERTS - first) % EXPERTS;
-        if place < 4 { 4_000 / (place as u64 + 1) } else { 100 }
-    };
-    (0..EXPERTS).map(weight).collect()
-}
-
 async fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let begun = Instant::now();
     while !holds() {
@@ -189,7 +180,7 @@
 async fn the_map_follows_a_demand_that_shifts() {
     let plant = Plant::start().await;
     for first in [0, 5, 11] {
-        plant.group.demand(liked(first));
+        plant.group.like_from(first);
         plant.until_balanced().await;
     }
     assert!(plant.group.tally().changes >= 3);
@@ -201,7 +192,7 @@
     let plant = Plant::start().await;
     plant.group.lose_every(3);
     for first in [0, 7] {
-        plant.group.demand(liked(first));
+        plant.group.like_from(first);
         plant.until_balanced().await;
     }
 }
@@ -209,11 +200,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_coordinator_is_followed_by_another() {
     let mut plant = Plant::start().await;
-    plant.group.demand(liked(0));
+    plant.group.like_from(0);
     plant.until_balanced().await;
     for round in 0..2 {
         // The first to lead is rank 0; it is killed as a change is due.
-        plant.group.demand(liked(5 + 3 * round));
+        plant.group.like_from(5 + 3 * round);
         plant.signal(round, Signal::KILL);
         plant.agents[round].restart();
         plant.until_balanced().await;
@@ -223,9 +214,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_coordinator_holds_nobody_up_and_stops_when_it_wakes() {
     let plant = Plant::start().await;
-    plant.group.demand(liked(0));
+    plant.group.like_from(0);
     plant.until_balanced().await;
-    plant.group.demand(liked(8));
+    plant.group.like_from(8);
     plant.signal(0, Signal::STOP);
     plant.group.freeze(0, Frozen::Yes);
     let steps = plant.group.tally().steps;
@@ -240,7 +231,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_group_that_forms_anew_is_balanced_again() {
     let plant = Plant::start().await;
-    plant.group.demand(liked(0));
+    plant.group.like_from(0);
     plant.until_balanced().await;
     plant.group.form();
     assert!(plant.group.skew() > 1.35);
@@ -261,6 +252,6 @@
     })
     .await;
     plant.log.set(log::Fault::None);
-    plant.group.demand(liked(0));
+    plant.group.like_from(0);
     plant.until_balanced().await;
 }
--- a/cowsliproad-routing/src/catalog.rs
+++ b/cowsliproad-routing/src/catalog.rs
@@ -62,8 +62,6 @@
     pub timeout: Option<Millis>,
     /// The time within which an answer is wanted.
     pub aim: Option<Millis>,
-    /// The longest wanted pause between events.
-    pub pause: Option<Millis>,
     /// Rank, 0 first.
     pub priority: u8,
     /// The services that it leads to.
@@ -96,8 +94,6 @@
     pub places: usize,
     /// Experts that are new to a rank in one map, at most, in each set.
     pub spare: usize,
-    /// What a group needs to open once its ranks are back.
-    pub reforming: Millis,
 }
 
 /// Who sends requests.
--- a/tests/properties/direct.rs
+++ b/tests/properties/direct.rs
@@ -22,7 +22,6 @@
         kind: Kind::Once,
         timeout: None,
         aim: None,
-        pause: None,
         priority: 1,
         shares: vec![
             Share { service: "a".into(), weight: 90.0 },
