--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -64,6 +64,10 @@
 /// after a quarter of a second each.
 const MOST_TRIES: usize = 12;
 
+/// What is left of a caller's patience for the answer's way: 3 ms there, and
+/// a VM that has used up its share of a tenth of a second.
+const ANSWER_TIME: Millis = Millis(100);
+
 /// The pause before a target that refused is asked again.
 const AGAIN_TIME: Millis = Millis(60);
 
@@ -244,8 +248,7 @@
         &mut self,
         entry: &Rc<Entry>,
     ) -> Result<Choice, Response<Body>> {
-        let wait = entry.settings().wait_ms;
-        let wait = self.until.min(self.waits_since + wait);
+        let wait = self.until.min(self.waits_since + self.wait(entry));
         loop {
             let news = entry.news.notified();
             let now = Millis::now();
@@ -268,6 +271,14 @@
         }
     }
 
+    /// How long the request may wait for a target to be usable. A caller of a
+    /// stream that hears nothing for longer leaves and is lost; one that is
+    /// answered just before comes back when it was told to.
+    fn wait(&self, entry: &Entry) -> Millis {
+        let silence = self.route.silence.map(|it| it - ANSWER_TIME);
+        silence.unwrap_or(entry.settings().wait_ms)
+    }
+
     /// The best target that the request may still be sent to: a new one while
     /// its route allows more, else one that was asked before.
     fn choose(&self, entry: &Entry, now: Millis) -> Option<Choice> {
--- a/cowsliproad-direct/src/settings.rs
+++ b/cowsliproad-direct/src/settings.rs
@@ -29,8 +29,8 @@
     pub drain_ms: Millis,
     /// The time from SIGTERM to the process's end by force.
     pub grace_ms: Millis,
-    /// How long a request waits for a target to be usable. A caller of a
-    /// stream leaves after two seconds without an event.
+    /// How long a request waits for a target to be usable, where its route
+    /// doesn't say how long callers stay without an event.
     pub wait_ms: Millis,
     /// What all entries together may send again.
     pub retries: Retries,
--- a/cowsliproad-routing/src/catalog.rs
+++ b/cowsliproad-routing/src/catalog.rs
@@ -62,6 +62,8 @@
     pub timeout: Option<Millis>,
     /// The time within which an answer is wanted.
     pub aim: Option<Millis>,
+    /// How long callers of a stream stay without an event.
+    pub silence: Option<Millis>,
     /// Rank, 0 first.
     pub priority: u8,
     /// The services that it leads to.
--- a/tests/properties/direct.rs
+++ b/tests/properties/direct.rs
@@ -22,6 +22,7 @@
         kind: Kind::Once,
         timeout: None,
         aim: None,
+        silence: None,
         priority: 1,
         shares: vec![
             Share { service: "a".into(), weight: 90.0 },
