Plans are told by what differs; a shift of demand shows in large groups at once

Cause: at 72 ranks a change of map took 1.9 s, of which the orders to hold, arm and go were 60 ms. A plan was a datagram of eight packets, some of five were lost each time and sent again after 750 ms; and each status carried its rank's lists, 71 of which took the coordinator's 0.15 cores longer than the change. Counts of a whole second were said once a second, so a shift showed late.

Now an agent that has the last plan is sent what differs, in one packet, and what is lost is sent again with the next word; lists come only where the coordinator needs them; a rank says at its turn what it counted in the last 200 ms. A plan is taken only if its digest fits.

--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -26,8 +26,10 @@
 use crate::{
     engine::Engine,
     lead::Lead,
+    plan::{Plan, Sheet},
+    rota::{Due, Rota},
     settings::Settings,
-    wire::{Choices, Message, News, Plan, Status},
+    wire::{Choices, Message, News, Status},
 };
 
 mod chair;
@@ -46,9 +48,6 @@
 /// How often entries are told of the load.
 const LOAD_TIME: Millis = Millis(400);
 
-/// How often the counts are read; see [`cowsliproad_placement::demand`].
-const COUNT_TIME: Millis = Millis(200);
-
 /// Bytes of counts that a coordinator is sent in a millisecond: 1 Mbit/s, an
 /// eighth of the smallest link of a VM.
 const COUNT_RATE: u64 = 125;
@@ -56,9 +55,6 @@
 /// Ranks up to which words are repeated every [`BUSY_TIME`].
 const BUSY_RANKS: u64 = 16;
 
-/// After so many words a plan is sent again to those that lack it.
-const PLAN_PAUSES: u64 = 5;
-
 /// Agents that the coordinator sends a plan to itself.
 const FAN_OUT: usize = 16;
 
@@ -89,6 +85,7 @@
     state: Option<State>,
     experts: Option<(Epoch, order::Version, Vec<Vec<u16>>)>,
     counts: Option<(Epoch, Vec<Vec<u64>>)>,
+    rota: Option<Rota>,
     plan: Option<Plan>,
     /// The coordinator's last word, where it is, and when it came.
     word: Option<(Directive, SocketAddr, Millis)>,
@@ -116,7 +113,6 @@
 #[derive(Default)]
 struct Times {
     load: Millis,
-    count: Millis,
     status: Millis,
     speech: Millis,
     candidacy: Option<Millis>,
@@ -154,6 +150,7 @@
             state: None,
             experts: None,
             counts: None,
+            rota: None,
             plan: None,
             word: None,
             fence: 0,
@@ -265,18 +262,31 @@
                     lead.count(choices, experts);
                 }
             }
-            Some(Message::Plan(mut plan)) => {
-                if plan.fence >= self.fence {
-                    self.fence = plan.fence;
-                    let pass_on = std::mem::take(&mut plan.pass_on);
-                    self.plan = Some(plan.clone());
-                    self.tell(&Message::Plan(plan), &pass_on).await;
-                }
-            }
+            Some(Message::Plan(sheet)) => self.take_plan(sheet).await,
             None => warn!(self.log, "strange_datagram"),
         }
     }
 
+    /// Takes a plan, and passes it on.
+    async fn take_plan(&mut self, mut sheet: Sheet) {
+        if sheet.fence < self.fence {
+            return;
+        }
+        self.fence = sheet.fence;
+        let has = self.plan.as_ref().map(|it| it.version);
+        if has == Some(sheet.version) {
+            return;
+        }
+        match sheet.plan(self.plan.as_ref()) {
+            Ok(plan) => self.plan = Some(plan),
+            Err(misfit) => info!(self.log, "plan_misfit";
+                "version" => sheet.version.0, "why" => ?misfit,
+                "has" => ?has),
+        }
+        let pass_on = std::mem::take(&mut sheet.pass_on);
+        self.tell(&Message::Plan(sheet), &pass_on).await;
+    }
+
     /// Looks at the engine, does what is due and tells the others.
     async fn look(&mut self) {
         let before = self.standing();
@@ -359,12 +369,13 @@
         let experts = usize::from(shape.experts);
         let numbers = u64::from(shape.sets) * u64::from(shape.experts);
         let round = Millis(numbers * u64::from(report.ranks) / COUNT_RATE);
-        let time = round.max(COUNT_TIME);
         let Some((_, to, _)) = self.word else { return };
-        if now.since(self.last.count) < time {
+        let (rank, ranks) = (report.rank, report.ranks);
+        let new = || Rota::new(now, round, rank, ranks);
+        let due = self.rota.get_or_insert_with(new).turn(now, round);
+        if due == Due::Nothing {
             return;
         }
-        self.last.count = now;
         let choices = match self.engine.choices(experts).await {
             Ok(choices) => (choices.epoch, choices.counts),
             Err(error) => {
@@ -374,7 +385,7 @@
         };
         let before = self.counts.replace(choices.clone());
         let growth = before
-            .filter(|it| it.0 == choices.0)
+            .filter(|it| due == Due::Say && it.0 == choices.0)
             .and_then(|it| Growth::between(&it.1, &choices.1));
         let Some(Growth { scale, units }) = growth else { return };
         let choices = Choices { scale, units };
@@ -426,7 +437,9 @@
     fn status(&self) -> Option<Status> {
         let report = self.report()?.clone();
         let epoch = report.epoch;
-        let experts = self.experts.as_ref().filter(|it| it.0 == epoch);
+        let experts = self.experts.as_ref();
+        let experts =
+            experts.filter(|it| it.0 == epoch && self.is_asked(it.1));
         Some(Status {
             agent: self.own,
             fence: self.fence,
@@ -438,6 +451,18 @@
         })
     }
 
+    /// Whether the coordinator needs the lists of the map in use: it plans
+    /// from them unless it made that map itself. They are most of a status,
+    /// and at 72 ranks reading them took its VM longer than a change.
+    fn is_asked(&self, map: order::Version) -> bool {
+        let plan = self.plan.as_ref();
+        let knows = plan.is_some_and(|plan| {
+            plan.version == map && plan.fence == self.fence
+        });
+        let rests = self.word.as_ref().is_none_or(|it| it.0.aim == Aim::Rest);
+        rests && !knows
+    }
+
     /// Says the coordinator's word, if this agent is it.
     async fn speak(&mut self, now: Millis) {
         let Some(lead) = &self.lead else { return };
@@ -451,10 +476,7 @@
         self.last.speech = now;
         self.last.said = Some(word);
         if let Some(plan) = lead.plan().cloned() {
-            let lacking = lead.lacking().filter(|it| *it != self.own);
-            let lacking = lacking.collect();
-            self.plan = Some(plan.clone());
-            self.hand_out(plan, lacking, now).await;
+            self.hand_out(plan, now).await;
         }
         let mut agents: Vec<SocketAddr> = self.agents().collect();
         if let Some(lead) = &self.lead {
@@ -472,25 +494,26 @@
     }
 
     /// Sends a plan to those that lack it, and to most of them through
-    /// others: at 72 ranks it would take the own link half a second.
-    async fn hand_out(
-        &mut self,
-        plan: Plan,
-        lacking: Vec<SocketAddr>,
-        now: Millis,
-    ) {
-        let again = Millis(self.busy_time().0 * PLAN_PAUSES);
+    /// others: whole to 72 ranks it would take the own link half a second.
+    /// What was lost is sent again with the next word; one rank without the
+    /// plan holds the change up for all.
+    async fn hand_out(&mut self, plan: Plan, now: Millis) {
+        let again = self.busy_time();
         let new = self.last.planned != Some(plan.version);
-        if lacking.is_empty() || !new && now.since(self.last.handed) < again {
+        if !new && now.since(self.last.handed) < again {
             return;
         }
         self.last.planned = Some(plan.version);
         self.last.handed = now;
-        let size = lacking.len().div_ceil(FAN_OUT).max(1);
-        for chunk in lacking.chunks(size) {
-            let pass_on = chunk[1..].to_vec();
-            let plan = Plan { pass_on, ..plan.clone() };
-            self.tell(&Message::Plan(plan), &chunk[..1]).await;
+        self.plan = Some(plan);
+        let sheets = self.lead.as_ref().map(Lead::sheets);
+        for (sheet, mut agents) in sheets.unwrap_or_default() {
+            agents.retain(|it| *it != self.own);
+            let size = agents.len().div_ceil(FAN_OUT).max(1);
+            for chunk in agents.chunks(size) {
+                let sheet = sheet.with_pass_on(&chunk[1..]);
+                self.tell(&Message::Plan(sheet), &chunk[..1]).await;
+            }
         }
     }
 
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -13,14 +13,18 @@
     Sight, Standing, Version, due_at_holder,
 };
 use cowsliproad_placement::{
+    bound,
     demand::{Counts, Demand},
     growth::Growth,
     live,
-    map::{Map, Shape},
+    map::{Map, Shape, ideal_time},
 };
 use slog::{Logger, info};
 
-use crate::wire::{Choices, Plan, Status};
+use crate::{
+    plan::{Plan, Sheet},
+    wire::{Choices, Status},
+};
 
 /// A report older than this isn't planned or acted on.
 const FRESH: Millis = Millis(900);
@@ -49,6 +53,8 @@
     sampled: Millis,
     planned: Millis,
     plan: Option<Plan>,
+    /// The plan that was made before this one.
+    before: Option<Plan>,
     price: f64,
     log: Logger,
 }
@@ -80,6 +86,7 @@
             sampled: Millis(0),
             planned: Millis(0),
             plan: None,
+            before: None,
             price,
             log,
         }
@@ -105,11 +112,24 @@
         self.ranks.values().map(|it| it.0.agent)
     }
 
-    /// The agents that lack the plan in force.
-    pub fn lacking(&self) -> impl Iterator<Item = SocketAddr> {
-        let version = self.plan.as_ref().map(|it| it.version);
-        let lacks = move |it: &&(Status, Millis)| it.0.plan != version;
-        self.ranks.values().filter(lacks).map(|it| it.0.agent)
+    /// The plan in force for the agents that lack it: those that have the one
+    /// before need only what differs.
+    pub fn sheets(&self) -> Vec<(Sheet, Vec<SocketAddr>)> {
+        let Some(plan) = &self.plan else { return Vec::new() };
+        let version = Some(plan.version);
+        let lacks = |it: &&(Status, Millis)| it.0.plan != version;
+        let before = self.before.as_ref();
+        let knows = |it: &&(Status, Millis)| {
+            before.is_some_and(|before| it.0.plan == Some(before.version))
+        };
+        let lacking = self.ranks.values().filter(lacks);
+        let (knowing, others): (Vec<_>, Vec<_>) = lacking.partition(knows);
+        let agents = |ranks: Vec<&(Status, Millis)>| {
+            ranks.into_iter().map(|it| it.0.agent).collect()
+        };
+        let since = before.map(|it| (Sheet::since(it, plan), agents(knowing)));
+        let whole = (Sheet::whole(plan), agents(others));
+        since.into_iter().chain([whole]).collect()
     }
 
     /// Whether nothing was heard of a rank for some time, by its VM.
@@ -217,7 +237,7 @@
             }
             Event::GivenUp(version) => {
                 info!(self.log, "plan_given_up"; "version" => version.0);
-                self.plan = None;
+                self.drop_plan();
             }
             Event::TakenUp(version) => {
                 info!(self.log, "change_taken_up"; "version" => version.0);
@@ -228,11 +248,17 @@
             Event::Reset(epoch) => {
                 info!(self.log, "group_formed"; "epoch" => epoch.0);
                 // What is liked doesn't change because a rank was away.
-                self.plan = None;
+                self.drop_plan();
             }
         }
     }
 
+    /// Drops the plan in force. Agents may have it already, so the next one
+    /// is told by what differs from it.
+    fn drop_plan(&mut self) {
+        self.before = self.plan.take().or(self.before.take());
+    }
+
     fn sample(&mut self, now: Millis) {
         if now.since(self.sampled) < SAMPLE_TIME {
             return;
@@ -261,20 +287,23 @@
             return;
         };
         let version = self.coordinator.begin(sights, now);
+        let ideal = ideal_time(&loads, &speeds);
+        let bound = bound::step_time(shape_of_map, &loads, &speeds) / ideal;
         info!(self.log, "map_planned"; "version" => version.0,
             "skew" => format!("{:.3}", plan.before),
             "expected" => format!("{:.3}", plan.after),
+            "bound" => format!("{bound:.3}"),
             "slowest" => speeds.iter().copied().fold(1.0, f64::min),
             "copies" => plan.moves, "step" => sights[0].report.step,
             "counted" => loads.iter().flatten().sum::<f64>());
         let directive = self.directive();
-        self.plan = Some(Plan {
+        let last = self.plan.replace(Plan {
             fence: directive.fence,
             epoch: directive.epoch,
             version,
             experts: Arc::new(plan.map.experts()),
-            pass_on: Vec::new(),
         });
+        self.before = last.or(self.before.take());
     }
 
     /// The map in use, put together from what each rank has.
--- a/cowsliproad-rank/src/lib.rs
+++ b/cowsliproad-rank/src/lib.rs
@@ -9,6 +9,8 @@
 //! * [`settings`]: the settings file;
 //! * [`agent`]: the loop of an agent;
 //! * [`lead`]: the coordinator;
+//! * [`plan`]: a map on its way to all agents;
+//! * [`rota`]: when a rank counts;
 //! * [`engine`]: calls to the engine;
 //! * [`wire`]: the datagrams between agents.
 
@@ -25,6 +27,8 @@
 pub mod agent;
 pub mod engine;
 pub mod lead;
+pub mod plan;
+pub mod rota;
 pub mod settings;
 pub mod wire;
 
--- a/cowsliproad-rank/src/wire.rs
+++ b/cowsliproad-rank/src/wire.rs
@@ -1,12 +1,12 @@
 //! The datagrams between agents of one group.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
-use cowsliproad_mapswitch::order::{
-    Arms, Directive, Epoch, Experts, Report, Version,
-};
+use cowsliproad_mapswitch::order::{Arms, Directive, Report, Version};
 use serde::{Deserialize, Serialize};
 
+use crate::plan::Sheet;
+
 /// What agents take from one another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
@@ -21,7 +21,7 @@
     Directive(Directive, SocketAddr),
     /// From the coordinator: the map that is to be prepared.
     #[serde(rename = "p")]
-    Plan(Plan),
+    Plan(Sheet),
 }
 
 /// What an agent knows of its engine.
@@ -45,7 +45,8 @@
     /// The plan that it has.
     #[serde(rename = "p")]
     pub plan: Option<Version>,
-    /// The engine's experts by set, and the map that they are of.
+    /// The engine's experts by set, and the map that they are of, where the
+    /// coordinator needs them.
     #[serde(rename = "x")]
     pub experts: Option<(Version, Vec<Vec<u16>>)>,
 }
@@ -80,23 +81,3 @@
     #[serde(rename = "u", with = "serde_bytes")]
     pub units: Vec<u8>,
 }
-
-/// A map to be prepared.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Plan {
-    /// The coordinator's fencing number.
-    #[serde(rename = "f")]
-    pub fence: u64,
-    /// The formation that it is for.
-    #[serde(rename = "e")]
-    pub epoch: Epoch,
-    /// Its number.
-    #[serde(rename = "v")]
-    pub version: Version,
-    /// The experts of every rank.
-    #[serde(rename = "x")]
-    pub experts: Arc<Experts>,
-    /// Agents that whoever gets this passes it on to.
-    #[serde(rename = "p")]
-    pub pass_on: Vec<SocketAddr>,
-}
