Ranks in step are filled evenly; a group is open at all its ranks at once

Each entry took the lengths of a rank's answers for its speed, all entries sent to the least of costs that all know alike, and the first rank to say that the group is open got whoever waited. Now ranks in step share one usual time, each entry chooses as if all filled the ranks up to a level, and one rank's word holds for its group.

Failed, and reverted: a line at each entry with a bound of room at the ranks (slots + 4; late requests to 33, 40, 50, 67, 100 and 133 percent of the slots), and refusing a first try at once while its group is closed. Engines in saturation serve 76 a second at 12 requests and 68 at 7 (90 and 63 ms a pass), so whoever is let in late displaces one on time; shedding at the entry moved the loss and didn't lessen it.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -17,7 +17,7 @@
 use cowsliproad_routing::{
     catalog::Catalog,
     fleet::{self, Change, Fleet, Target},
-    pick::{self, Candidate, Distance, Record},
+    pick::{self, Candidate, Distance, Record, Usual},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::{Logger, info, warn};
@@ -95,8 +95,8 @@
     pub announced: RefCell<HashMap<Name, Bytes>>,
     seats: RefCell<HashMap<Name, Rc<RefCell<Seat>>>>,
     budgets: RefCell<HashMap<Name, Window>>,
-    /// The last formation of each group that a target called broken.
-    broken: RefCell<HashMap<Name, u64>>,
+    /// What was last said of each group, by any of its ranks.
+    formations: RefCell<HashMap<Name, Formation>>,
     /// Other entries.
     pub peers: RefCell<Peers>,
     /// Wakes requests that wait for a target.
@@ -116,6 +116,13 @@
     random: RefCell<SmallRng>,
 }
 
+/// A formation of a group.
+#[derive(Clone, Copy, Debug)]
+struct Formation {
+    epoch: u64,
+    open: bool,
+}
+
 /// A target that was chosen.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -140,7 +147,7 @@
             announced: RefCell::new(HashMap::new()),
             seats: RefCell::new(HashMap::new()),
             budgets: RefCell::new(HashMap::new()),
-            broken: RefCell::new(HashMap::new()),
+            formations: RefCell::new(HashMap::new()),
             peers: RefCell::new(peers),
             news: Notify::new(),
             news_told: Cell::new(0),
@@ -265,20 +272,29 @@
     pub fn note_broken(&self, choice: &Choice) {
         let seat = choice.seat.borrow();
         let Some(group) = &seat.group else { return };
-        let mut broken = self.broken.borrow_mut();
-        let epoch = broken.entry(group.name.clone()).or_default();
-        if *epoch < group.epoch {
-            info!(self.log, "group_broken"; "group" => &*group.name,
-                "epoch" => group.epoch, "target" => &*choice.target.id);
-            *epoch = group.epoch;
+        self.note_formation(&group.name, group.epoch, false);
+    }
+
+    /// Notes what a rank says of its group. A group that is open is so at all
+    /// ranks: were each waited for, the first to say so would be sent all
+    /// that waited.
+    pub fn note_formation(&self, group: &Name, epoch: u64, open: bool) {
+        let mut formations = self.formations.borrow_mut();
+        let new = Formation { epoch, open };
+        let known = formations.entry(group.clone()).or_insert(new);
+        let broke = known.epoch == epoch && known.open && !open;
+        if known.epoch < epoch || broke {
+            info!(self.log, "group_stands"; "group" => &**group,
+                "epoch" => epoch, "open" => open);
+            *known = new;
         }
     }
 
     /// Whether a group takes requests, as far as is known.
     fn is_open(&self, group: &Group) -> bool {
-        let broken = self.broken.borrow();
-        let broken = broken.get(&group.name);
-        group.open && broken.is_none_or(|epoch| *epoch < group.epoch)
+        let formations = self.formations.borrow();
+        let newest = formations.get(&group.name);
+        newest.map_or(group.open, |it| it.open)
     }
 
     /// Whether the agent beside a target spoke lately.
@@ -321,8 +337,9 @@
             && self.fleet.borrow().ready().next().is_some()
     }
 
-    /// The target with the least cost among those of a service that `fits`
-    /// lets through.
+    /// A target among those of a service that `fits` lets through: the one
+    /// with the least cost, or, where agents report, one of those with little
+    /// cost; see [`pick::spread`].
     pub fn choose(
         &self,
         service: &str,
@@ -331,6 +348,7 @@
     ) -> Option<Choice> {
         let fleet = self.fleet.borrow();
         let most = self.connections(service);
+        let zone = &self.settings().zone;
         let seats = self.seats_of(service);
         // Where most agents report, a target whose agent is silent is not
         // idle but unknown: its VM may be frozen, or it may be the slow one.
@@ -340,17 +358,12 @@
         };
         let heard = seats.iter().filter(|it| known(&it.borrow().group));
         let reported = heard.count() * 2 > seats.len();
-        let guess_ms = seats
-            .iter()
-            .filter_map(|it| it.borrow().record.usual_ms())
-            .reduce(f64::min)
-            .unwrap_or(pick::UNKNOWN_MS);
-        let mut best: Option<Choice> = None;
-        let mut ties = 0;
+        let records: Vec<Record> =
+            seats.iter().map(|it| it.borrow().record).collect();
+        let usual = Usual::new(records.iter());
+        let mut choices: Vec<Choice> = Vec::new();
+        let mut slots = 1;
         for target in fleet.ready().filter(|it| &*it.service == service) {
-            if !fits(target) {
-                continue;
-            }
             let seat = self.seat(&target.id);
             let held = seat.borrow();
             let group = held.group.as_ref();
@@ -358,29 +371,39 @@
             if closed
                 || reported && !known(&held.group)
                 || held.open >= most && held.pool.is_empty()
+                || !fits(target)
             {
                 continue;
             }
-            let distance = if target.zone == self.settings().zone {
-                Distance::Near
-            } else {
-                Distance::Far
+            let near = target.zone == *zone;
+            let distance = if near { Distance::Near } else { Distance::Far };
+            let usual_ms = match group {
+                Some(_) => usual.in_step(),
+                None => usual.alone(&held.record),
+            };
+            let candidate = Candidate {
+                record: &held.record,
+                slots: target.slots,
+                distance,
+                pace: group.map_or(100, |it| it.pace),
+                usual_ms,
             };
-            let record = &held.record;
-            let pace = group.map_or(100, |it| it.pace);
-            let slots = target.slots;
-            let candidate =
-                Candidate { record, slots, distance, pace, guess_ms };
             let cost = pick::cost(&candidate, now);
             drop(held);
-            let least = best.as_ref().map_or(f64::INFINITY, |it| it.cost);
-            ties = if cost < least { 1 } else { ties + 1 };
-            let wins = cost < least || cost == least && self.one_of(ties);
-            if wins {
-                best = Some(Choice { target: target.clone(), seat, cost });
-            }
+            slots = slots.max(target.slots);
+            choices.push(Choice { target: target.clone(), seat, cost });
         }
-        best
+        let costs: Vec<f64> = choices.iter().map(|it| it.cost).collect();
+        let unseen = if reported {
+            let sent: u32 = records.iter().map(Record::unreported).sum();
+            let others = self.peers.borrow().entries() - 1;
+            f64::from(sent) * others as f64
+        } else {
+            0.0
+        };
+        let step = usual.in_step() / f64::from(slots);
+        let place = pick::spread(&costs, step, unseen, self.draw())?;
+        Some(choices.swap_remove(place))
     }
 
     /// Notes a request in its service's retry budget.
@@ -399,10 +422,6 @@
         rand::Rng::random(&mut *self.random.borrow_mut())
     }
 
-    fn one_of(&self, count: u32) -> bool {
-        self.draw() * f64::from(count) < 1.0
-    }
-
     fn budget<T>(
         &self,
         service: &Name,
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -341,6 +341,7 @@
         heard: Millis::now(),
     };
     let after = stands(&group);
+    entry.note_formation(&group.name, group.epoch, group.open);
     seat.group = Some(group);
     drop(seat);
     if before != Some(after) {
--- a/cowsliproad-routing/src/pick.rs
+++ b/cowsliproad-routing/src/pick.rs
@@ -104,6 +104,11 @@
         known.max(self.in_flight)
     }
 
+    /// Requests that this entry sent since the last report.
+    pub fn unreported(&self) -> u32 {
+        self.sent
+    }
+
     /// Own requests there.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
@@ -138,9 +143,44 @@
     pub distance: Distance,
     /// How long its work takes, in percent of the usual.
     pub pace: u32,
-    /// The time taken for usual before its first answer, in milliseconds:
-    /// that of the quickest of its service, so that a new target is tried.
-    pub guess_ms: f64,
+    /// The usual time of an answer there, in milliseconds; see [`Usual`].
+    pub usual_ms: f64,
+}
+
+/// The usual times of a service's targets.
+#[derive(Clone, Copy, Debug)]
+pub struct Usual {
+    least: f64,
+    mean: f64,
+}
+
+impl Usual {
+    /// What the records of a service's targets say.
+    pub fn new<'a>(records: impl Iterator<Item = &'a Record>) -> Usual {
+        let (mut least, mut sum, mut count) = (f64::INFINITY, 0.0, 0.0);
+        for time in records.filter_map(Record::usual_ms) {
+            least = least.min(time);
+            sum += time;
+            count += 1.0;
+        }
+        if count == 0.0 {
+            return Usual { least: UNKNOWN_MS, mean: UNKNOWN_MS };
+        }
+        Usual { least, mean: sum / count }
+    }
+
+    /// The usual time of a target that works by itself. One that never
+    /// answered is taken for as quick as the quickest, so that it is tried.
+    pub fn alone(&self, record: &Record) -> f64 {
+        record.usual_ms().unwrap_or(self.least)
+    }
+
+    /// The usual time of a rank of a group. All ranks go in step, so what one
+    /// of them took longer was the length of its answers. Taken for its own,
+    /// it sent 38 of 200 waiting requests to one rank of 16 and 13 to another.
+    pub fn in_step(&self) -> f64 {
+        self.mean
+    }
 }
 
 /// Where a target is, seen from an entry.
@@ -152,14 +192,50 @@
     Far,
 }
 
+/// Chooses among targets whose costs are known to several entries alike.
+///
+/// All entries hear the same reports. If each sent to the least cost, all
+/// would send to the same targets until the next report. So each chooses as
+/// if all were to fill the targets up evenly: with `unseen` requests that
+/// others send before the next reports, a target gets as many of them as it
+/// lies below the level that they fill up to, and so often it is drawn.
+///
+/// `step` is what one more request adds to a target's cost, and `draw` is a
+/// random number from 0 to 1. Returns the place of the chosen cost.
+pub fn spread(
+    costs: &[f64],
+    step: f64,
+    unseen: f64,
+    draw: f64,
+) -> Option<usize> {
+    let mut order: Vec<usize> = (0..costs.len()).collect();
+    order.sort_by(|a, b| costs[*a].total_cmp(&costs[*b]));
+    let (mut sum, mut level, mut count) = (0.0, 0.0, 0);
+    for place in &order {
+        if count > 0 && costs[*place] >= level {
+            break;
+        }
+        sum += costs[*place];
+        count += 1;
+        level = (sum + step * (unseen + 1.0)) / f64::from(count);
+    }
+    let below = &order[..count as usize];
+    let total: f64 = below.iter().map(|it| level - costs[*it]).sum();
+    let mut left = draw * total;
+    for place in below {
+        left -= level - costs[*place];
+        if left < 0.0 {
+            return Some(*place);
+        }
+    }
+    below.last().copied()
+}
+
 /// The cost of a target, in milliseconds.
 pub fn cost(candidate: &Candidate, now: Millis) -> f64 {
     let record = candidate.record;
-    let usual = match record.usual_ms {
-        0.0 => candidate.guess_ms,
-        known => known.max(1.0),
-    };
-    let usual = usual * f64::from(candidate.pace.max(1)) / 100.0;
+    let usual =
+        candidate.usual_ms.max(1.0) * f64::from(candidate.pace.max(1)) / 100.0;
     let ahead = f64::from(record.occupancy());
     let slots = f64::from(candidate.slots.max(1));
     // Requests in one batch slow one another down before its slots are full;
--- a/tests/properties/direct.rs
+++ b/tests/properties/direct.rs
@@ -9,7 +9,7 @@
         catalog::{
             Access, Builder, Kind, Organisation, Refusal, Route, Share,
         },
-        pick::{self, Candidate, Distance, Record},
+        pick::{self, Candidate, Distance, Record, Usual},
     },
 };
 use proptest::prelude::*;
@@ -64,8 +64,8 @@
 }
 
 fn cost(record: &Record, distance: Distance, pace: u32, now: Millis) -> f64 {
-    let candidate =
-        Candidate { record, slots: 8, distance, pace, guess_ms: 20.0 };
+    let usual_ms = Usual::new([known()].iter()).alone(record);
+    let candidate = Candidate { record, slots: 8, distance, pace, usual_ms };
     pick::cost(&candidate, now)
 }
 
@@ -99,6 +99,27 @@
     assert!(new <= cost(&known, Distance::Near, 100, now));
 }
 
+/// A group is back and some 200 requests go to its ranks at once.
+#[test]
+fn ranks_in_step_are_filled_evenly_whatever_their_answers_took() {
+    let (mut short, mut long) = (known(), Record::new());
+    long.success(Millis(60), Millis(0));
+    let usual_ms = Usual::new([short, long].iter()).in_step();
+    let now = Millis(0);
+    for _ in 0..20 {
+        let cost = |record: &Record| {
+            let (distance, pace) = (Distance::Near, 100);
+            let candidate =
+                Candidate { record, slots: 12, distance, pace, usual_ms };
+            pick::cost(&candidate, now)
+        };
+        let next =
+            if cost(&short) <= cost(&long) { &mut short } else { &mut long };
+        next.start();
+    }
+    assert_eq!((short.in_flight(), long.in_flight()), (10, 10));
+}
+
 #[test]
 fn a_slow_rank_gets_nothing_while_others_have_room() {
     let mut busy = known();
