A bench of where requests go, and what others send allowed for over two reports

The routing experiment plays round robin, two choices, the least cost, even filling and an all-knowing choice on the same arrivals, with reports 400 ms apart. Two choices come as near where all ranks are alike; even filling also weighs pace and failures.

--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -7,6 +7,7 @@
 pub mod overhead;
 pub mod overload;
 pub mod placement;
+pub mod routing;
 pub mod slopes;
 
 use std::{collections::BTreeMap, process};
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -442,15 +442,15 @@
         Some(choices.swap_remove(place))
     }
 
-    /// Requests that other entries send to a service between two reports of
-    /// its load. Entries see much the same, so they send what this one does:
+    /// Requests that other entries send to a service without a report that
+    /// shows them. Entries see much the same, so they send what this one does:
     /// as often as usual, and in a moment what it sent in a moment.
     fn unseen(&self, service: &str, records: &[Record], now: Millis) -> f64 {
         let others = (self.peers.borrow().entries() - 1) as f64;
         let sent: u32 = records.iter().map(Record::unreported).sum();
         let budgets = self.budgets.borrow();
         let usual = budgets.get(service);
-        let usual = usual.map_or(0.0, |it| it.usual(REPORT_TIME, now));
+        let usual = usual.map_or(0.0, |it| it.usual(UNSEEN_TIME, now));
         usual.max(f64::from(sent)) * others
     }
 
@@ -497,8 +497,11 @@
     }
 }
 
-/// How often agents report.
-const REPORT_TIME: Millis = Millis(400);
+/// The time for which requests of others are allowed for: two reports of an
+/// agent. Behind 31 entries 0.2% of the requests then find no free slot at
+/// one of 72 ranks, 0.5% with one report, and 38% with nothing allowed for
+/// (`cowsliproad-bench routing`).
+const UNSEEN_TIME: Millis = Millis(800);
 
 /// An agent that two reports are missing of is silent.
 const SILENT_TIME: Millis = Millis(1_000);
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -10,6 +10,7 @@
 mod register;
 mod relay;
 mod routing;
+mod spread;
 
 use proptest::{
     prelude::ProptestConfig,
