A target's connections are kept to while they are being made

Cause: a connection counted once it was made, so 48 requests at once opened 48 where 8 are allowed; and a request that found none free was not woken when one fell free, but waited out its patience. Connections count from before they are made, and whoever waits for one is woken. The test failed first with 48 open.

Also tests for reuse, a reader that pauses (its target is held back, the entry stays below 40 MB) and entries added and replaced; gauges of peers and targets.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -27,7 +27,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use slog::info;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::{
     entry::{Choice, Entry, Seat, Source},
@@ -250,7 +250,8 @@
     ) -> Result<Choice, Response<Body>> {
         let wait = self.until.min(self.waits_since + self.wait(entry));
         loop {
-            let news = entry.news.notified();
+            let (news, freed) =
+                (entry.news.notified(), entry.freed.notified());
             let now = Millis::now();
             if let Some(choice) = self.choose(entry, now) {
                 if self.next == Draws::Budget
@@ -263,11 +264,14 @@
                 return Ok(choice);
             }
             let patience = wait.since(now);
-            if patience.0 == 0
-                || timeout(patience.duration(), news).await.is_err()
-            {
+            if patience.0 == 0 {
                 return Err(self.give_up(entry, "no target can be used"));
             }
+            tokio::select! {
+                () = news => {}
+                () = freed => {}
+                () = sleep(patience.duration()) => {}
+            }
         }
     }
 
@@ -448,7 +452,7 @@
         }
         let again = self.sent.len() >= self.route.attempts as usize;
         if again && matches!(miss, Miss::Refused(_)) {
-            tokio::time::sleep(AGAIN_TIME.duration()).await;
+            sleep(AGAIN_TIME.duration()).await;
         }
         None
     }
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -58,8 +58,10 @@
     pub record: Record,
     /// Idle connections.
     pub pool: Pool,
-    /// Open connections, busy ones included.
+    /// Open connections, busy ones and those being made included.
     pub open: usize,
+    /// Wakes requests that wait for a connection.
+    pub freed: Rc<Notify>,
     /// What its agent last said of its group.
     pub group: Option<Group>,
 }
@@ -103,6 +105,8 @@
     pub peers: RefCell<Peers>,
     /// Wakes requests that wait for a target.
     pub news: Notify,
+    /// Wakes those that wait for a connection to one.
+    pub freed: Rc<Notify>,
     /// Counts the news, for requests that were not waiting when some came.
     pub news_told: Cell<u64>,
     /// Wakes idle connections that are to be closed.
@@ -159,6 +163,7 @@
             formations: RefCell::new(HashMap::new()),
             peers: RefCell::new(peers),
             news: Notify::new(),
+            freed: Rc::default(),
             news_told: Cell::new(0),
             closing: Notify::new(),
             rumour: Notify::new(),
@@ -296,7 +301,12 @@
 
     /// What is kept of a target.
     pub fn seat(&self, id: &Name) -> Rc<RefCell<Seat>> {
-        self.seats.borrow_mut().entry(id.clone()).or_default().clone()
+        let new = || {
+            let freed = self.freed.clone();
+            Rc::new(RefCell::new(Seat { freed, ..Seat::default() }))
+        };
+        let mut seats = self.seats.borrow_mut();
+        seats.entry(id.clone()).or_insert_with(new).clone()
     }
 
     /// What is kept of a service's targets.
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -4,7 +4,7 @@
 use cowsliproad_net::metrics::Metrics;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram},
+    metrics::{Counter, Gauge, Histogram},
 };
 
 /// Counters and histograms, and the text that shows them.
@@ -15,6 +15,8 @@
     tries: Counter<u64>,
     first_byte: Histogram<u64>,
     whole: Histogram<u64>,
+    peers: Gauge<u64>,
+    targets: Gauge<u64>,
 }
 
 impl Measure {
@@ -27,6 +29,8 @@
             tries: meter.u64_counter("tries").build(),
             first_byte: meter.u64_histogram("first_byte_ms").build(),
             whole: meter.u64_histogram("whole_answer_ms").build(),
+            peers: meter.u64_gauge("peers").build(),
+            targets: meter.u64_gauge("targets").build(),
             metrics,
         }
     }
@@ -48,6 +52,12 @@
         self.tries.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Notes how many other entries and targets it knows.
+    pub fn knows(&self, peers: usize, targets: usize) {
+        self.peers.record(peers as u64, &[]);
+        self.targets.record(targets as u64, &[]);
+    }
+
     /// All of it as text.
     pub fn text(&self) -> String {
         self.metrics.text()
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -165,6 +165,8 @@
         for peer in told {
             send(&entry, &socket, &digest, peer).await;
         }
+        let known = entry.peers.borrow().known.len();
+        entry.measure.knows(known, entry.fleet.borrow().ready().count());
         let joined = entry.joined.get();
         if round % ASK_EVERY == 0 || joined != asked {
             asked = joined;
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -120,6 +120,7 @@
         if idle.len() < MOST_IDLE {
             let until = now + self.keep;
             idle.push(Idle { sender: self.sender, until, used: now });
+            seat.freed.notify_waiters();
         }
     }
 }
@@ -169,6 +170,7 @@
 async fn connect(
     choice: &Choice,
 ) -> Result<SendRequest<Full<Bytes>>, Failure> {
+    let open = Open::new(&choice.seat);
     let opening = TcpStream::connect(choice.target.address);
     let stream = tokio::time::timeout(CONNECT_TIME.duration(), opening)
         .await
@@ -178,16 +180,35 @@
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| Failure::Unsent("no connection"))?;
-    let seat = choice.seat.clone();
-    seat.borrow_mut().open += 1;
     tokio::task::spawn_local(async move {
         // How the connection failed shows in the request that it carried.
         let _ = connection.await;
-        seat.borrow_mut().open -= 1;
+        drop(open);
     });
     Ok(sender)
 }
 
+/// A connection that counts among those to its target, from before it is
+/// made: many requests at once would each find room for one otherwise.
+struct Open {
+    seat: Rc<RefCell<Seat>>,
+}
+
+impl Open {
+    fn new(seat: &Rc<RefCell<Seat>>) -> Open {
+        seat.borrow_mut().open += 1;
+        Open { seat: seat.clone() }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let mut seat = self.seat.borrow_mut();
+        seat.open -= 1;
+        seat.freed.notify_waiters();
+    }
+}
+
 /// Sets a connection up so that silence ends it within some seconds.
 pub fn prepare(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -160,6 +160,27 @@
         answer.is_ok_and(|it| it.status() == StatusCode::OK)
     }
 
+    /// A gauge or counter of the process.
+    pub async fn metric(&self, name: &str) -> Option<f64> {
+        let uri = format!("http://{}/metrics", self.settings.readiness);
+        let request = Request::get(uri).body(Full::default());
+        let request = request.expect("a request");
+        let client = Client::new();
+        let answer = client.call(request, 1 << 20, PATIENCE).await;
+        let body = answer.ok()?.into_body();
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let line = text.lines().find(|it| it.starts_with(name))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
+    /// Bytes that the process holds in memory.
+    pub fn memory(&self) -> usize {
+        let path = format!("/proc/{}/statm", self.child.id());
+        let text = fs::read_to_string(path).expect("the process is there");
+        let pages = text.split(' ').nth(1).and_then(|it| it.parse().ok());
+        pages.unwrap_or(0_usize) * 4_096
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod connections;
 mod harness;
 mod news;
 mod stop;
