A storm of versions is followed with at most 20 calls a second

Cause: each version woke the long poll, so 400 versions in a second were 403 calls at each entry, all but the last for nothing. Calls for a topic are 50 ms apart now. The test failed first with those 403.

--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -32,6 +32,10 @@
 const FIRST_PAUSE: Millis = Millis(150);
 const LONGEST_PAUSE: Millis = Millis(1_200);
 
+/// The least time between two calls for one topic, so that a storm of new
+/// versions costs no more than 20 calls a second; only the newest counts.
+const LEAST_PAUSE: Millis = Millis(50);
+
 /// The part of the time for a leaving target in which the targets are read
 /// once at the latest by some entry, in percent. Two readings may be late or
 /// lost before a target gets requests for too long.
@@ -84,7 +88,11 @@
     let mut client = Client::new(entry.settings().log);
     let mut contact = Contact::new(log::OPERATORS);
     let mut next = None;
+    let mut called = Millis(0);
     loop {
+        let pause = (called + LEAST_PAUSE).since(Millis::now());
+        sleep(pause.duration()).await;
+        called = Millis::now();
         let read = match next {
             None => client.newest(log::OPERATORS).await,
             Some(from) => client.read(log::OPERATORS, from, HOLD_TIME).await,
--- a/cowsliproad-direct/tests/entry/news.rs
+++ b/cowsliproad-direct/tests/entry/news.rs
@@ -267,3 +267,31 @@
         .await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_storm_of_versions_is_followed_with_few_calls() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    let before = plant.log.calls();
+    let begun = Instant::now();
+    for number in 0..400 {
+        let prefix = format!("/storm{number}/");
+        plant.catalog = plant.catalog.clone().with_route(
+            &prefix,
+            Kind::Idempotent,
+            "plain",
+            1_000,
+        );
+        plant.catalog.publish(&plant.log);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    until("the last version holds", async || {
+        status(&entry, "/storm399/", KEY).await == StatusCode::OK
+    })
+    .await;
+    let seconds = begun.elapsed().as_secs() + 1;
+    let calls = plant.log.calls() - before;
+    // 20 for the configuration and 2 for the targets, each second.
+    assert!(calls <= 22 * seconds, "{calls} calls in {seconds} s");
+}
