A restarted agent is in doubt for ten passes, not for thirteen seconds

That ordered nothing for passes farther than ten from where the group was when it ended, and an arm for a pass that was begun is refused. So the doubt ends ten passes on.

--- a/cowsliproad-mapswitch/src/order.rs
+++ b/cowsliproad-mapswitch/src/order.rs
@@ -41,7 +41,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use crate::Version;
-pub use coordinator::{Config, Coordinator, Event, VERSIONS};
+pub use coordinator::{Config, Coordinator, Event, FARTHEST, VERSIONS};
 
 mod coordinator;
 
--- a/cowsliproad-mapswitch/src/order/coordinator.rs
+++ b/cowsliproad-mapswitch/src/order/coordinator.rs
@@ -35,7 +35,10 @@
 /// The boundary is set as far ahead as arming lately took, within these
 /// bounds, so that the group doesn't stand while orders go unanswered. With
 /// half of them lost arming takes some 200 ms.
-const LEAD: (u64, u64) = (2, 10);
+const LEAD: (u64, u64) = (2, FARTHEST);
+
+/// The most passes between an *arm* and its boundary.
+pub const FARTHEST: u64 = 10;
 
 /// Hold, arm and go take 30 to 60 ms together when each order is answered,
 /// and what is known of the group's pass is up to 30 ms old.
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -99,6 +99,8 @@
     /// A number that is being fetched from the platform's log.
     candidacy: Option<Candidacy>,
     begun: Millis,
+    /// The formation and the pass that the engine first reported.
+    first: Option<(Epoch, u64)>,
     /// Since when it is to stop.
     stopping: Option<Millis>,
     /// Whether the engine is to be looked at without a pause.
@@ -163,6 +165,7 @@
             lead: None,
             candidacy: None,
             begun: Millis::now(),
+            first: None,
             stopping: None,
             prompt: false,
             last: Times::default(),
@@ -363,7 +366,8 @@
             }
         }
         let Some(report) = self.report() else { return };
-        let (epoch, map) = (report.epoch, report.map);
+        let (epoch, map, step) = (report.epoch, report.map, report.step);
+        self.first.get_or_insert((epoch, step));
         let known = self.experts.as_ref().map(|it| (it.0, it.1));
         if known != Some((epoch, map)) {
             match self.engine.lists().await {
--- a/cowsliproad-rank/src/agent/orders.rs
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -5,7 +5,7 @@
 
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_mapswitch::order::{
-    self, Aim, Arms, Directive, Report, Verdict,
+    self, Aim, Arms, Directive, FARTHEST, Report, Verdict,
 };
 use slog::info;
 
@@ -143,7 +143,11 @@
     }
 
     /// Whether an *arm* of this agent, or of its process before this one, may
-    /// still be carried out. Those for passes that were begun can't.
+    /// still be carried out. Those for passes that were begun can't, and the
+    /// process before ordered none for passes farther than [`FARTHEST`] from
+    /// the first that this one saw. Without that bound a group whose
+    /// coordinator froze stood for 3.9 s: five agents had been restarted two
+    /// seconds before, and nothing could be called off for thirteen.
     pub(super) fn arms(&self, report: &Report) -> Arms {
         let now = Millis::now();
         let recent = |at: Millis| now.since(at) < LATE_TIME;
@@ -152,7 +156,11 @@
                 && arm.step > report.step
                 && recent(arm.at)
         });
-        if open || recent(self.begun) { Arms::InDoubt } else { Arms::Answered }
+        let inherited = recent(self.begun)
+            && self.first.is_none_or(|(epoch, step)| {
+                epoch == report.epoch && report.step <= step + FARTHEST
+            });
+        if open || inherited { Arms::InDoubt } else { Arms::Answered }
     }
 
     /// Orders the hold, which another rank's engine has to take from afar.
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -289,3 +289,37 @@
     // Unannounced it would be missed after 1.7 s, by rank 1.
     assert!(stopped.elapsed() < Duration::from_millis(1_300), "{stopped:?}");
 }
+
+/// Agents were restarted a moment before, and so can't vouch for what their
+/// processes before them ordered last, when the coordinator freezes with the
+/// group held. What those ordered is long past.
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_that_were_restarted_let_a_change_be_called_off() {
+    let mut plant = Plant::start().await;
+    plant.group.like_from(0);
+    plant.until_balanced().await;
+    for agent in 1..usize::from(RANKS) {
+        plant.signal(agent, Signal::KILL);
+        plant.agents[agent].restart();
+    }
+    let steps = plant.group.tally().steps;
+    until("the group goes on", || plant.group.tally().steps > steps + 40)
+        .await;
+    for first in [8, 13, 3, 10, 5] {
+        plant.group.like_from(first);
+        let held = plant.group.tally().held;
+        until("a change is made or the group is held", || {
+            plant.group.skew() < 1.35 || plant.group.tally().held > held
+        })
+        .await;
+    }
+    plant.group.like_from(0);
+    plant.signal(0, Signal::STOP);
+    plant.group.freeze(0, Frozen::Yes);
+    let steps = plant.group.tally().steps;
+    until("the group goes on", || plant.group.tally().steps > steps + 100)
+        .await;
+    plant.group.freeze(0, Frozen::No);
+    plant.signal(0, Signal::CONT);
+    plant.until_balanced().await;
+}
