--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -18,7 +18,7 @@
 use cowsliproad_routing::{
     catalog::Catalog,
     fleet::{self, Change, Fleet, Target},
-    pick::{self, Candidate, Distance, Record, Usual},
+    pick::Record,
     readings::{Found, Readings},
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -29,6 +29,9 @@
     measure::Measure, peers::Peers, settings::Settings, upstream::Pool,
 };
 
+mod choose;
+mod groups;
+
 /// Where new facts came from, for logs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
@@ -309,78 +312,6 @@
         seats.entry(id.clone()).or_insert_with(new).clone()
     }
 
-    /// What is kept of a service's targets.
-    fn seats_of(&self, service: &str) -> Vec<Rc<RefCell<Seat>>> {
-        let fleet = self.fleet.borrow();
-        let targets = fleet.ready().filter(|it| &*it.service == service);
-        targets.map(|it| self.seat(&it.id)).collect()
-    }
-
-    /// Notes that a target called its group broken. All of its ranks refuse
-    /// then, and it opens in a new formation, so nothing is sent to any of
-    /// them before an agent reports one. Each would refuse a request that
-    /// can wait here, and draw on the retry budget.
-    pub fn note_broken(&self, choice: &Choice) {
-        let seat = choice.seat.borrow();
-        let Some(group) = &seat.group else { return };
-        self.note_formation(&group.name, group.epoch, false);
-    }
-
-    /// Notes what a rank says of its group. A group that is open is so at all
-    /// ranks: were each waited for, the first to say so would be sent all
-    /// that waited.
-    pub fn note_formation(&self, group: &Name, epoch: u64, open: bool) {
-        let mut formations = self.formations.borrow_mut();
-        let new = Formation { epoch, open };
-        let known = formations.entry(group.clone()).or_insert(new);
-        let broke = known.epoch == epoch && known.open && !open;
-        if known.epoch < epoch || broke {
-            info!(self.log, "group_stands"; "group" => &**group,
-                "epoch" => epoch, "open" => open);
-            *known = new;
-        }
-    }
-
-    /// Whether a group takes requests, as far as is known.
-    fn is_open(&self, group: &Group) -> bool {
-        let formations = self.formations.borrow();
-        let newest = formations.get(&group.name);
-        newest.map_or(group.open, |it| it.open)
-    }
-
-    /// Whether the agent beside a target spoke lately.
-    pub fn hears_of(&self, choice: &Choice) -> bool {
-        let now = Millis::now();
-        let seat = choice.seat.borrow();
-        let group = seat.group.as_ref();
-        group.is_some_and(|it| now.since(it.heard) < SILENT_TIME)
-    }
-
-    /// The last pass that any group of a service is known to have begun.
-    pub fn step_of(&self, service: &str) -> u64 {
-        let mut last = 0;
-        self.each_group(service, |group| {
-            last = last.max(group.map_or(0, |it| it.step));
-        });
-        last
-    }
-
-    /// Looks at what is known of the group of each of a service's targets.
-    /// Streams ask with each event, so nothing is copied.
-    pub fn each_group(
-        &self,
-        service: &str,
-        mut look: impl FnMut(Option<&Group>),
-    ) {
-        let (fleet, seats) = (self.fleet.borrow(), self.seats.borrow());
-        for target in fleet.ready().filter(|it| &*it.service == service) {
-            match seats.get(&target.id) {
-                Some(seat) => look(seat.borrow().group.as_ref()),
-                None => look(None),
-            }
-        }
-    }
-
     /// Whether the entry can serve: it knows routes and targets.
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
@@ -388,82 +319,6 @@
             && self.fleet.borrow().ready().next().is_some()
     }
 
-    /// A target among those of a service that `fits` lets through: the one
-    /// with the least cost, or, where agents report, one of those with little
-    /// cost; see [`pick::spread`].
-    pub fn choose(
-        &self,
-        service: &str,
-        now: Millis,
-        fits: impl Fn(&Target) -> bool,
-    ) -> Option<Choice> {
-        let fleet = self.fleet.borrow();
-        let most = self.connections(service);
-        let zone = &self.settings().zone;
-        let seats = self.seats_of(service);
-        // Where most agents report, a target whose agent is silent is not
-        // idle but unknown: its VM may be frozen, or it may be the slow one.
-        let known = |group: &Option<Group>| {
-            let heard = group.as_ref().map(|it| now.since(it.heard));
-            heard.is_some_and(|age| age < SILENT_TIME)
-        };
-        let heard = seats.iter().filter(|it| known(&it.borrow().group));
-        let reported = heard.count() * 2 > seats.len();
-        let records: Vec<Record> =
-            seats.iter().map(|it| it.borrow().record).collect();
-        let usual = Usual::new(records.iter());
-        let mut choices: Vec<Choice> = Vec::new();
-        let mut slots = 1;
-        for target in fleet.ready().filter(|it| &*it.service == service) {
-            let seat = self.seat(&target.id);
-            let held = seat.borrow();
-            let group = held.group.as_ref();
-            let closed = group.is_some_and(|it| !self.is_open(it));
-            if closed
-                || reported && !known(&held.group)
-                || held.open >= most && held.pool.is_empty()
-                || !fits(target)
-            {
-                continue;
-            }
-            let near = target.zone == *zone;
-            let distance = if near { Distance::Near } else { Distance::Far };
-            let usual_ms = match group {
-                Some(_) => usual.in_step(),
-                None => usual.alone(&held.record),
-            };
-            let candidate = Candidate {
-                record: &held.record,
-                slots: target.slots,
-                distance,
-                pace: group.map_or(100, |it| it.pace),
-                usual_ms,
-            };
-            let cost = pick::cost(&candidate, now);
-            drop(held);
-            slots = slots.max(target.slots);
-            choices.push(Choice { target: target.clone(), seat, cost });
-        }
-        let costs: Vec<f64> = choices.iter().map(|it| it.cost).collect();
-        let unseen =
-            if reported { self.unseen(service, &records, now) } else { 0.0 };
-        let step = usual.in_step() / f64::from(slots);
-        let place = pick::spread(&costs, step, unseen, self.draw())?;
-        Some(choices.swap_remove(place))
-    }
-
-    /// Requests that other entries send to a service without a report that
-    /// shows them. Entries see much the same, so they send what this one does:
-    /// as often as usual, and in a moment what it sent in a moment.
-    fn unseen(&self, service: &str, records: &[Record], now: Millis) -> f64 {
-        let others = (self.peers.borrow().entries() - 1) as f64;
-        let sent: u32 = records.iter().map(Record::unreported).sum();
-        let budgets = self.budgets.borrow();
-        let usual = budgets.get(service);
-        let usual = usual.map_or(0.0, |it| it.usual(UNSEEN_TIME, now));
-        usual.max(f64::from(sent)) * others
-    }
-
     /// Notes a request in its service's retry budget.
     pub fn count_request(&self, service: &Name, now: Millis) {
         self.budget(service, |it| it.request(now));
@@ -494,28 +349,4 @@
             .or_insert_with(|| Window::new(config));
         with(window)
     }
-
-    /// Connections that this entry may have to one target of a service.
-    fn connections(&self, service: &str) -> usize {
-        let catalog = self.catalog.borrow();
-        let service = catalog.as_ref().and_then(|it| it.0.service(service));
-        let Some(most) = service.and_then(|it| it.connections) else {
-            return usize::MAX;
-        };
-        let entries = self.peers.borrow().entries();
-        (most as usize / entries).max(LEAST_CONNECTIONS)
-    }
 }
-
-/// The time for which requests of others are allowed for: two reports of an
-/// agent. Behind 31 entries 0.2% of the requests then find no free slot at
-/// one of 72 ranks, 0.5% with one report, and 38% with nothing allowed for
-/// (`cowsliproad-bench routing`).
-const UNSEEN_TIME: Millis = Millis(800);
-
-/// An agent that two reports are missing of is silent.
-const SILENT_TIME: Millis = Millis(1_000);
-
-/// Connections to a target that an entry may have however many entries there
-/// are: one that is busy and one for the next request.
-const LEAST_CONNECTIONS: usize = 2;
--- /dev/null
+++ b/cowsliproad-direct/src/entry/groups.rs
@@ -0,0 +1,76 @@
+//! What the entry believes of the groups that targets are ranks of.
+
+use cowsliproad_kernel::{Name, clock::Millis};
+use slog::info;
+
+use super::{Choice, Entry, Formation, Group};
+
+impl Entry {
+    /// Notes that a target called its group broken. All of its ranks refuse
+    /// then, and it opens in a new formation, so nothing is sent to any of
+    /// them before an agent reports one. Each would refuse a request that
+    /// can wait here, and draw on the retry budget.
+    pub fn note_broken(&self, choice: &Choice) {
+        let seat = choice.seat.borrow();
+        let Some(group) = &seat.group else { return };
+        self.note_formation(&group.name, group.epoch, false);
+    }
+
+    /// Notes what a rank says of its group. A group that is open is so at all
+    /// ranks: were each waited for, the first to say so would be sent all
+    /// that waited.
+    pub fn note_formation(&self, group: &Name, epoch: u64, open: bool) {
+        let mut formations = self.formations.borrow_mut();
+        let new = Formation { epoch, open };
+        let known = formations.entry(group.clone()).or_insert(new);
+        let broke = known.epoch == epoch && known.open && !open;
+        if known.epoch < epoch || broke {
+            info!(self.log, "group_stands"; "group" => &**group,
+                "epoch" => epoch, "open" => open);
+            *known = new;
+        }
+    }
+
+    /// Whether a group takes requests, as far as is known.
+    pub(super) fn is_open(&self, group: &Group) -> bool {
+        let formations = self.formations.borrow();
+        let newest = formations.get(&group.name);
+        newest.map_or(group.open, |it| it.open)
+    }
+
+    /// Whether the agent beside a target spoke lately.
+    pub fn hears_of(&self, choice: &Choice) -> bool {
+        let now = Millis::now();
+        let seat = choice.seat.borrow();
+        let group = seat.group.as_ref();
+        group.is_some_and(|it| now.since(it.heard) < SILENT_TIME)
+    }
+
+    /// The last pass that any group of a service is known to have begun.
+    pub fn step_of(&self, service: &str) -> u64 {
+        let mut last = 0;
+        self.each_group(service, |group| {
+            last = last.max(group.map_or(0, |it| it.step));
+        });
+        last
+    }
+
+    /// Looks at what is known of the group of each of a service's targets.
+    /// Streams ask with each event, so nothing is copied.
+    pub fn each_group(
+        &self,
+        service: &str,
+        mut look: impl FnMut(Option<&Group>),
+    ) {
+        let (fleet, seats) = (self.fleet.borrow(), self.seats.borrow());
+        for target in fleet.ready().filter(|it| &*it.service == service) {
+            match seats.get(&target.id) {
+                Some(seat) => look(seat.borrow().group.as_ref()),
+                None => look(None),
+            }
+        }
+    }
+}
+
+/// An agent that two reports are missing of is silent.
+pub(super) const SILENT_TIME: Millis = Millis(1_000);
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -8,7 +8,7 @@
 
 use cowsliproad_kernel::{
     clock::Millis,
-    gossip::{self, Datagram, Load, Subscribe},
+    gossip::{self, Subscribe},
 };
 use cowsliproad_mapswitch::order::{
     self, Aim, Directive, Epoch, Report, Standing,
@@ -29,11 +29,12 @@
     plan::{Plan, Sheet},
     rota::{Due, Rota},
     settings::Settings,
-    wire::{Choices, Message, News, Status},
+    wire::{Choices, Message, News},
 };
 
 mod chair;
 mod orders;
+mod words;
 
 /// How often the engine is looked at while nothing is going on.
 const CALM_TIME: Millis = Millis(200);
@@ -55,19 +56,10 @@
 /// Ranks up to which words are repeated every [`BUSY_TIME`].
 const BUSY_RANKS: u64 = 16;
 
-/// Agents that the coordinator sends a plan to itself.
-const FAN_OUT: usize = 16;
-
-/// How often the coordinator speaks, and agents report to it, in calm times.
-const SPEAK_TIME: Millis = Millis(400);
-
 /// The longest that a stopping agent stays for a change of the map. One takes
 /// half a second at 72 ranks; the platform gives a process some seconds.
 const STOP_TIME: Millis = Millis(2_000);
 
-/// Without a word for so long an agent tells all others that it is there.
-const SEEK_TIME: Millis = Millis(900);
-
 /// Entries that haven't asked for so long get no more reports.
 const FORGET_TIME: Millis = Millis(4_000);
 
@@ -231,15 +223,6 @@
         aim == Aim::Rest || Millis::now().since(since) > STOP_TIME
     }
 
-    /// Lets others know at once that nobody leads.
-    async fn say_farewell(&mut self) {
-        let Some(lead) = self.lead.take() else { return };
-        info!(self.log, "says_farewell"; "fence" => lead.fence());
-        let others = self.agents().filter(|it| *it != self.own);
-        let others: Vec<SocketAddr> = others.collect();
-        self.tell(&Message::Farewell(lead.fence()), &others).await;
-    }
-
     fn pause(&self) -> Millis {
         let aim = self.word.as_ref().map_or(Aim::Rest, |it| it.0.aim);
         let rank = self.report().map(|it| it.rank);
@@ -394,26 +377,6 @@
         self.report().map(|it| (it.epoch, it.standing))
     }
 
-    async fn tell_entries(&mut self) {
-        let Some(state) = &self.state else { return };
-        let report = state.report.as_ref();
-        let load = Datagram::Load(Load {
-            target: self.settings.engine,
-            running: state.running,
-            queued: state.queued,
-            pace: (state.pace * 100.0) as u32,
-            group: state.group.clone().unwrap_or_else(|| "".into()),
-            epoch: report.map_or(0, |it| it.epoch.0),
-            step: report.map_or(0, |it| it.step),
-            open: report.is_none_or(|it| it.standing == Standing::Open),
-            list: self.list(),
-        });
-        let bytes = gossip::encode(&load);
-        for entry in self.entries.keys() {
-            send(&self.log, &self.entries_socket, &bytes, *entry).await;
-        }
-    }
-
     async fn count(&mut self, now: Millis) {
         let (Some(shape), Some(report)) = (&self.shape, self.report()) else {
             return;
@@ -447,128 +410,6 @@
         }
     }
 
-    async fn tell_coordinator(&mut self, now: Millis) {
-        let Some((word, to, heard)) = self.word else {
-            return self.seek_coordinator(now).await;
-        };
-        if self.lead.is_none() && now.since(heard) > SEEK_TIME {
-            return self.seek_coordinator(now).await;
-        }
-        let busy = word.aim != Aim::Rest;
-        let time = if busy { self.busy_time() } else { SPEAK_TIME };
-        let Some(status) = self.status() else { return };
-        let news = status.news();
-        let new = self.last.told.as_ref() != Some(&news);
-        if !new && now.since(self.last.status) < time {
-            return;
-        }
-        self.last.status = now;
-        self.last.told = Some(news);
-        if let Some(lead) = &mut self.lead {
-            lead.take(status, now);
-            lead.look(self.shape.as_ref(), now);
-            self.speak(now).await;
-            return;
-        }
-        self.tell(&Message::Status(Box::new(status)), &[to]).await;
-    }
-
-    /// Tells all agents that it hears from no coordinator. One that was
-    /// frozen or cut off may be missing in the coordinator's list.
-    async fn seek_coordinator(&mut self, now: Millis) {
-        if now.since(self.last.status) < SPEAK_TIME {
-            return;
-        }
-        let Some(status) = self.status() else { return };
-        self.last.status = now;
-        let others = self.agents().filter(|it| *it != self.own);
-        let others: Vec<SocketAddr> = others.collect();
-        self.tell(&Message::Status(Box::new(status)), &others).await;
-    }
-
-    fn status(&self) -> Option<Status> {
-        let report = self.report()?.clone();
-        let epoch = report.epoch;
-        let experts = self.experts.as_ref();
-        let experts =
-            experts.filter(|it| it.0 == epoch && self.is_asked(it.1));
-        Some(Status {
-            agent: self.own,
-            fence: self.fence,
-            plan: self.plan.as_ref().map(|it| it.version),
-            experts: experts.map(|it| (it.1, it.2.clone())),
-            pace: self.state.as_ref().map_or(1.0, |it| it.pace as f32),
-            arms: self.arms(&report),
-            report,
-        })
-    }
-
-    /// Whether the coordinator needs the lists of the map in use: it plans
-    /// from them unless it made that map itself. They are most of a status,
-    /// and at 72 ranks reading them took its VM longer than a change.
-    fn is_asked(&self, map: order::Version) -> bool {
-        let plan = self.plan.as_ref();
-        let knows = plan.is_some_and(|plan| {
-            plan.version == map && plan.fence == self.fence
-        });
-        let rests = self.word.as_ref().is_none_or(|it| it.0.aim == Aim::Rest);
-        rests && !knows
-    }
-
-    /// Says the coordinator's word, if this agent is it.
-    async fn speak(&mut self, now: Millis) {
-        let Some(lead) = &self.lead else { return };
-        let word = lead.directive();
-        let new = self.last.said != Some(word);
-        let busy = word.aim != Aim::Rest;
-        let time = if busy { self.busy_time() } else { SPEAK_TIME };
-        if !new && now.since(self.last.speech) < time {
-            return;
-        }
-        self.last.speech = now;
-        self.last.said = Some(word);
-        if let Some(plan) = lead.plan().cloned() {
-            self.hand_out(plan, now).await;
-        }
-        let mut agents: Vec<SocketAddr> = self.agents().collect();
-        if let Some(lead) = &self.lead {
-            let known = lead.agents().filter(|it| !agents.contains(it));
-            agents.extend(known.collect::<Vec<_>>());
-        }
-        agents.retain(|it| *it != self.own);
-        let message = Message::Directive(word, self.own);
-        self.tell(&message, &agents).await;
-        self.word = Some((word, self.own, now));
-        if new {
-            self.prompt = self.carry_out(word).await;
-        }
-        self.order_hold().await;
-    }
-
-    /// Sends a plan to those that lack it, and to most of them through
-    /// others: whole to 72 ranks it would take the own link half a second.
-    /// What was lost is sent again with the next word; one rank without the
-    /// plan holds the change up for all.
-    async fn hand_out(&mut self, plan: Plan, now: Millis) {
-        let again = self.busy_time();
-        let new = self.last.planned != Some(plan.version);
-        if !new && now.since(self.last.handed) < again {
-            return;
-        }
-        self.last.planned = Some(plan.version);
-        self.last.handed = now;
-        self.plan = Some(plan);
-        let sheets = self.lead.as_ref().map(Lead::sheets);
-        for (sheet, mut agents) in sheets.unwrap_or_default() {
-            agents.retain(|it| *it != self.own);
-            let size = agents.len().div_ceil(FAN_OUT).max(1);
-            for chunk in agents.chunks(size) {
-                let sheet = sheet.with_pass_on(&chunk[1..]);
-                self.tell(&Message::Plan(sheet), &chunk[..1]).await;
-            }
-        }
-    }
-
     async fn tell(&self, message: &Message, agents: &[SocketAddr]) {
         let bytes = gossip::encode(message);
         for agent in agents {
--- a/tests/properties/fleet.rs
+++ b/tests/properties/fleet.rs
@@ -2,7 +2,7 @@
 
 use cowsliproad::{
     kernel::clock::Millis,
-    routing::fleet::{Change, Config, Fleet, State, Target},
+    routing::fleet::{Change, Config, Fleet, Parting, State, Target},
 };
 use proptest::prelude::*;
 
@@ -124,3 +124,18 @@
         }
     }
 }
+
+#[test]
+fn what_another_entry_saw_go_comes_back_and_what_left_does_not() {
+    let mut fleet = fleet();
+    let gone = fleet.hear_parting("i-1", Parting::After(1), Millis(10));
+    assert_eq!(gone, Change::Left);
+    let back = fleet.announce(target(2, State::Ready), Millis(20));
+    assert_eq!(back, Change::Joined);
+    // The same word, heard again, is older than what is known here.
+    let again = fleet.hear_parting("i-1", Parting::After(1), Millis(30));
+    assert_eq!(again, Change::None);
+    fleet.hear_parting("i-1", Parting::ForGood, Millis(40));
+    let late = fleet.announce(target(3, State::Ready), Millis(50));
+    assert_eq!(late, Change::None);
+}
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -7,6 +7,7 @@
 mod live;
 mod placement;
 mod queue;
+mod readings;
 mod register;
 mod relay;
 mod routing;
--- /dev/null
+++ b/tests/properties/readings.rs
@@ -0,0 +1,64 @@
+//! Readings of the targets that entries share.
+
+use cowsliproad::{
+    kernel::clock::Millis,
+    routing::readings::{Found, Readings},
+};
+
+const PATIENCE: Millis = Millis(800);
+
+fn readings() -> Readings {
+    Readings::new(Millis(1_200))
+}
+
+#[test]
+fn who_knows_nothing_reads_at_once() {
+    assert_eq!(readings().due_in(PATIENCE, Millis(5)), Millis(0));
+}
+
+#[test]
+fn anothers_reading_spares_an_own_one() {
+    let mut own = readings();
+    own.read(Millis(1_000), 7);
+    own.hear(Millis(1_500), 0);
+    assert_eq!(own.due_in(PATIENCE, Millis(1_900)), Millis(400));
+    // Older news changes nothing.
+    own.hear(Millis(1_200), 0);
+    assert_eq!(own.due_in(PATIENCE, Millis(1_900)), Millis(400));
+    assert_eq!(own.due_in(PATIENCE, Millis(2_300)), Millis(0));
+}
+
+#[test]
+fn a_change_that_was_not_read_is_read_at_once() {
+    let mut own = readings();
+    own.read(Millis(1_000), 7);
+    own.hear(Millis(1_100), 9);
+    assert_eq!(own.due_in(PATIENCE, Millis(1_100)), Millis(0));
+    own.read(Millis(1_105), 9);
+    assert!(!own.is_behind());
+    own.note_change();
+    assert_eq!(own.changed(), 9);
+    assert!(!own.is_behind(), "its own news is none to itself");
+}
+
+#[test]
+fn another_entry_is_asked_where_the_log_says_nothing() {
+    let mut own = readings();
+    own.read(Millis(1_000), 7);
+    own.hear(Millis(1_100), 9);
+    assert!(!own.needs_peer());
+    own.lost();
+    assert!(own.needs_peer());
+    own.told();
+    assert!(!own.needs_peer());
+}
+
+/// An entry lapses after three heartbeats without a sign of life, the first
+/// of which may lie before the outage.
+#[test]
+fn only_a_gap_of_two_heartbeats_leaves_doubt() {
+    let mut own = readings();
+    assert_eq!(own.read(Millis(9_000), 1), Found::Unbroken);
+    assert_eq!(own.hear(Millis(11_300), 1), Found::Unbroken);
+    assert_eq!(own.read(Millis(13_800), 1), Found::Gap);
+}
