--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -9,6 +9,7 @@
 pub mod placement;
 pub mod routing;
 pub mod slopes;
+pub mod switch;
 
 use std::{collections::BTreeMap, process};
 
