Each group of a service keeps to its own agents' words

Ranks of two groups overwrote each other at the coordinator, and orders from afar gave engines of one group the map of another. Words name their group now and others ignore them, and an engine of another group is never given an order. The new test, two groups of one service, never came to balance before.

--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -4,9 +4,14 @@
 //! takes the lead when nobody does; when it is silent, the next ranks in
 //! turn wait a little longer each, so that mostly one of them takes over.
 
-use std::{collections::BTreeMap, io, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::SocketAddr,
+};
 
 use cowsliproad_kernel::{
+    Name,
     clock::Millis,
     gossip::{self, Subscribe},
 };
@@ -29,7 +34,7 @@
     plan::{Plan, Sheet},
     rota::{Due, Rota},
     settings::Settings,
-    wire::{Choices, Message, News},
+    wire::{Choices, Envelope, Message, News},
 };
 
 mod chair;
@@ -79,6 +84,10 @@
     /// What entries say of the service.
     shape: Option<Subscribe>,
     state: Option<State>,
+    /// The group that the engine last named.
+    group: Option<Name>,
+    /// Engines of the service that are of other groups.
+    strangers: BTreeSet<SocketAddr>,
     experts: Option<(Epoch, order::Version, Vec<Vec<u16>>)>,
     counts: Option<(Epoch, Vec<Vec<u64>>)>,
     rota: Option<Rota>,
@@ -148,6 +157,8 @@
             entries: BTreeMap::new(),
             shape: None,
             state: None,
+            group: None,
+            strangers: BTreeSet::new(),
             experts: None,
             counts: None,
             rota: None,
@@ -254,8 +265,17 @@
     /// Takes a word of another agent in.
     async fn hear(&mut self, bytes: &[u8]) {
         let now = Millis::now();
-        match gossip::decode::<Message>(bytes) {
-            Some(Message::Status(status)) => {
+        let heard = gossip::decode::<Envelope<Message>>(bytes);
+        let Some(Envelope { group, message }) = heard else {
+            warn!(self.log, "strange_datagram");
+            return;
+        };
+        // Ranks of another group have maps and passes of their own.
+        if self.group() != Some(&group) {
+            return;
+        }
+        match message {
+            Message::Status(status) => {
                 if let Some(lead) = &mut self.lead {
                     if status.fence > lead.fence() {
                         self.step_down(status.fence);
@@ -266,7 +286,7 @@
                     self.speak(now).await;
                 }
             }
-            Some(Message::Directive(word, from)) => {
+            Message::Directive(word, from) => {
                 if word.fence < self.fence {
                     return;
                 }
@@ -282,16 +302,15 @@
                     self.prompt = matches!(word.aim, Aim::Held { .. });
                 }
             }
-            Some(Message::Choices(choices)) => {
+            Message::Choices(choices) => {
                 let shape = self.shape.as_ref();
                 let experts = shape.map_or(0, |it| it.experts.into());
                 if let Some(lead) = &mut self.lead {
                     lead.count(choices, experts);
                 }
             }
-            Some(Message::Farewell(fence)) => self.hear_farewell(fence),
-            Some(Message::Plan(sheet)) => self.take_plan(sheet).await,
-            None => warn!(self.log, "strange_datagram"),
+            Message::Farewell(fence) => self.hear_farewell(fence),
+            Message::Plan(sheet) => self.take_plan(sheet).await,
         }
     }
 
@@ -340,7 +359,10 @@
 
     async fn refresh(&mut self) {
         match self.engine.state().await {
-            Ok(state) => self.state = Some(state),
+            Ok(state) => {
+                self.group = state.group.clone().or(self.group.take());
+                self.state = Some(state);
+            }
             Err(error) => {
                 if self.state.take().is_some() {
                     info!(self.log, "engine_lost"; "error" => %error);
@@ -364,6 +386,11 @@
         }
     }
 
+    /// The group that its engine is a rank of.
+    fn group(&self) -> Option<&Name> {
+        self.group.as_ref()
+    }
+
     /// The list of engines that it knows; 0 for none.
     fn list(&self) -> u64 {
         self.shape.as_ref().map_or(0, |it| it.list)
@@ -411,7 +438,8 @@
     }
 
     async fn tell(&self, message: &Message, agents: &[SocketAddr]) {
-        let bytes = gossip::encode(message);
+        let Some(group) = self.group().cloned() else { return };
+        let bytes = gossip::encode(&Envelope { group, message });
         for agent in agents {
             send(&self.log, &self.agents_socket, &bytes, *agent).await;
         }
--- a/cowsliproad-rank/src/agent/orders.rs
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -84,7 +84,9 @@
         if calm || now.since(self.last.reach) < REACH_TIME {
             return;
         }
-        let silent = |it: &&SocketAddr| lead.is_silent(it.ip(), now);
+        let silent = |it: &&SocketAddr| {
+            !self.strangers.contains(it) && lead.is_silent(it.ip(), now)
+        };
         let silent: Vec<SocketAddr> =
             shape.targets.iter().filter(silent).copied().collect();
         let count = silent.len().max(1);
@@ -102,6 +104,12 @@
                 return;
             }
         };
+        // An order of this group would give another's rank a map that no other
+        // rank of it has.
+        if state.group.as_ref() != self.group() {
+            self.strangers.insert(*target);
+            return;
+        }
         let Some(report) = state.report else { return };
         let word = lead.directive();
         let plan = lead.plan().filter(|it| it.epoch == word.epoch);
--- a/cowsliproad-rank/src/wire.rs
+++ b/cowsliproad-rank/src/wire.rs
@@ -2,11 +2,24 @@
 
 use std::net::SocketAddr;
 
+use cowsliproad_kernel::Name;
 use cowsliproad_mapswitch::order::{Arms, Directive, Report, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::plan::Sheet;
 
+/// A datagram between agents. A service may have several groups, each with a
+/// coordinator of its own, and agents know the engines of all of them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Envelope<T> {
+    /// The group that it is for.
+    #[serde(rename = "g")]
+    pub group: Name,
+    /// What it says.
+    #[serde(rename = "m")]
+    pub message: T,
+}
+
 /// What agents take from one another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -51,12 +51,20 @@
 
 impl Plant {
     async fn start() -> Plant {
+        let (plant, engines) = Plant::prepare(1).await;
+        plant.ask(engines).await;
+        plant
+    }
+
+    /// A group whose ranks listen from a VM on, and its agents.
+    async fn prepare(first: u8) -> (Plant, Vec<SocketAddr>) {
         let block = 16 + (std::process::id() % 200) as u8;
         let net = (block, NETWORK.fetch_add(1, Ordering::Relaxed));
         let address = SocketAddr::from((vm(net, 250), ENGINES));
         let (log, log_address) = log::start(address).await.expect("a log");
+        let numbers = first..first + RANKS;
         let engines: Vec<SocketAddr> =
-            (1..=RANKS).map(|it| (vm(net, it), ENGINES).into()).collect();
+            numbers.clone().map(|it| (vm(net, it), ENGINES).into()).collect();
         let pass = Duration::from_millis(20);
         let group = group::start(&engines, (2, EXPERTS), pass).await;
         let group = group.expect("a group");
@@ -68,12 +76,11 @@
             agents: Vec::new(),
             loads: Arc::default(),
         };
-        for rank in 1..=RANKS {
-            let agent = plant.agent(rank);
+        for number in numbers {
+            let agent = plant.agent(number);
             plant.agents.push(agent);
         }
-        plant.ask(engines).await;
-        plant
+        (plant, engines)
     }
 
     fn agent(&self, number: u8) -> Agent {
@@ -323,3 +330,22 @@
     plant.signal(0, Signal::CONT);
     plant.until_balanced().await;
 }
+
+/// A service with two groups: entries tell agents of the engines of both.
+#[tokio::test(flavor = "multi_thread")]
+async fn groups_of_one_service_keep_to_their_own_maps() {
+    let (one, mut engines) = Plant::prepare(1).await;
+    let (other, more) = Plant::prepare(1).await;
+    one.group.rename("one");
+    other.group.rename("other");
+    engines.extend(more);
+    one.ask(engines.clone()).await;
+    other.ask(engines).await;
+    for first in [0, 5, 11] {
+        one.group.like_from(first);
+        other.group.like_from(first + 2);
+        one.until_balanced().await;
+        other.until_balanced().await;
+    }
+    assert_eq!(one.group.tally().mixed + other.group.tally().mixed, 0);
+}
