One connection with hooks where three stood; targets looked up once

net::hooked serves all three streams, without dyn; the choice collects targets with their seats once. Nothing else is meant to change; no check or assertion is touched. Ruled out: the list that an agent knows as a part of a target's seat, which needs a look-up by address for each agent and second.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -9,24 +9,19 @@
 //! the balancer has noticed. Every answer then says that its connection
 //! closes, and idle connections are closed once no new ones come.
 
-use std::{
-    cell::Cell,
-    convert::Infallible,
-    io,
-    pin::Pin,
-    rc::Rc,
-    task::{Context, Poll},
-};
+use std::{cell::Cell, convert::Infallible, io, rc::Rc};
 
 use cowsliproad_kernel::clock::Millis;
-use cowsliproad_net::program;
+use cowsliproad_net::{
+    hooked::{Hooked, Hooks},
+    program,
+};
 use cowsliproad_routing::catalog::Limits;
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use slog::info;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     time::{Instant, sleep, sleep_until},
 };
@@ -141,17 +136,21 @@
 }
 
 async fn connection(entry: Rc<Entry>, stream: TcpStream) {
-    if let Err(error) = upstream::prepare(&stream) {
-        info!(entry.log, "connection_lost"; "error" => %error);
-        return;
-    }
     let activity = Rc::new(Activity::default());
     activity.idle_since.set(Millis::now());
     let service = service_fn(|request: Request<Incoming>| {
         let (entry, activity) = (entry.clone(), activity.clone());
         async move { Ok::<_, Infallible>(answer(entry, activity, request).await) }
     });
-    let stream = Watched { stream, activity: activity.clone() };
+    let opened = upstream::prepare(&stream)
+        .and_then(|()| Hooked::new(stream, Watch(activity.clone())));
+    let stream = match opened {
+        Ok(stream) => stream,
+        Err(error) => {
+            info!(entry.log, "connection_lost"; "error" => %error);
+            return;
+        }
+    };
     let head = limits(&entry).header_bytes.max(LEAST_HEAD_BYTES);
     let mut serving = std::pin::pin!(
         http1::Builder::new()
@@ -218,61 +217,14 @@
     entry.catalog().map_or_else(Limits::new, |it| it.limits())
 }
 
-/// A stream that notes when the bytes of a head begin to come.
-struct Watched {
-    stream: TcpStream,
-    activity: Rc<Activity>,
-}
+/// Notes when the bytes of a head begin to come.
+struct Watch(Rc<Activity>);
 
-impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let idle = self.activity.busy.get() == 0
-            && self.activity.head_since.get().is_none();
-        if idle && buffer.filled().len() > before {
-            self.activity.head_since.set(Some(Millis::now()));
+impl Hooks for Watch {
+    fn came(&mut self) {
+        let activity = &self.0;
+        if activity.busy.get() == 0 && activity.head_since.get().is_none() {
+            activity.head_since.set(Some(Millis::now()));
         }
-        polled
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -23,22 +23,23 @@
         let fleet = self.fleet.borrow();
         let most = self.connections(service);
         let zone = &self.settings().zone;
-        let seats = self.seats_of(service);
+        let own = fleet.ready().filter(|it| &*it.service == service);
+        let seated: Vec<(&Target, Rc<RefCell<Seat>>)> =
+            own.map(|it| (it, self.seat(&it.id))).collect();
         // Where most agents report, a target whose agent is silent is not
         // idle but unknown: its VM may be frozen, or it may be the slow one.
         let known = |group: &Option<Group>| {
             let heard = group.as_ref().map(|it| now.since(it.heard));
             heard.is_some_and(|age| age < SILENT_TIME)
         };
-        let heard = seats.iter().filter(|it| known(&it.borrow().group));
-        let reported = heard.count() * 2 > seats.len();
+        let heard = seated.iter().filter(|it| known(&it.1.borrow().group));
+        let reported = heard.count() * 2 > seated.len();
         let records: Vec<Record> =
-            seats.iter().map(|it| it.borrow().record).collect();
+            seated.iter().map(|it| it.1.borrow().record).collect();
         let usual = Usual::new(records.iter());
         let mut choices: Vec<Choice> = Vec::new();
         let mut slots = 1;
-        for target in fleet.ready().filter(|it| &*it.service == service) {
-            let seat = self.seat(&target.id);
+        for (target, seat) in seated {
             let held = seat.borrow();
             let group = held.group.as_ref();
             let closed = group.is_some_and(|it| !self.is_open(it));
@@ -87,13 +88,6 @@
         usual.max(f64::from(sent)) * others
     }
 
-    /// What is kept of a service's targets.
-    fn seats_of(&self, service: &str) -> Vec<Rc<RefCell<Seat>>> {
-        let fleet = self.fleet.borrow();
-        let targets = fleet.ready().filter(|it| &*it.service == service);
-        targets.map(|it| self.seat(&it.id)).collect()
-    }
-
     /// Connections that this entry may have to one target of a service.
     fn connections(&self, service: &str) -> usize {
         let catalog = self.catalog.borrow();
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use cowsliproad_kernel::clock::Millis;
-use cowsliproad_net::abrupt::Abrupt;
+use cowsliproad_net::hooked::{Abrupt, Hooked};
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::{
@@ -178,7 +178,7 @@
         .map_err(|_| Failure::Unsent("no connection in time"))?
         .map_err(|_| Failure::Unsent("no connection"))?;
     let stream = prepare(&stream)
-        .and_then(|()| Abrupt::new(stream))
+        .and_then(|()| Hooked::new(stream, Abrupt))
         .map_err(|_| Failure::Unsent("no connection"))?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
--- a/cowsliproad-net/src/lib.rs
+++ b/cowsliproad-net/src/lib.rs
@@ -7,8 +7,8 @@
 
 #![forbid(unsafe_code)]
 
-pub mod abrupt;
 pub mod client;
+pub mod hooked;
 pub mod link;
 pub mod metrics;
 pub mod program;
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -51,18 +51,26 @@
 
 impl Plant {
     async fn start() -> Plant {
-        let (plant, engines) = Plant::prepare(1).await;
+        let (plant, engines) = Plant::prepare().await;
         plant.ask(engines).await;
         plant
     }
 
-    /// A group whose ranks listen from a VM on, and its agents.
-    async fn prepare(first: u8) -> (Plant, Vec<SocketAddr>) {
+    /// The same, once the map follows a first demand.
+    async fn balanced() -> Plant {
+        let plant = Plant::start().await;
+        plant.group.like_from(0);
+        plant.until_balanced().await;
+        plant
+    }
+
+    /// A group and its agents, which nobody asks yet.
+    async fn prepare() -> (Plant, Vec<SocketAddr>) {
         let block = 16 + (std::process::id() % 200) as u8;
         let net = (block, NETWORK.fetch_add(1, Ordering::Relaxed));
         let address = SocketAddr::from((vm(net, 250), ENGINES));
         let (log, log_address) = log::start(address).await.expect("a log");
-        let numbers = first..first + RANKS;
+        let numbers = 1..=RANKS;
         let engines: Vec<SocketAddr> =
             numbers.clone().map(|it| (vm(net, it), ENGINES).into()).collect();
         let pass = Duration::from_millis(20);
@@ -207,9 +215,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_coordinator_is_followed_by_another() {
-    let mut plant = Plant::start().await;
-    plant.group.like_from(0);
-    plant.until_balanced().await;
+    let mut plant = Plant::balanced().await;
     for round in 0..2 {
         // The first to lead is rank 0; it is killed as a change is due.
         plant.group.like_from(5 + 3 * round);
@@ -221,9 +227,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_coordinator_holds_nobody_up_and_stops_when_it_wakes() {
-    let plant = Plant::start().await;
-    plant.group.like_from(0);
-    plant.until_balanced().await;
+    let plant = Plant::balanced().await;
     plant.group.like_from(8);
     plant.signal(0, Signal::STOP);
     plant.group.freeze(0, Frozen::Yes);
@@ -238,9 +242,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_group_that_forms_anew_is_balanced_again() {
-    let plant = Plant::start().await;
-    plant.group.like_from(0);
-    plant.until_balanced().await;
+    let plant = Plant::balanced().await;
     plant.group.form();
     assert!(plant.group.skew() > 1.35);
     plant.until_balanced().await;
@@ -268,9 +270,7 @@
 /// while demand shifts and each of them may be in the middle of a change.
 #[tokio::test(flavor = "multi_thread")]
 async fn graceful_restarts_hold_no_group() {
-    let mut plant = Plant::start().await;
-    plant.group.like_from(0);
-    plant.until_balanced().await;
+    let mut plant = Plant::balanced().await;
     for agent in 0..usize::from(RANKS) {
         plant.group.like_from(3 * agent + 1);
         // Some passes later a change is most likely under way.
@@ -285,9 +285,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_coordinator_that_stops_is_followed_before_it_is_missed() {
-    let mut plant = Plant::start().await;
-    plant.group.like_from(0);
-    plant.until_balanced().await;
+    let mut plant = Plant::balanced().await;
     plant.signal(0, Signal::TERM);
     let ended = plant.agents[0].child.wait().expect("it ends");
     let stopped = Instant::now();
@@ -302,9 +300,7 @@
 /// group held. What those ordered is long past.
 #[tokio::test(flavor = "multi_thread")]
 async fn agents_that_were_restarted_let_a_change_be_called_off() {
-    let mut plant = Plant::start().await;
-    plant.group.like_from(0);
-    plant.until_balanced().await;
+    let mut plant = Plant::balanced().await;
     for agent in 1..usize::from(RANKS) {
         plant.signal(agent, Signal::KILL);
         plant.agents[agent].restart();
@@ -334,8 +330,8 @@
 /// A service with two groups: entries tell agents of the engines of both.
 #[tokio::test(flavor = "multi_thread")]
 async fn groups_of_one_service_keep_to_their_own_maps() {
-    let (one, mut engines) = Plant::prepare(1).await;
-    let (other, more) = Plant::prepare(1).await;
+    let (one, mut engines) = Plant::prepare().await;
+    let (other, more) = Plant::prepare().await;
     one.group.rename("one");
     other.group.rename("other");
     engines.extend(more);
