A shift of demand shows in a tenth of a second, and a map waits for one copy

At the departure boards a rank copies an expert in 0.4 s (2,200 MB over 44 Gbit/s; the planner took 40 ms for granted). A shift was planned for 0.7 s after it began, from counts of 200 ms summed every 100 ms and compared over 250 ms, and its map brought up to four experts a set to a rank, so it was in force 1.7 to 2.4 s after the shift, of the 4 s that it was good for. Meanwhile the skew was 2.7 to 3.7 and passes lasted 120 ms and more, which makes every stream late.

--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -249,6 +249,7 @@
         experts: engine.experts as u16,
         places: engine.places as u16,
         spare: engine.spare as u16,
+        copy_ms: engine.copy_time.0,
     }
 }
 
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -103,6 +103,9 @@
     /// Experts that may be new to a rank in one map, in each set.
     #[serde(rename = "n")]
     pub spare: u16,
+    /// The time in which a rank copies an expert, in milliseconds.
+    #[serde(rename = "c")]
+    pub copy_ms: u64,
 }
 
 /// An agent's word to entries: how its engine stands.
--- a/cowsliproad-mapswitch/src/order/coordinator.rs
+++ b/cowsliproad-mapswitch/src/order/coordinator.rs
@@ -205,6 +205,14 @@
         version
     }
 
+    /// Gives a plan up that no rank was told to hold or arm for, and says
+    /// whether there was one. Ranks may go on copying for it without harm.
+    pub fn drop_plan(&mut self) -> Option<Version> {
+        let Phase::Preparing { version, .. } = self.phase else { return None };
+        self.phase = Phase::Resting;
+        Some(version)
+    }
+
     /// Looks at what the ranks report now.
     pub fn look(
         &mut self,
--- a/cowsliproad-placement/src/live.rs
+++ b/cowsliproad-placement/src/live.rs
@@ -9,6 +9,13 @@
 //! its copies, is best. A layer that saves too little stays as it is, so
 //! noise moves nothing.
 //!
+//! A rank copies one expert after the other, and the map waits for the rank
+//! with the most. Where a copy takes long, a map therefore brings each rank
+//! no more than [`Config::with_burst`] over all layers: the layer that is
+//! farthest from balance goes first, and the rest follows in the next map.
+//! On ranks that need 0.4 s for an expert, and a demand that moves every
+//! 4 s, the first map is in force after one copy rather than three.
+//!
 //! Weighed and not chosen: packing from nothing and walking there (it moves
 //! some four times as many experts), and looking at the longest time alone
 //! (the search ends at the first tie between two ranks).
@@ -19,6 +26,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
     spare: usize,
+    burst: usize,
     price: f64,
     threshold: f64,
     least: f64,
@@ -27,7 +35,14 @@
 impl Config {
     /// At most `spare` new experts for a rank and layer in one map.
     pub fn new(spare: usize) -> Config {
-        Config { spare, price: PRICE, threshold: THRESHOLD, least: LEAST }
+        let burst = usize::MAX;
+        let (price, threshold, least) = (PRICE, THRESHOLD, LEAST);
+        Config { spare, burst, price, threshold, least }
+    }
+
+    /// At most so many new experts for a rank in all layers of one map.
+    pub fn with_burst(self, burst: usize) -> Config {
+        Config { burst, ..self }
     }
 
     /// What a copy costs, as a share of the mean load of a rank.
@@ -80,16 +95,7 @@
     loads: &[Vec<f64>],
     speeds: &[f64],
 ) -> Option<Plan> {
-    let mut map = present.clone();
-    let mut moves = 0;
-    for (layer, loads) in map.layers.iter_mut().zip(loads) {
-        if let Some((better, copies)) =
-            improve(shape, config, layer, loads, speeds)
-        {
-            *layer = better;
-            moves += copies;
-        }
-    }
+    let (map, moves) = walk(shape, config, present, loads, speeds);
     if moves == 0 {
         return None;
     }
@@ -100,35 +106,95 @@
     pays.then_some(Plan { moves, before, after, map })
 }
 
-/// A better layer and its copies.
-fn improve(
+/// The best map on the way to balance, and its copies. The layer that is
+/// farthest from it takes each next step.
+fn walk(
     shape: Shape,
     config: Config,
-    present: &Layer,
-    loads: &[f64],
+    present: &Map,
+    loads: &[Vec<f64>],
     speeds: &[f64],
-) -> Option<(Layer, usize)> {
-    let total: f64 = loads.iter().sum();
-    if total <= 0.0 {
-        return None;
+) -> (Map, usize) {
+    let layers = present.layers.iter().zip(loads);
+    let mut walks: Vec<Walk> = layers
+        .filter(|it| it.1.iter().sum::<f64>() > 0.0)
+        .map(|(layer, loads)| Walk::new(shape, config, layer, loads, speeds))
+        .collect();
+    let mut taken = vec![0; shape.ranks];
+    while let Some(walk) = walks
+        .iter_mut()
+        .filter(|it| it.tries < TRIES)
+        .max_by(|a, b| a.skew().total_cmp(&b.skew()))
+    {
+        walk.step(&mut taken);
+    }
+    let mut walks = walks.into_iter();
+    let mut moves = 0;
+    let layers = present.layers.iter().zip(loads).map(|(layer, loads)| {
+        let walked = loads.iter().sum::<f64>() > 0.0;
+        let best = walked.then(|| walks.next()).flatten();
+        match best.and_then(|it| it.best) {
+            Some((better, copies)) => {
+                moves += copies;
+                better
+            }
+            None => layer.clone(),
+        }
+    });
+    let map = Map { layers: layers.collect() };
+    (map, moves)
+}
+
+/// A layer's way to balance.
+struct Walk<'a> {
+    search: Search<'a>,
+    price: f64,
+    /// The longest time at the start.
+    before: f64,
+    mean: f64,
+    /// The best layer so far and its copies.
+    best: Option<(Layer, usize)>,
+    /// What it saves beyond its price; the least that counts, at first.
+    value: f64,
+    tries: usize,
+}
+
+impl<'a> Walk<'a> {
+    fn new(
+        shape: Shape,
+        config: Config,
+        present: &'a Layer,
+        loads: &'a [f64],
+        speeds: &'a [f64],
+    ) -> Walk<'a> {
+        let search = Search::new(shape, config, present, loads, speeds);
+        let before = search.longest();
+        let mean = loads.iter().sum::<f64>() / shape.ranks as f64;
+        let (price, value) = (config.price, config.threshold * before);
+        Walk { search, price, before, mean, best: None, value, tries: 0 }
     }
-    let mean = total / shape.ranks as f64;
-    let mut search = Search::new(shape, config.spare, present, loads, speeds);
-    let before = search.longest();
-    let mut best = None;
-    let mut value = config.threshold * before;
-    for _ in 0..TRIES {
-        let Some(change) = search.relief() else { break };
-        search.make(change);
-        let copies = present.missing(&search.layer);
-        let saving = before - search.longest();
-        let worth = saving - config.price * mean * copies as f64;
-        if worth > value {
-            value = worth;
-            best = Some((search.layer.clone(), copies));
+
+    fn skew(&self) -> f64 {
+        self.search.longest() / self.mean
+    }
+
+    /// Relieves the most loaded rank once. `taken` is what each rank gets
+    /// anew in all layers.
+    fn step(&mut self, taken: &mut [usize]) {
+        self.tries += 1;
+        let Some(change) = self.search.relief(taken) else {
+            self.tries = TRIES;
+            return;
+        };
+        self.search.make(change, taken);
+        let copies = self.search.present.missing(&self.search.layer);
+        let saving = self.before - self.search.longest();
+        let worth = saving - self.price * self.mean * copies as f64;
+        if worth > self.value {
+            self.value = worth;
+            self.best = Some((self.search.layer.clone(), copies));
         }
     }
-    best
 }
 
 /// A change of a layer.
@@ -183,6 +249,7 @@
 struct Search<'a> {
     shape: Shape,
     spare: usize,
+    burst: usize,
     present: &'a Layer,
     loads: &'a [f64],
     speeds: &'a [f64],
@@ -193,14 +260,15 @@
 impl<'a> Search<'a> {
     fn new(
         shape: Shape,
-        spare: usize,
+        config: Config,
         present: &'a Layer,
         loads: &'a [f64],
         speeds: &'a [f64],
     ) -> Search<'a> {
         let times = times(present, loads, speeds);
         let layer = present.clone();
-        Search { shape, spare, present, loads, speeds, layer, times }
+        let Config { spare, burst, .. } = config;
+        Search { shape, spare, burst, present, loads, speeds, layer, times }
     }
 
     fn longest(&self) -> f64 {
@@ -208,7 +276,7 @@
     }
 
     /// The change that relieves the most loaded rank best.
-    fn relief(&self) -> Option<Change> {
+    fn relief(&self, taken: &[usize]) -> Option<Change> {
         let ranks = 0..self.shape.ranks as Rank;
         let by_time =
             |a: &Rank, b: &Rank| self.time(*a).total_cmp(&self.time(*b));
@@ -225,10 +293,10 @@
                 if to == from || self.layer.has(to, expert) {
                     continue;
                 }
-                if self.room(to, expert) == 0 {
+                if self.room(to, expert, taken) == 0 {
                     continue;
                 }
-                self.try_changes(from, expert, to, &mut best);
+                self.try_changes(from, expert, to, taken, &mut best);
             }
         }
         best.map(|it| it.1)
@@ -239,6 +307,7 @@
         from: Rank,
         expert: Expert,
         to: Rank,
+        taken: &[usize],
         best: &mut Option<(f64, Change)>,
     ) {
         let mut consider = |kind, other| {
@@ -253,8 +322,8 @@
             if self.layer.hosts(other).len() > 1 {
                 consider(Kind::Copy, Some(other));
             }
-            let comes_back =
-                !self.layer.has(from, other) && self.room(from, other) > 0;
+            let comes_back = !self.layer.has(from, other)
+                && self.room(from, other, taken) > 0;
             if comes_back {
                 consider(Kind::Swap, Some(other));
             }
@@ -262,13 +331,18 @@
     }
 
     /// How many more new experts a rank may get, if this one is new to it.
-    fn room(&self, rank: Rank, expert: Expert) -> usize {
+    fn room(&self, rank: Rank, expert: Expert, taken: &[usize]) -> usize {
         if self.present.has(rank, expert) {
             return usize::MAX;
         }
+        let here = self.spare.saturating_sub(self.news(rank));
+        here.min(self.burst.saturating_sub(taken[usize::from(rank)]))
+    }
+
+    /// What is new to a rank in this layer.
+    fn news(&self, rank: Rank) -> usize {
         let new = |it: &&Expert| !self.present.has(rank, **it);
-        let news = self.layer.held(rank).iter().filter(new).count();
-        self.spare.saturating_sub(news)
+        self.layer.held(rank).iter().filter(new).count()
     }
 
     /// By how much a change lowers the sum of powers.
@@ -312,7 +386,21 @@
             .sum()
     }
 
-    fn make(&mut self, change: Change) {
+    fn make(&mut self, change: Change, taken: &mut [usize]) {
+        let Change { from, to, .. } = change;
+        // A drop has one rank on both sides.
+        let ranks = &[from, to][usize::from(from == to)..];
+        for &rank in ranks {
+            taken[usize::from(rank)] -= self.news(rank);
+        }
+        self.rearrange(change);
+        for &rank in ranks {
+            taken[usize::from(rank)] += self.news(rank);
+        }
+        self.times = times(&self.layer, self.loads, self.speeds);
+    }
+
+    fn rearrange(&mut self, change: Change) {
         let Change { from, expert, to, other, kind } = change;
         if let Some(other) = other {
             self.layer.remove(to, other);
@@ -326,7 +414,6 @@
         if kind != Kind::Drop {
             self.layer.add(to, expert);
         }
-        self.times = times(&self.layer, self.loads, self.speeds);
     }
 
     fn time(&self, rank: Rank) -> f64 {
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -42,7 +42,7 @@
 mod words;
 
 /// How often the engine is looked at while nothing is going on.
-const CALM_TIME: Millis = Millis(200);
+const CALM_TIME: Millis = Millis(50);
 
 /// How often while a change of map is under way: less than a pass takes.
 const BUSY_TIME: Millis = Millis(30);
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -35,10 +35,10 @@
 const SILENT: Millis = Millis(600);
 
 /// How often the counts are summed.
-const SAMPLE_TIME: Millis = Millis(100);
+const SAMPLE_TIME: Millis = Millis(50);
 
 /// The shortest time between two looks for a better map.
-const PLAN_TIME: Millis = Millis(100);
+const PLAN_TIME: Millis = Millis(50);
 
 /// A coordinator and its view of the group.
 #[derive(Debug)]
@@ -55,6 +55,8 @@
     plan: Option<Plan>,
     /// The plan that was made before this one.
     before: Option<Plan>,
+    /// The plan whose map is in use, if this one made it.
+    used: Option<Plan>,
     price: f64,
     /// Whether it is to begin no further change.
     stopping: bool,
@@ -89,6 +91,7 @@
             planned: Millis(0),
             plan: None,
             before: None,
+            used: None,
             price,
             stopping: false,
             log,
@@ -176,6 +179,7 @@
             return;
         }
         self.sample(now);
+        self.drop_overtaken();
         let is_open = |it: &Sight| it.report.standing == Standing::Open;
         let open = sights.iter().all(is_open);
         let due = now.since(self.planned) >= PLAN_TIME;
@@ -243,6 +247,7 @@
             Event::None => {}
             Event::Changed(version) => {
                 info!(self.log, "map_changed"; "version" => version.0);
+                self.used = self.plan.clone();
             }
             Event::GivenUp(version) => {
                 info!(self.log, "plan_given_up"; "version" => version.0);
@@ -262,6 +267,19 @@
         }
     }
 
+    /// Drops a plan that was made for a demand that has shifted since, while
+    /// no rank has armed for it. The copies that it waits for take longer
+    /// than those of a new plan that nothing stands before.
+    fn drop_overtaken(&mut self) {
+        if self.demand.shifted() < self.planned {
+            return;
+        }
+        if let Some(version) = self.coordinator.drop_plan() {
+            info!(self.log, "plan_overtaken"; "version" => version.0);
+            self.drop_plan();
+        }
+    }
+
     /// Drops the plan in force. Agents may have it already, so the next one
     /// is told by what differs from it.
     fn drop_plan(&mut self) {
@@ -288,8 +306,9 @@
         let Some(present) = self.present(shape_of_map, sights) else {
             return;
         };
-        let config =
-            live::Config::new(usize::from(shape.spare)).with_price(self.price);
+        let config = live::Config::new(usize::from(shape.spare))
+            .with_burst(burst(Millis(shape.copy_ms)))
+            .with_price(self.price);
         let speeds: Vec<f64> = self.ranks.values().map(speed).collect();
         let plan = live::plan(shape_of_map, config, &present, &loads, &speeds);
         let Some(plan) = plan else {
@@ -318,7 +337,7 @@
     /// The map in use, put together from what each rank has.
     fn present(&self, shape: Shape, sights: &[Sight]) -> Option<Map> {
         let version: Version = sights.first()?.report.map;
-        if let Some(plan) = &self.plan
+        if let Some(plan) = &self.used
             && plan.version == version
             && sights.iter().all(|it| it.report.map == version)
         {
@@ -340,6 +359,17 @@
     }
 }
 
+/// Experts that a map may bring anew to a rank: as many as are copied in the
+/// time that the rest of a change takes, and one at least.
+fn burst(copy_time: Millis) -> usize {
+    let most = CHANGE_TIME.0.checked_div(copy_time.0);
+    most.map_or(usize::MAX, |it| it.max(1) as usize)
+}
+
+/// What a change of map takes beside its copies: words, orders and the passes
+/// up to its boundary.
+const CHANGE_TIME: Millis = Millis(250);
+
 /// How fast a rank works, beside the usual.
 fn speed(rank: &(Status, Millis)) -> f64 {
     1.0 / f64::from(rank.0.pace).max(LEAST_PACE)
--- a/cowsliproad-rank/src/rota.rs
+++ b/cowsliproad-rank/src/rota.rs
@@ -10,9 +10,13 @@
 
 use cowsliproad_kernel::clock::Millis;
 
-/// How long a rank counts. Twenty samples of 200 ms tell a shift from chance;
-/// see [`cowsliproad_placement::demand`].
-pub const WINDOW: Millis = Millis(200);
+/// How long a rank counts, where its turn doesn't come sooner. Twenty samples
+/// of 200 ms tell a shift from chance; see [`cowsliproad_placement::demand`].
+pub const LONGEST: Millis = Millis(200);
+
+/// The shortest that it counts: an engine counts once a pass, and passes of
+/// a busy group take 50 ms and more.
+pub const SHORTEST: Millis = Millis(45);
 
 /// A rank's turns.
 #[derive(Clone, Copy, Debug)]
@@ -49,12 +53,18 @@
                 self.begun = Some(now);
                 Due::Begin
             }
-            Some(begun) if now.since(begun) < WINDOW => Due::Nothing,
+            Some(begun) if now.since(begun) < window(round) => Due::Nothing,
             Some(begun) => {
                 self.next = begun + round;
-                self.begun = (round <= WINDOW).then_some(now);
+                self.begun = (round <= LONGEST).then_some(now);
                 Due::Say
             }
         }
     }
 }
+
+/// How long a rank counts at a time. As long as the turns allow it, windows
+/// follow one another.
+pub fn window(round: Millis) -> Millis {
+    round.clamp(SHORTEST, LONGEST)
+}
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -120,6 +120,7 @@
             experts: EXPERTS as u16,
             places: 6,
             spare: 2,
+            copy_ms: 0,
         });
         let asking = socket.clone();
         tokio::spawn(async move {
--- a/cowsliproad-routing/src/catalog.rs
+++ b/cowsliproad-routing/src/catalog.rs
@@ -96,6 +96,8 @@
     pub places: usize,
     /// Experts that are new to a rank in one map, at most, in each set.
     pub spare: usize,
+    /// The time in which a rank copies an expert.
+    pub copy_time: Millis,
 }
 
 /// Who sends requests.
