A target that starts again under its name is another; other writers' entries name none

Beliefs, partings and digests name the start; a later start under a name is new, and what is said of the earlier one doesn't touch it. An agent forgets maps, counts and orders of an earlier start of its engine.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -335,7 +335,7 @@
         }
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             let id = &choice.target.id;
-            let change = entry.fleet.borrow_mut().leave(id, 0, Millis::now());
+            let change = entry.fleet.borrow_mut().leave(id, Millis::now());
             entry.changed(id, change, Source::Own);
             return Err(Miss::Refused("another incarnation"));
         }
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -32,6 +32,9 @@
 mod choose;
 mod groups;
 
+/// Entries of other writers that are told of.
+const MOST_REFUSED: usize = 1_000;
+
 /// Where new facts came from, for logs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
@@ -98,6 +101,9 @@
     catalog: RefCell<Option<(Arc<Catalog>, Bytes)>>,
     /// The targets.
     pub fleet: RefCell<Fleet>,
+    /// Keys in the log whose entries were no target's, so that each is told
+    /// of once.
+    refused: RefCell<HashSet<String>>,
     /// Announcements as they came, for entries that start without the log.
     pub announced: RefCell<HashMap<Name, Bytes>>,
     seats: RefCell<HashMap<Name, Rc<RefCell<Seat>>>>,
@@ -160,6 +166,7 @@
             measure: Measure::new(),
             catalog: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(fleet::Config::new())),
+            refused: RefCell::new(HashSet::new()),
             announced: RefCell::new(HashMap::new()),
             seats: RefCell::new(HashMap::new()),
             budgets: RefCell::new(HashMap::new()),
@@ -243,12 +250,28 @@
         self.rumour.notify_one();
     }
 
+    /// Notes an entry that is no target's.
+    pub fn refuse_target(&self, key: &str, error: &serde_json::Error) {
+        let mut refused = self.refused.borrow_mut();
+        if refused.len() < MOST_REFUSED && refused.insert(key.into()) {
+            warn!(self.log, "target_refused"; "target" => key,
+                "error" => %error);
+        }
+    }
+
     /// Notes what became of a target.
     pub fn changed(&self, id: &str, change: Change, source: Source) {
         match change {
             Change::None => return,
-            Change::Joined => {
+            Change::Joined | Change::Restarted => {
                 self.note_change(source);
+                if change == Change::Restarted {
+                    info!(self.log, "target_restarted"; "target" => id,
+                        "source" => ?source);
+                    // Requests there, connections and what its agent said
+                    // were of the start before.
+                    self.seats.borrow_mut().remove(id);
+                }
                 let fleet = self.fleet.borrow();
                 let Some(target) = fleet.get(id) else { return };
                 info!(self.log, "target_joined"; "target" => id,
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -215,11 +215,9 @@
                 }
                 change
             }
-            Err(error) => {
-                warn!(entry.log, "target_refused"; "target" => &*record.key,
-                    "error" => %error);
-                return;
-            }
+            // Another writer's entry names no target, and changes nothing of
+            // one that has that name.
+            Err(error) => return entry.refuse_target(&record.key, &error),
         },
     };
     entry.changed(&record.key, change, source);
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -21,7 +21,7 @@
 use cowsliproad_platform::{catalog, log::Record};
 use cowsliproad_routing::{
     catalog::{Engine, Service},
-    fleet::Parting,
+    fleet::{Parting, Start},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -183,8 +183,10 @@
     let (mut left, mut withdrawn) = (Vec::new(), Vec::new());
     for (id, parting) in fleet.left_since(since) {
         match parting {
-            Parting::ForGood => left.push(id.clone()),
-            Parting::After(last) => withdrawn.push((id.clone(), last)),
+            Parting::ForGood(start) => left.push((id.clone(), start.0)),
+            Parting::After(start, last) => {
+                withdrawn.push((id.clone(), start.0, last));
+            }
         }
     }
     Digest {
@@ -290,9 +292,11 @@
 
 async fn hear(entry: &Rc<Entry>, socket: &UdpSocket, heard: Digest) {
     let now = Millis::now();
-    let left = heard.left.iter().map(|it| (it, Parting::ForGood));
+    let left = heard.left.iter();
+    let left = left.map(|it| (&it.0, Parting::ForGood(Start(it.1))));
+    let withdrawn = heard.withdrawn.iter();
     let withdrawn =
-        heard.withdrawn.iter().map(|it| (&it.0, Parting::After(it.1)));
+        withdrawn.map(|it| (&it.0, Parting::After(Start(it.1), it.2)));
     for (id, parting) in left.chain(withdrawn) {
         let change = entry.fleet.borrow_mut().hear_parting(id, parting, now);
         entry.changed(id, change, Source::Peer);
--- a/cowsliproad-direct/tests/entry/connections.rs
+++ b/cowsliproad-direct/tests/entry/connections.rs
@@ -143,7 +143,8 @@
     let listener = TcpListener::bind(address).await.expect("a target");
     let announced = format!(
         r#"{{"service":"model","address":"{address}","zone":"a",
-            "slots":8,"state":"ready","seq":1}}"#
+            "version":"v1","slots":8,"state":"ready","coldLeftMs":0,
+            "seq":1}}"#
     );
     plant.log.put(TARGETS, "i-1", Some(announced.as_bytes()));
     let entry = plant.entry().await;
--- a/cowsliproad-direct/tests/entry/news.rs
+++ b/cowsliproad-direct/tests/entry/news.rs
@@ -130,7 +130,8 @@
     let address = new.address().expect("it listens");
     let entry_of_old = format!(
         r#"{{"service":"model","address":"{address}","zone":"a",
-            "slots":8,"state":"ready","seq":9}}"#
+            "version":"v1","slots":8,"state":"ready","coldLeftMs":0,
+            "seq":9}}"#
     );
     plant.log.put(TARGETS, "i-gone", Some(entry_of_old.as_bytes()));
     until("the old incarnation is met and found gone", async || {
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -70,12 +70,14 @@
     /// sender knows of.
     #[serde(rename = "n")]
     pub changed: u64,
-    /// Incarnations that it saw leave for good in the last seconds.
+    /// Targets that it saw leave for good in the last seconds, and when they
+    /// had started.
     #[serde(rename = "l")]
-    pub left: Vec<Name>,
-    /// Those whose entries went, and the number of their last announcement.
+    pub left: Vec<(Name, u64)>,
+    /// Those whose entries went, when they had started, and the number of
+    /// their last announcement.
     #[serde(rename = "w")]
-    pub withdrawn: Vec<(Name, u64)>,
+    pub withdrawn: Vec<(Name, u64, u64)>,
     /// Other entries that it heard from lately.
     #[serde(rename = "p")]
     pub peers: Vec<SocketAddr>,
--- a/cowsliproad-routing/src/fleet.rs
+++ b/cowsliproad-routing/src/fleet.rs
@@ -6,6 +6,9 @@
 //!
 //! * an incarnation that was seen leaving stays so: an older entry of it, a
 //!   repeated one or a slow peer never brings it back;
+//! * a target may start again under its name. What was known of it, its
+//!   leaving included, was of an earlier [`Start`] and says nothing of this
+//!   one, and nothing that is said of the earlier one later counts;
 //! * a withdrawal counts at once while the log has been read without a gap.
 //!   After a gap it may be a lapse, since targets that couldn't renew their
 //!   entries drop out of the log too. Then the target stays in use for
@@ -26,11 +29,18 @@
     Leaving,
 }
 
+/// Which of the starts under one name a target is of, by the time of the
+/// start; zero where targets don't state it.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Start(pub u64);
+
 /// A target as it announced itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
-    /// Its incarnation.
+    /// Its name.
     pub id: Name,
+    /// Its start under that name.
+    pub start: Start,
     /// The service that it belongs to.
     pub service: Name,
     /// Where it listens.
@@ -41,18 +51,18 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub state: State,
-    /// Counts the announcements of this incarnation.
+    /// Counts the announcements of this start.
     pub sequence: u64,
 }
 
 /// How an incarnation left, as entries tell one another.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Parting {
-    /// It said so.
-    ForGood,
+    /// It said so. Only a later start is another matter.
+    ForGood(Start),
     /// Its entry went after this announcement. It may have lapsed, and a
     /// later announcement brings it back.
-    After(u64),
+    After(Start, u64),
 }
 
 /// What a piece of news changed.
@@ -62,6 +72,9 @@
     None,
     /// The target is new, or back.
     Joined,
+    /// The target is new under a name that was known: nothing that was known
+    /// of it holds.
+    Restarted,
     /// The target gets nothing new from now on.
     Left,
 }
@@ -117,6 +130,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Departure {
+    start: Start,
     sequence: u64,
     at: Millis,
     way: Way,
@@ -145,33 +159,40 @@
     /// Takes an announcement in.
     pub fn announce(&mut self, target: Target, now: Millis) -> Change {
         if let Some(departure) = self.left.get(&target.id)
-            && (departure.way == Way::Announced
-                || target.sequence <= departure.sequence)
+            && (target.start < departure.start
+                || target.start == departure.start
+                    && (departure.way == Way::Announced
+                        || target.sequence <= departure.sequence))
         {
             return Change::None;
         }
+        let mut change = Change::Joined;
         if let Some(known) = self.targets.get_mut(&target.id) {
-            if target.sequence < known.target.sequence {
+            let age = |it: &Target| (it.start, it.sequence);
+            if age(&target) < age(&known.target) {
                 return Change::None;
             }
-            if target.state == State::Ready {
+            if target.start > known.target.start {
+                change = Change::Restarted;
+            } else if target.state == State::Ready {
                 known.lapsing = None;
                 known.target = target;
                 return Change::None;
             }
         }
         if target.state == State::Leaving {
-            return self.leave(&target.id, target.sequence, now);
+            let (start, last) = (target.start, target.sequence);
+            return self.depart(&target.id, start, last, now, Way::Announced);
         }
         self.left.remove(&target.id);
         let id = target.id.clone();
         self.targets.insert(id, Belief { target, lapsing: None });
-        Change::Joined
+        change
     }
 
-    /// Notes that an incarnation leaves, from whoever knows.
-    pub fn leave(&mut self, id: &str, sequence: u64, now: Millis) -> Change {
-        self.depart(id, sequence, now, Way::Announced)
+    /// Notes that a target leaves, as this start of it is known to.
+    pub fn leave(&mut self, id: &str, now: Millis) -> Change {
+        self.depart(id, self.start_of(id), 0, now, Way::Announced)
     }
 
     /// Takes a withdrawal from the log in.
@@ -182,7 +203,7 @@
             }
             return Change::None;
         }
-        self.depart(id, 0, now, Way::Withdrawn)
+        self.depart_known(id, now)
     }
 
     /// Withdraws all that a complete list does not hold.
@@ -212,7 +233,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.depart(id, 0, now, Way::Withdrawn);
+            self.depart_known(id, now);
         }
         gone
     }
@@ -240,8 +261,8 @@
         let fresh = move |it: &Departure| it.at >= since;
         let fresh = self.left.iter().filter(move |it| fresh(it.1));
         fresh.map(|(id, it)| match it.way {
-            Way::Announced => (id, Parting::ForGood),
-            Way::Withdrawn => (id, Parting::After(it.sequence)),
+            Way::Announced => (id, Parting::ForGood(it.start)),
+            Way::Withdrawn => (id, Parting::After(it.start, it.sequence)),
         })
     }
 
@@ -253,32 +274,56 @@
         parting: Parting,
         now: Millis,
     ) -> Change {
-        let known = self.targets.get(id).map(|it| it.target.sequence);
+        let known = self.targets.get(id).map(|it| &it.target);
+        let newer = |start: Start, last: u64| {
+            known.is_some_and(|it| (it.start, it.sequence) > (start, last))
+        };
         match parting {
-            Parting::ForGood => self.leave(id, 0, now),
-            Parting::After(last) if known.is_some_and(|it| it > last) => {
-                Change::None
+            Parting::ForGood(start) if newer(start, u64::MAX) => Change::None,
+            Parting::ForGood(start) => {
+                self.depart(id, start, 0, now, Way::Announced)
+            }
+            Parting::After(start, last) if newer(start, last) => Change::None,
+            Parting::After(start, last) => {
+                self.depart(id, start, last, now, Way::Withdrawn)
             }
-            Parting::After(last) => self.depart(id, last, now, Way::Withdrawn),
         }
     }
 
+    /// Notes that the entry of a target went.
+    fn depart_known(&mut self, id: &str, now: Millis) -> Change {
+        self.depart(id, self.start_of(id), 0, now, Way::Withdrawn)
+    }
+
+    /// The newest start under a name that is known, of one that left too.
+    fn start_of(&self, id: &str) -> Start {
+        let known = self.targets.get(id).map(|it| it.target.start);
+        let left = self.left.get(id).map(|it| it.start);
+        known.max(left).unwrap_or_default()
+    }
+
     fn depart(
         &mut self,
         id: &str,
+        start: Start,
         sequence: u64,
         now: Millis,
         way: Way,
     ) -> Change {
         let known = self.targets.remove(id);
-        let before = known.as_ref().map_or(0, |it| it.target.sequence);
+        let same = known.as_ref().filter(|it| it.target.start == start);
+        let before = same.map_or(0, |it| it.target.sequence);
         let sequence = sequence.max(before);
-        let departure = Departure { sequence, at: now, way };
+        let departure = Departure { start, sequence, at: now, way };
         let held = self.left.entry(id.into()).or_insert(departure);
-        if way == Way::Announced {
-            held.way = way;
+        if start > held.start {
+            *held = departure;
+        } else if start == held.start {
+            if way == Way::Announced {
+                held.way = way;
+            }
+            held.sequence = held.sequence.max(sequence);
         }
-        held.sequence = held.sequence.max(sequence);
         self.forget();
         if known.is_some() { Change::Left } else { Change::None }
     }
--- a/tests/properties/fleet.rs
+++ b/tests/properties/fleet.rs
@@ -2,13 +2,17 @@
 
 use cowsliproad::{
     kernel::clock::Millis,
-    routing::fleet::{Change, Config, Fleet, Parting, State, Target},
+    routing::fleet::{Change, Config, Fleet, Parting, Start, State, Target},
 };
 use proptest::prelude::*;
 
+const START: Start = Start(1_000);
+const LATER: Start = Start(2_000);
+
 fn target(sequence: u64, state: State) -> Target {
     Target {
         id: "i-1".into(),
+        start: START,
         service: "access".into(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: "a".into(),
@@ -112,7 +116,7 @@
                     fleet.withdraw("i-1", now);
                 }
                 News::FromPeer => {
-                    fleet.leave("i-1", 0, now);
+                    fleet.leave("i-1", now);
                     left = true;
                 }
                 News::Regained => fleet.regained(now),
@@ -128,14 +132,61 @@
 #[test]
 fn what_another_entry_saw_go_comes_back_and_what_left_does_not() {
     let mut fleet = fleet();
-    let gone = fleet.hear_parting("i-1", Parting::After(1), Millis(10));
+    let gone = fleet.hear_parting("i-1", Parting::After(START, 1), Millis(10));
     assert_eq!(gone, Change::Left);
     let back = fleet.announce(target(2, State::Ready), Millis(20));
     assert_eq!(back, Change::Joined);
     // The same word, heard again, is older than what is known here.
-    let again = fleet.hear_parting("i-1", Parting::After(1), Millis(30));
+    let again =
+        fleet.hear_parting("i-1", Parting::After(START, 1), Millis(30));
     assert_eq!(again, Change::None);
-    fleet.hear_parting("i-1", Parting::ForGood, Millis(40));
+    fleet.hear_parting("i-1", Parting::ForGood(START), Millis(40));
     let late = fleet.announce(target(3, State::Ready), Millis(50));
     assert_eq!(late, Change::None);
 }
+
+fn restarted(sequence: u64, state: State) -> Target {
+    Target { start: LATER, ..target(sequence, state) }
+}
+
+#[test]
+fn one_that_left_may_start_again_under_its_name() {
+    let mut fleet = fleet();
+    fleet.announce(target(7, State::Leaving), Millis(10));
+    let back = fleet.announce(restarted(1, State::Ready), Millis(20));
+    assert_eq!(back, Change::Joined);
+    assert!(fleet.is_ready("i-1"));
+    // What is still said of the start before says nothing of this one.
+    fleet.announce(target(8, State::Leaving), Millis(30));
+    fleet.hear_parting("i-1", Parting::ForGood(START), Millis(40));
+    fleet.hear_parting("i-1", Parting::After(START, 9), Millis(50));
+    assert!(fleet.is_ready("i-1"));
+    // It may leave in its turn.
+    fleet.hear_parting("i-1", Parting::ForGood(LATER), Millis(60));
+    assert!(!fleet.is_ready("i-1"));
+    fleet.announce(restarted(2, State::Ready), Millis(70));
+    assert!(!fleet.is_ready("i-1"));
+}
+
+#[test]
+fn one_that_starts_again_without_a_word_is_another() {
+    let mut fleet = fleet();
+    fleet.announce(target(7, State::Ready), Millis(10));
+    let change = fleet.announce(restarted(1, State::Ready), Millis(20));
+    assert_eq!(change, Change::Restarted);
+    let sequence = fleet.get("i-1").map(|it| it.sequence);
+    assert_eq!(sequence, Some(1));
+    // An entry of the start before that comes late.
+    let late = fleet.announce(target(8, State::Ready), Millis(30));
+    assert_eq!(late, Change::None);
+    assert_eq!(fleet.get("i-1").map(|it| it.start), Some(LATER));
+}
+
+#[test]
+fn one_that_starts_again_leaving_is_not_used() {
+    let mut fleet = fleet();
+    let change = fleet.announce(restarted(1, State::Leaving), Millis(20));
+    assert_eq!(change, Change::Left);
+    let old = fleet.announce(target(9, State::Ready), Millis(30));
+    assert_eq!(old, Change::None);
+}
