A successor knows whether its frozen predecessor's rank can be armed

The successor may call off only while another rank is not armed, so it waited for the VM to wake. Ruled out: lost orders, a takeover that came late (it led 0.35 s after the freeze).

The coordinator's rank arms last, and only once the holder's agent says that it has heard so. A holder that has not, and obeys the successor, never will. So the successor calls the change off, but for one that the frozen one had itself taken over from another: its rank may be armed by that one's word, which a call-off did not see before either (three coordinators in a row).

`tests/order` explores it completely; without waiting for the holder's word two of its scopes mix maps. Test that failed first: `a_change_whose_coordinator_froze_before_its_rank_armed_is_called_off`.

--- a/cowsliproad-bench/src/experiment/switch.rs
+++ b/cowsliproad-bench/src/experiment/switch.rs
@@ -10,8 +10,9 @@
 
 use cowsliproad_kernel::{clock::Millis, plugin::inventory};
 use cowsliproad_mapswitch::order::{
-    Absent, Arms, Config, Coordinator, Epoch, Event, Experts, Follows, Order,
-    Report, Sight, Standing, Version, due, due_at_holder,
+    Absent, Arms, Config, Coordinator, Directive, Epoch, Event, Experts,
+    Follows, Order, Report, Seal, Sight, Standing, Version, due,
+    due_at_holder, seals,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
@@ -125,10 +126,14 @@
         }
     }
 
-    fn sights(&self) -> Vec<Sight> {
+    /// What the coordinator sees of all ranks, whose agents have heard its
+    /// word.
+    fn sights(&self, word: &Directive) -> Vec<Sight> {
+        let seal = seals(word).map_or(Seal::Unheard, Seal::Heard);
         let sight = |report: &Report| Sight {
             report: report.clone(),
             arms: Arms::Answered,
+            seal,
             follows: Follows::Us,
         };
         self.ranks.iter().map(sight).collect()
@@ -168,7 +173,7 @@
                 group.carry_out(rank, &order);
             }
         }
-        let sights = group.sights();
+        let sights = group.sights(&word);
         match coordinator.look(&sights, Absent::Nobody, Millis(now)) {
             Event::Changed(_) => {
                 score.changes += 1;
--- a/cowsliproad-mapswitch/src/order.rs
+++ b/cowsliproad-mapswitch/src/order.rs
@@ -22,9 +22,15 @@
 //! A coordinator may freeze with the hold in place, and its VM with its rank
 //! is out of reach then. So the holder is another rank, ordered from afar:
 //! its own agent can release it. The successor may call the change off when
-//! only the former coordinator is missing: as that one arms last, it is not
-//! armed if another is not and never will be. What is armed is disarmed
-//! first; an *arm* without an answer forbids it, since it may yet land.
+//! only the former coordinator is missing and its rank can't be armed. That
+//! one arms last, and only once the holder's agent says that it has heard so
+//! (the *seal*): while another rank is not armed, or the holder has heard no
+//! seal and obeys the successor, it never will be. What is armed is disarmed
+//! first; an *arm* without an answer forbids it, since it may yet land. A
+//! change that the former coordinator had itself taken over is not called
+//! off: its rank may have been armed by another's word. Without the seal a
+//! coordinator that froze as the others armed kept its group for the 4 s
+//! that its VM stood still.
 //!
 //! A [`Coordinator`] keeps nothing that it could not read from the reports,
 //! so its successor goes on where it stopped. Each has a fencing number;
@@ -131,6 +137,17 @@
     InDoubt,
 }
 
+/// What a rank's agent knows of the coordinator's own rank.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum Seal {
+    /// It was not told that this rank arms.
+    Unheard,
+    /// It was told that this rank arms for this pass.
+    Heard(u64),
+    /// The agent began too lately to know.
+    Unknown,
+}
+
 /// Whose word a rank obeys.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Follows {
@@ -147,6 +164,8 @@
     pub report: Report,
     /// The orders that it may not show yet.
     pub arms: Arms,
+    /// Whether its agent heard that the coordinator's rank arms.
+    pub seal: Seal,
     /// Whose word it obeys.
     pub follows: Follows,
 }
@@ -156,8 +175,8 @@
 pub enum Absent {
     /// None.
     Nobody,
-    /// The one that led before, and no other.
-    Predecessor,
+    /// The one that led before with this fencing number, and no other.
+    Predecessor(u64),
     /// Any other.
     Others,
 }
@@ -186,6 +205,16 @@
         /// The coordinator's rank, until all others are armed.
         except: Option<u16>,
     },
+    /// As before, and the coordinator's rank is the next to arm: whoever
+    /// hears this says so.
+    Sealed {
+        /// The map.
+        version: Version,
+        /// The pass.
+        step: u64,
+        /// The coordinator's rank.
+        except: u16,
+    },
     /// None is to change.
     Disarmed,
     /// No rank keeps the group from beginning this pass.
@@ -224,6 +253,10 @@
                 .then(|| Order::Prepare(version, experts.clone()))
         }
         Aim::Held { .. } => None,
+        Aim::Sealed { version, step, except } => {
+            let armed = Aim::Armed { version, step, except: Some(except) };
+            due(&Directive { aim: armed, ..*directive }, report, plan)
+        }
         Aim::Armed { version, step, except } => {
             let due = report.armed != Some((version, step))
                 && report.map < version
@@ -238,6 +271,15 @@
     }
 }
 
+/// The pass for which a coordinator's word says that its own rank arms.
+pub fn seals(directive: &Directive) -> Option<u64> {
+    match directive.aim {
+        Aim::Sealed { step, .. } => Some(step),
+        Aim::Armed { step, except: None, .. } => Some(step),
+        _ => None,
+    }
+}
+
 /// What the coordinator has to order at the holder, from afar.
 pub fn due_at_holder(directive: &Directive, report: &Report) -> Option<Order> {
     let Aim::Held { step, holder } = directive.aim else { return None };
--- a/cowsliproad-mapswitch/src/order/coordinator.rs
+++ b/cowsliproad-mapswitch/src/order/coordinator.rs
@@ -4,7 +4,7 @@
 use cowsliproad_kernel::clock::Millis;
 
 use super::{
-    Absent, Aim, Arms, Directive, Epoch, Follows, Report, Sight, Version,
+    Absent, Aim, Arms, Directive, Epoch, Follows, Report, Seal, Sight, Version,
 };
 
 /// Times and distances of a change.
@@ -59,6 +59,7 @@
     Preparing { version: Version, since: Millis },
     Holding { version: Version, step: u64, holder: u16 },
     Arming { version: Version, step: u64, except: Option<u16> },
+    Sealing { version: Version, step: u64 },
     Disarming { step: u64 },
     Releasing { version: Version, step: u64 },
 }
@@ -187,6 +188,9 @@
             Phase::Arming { version, step, except } => {
                 Aim::Armed { version, step, except }
             }
+            Phase::Sealing { version, step } => {
+                Aim::Sealed { version, step, except: self.rank }
+            }
             Phase::Disarming { .. } => Aim::Disarmed,
             Phase::Releasing { step, .. } => Aim::Released(step),
         };
@@ -234,12 +238,14 @@
         }
         match (self.phase, absent) {
             (Phase::Resting, Absent::Nobody) => self.tidy(sights),
-            (Phase::Resting, Absent::Predecessor) => self.call_off(sights),
+            (Phase::Resting, Absent::Predecessor(fence)) => {
+                self.call_off(sights, fence)
+            }
             // Not forward again, even with all in sight: an agent may still
             // act on the word to disarm.
             (
                 Phase::Disarming { step },
-                Absent::Predecessor | Absent::Nobody,
+                Absent::Predecessor(_) | Absent::Nobody,
             ) => self.disarm(sights, step),
             (Phase::Releasing { version, step }, _) => {
                 self.release(sights, version, step)
@@ -247,7 +253,7 @@
             (Phase::Preparing { version, since }, _) => {
                 self.prepare(sights, absent, version, since, now)
             }
-            (_, Absent::Predecessor | Absent::Others) => Event::None,
+            (_, Absent::Predecessor(_) | Absent::Others) => Event::None,
             (Phase::Holding { version, step, holder }, _) => {
                 self.hold(sights, version, step, holder)
             }
@@ -255,6 +261,10 @@
                 self.arm(sights, version, step, except, now);
                 Event::None
             }
+            (Phase::Sealing { version, step }, _) => {
+                self.seal(sights, version, step);
+                Event::None
+            }
         }
     }
 
@@ -278,7 +288,7 @@
     }
 
     /// Calls off what a coordinator left that is out of reach now.
-    fn call_off(&mut self, sights: &[Sight]) -> Event {
+    fn call_off(&mut self, sights: &[Sight], predecessor: u64) -> Event {
         let held = sights.iter().find_map(|it| it.report.held);
         let Some(step) = held else { return Event::None };
         let armed = sights.iter().find_map(|it| it.report.armed);
@@ -289,7 +299,10 @@
         let certain = sights.iter().all(is_certain);
         let unarmed =
             |it: &Sight| it.report.armed.is_none() && it.report.step < step;
-        if !certain || !sights.iter().any(unarmed) {
+        let missing = sights.iter().any(unarmed) || is_unsealed(sights, step);
+        let latest = sights.iter().map(|it| newest(&it.report)).max();
+        let own = latest.is_some_and(|it| it.0 / VERSIONS == predecessor);
+        if !certain || !missing || !own {
             return Event::None;
         }
         let version = armed.map_or(sights[0].report.map, |it| it.0);
@@ -380,6 +393,19 @@
         }
         let others = |it: &&Sight| Some(it.report.rank) != except;
         if except.is_some() && sights.iter().filter(others).all(done) {
+            self.phase = Phase::Sealing { version, step };
+        }
+    }
+
+    /// Lets the own rank arm once the holder vouches that it has heard so.
+    fn seal(&mut self, sights: &[Sight], version: Version, step: u64) {
+        let holder = self.holder(sights);
+        let vouches = |it: &Sight| {
+            it.report.rank == holder
+                && it.seal == Seal::Heard(step)
+                && it.follows == Follows::Us
+        };
+        if sights.iter().any(vouches) {
             self.phase = Phase::Arming { version, step, except: None };
         }
     }
@@ -413,6 +439,17 @@
     sight.arms == Arms::Answered && sight.follows == Follows::Us
 }
 
+/// Whether the holder, the first of the ranks beside that of a coordinator
+/// that is out of reach, has not been told that this one arms.
+fn is_unsealed(sights: &[Sight], step: u64) -> bool {
+    let holder = sights.iter().min_by_key(|it| it.report.rank);
+    holder.is_some_and(|it| match it.seal {
+        Seal::Unheard => true,
+        Seal::Heard(at) => at != step,
+        Seal::Unknown => false,
+    })
+}
+
 /// The map that all ranks have and none uses yet.
 fn ready(sights: &[Sight]) -> Option<Version> {
     let version = sights.first()?.report.prepared?;
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -84,6 +84,8 @@
     /// What entries say of the service.
     shape: Option<Subscribe>,
     state: Option<State>,
+    /// Which start of the engine all below is of.
+    start: Option<u64>,
     /// The group that the engine last named.
     group: Option<Name>,
     /// Engines of the service that are of other groups.
@@ -94,6 +96,8 @@
     plan: Option<Plan>,
     /// The coordinator's last word, where it is, and when it came.
     word: Option<(Directive, SocketAddr, Millis)>,
+    /// The pass for which it last heard that the coordinator's rank arms.
+    sealed: Option<(Epoch, u64)>,
     /// The highest fencing number met.
     fence: u64,
     lead: Option<Lead>,
@@ -157,6 +161,7 @@
             entries: BTreeMap::new(),
             shape: None,
             state: None,
+            start: None,
             group: None,
             strangers: BTreeSet::new(),
             experts: None,
@@ -164,6 +169,7 @@
             rota: None,
             plan: None,
             word: None,
+            sealed: None,
             fence: 0,
             lead: None,
             candidacy: None,
@@ -296,6 +302,7 @@
                     self.step_down(word.fence);
                 }
                 let before = self.word.as_ref().map(|it| it.0);
+                self.note_seal(&word);
                 self.word = Some((word, from, now));
                 if before != Some(word) {
                     self.look().await;
@@ -360,6 +367,7 @@
     async fn refresh(&mut self) {
         match self.engine.state().await {
             Ok(state) => {
+                self.note_start(state.start);
                 self.group = state.group.clone().or(self.group.take());
                 self.state = Some(state);
             }
@@ -386,6 +394,27 @@
         }
     }
 
+    fn note_seal(&mut self, word: &Directive) {
+        if let Some(step) = order::seals(word) {
+            self.sealed = Some((word.epoch, step));
+        }
+    }
+
+    /// Forgets what was of another start of the engine: it holds no map, no
+    /// order and no counts of before.
+    fn note_start(&mut self, start: u64) {
+        let before = self.start.replace(start);
+        if before.is_none_or(|it| it == start) {
+            return;
+        }
+        info!(self.log, "engine_restarted"; "start" => start);
+        self.experts = None;
+        self.counts = None;
+        self.first = None;
+        self.last.unanswered_arm = None;
+        self.last.taken = None;
+    }
+
     /// The group that its engine is a rank of.
     fn group(&self) -> Option<&Name> {
         self.group.as_ref()
--- a/cowsliproad-rank/src/agent/chair.rs
+++ b/cowsliproad-rank/src/agent/chair.rs
@@ -41,7 +41,8 @@
         self.fence = fence;
         let price = self.settings.move_price;
         let Some(rank) = self.report().map(|it| it.rank) else { return };
-        let predecessor = self.word.as_ref().map(|it| it.1.ip());
+        let before = self.word.as_ref();
+        let predecessor = before.map(|it| (it.1.ip(), it.0.fence));
         let start = Start { fence, rank, predecessor };
         self.lead = Some(Lead::new(start, price, self.log.clone()));
         self.speak(now).await;
--- a/cowsliproad-rank/src/agent/orders.rs
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -5,7 +5,7 @@
 
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_mapswitch::order::{
-    self, Aim, Arms, Directive, FARTHEST, Report, Verdict,
+    self, Aim, Arms, Directive, FARTHEST, Report, Seal, Verdict,
 };
 use slog::info;
 
@@ -142,6 +142,7 @@
             experts: None,
             pace: state.pace as f32,
             arms: Arms::InDoubt,
+            seal: Seal::Unknown,
             report,
         };
         if let Some(lead) = &mut self.lead {
@@ -164,13 +165,27 @@
                 && arm.step > report.step
                 && recent(arm.at)
         });
-        let inherited = recent(self.begun)
-            && self.first.is_none_or(|(epoch, step)| {
-                epoch == report.epoch && report.step <= step + FARTHEST
-            });
+        let inherited = recent(self.begun) && self.inherits(report);
         if open || inherited { Arms::InDoubt } else { Arms::Answered }
     }
 
+    /// Whether the group is still at the passes that the process before this
+    /// one had to do with.
+    fn inherits(&self, report: &Report) -> bool {
+        self.first.is_none_or(|(epoch, step)| {
+            epoch == report.epoch && report.step <= step + FARTHEST
+        })
+    }
+
+    /// Whether it heard that the coordinator's rank arms, as far as it knows.
+    pub(super) fn seal(&self, report: &Report) -> Seal {
+        match self.sealed {
+            Some((epoch, step)) if epoch == report.epoch => Seal::Heard(step),
+            _ if self.inherits(report) => Seal::Unknown,
+            _ => Seal::Unheard,
+        }
+    }
+
     /// Orders the hold, which another rank's engine has to take from afar.
     pub(super) async fn order_hold(&mut self) {
         let now = Millis::now();
--- a/cowsliproad-rank/src/agent/words.rs
+++ b/cowsliproad-rank/src/agent/words.rs
@@ -98,6 +98,7 @@
             experts: experts.map(|it| (it.1, it.2.clone())),
             pace: self.state.as_ref().map_or(1.0, |it| it.pace as f32),
             arms: self.arms(&report),
+            seal: self.seal(&report),
             report,
         })
     }
@@ -137,6 +138,7 @@
         agents.retain(|it| *it != self.own);
         let message = Message::Directive(word, self.own);
         self.tell(&message, &agents).await;
+        self.note_seal(&word);
         self.word = Some((word, self.own, now));
         if new {
             self.prompt = self.carry_out(word).await;
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -44,8 +44,8 @@
 #[derive(Debug)]
 pub struct Lead {
     coordinator: Coordinator,
-    /// The VM of the one that led before.
-    predecessor: Option<IpAddr>,
+    /// The VM of the one that led before, and its fencing number.
+    predecessor: Option<(IpAddr, u64)>,
     ranks: BTreeMap<u16, (Status, Millis)>,
     /// What all ranks together counted since this one leads.
     total: Counts,
@@ -70,8 +70,8 @@
     pub fence: u64,
     /// Its own rank.
     pub rank: u16,
-    /// The VM of the one that led before.
-    pub predecessor: Option<IpAddr>,
+    /// The VM of the one that led before, and its fencing number.
+    pub predecessor: Option<(IpAddr, u64)>,
 }
 
 impl Lead {
@@ -209,7 +209,8 @@
         } else {
             Follows::Another
         };
-        Sight { report: status.report.clone(), arms: status.arms, follows }
+        let (report, seal) = (status.report.clone(), status.seal);
+        Sight { report, arms: status.arms, seal, follows }
     }
 
     /// Who of the group is missing among them.
@@ -221,13 +222,14 @@
         if ranks > 0 && fresh.len() == usize::from(ranks) {
             return Absent::Nobody;
         }
-        let led = |it: &&Status| Some(it.agent.ip()) == self.predecessor;
-        let known = shape.is_some_and(|shape| {
-            shape.targets.iter().any(|it| Some(it.ip()) == self.predecessor)
-        });
+        let Some((vm, fence)) = self.predecessor else {
+            return Absent::Others;
+        };
+        let known =
+            shape.is_some_and(|it| it.targets.iter().any(|it| it.ip() == vm));
         let only = fresh.len() + 1 == usize::from(ranks);
-        if only && known && !fresh.iter().any(led) {
-            Absent::Predecessor
+        if only && known && !fresh.iter().any(|it| it.agent.ip() == vm) {
+            Absent::Predecessor(fence)
         } else {
             Absent::Others
         }
--- a/cowsliproad-rank/src/settings.rs
+++ b/cowsliproad-rank/src/settings.rs
@@ -40,7 +40,7 @@
             peer_port: 7340,
             agent_port: 7341,
             log: local(8223),
-            move_price: 0.1,
+            move_price: 0.03,
             log_level: Level::Info,
         }
     }
--- a/cowsliproad-rank/src/wire.rs
+++ b/cowsliproad-rank/src/wire.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use cowsliproad_kernel::Name;
-use cowsliproad_mapswitch::order::{Arms, Directive, Report, Version};
+use cowsliproad_mapswitch::order::{Arms, Directive, Report, Seal, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::plan::Sheet;
@@ -52,6 +52,9 @@
     /// What the agent vouches for beside it.
     #[serde(rename = "o")]
     pub arms: Arms,
+    /// Whether it heard that the coordinator's rank arms.
+    #[serde(rename = "l")]
+    pub seal: Seal,
     /// How many times as long as usual its engine's work takes.
     #[serde(rename = "t")]
     pub pace: f32,
@@ -72,6 +75,7 @@
 pub struct News {
     report: Report,
     arms: Arms,
+    seal: Seal,
     fence: u64,
     plan: Option<Version>,
 }
@@ -81,8 +85,8 @@
     pub fn news(&self) -> News {
         // Each pass would be news otherwise.
         let report = Report { step: 0, ..self.report.clone() };
-        let (arms, fence, plan) = (self.arms, self.fence, self.plan);
-        News { report, arms, fence, plan }
+        let Status { arms, seal, fence, plan, .. } = *self;
+        News { report, arms, seal, fence, plan }
     }
 }
 
--- a/cowsliproad-rank/tests/lead.rs
+++ b/cowsliproad-rank/tests/lead.rs
@@ -3,7 +3,7 @@
 
 use cowsliproad_kernel::{clock::Millis, gossip::Subscribe};
 use cowsliproad_mapswitch::order::{
-    Aim, Arms, Epoch, Report, Standing, Version,
+    Aim, Arms, Epoch, Report, Seal, Standing, Version,
 };
 use cowsliproad_rank::{
     lead::{Lead, Start},
@@ -75,6 +75,7 @@
             experts: Some((Version(0), vec![dealt.collect()])),
             pace: 1.0,
             arms: Arms::Answered,
+            seal: Seal::Unheard,
             report,
         }
     }
--- a/tests/order/main.rs
+++ b/tests/order/main.rs
@@ -17,7 +17,7 @@
     kernel::clock::Millis,
     mapswitch::order::{
         self, Absent, Aim, Arms, Config, Coordinator, Directive, Epoch,
-        Follows, Order, Report, Sight, Standing, VERSIONS, Version,
+        Follows, Order, Report, Seal, Sight, Standing, VERSIONS, Version,
     },
 };
 
@@ -77,6 +77,8 @@
     word: Option<Directive>,
     /// The pass of its last unanswered *arm*.
     unanswered: u64,
+    /// The pass for which it heard that the coordinator's rank arms.
+    sealed: Option<u64>,
 }
 
 /// A coordinator and what it saw last of each rank.
@@ -130,7 +132,8 @@
             held: None,
             fence: 0,
         };
-        let agent = Agent { fence: 0, word: None, unanswered: 0 };
+        let (word, sealed) = (None, None);
+        let agent = Agent { fence: 0, word, unanswered: 0, sealed };
         let mut first = chair(1, FIRST);
         let report = |rank| Report {
             epoch: EPOCH,
@@ -146,6 +149,7 @@
         let sight = |rank| Sight {
             report: report(rank),
             arms: Arms::Answered,
+            seal: Seal::Unheard,
             follows: Follows::Us,
         };
         let sights: Vec<Sight> = (0..RANKS).map(sight).collect();
@@ -185,6 +189,11 @@
         if step > self.step { Arms::InDoubt } else { Arms::Answered }
     }
 
+    fn seal(&self, rank: u16) -> Seal {
+        let sealed = self.agents[usize::from(rank)].sealed;
+        sealed.map_or(Seal::Unheard, Seal::Heard)
+    }
+
     fn is_out_of_reach(&self, rank: u16) -> bool {
         self.frozen && rank == FIRST
     }
@@ -271,11 +280,13 @@
             let mut world = self.clone();
             let agent = &mut world.agents[usize::from(rank)];
             agent.fence = word.fence;
+            agent.sealed = order::seals(&word).or(agent.sealed);
             // Other words give an agent nothing to do.
             agent.word = match word.aim {
-                Aim::Armed { .. } | Aim::Disarmed | Aim::Released(_) => {
-                    Some(word)
-                }
+                Aim::Armed { .. }
+                | Aim::Sealed { .. }
+                | Aim::Disarmed
+                | Aim::Released(_) => Some(word),
                 Aim::Rest | Aim::Prepared(_) | Aim::Held { .. } => None,
             };
             if world != *self {
@@ -329,6 +340,7 @@
         let sight = Sight {
             report: self.report(rank),
             arms: self.arms(rank),
+            seal: self.seal(rank),
             follows: Follows::Another,
         };
         for index in 0..self.chairs.len() {
@@ -372,7 +384,8 @@
             .cloned()
             .collect();
         if index == 1 && others.len() + 1 == usize::from(RANKS) {
-            self.look_at(index, &others, Absent::Predecessor, scope, worlds);
+            let absent = Absent::Predecessor(1);
+            self.look_at(index, &others, absent, scope, worlds);
         }
     }
 
@@ -385,6 +398,7 @@
             Sight {
                 report: self.report(rank),
                 arms: self.arms(rank),
+                seal: self.seal(rank),
                 follows: follows(agent.fence, fence),
             }
         };
@@ -625,3 +639,48 @@
         sights: Sights::Fresh,
     });
 }
+
+/// What the successor of a frozen coordinator sees: all others are armed.
+fn left_by_a_frozen(seal: Seal) -> Vec<Sight> {
+    let sight = |rank| Sight {
+        report: Report {
+            epoch: EPOCH,
+            rank,
+            ranks: RANKS,
+            standing: Standing::Open,
+            step: 1,
+            map: Version(0),
+            prepared: Some(Version(FIRST_MAP)),
+            armed: Some((Version(FIRST_MAP), 3)),
+            held: (rank == SECOND).then_some(3),
+        },
+        arms: Arms::Answered,
+        seal,
+        follows: Follows::Us,
+    };
+    (0..RANKS).filter(|it| *it != FIRST).map(sight).collect()
+}
+
+fn aim_of_a_successor(seal: Seal, predecessor: u64) -> Aim {
+    let mut successor = chair(2, SECOND).coordinator;
+    let sights = left_by_a_frozen(seal);
+    let absent = Absent::Predecessor(predecessor);
+    for _ in 0..2 {
+        successor.look(&sights, absent, Millis(0));
+    }
+    successor.directive().aim
+}
+
+#[test]
+fn a_change_whose_coordinator_froze_before_its_rank_armed_is_called_off() {
+    assert_eq!(aim_of_a_successor(Seal::Unheard, 1), Aim::Disarmed);
+    assert_eq!(aim_of_a_successor(Seal::Heard(2), 1), Aim::Disarmed);
+}
+
+#[test]
+fn one_whose_coordinator_may_have_armed_is_waited_for() {
+    assert_eq!(aim_of_a_successor(Seal::Heard(3), 1), Aim::Rest);
+    assert_eq!(aim_of_a_successor(Seal::Unknown, 1), Aim::Rest);
+    // That one had taken the change over from another.
+    assert_eq!(aim_of_a_successor(Seal::Unheard, 7), Aim::Rest);
+}
