--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -88,8 +88,15 @@
         }
     };
     let (pieces, body) = mpsc::channel(WAITING_PIECES);
-    let relay =
-        Relay { entry: entry.clone(), call, pieces, last: None, events: 0 };
+    let relay = Relay {
+        entry: entry.clone(),
+        call,
+        pieces,
+        last: None,
+        events: 0,
+        given: None,
+        pause: Millis(0),
+    };
     tokio::task::spawn_local(relay.run(*run, first, busy));
     Response::from_parts(head, Body::Events(body))
 }
@@ -269,6 +276,10 @@
     /// The last event that was passed on.
     last: Option<u64>,
     events: u64,
+    /// When it was passed on.
+    given: Option<Millis>,
+    /// The longest pause between two events.
+    pause: Millis,
 }
 
 impl Relay {
@@ -279,7 +290,7 @@
         self.entry.measure.ended(took);
         info!(self.entry.log, "stream_ended"; "request" => &*self.call.id,
             "outcome" => outcome, "events" => self.events,
-            "took" => took.0);
+            "pause" => self.pause.0, "took" => took.0);
         drop(busy);
     }
 
@@ -358,6 +369,9 @@
         }
         self.last = event.id.or(self.last);
         self.events += 1;
+        let now = Millis::now();
+        let pause = self.given.replace(now).map(|it| now.since(it));
+        self.pause = self.pause.max(pause.unwrap_or_default());
         let end = self.call.end();
         let given = tokio::time::timeout_at(
             end,
