An emulator of the pace of a group; admission by the time of a pass, tried and left out

`cowsliproad-bench pace` plays a group of the departure boards' size in virtual time with the planner and demand that run in the programs: policies of maps, an even map as the bound, and entries that keep passes short.

Why: a shift is over in 0.65 s; whoever waits for it is late by waiting in place of those that are late by a pause.

--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -6,6 +6,7 @@
 pub mod outage;
 pub mod overhead;
 pub mod overload;
+pub mod pace;
 pub mod placement;
 pub mod routing;
 pub mod slopes;
