--- a/cowsliproad-mapswitch/src/order/coordinator.rs
+++ b/cowsliproad-mapswitch/src/order/coordinator.rs
@@ -44,7 +44,8 @@
 /// and what is known of the group's pass is up to 30 ms old.
 const LEAST_ARMING: Millis = Millis(90);
 
-/// The time for copies, which take 40 ms each, before a plan is given up.
+/// The time for copies before a plan is given up: seven of the longest seen,
+/// 0.4 s each.
 const PATIENCE: Millis = Millis(3_000);
 
 /// Versions of one coordinator. A rank refuses a version that isn't higher
--- a/cowsliproad-placement/src/live.rs
+++ b/cowsliproad-placement/src/live.rs
@@ -59,9 +59,9 @@
     }
 }
 
-/// A copy takes 15% of the pace for some 40 ms and is charged. Played against
-/// shifts every 4 s, 0.03 moved a third of the experts that 0.006 did, at the
-/// same pace: what it leaves out is the last percents of balance.
+/// A copy takes 15% of the pace for as long as it lasts and is charged. Played
+/// against shifts every 4 s, 0.03 moved a third of the experts that 0.006 did,
+/// at the same pace: what it leaves out is the last percents of balance.
 const PRICE: f64 = 0.03;
 
 /// Counts of half a second differ by some 2% by chance.
@@ -71,7 +71,7 @@
 /// change is a risk to the pace while orders go unanswered.
 const LEAST: f64 = 0.04;
 
-/// Changes tried in a layer. Each rank may take two experts, and few need to.
+/// Changes tried in a layer. A rank takes a few experts, and few need to.
 const TRIES: usize = 32;
 
 /// A better map.
--- a/cowsliproad-rank/src/agent/orders.rs
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -13,7 +13,7 @@
 use crate::{engine::Engine, wire::Status};
 
 /// How long an order that was taken is given to show in the report before it
-/// is repeated. Copies of two experts take 80 ms.
+/// is repeated, which does no harm where copies take longer.
 const TAKEN_TIME: Millis = Millis(120);
 
 /// The longest time after which an unanswered order was seen carried out, and
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -269,9 +269,9 @@
         }
     }
 
-    /// Drops a plan that was made for a demand that has shifted since, while
-    /// no rank has armed for it. The copies that it waits for take longer
-    /// than those of a new plan that nothing stands before.
+    /// Drops a plan whose demand has shifted since, while no rank has armed
+    /// for it. Its copies would be waited for, and its map be out of date when
+    /// it comes.
     fn drop_overtaken(&mut self) {
         if self.demand.shifted() < self.planned {
             return;
