--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -12,7 +12,7 @@
 pub mod slopes;
 pub mod switch;
 
-use std::{collections::BTreeMap, process};
+use std::{collections::BTreeMap, fs, process};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use cowsliproad_kernel::{
@@ -95,12 +95,15 @@
     pub table: String,
     /// Promises that were broken.
     pub broken: Vec<String>,
+    /// A plot as SVG, where the experiment draws one.
+    pub plot: Option<String>,
 }
 
 impl Outcome {
     /// An outcome without broken promises.
     pub fn new(figures: Value) -> Outcome {
-        Outcome { figures, table: String::new(), broken: Vec::new() }
+        let (table, broken) = (String::new(), Vec::new());
+        Outcome { figures, table, broken, plot: None }
     }
 
     /// Adds a table for people.
@@ -113,6 +116,11 @@
         Outcome { broken, ..self }
     }
 
+    /// Adds a plot.
+    pub fn with_plot(self, plot: String) -> Outcome {
+        Outcome { plot: Some(plot), ..self }
+    }
+
     /// The outcome of an experiment that could not be run.
     pub fn failed(why: &str) -> Outcome {
         let broken = vec![format!("the experiment did not run: {why}")];
@@ -126,7 +134,17 @@
     let Some((name, args)) = matches.subcommand() else { return };
     let Some(plugin) = plugin::find::<Plugin>(name) else { return };
     let options = options(args);
-    let outcome = (plugin.start)(options);
+    let mut outcome = (plugin.start)(options);
+    if let Some(path) = args.get_one::<String>("plot") {
+        let plot = outcome.plot.take();
+        let plot = plot.ok_or("this experiment draws none".to_string());
+        let written = plot.and_then(|svg| {
+            fs::write(path, svg).map_err(|error| error.to_string())
+        });
+        if let Err(why) = written {
+            outcome.broken.push(format!("no plot in {path}: {why}"));
+        }
+    }
     for promise in &outcome.broken {
         eprintln!("broken: {promise}");
     }
@@ -188,6 +206,10 @@
                 .value_parser(["off", "error", "info", "debug"])
                 .default_value("off")
                 .help("How much the nodes log on standard error"),
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .help("Write a plot as SVG (pace)"),
             Arg::new("seed")
                 .long("seed")
                 .value_parser(value_parser!(u64))
--- a/cowsliproad-bench/src/experiment/pace.rs
+++ b/cowsliproad-bench/src/experiment/pace.rs
@@ -11,14 +11,17 @@
 mod admission;
 mod group;
 mod likes;
+mod plot;
 
 use cowsliproad_kernel::plugin::inventory;
 use cowsliproad_placement::map::Shape;
+use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 
 use self::{
     admission::Pass,
     group::{Admission, Drops, Load, Maps, Plant, Policy, Score},
+    plot::Curve,
 };
 use super::{Extent, Options, Outcome, Plugin};
 
@@ -83,7 +86,12 @@
     ]
 }
 
-/// Seeds that are played beyond the first.
+/// The load whose passes are plotted, and the pause between two events that
+/// callers bear there.
+const PLOTTED: &str = "busy";
+const GAP_MS: f64 = 120.0;
+
+/// Seeds that are played.
 const SEEDS: u64 = 5;
 
 fn run(options: Options) -> Outcome {
@@ -93,6 +101,7 @@
     };
     let mut figures = json!({});
     let mut table = String::new();
+    let mut curves = Vec::new();
     for (load_name, load) in LOADS {
         for (name, policy) in policies() {
             let seeds = options.seed..options.seed + seeds;
@@ -110,9 +119,28 @@
                 row["pass_p99_ms"],
             );
             figures[load_name][name] = row;
+            if load_name == PLOTTED {
+                curves.push(Curve { name, passes: merged(&scores) });
+            }
+        }
+    }
+    let outcome = Outcome::new(figures).with_table(table);
+    let title = format!("passes, {PLOTTED}");
+    match plot::draw(&title, &curves, GAP_MS) {
+        Ok(svg) => outcome.with_plot(svg),
+        Err(error) => {
+            outcome.with_broken(vec![format!("nothing drawn: {error}")])
         }
     }
-    Outcome::new(figures).with_table(table)
+}
+
+/// The passes of all runs.
+fn merged(scores: &[Score]) -> Histogram<u64> {
+    let mut passes = scores[0].passes.clone();
+    for score in &scores[1..] {
+        passes += &score.passes;
+    }
+    passes
 }
 
 /// The mean over some runs.
