--- a/cowsliproad-direct/tests/entry/connections.rs
+++ b/cowsliproad-direct/tests/entry/connections.rs
@@ -4,7 +4,7 @@
 
 use cowsliproad_net::client::Client;
 use cowsliproad_platform::{header, log::TARGETS};
-use cowsliproad_platform_standin::target::Config;
+use cowsliproad_platform_standin::target::{Announcement, Config};
 use http::{HeaderValue, StatusCode};
 use http_body_util::BodyExt;
 use tokio::{io::AsyncReadExt, net::TcpListener, time::sleep};
@@ -141,12 +141,14 @@
     let mut plant = Plant::start().await;
     let address = SocketAddr::from((plant.vm(), 18_083));
     let listener = TcpListener::bind(address).await.expect("a target");
-    let announced = format!(
-        r#"{{"service":"model","address":"{address}","zone":"a",
-            "version":"v1","slots":8,"state":"ready","coldLeftMs":0,
-            "seq":1}}"#
-    );
-    plant.log.put(TARGETS, "i-1", Some(announced.as_bytes()));
+    let announced = Announcement {
+        service: "model",
+        address,
+        zone: "a",
+        state: "ready",
+        sequence: 1,
+    };
+    plant.log.put(TARGETS, "i-1", Some(announced.text().as_bytes()));
     let entry = plant.entry().await;
     let request = entry.request("/stream/a", KEY, "");
     let asked = tokio::spawn(async move {
--- a/cowsliproad-direct/tests/entry/news.rs
+++ b/cowsliproad-direct/tests/entry/news.rs
@@ -128,12 +128,14 @@
     // The log still lists the old incarnation at an address where another
     // listens now.
     let address = new.address().expect("it listens");
-    let entry_of_old = format!(
-        r#"{{"service":"model","address":"{address}","zone":"a",
-            "version":"v1","slots":8,"state":"ready","coldLeftMs":0,
-            "seq":9}}"#
-    );
-    plant.log.put(TARGETS, "i-gone", Some(entry_of_old.as_bytes()));
+    let entry_of_old = target::Announcement {
+        service: "model",
+        address,
+        zone: "a",
+        state: "ready",
+        sequence: 9,
+    };
+    plant.log.put(TARGETS, "i-gone", Some(entry_of_old.text().as_bytes()));
     until("the old incarnation is met and found gone", async || {
         status(&entry, "/many/model/a", KEY).await
             == StatusCode::SERVICE_UNAVAILABLE
