Read once more: pieces that stood twice, a walk that looked at its layers twice

One of each now: what is new to a rank (`Layer::missing_at`, for the planner and the emulator), a lognormal draw (routing and pace), a report of a group that has just formed (`Report::new`), the order to arm, the pause of the emulator. The planner's walk goes over all layers once; one that nothing is asked of has nothing to try. The emulator's page said that its admission runs in the programs, which it doesn't, and what a first try may lose on its way was given a wrong reason.

--- a/cowsliproad-admission/src/patience.rs
+++ b/cowsliproad-admission/src/patience.rs
@@ -33,8 +33,8 @@
     }
 }
 
-/// What a first try may have lost on its way here: a connection is made, or
-/// made again, within a second in all but lost packets.
+/// What a first try may have lost on its way here: a packet that is sent again
+/// takes some 200 ms.
 const ON_THE_WAY: Millis = Millis(300);
 
 /// A stream that could start now.
--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -19,6 +19,7 @@
     log::Level,
     plugin::{self, inventory},
 };
+use rand::{Rng, rngs::StdRng};
 use serde_json::Value;
 
 /// An experiment.
@@ -171,6 +172,18 @@
     outcome.unwrap_or_else(|error| Outcome::failed(&error.to_string()))
 }
 
+/// A draw from a lognormal distribution with a median and a spread of the
+/// logarithm, cut at a most.
+fn lognormal(
+    (median, spread, most): (f64, f64, f64),
+    random: &mut StdRng,
+) -> f64 {
+    let (a, b): (f64, f64) = (random.random(), random.random());
+    let radius = (-2.0 * (1.0 - a).ln()).sqrt();
+    let normal = radius * (std::f64::consts::TAU * b).cos();
+    (median * (spread * normal).exp()).min(most)
+}
+
 fn print_lines(outcome: &Outcome) {
     let Value::Object(fields) = &outcome.figures else { return };
     let fields: BTreeMap<_, _> = fields.iter().collect();
--- a/cowsliproad-bench/src/experiment/pace.rs
+++ b/cowsliproad-bench/src/experiment/pace.rs
@@ -3,7 +3,8 @@
 //! Streams are late by a pause more often than by waiting: one pass that
 //! lasts too long makes all of them so. This plays a lock-step group of the
 //! size of the users' departure boards in virtual time (see [`group`]), with
-//! the planner, the demand and the admission that run in the programs.
+//! the planner and the demand that run in the programs, and an admission that
+//! does not (see [`admission`]).
 //! Policies are compared on the same seeds: `first` is what ran before maps
 //! came one copy at a time, `even` a map that is always even, which none can
 //! beat.
@@ -20,7 +21,7 @@
 
 use self::{
     admission::Pass,
-    group::{Admission, Drops, Load, Maps, Plant, Policy, Score},
+    group::{Admission, Drops, GAP_MS, Load, Maps, Plant, Policy, Score},
     plot::Curve,
 };
 use super::{Extent, Options, Outcome, Plugin};
@@ -86,10 +87,8 @@
     ]
 }
 
-/// The load whose passes are plotted, and the pause between two events that
-/// callers bear there.
+/// The load whose passes are plotted.
 const PLOTTED: &str = "busy";
-const GAP_MS: f64 = 120.0;
 
 /// Seeds that are played.
 const SEEDS: u64 = 5;
--- a/cowsliproad-bench/src/experiment/pace/admission.rs
+++ b/cowsliproad-bench/src/experiment/pace/admission.rs
@@ -136,7 +136,7 @@
 
 /// Streams a rank that are always let run: passes of one stream are nearly
 /// as long as those of none.
-pub const LEAST: f64 = 1.0;
+const LEAST: f64 = 1.0;
 
 /// Streams that may wait at a rank, so that a slot that falls free is taken
 /// at once and not after the next report.
--- a/cowsliproad-bench/src/experiment/pace/group.rs
+++ b/cowsliproad-bench/src/experiment/pace/group.rs
@@ -18,6 +18,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::{
+    super::lognormal,
     admission::{self, Pass, Strain, View},
     likes::{Likes, TOPICS},
 };
@@ -115,7 +116,7 @@
 /// The first event, the pause between two, and what callers bear at most
 /// without any, in milliseconds.
 const AIM_MS: f64 = 500.0;
-const GAP_MS: f64 = 120.0;
+pub const GAP_MS: f64 = 120.0;
 const PATIENCE_MS: f64 = 1_900.0;
 
 /// How often agents report, in milliseconds.
@@ -323,8 +324,8 @@
 
     fn arrive(&mut self, came: f64) {
         let entry = self.random.random_range(0..self.plant.entries);
-        let prompt = self.draw(PROMPT);
-        let events = self.draw(EVENTS).max(1.0) as u32;
+        let prompt = lognormal(PROMPT, &mut self.random);
+        let events = lognormal(EVENTS, &mut self.random).max(1.0) as u32;
         let topic = self.random.random_range(0..TOPICS);
         let (last, late) = (0.0, false);
         let stream = Stream { entry, came, topic, prompt, events, last, late };
@@ -460,10 +461,7 @@
         let Some(plan) = plan else { return };
         let most = (0..shape.ranks as u16).map(|rank| {
             let layers = self.map.layers.iter().zip(&plan.map.layers);
-            let news = layers.map(|(old, new)| {
-                let held = new.held(rank).iter();
-                held.filter(|it| !old.has(rank, **it)).count()
-            });
+            let news = layers.map(|(old, new)| old.missing_at(rank, new));
             news.sum::<usize>()
         });
         let most = most.max().unwrap_or_default() as f64;
@@ -474,14 +472,6 @@
             Some(Change { map: plan.map, copied, boundary, planned });
     }
 
-    /// A draw from a lognormal distribution, cut at its most.
-    fn draw(&mut self, (median, spread, most): (f64, f64, f64)) -> f64 {
-        let (a, b): (f64, f64) = (self.random.random(), self.random.random());
-        let radius = (-2.0 * (1.0 - a).ln()).sqrt();
-        let normal = radius * (std::f64::consts::TAU * b).cos();
-        (median * (spread * normal).exp()).min(most)
-    }
-
     fn score(self) -> Score {
         let Tally { asked, on_time, late, passes, skews, copies } = self.score;
         Score {
--- a/cowsliproad-bench/src/experiment/routing.rs
+++ b/cowsliproad-bench/src/experiment/routing.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 
-use super::{Extent, Options, Outcome, Plugin};
+use super::{Extent, Options, Outcome, Plugin, lognormal};
 
 inventory::submit! {
     Plugin {
@@ -178,12 +178,7 @@
 
 /// A request's time at a rank.
 fn work_ms(random: &mut StdRng) -> u64 {
-    let (a, b): (f64, f64) = (random.random(), random.random());
-    let normal =
-        (-2.0 * (1.0 - a).ln()).sqrt() * (std::f64::consts::TAU * b).cos();
-    let (median, spread, most) = EVENTS;
-    let events = (median * (spread * normal).exp()).min(most);
-    (events * EVENT_MS) as u64
+    (lognormal(EVENTS, random) * EVENT_MS) as u64
 }
 
 fn costs(own: &[Own], ranks: &[Rank]) -> Vec<f64> {
--- a/cowsliproad-bench/src/experiment/switch.rs
+++ b/cowsliproad-bench/src/experiment/switch.rs
@@ -11,8 +11,7 @@
 use cowsliproad_kernel::{clock::Millis, plugin::inventory};
 use cowsliproad_mapswitch::order::{
     Absent, Arms, Config, Coordinator, Directive, Epoch, Event, Experts,
-    Follows, Order, Report, Seal, Sight, Standing, Version, due,
-    due_at_holder, seals,
+    Follows, Order, Report, Seal, Sight, Version, due, due_at_holder, seals,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
@@ -61,17 +60,7 @@
 
 impl Group {
     fn new(ranks: u16) -> Group {
-        let report = |rank| Report {
-            epoch: Epoch(1),
-            rank,
-            ranks,
-            standing: Standing::Open,
-            step: 0,
-            map: Version(0),
-            prepared: None,
-            armed: None,
-            held: None,
-        };
+        let report = |rank| Report::new(Epoch(1), rank, ranks);
         Group {
             ranks: (0..ranks).map(report).collect(),
             late: Vec::new(),
--- a/cowsliproad-mapswitch/src/order.rs
+++ b/cowsliproad-mapswitch/src/order.rs
@@ -102,6 +102,23 @@
     pub held: Option<u64>,
 }
 
+impl Report {
+    /// A rank of a group that has just formed.
+    pub fn new(epoch: Epoch, rank: u16, ranks: u16) -> Report {
+        Report {
+            epoch,
+            rank,
+            ranks,
+            standing: Standing::Open,
+            step: 0,
+            map: Version(0),
+            prepared: None,
+            armed: None,
+            held: None,
+        }
+    }
+}
+
 /// An order to an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Order {
@@ -253,16 +270,11 @@
                 .then(|| Order::Prepare(version, experts.clone()))
         }
         Aim::Held { .. } => None,
-        Aim::Sealed { version, step, except } => {
-            let armed = Aim::Armed { version, step, except: Some(except) };
-            due(&Directive { aim: armed, ..*directive }, report, plan)
-        }
         Aim::Armed { version, step, except } => {
-            let due = report.armed != Some((version, step))
-                && report.map < version
-                && report.step < step
-                && except != Some(report.rank);
-            due.then_some(Order::Arm(version, step))
+            arm(report, version, step, except)
+        }
+        Aim::Sealed { version, step, except } => {
+            arm(report, version, step, Some(except))
         }
         Aim::Disarmed => report.armed.map(|it| Order::Disarm(it.0)),
         Aim::Released(step) => {
@@ -271,6 +283,19 @@
     }
 }
 
+fn arm(
+    report: &Report,
+    version: Version,
+    step: u64,
+    except: Option<u16>,
+) -> Option<Order> {
+    let due = report.armed != Some((version, step))
+        && report.map < version
+        && report.step < step
+        && except != Some(report.rank);
+    due.then_some(Order::Arm(version, step))
+}
+
 /// The pass for which a coordinator's word says that its own rank arms.
 pub fn seals(directive: &Directive) -> Option<u64> {
     match directive.aim {
--- a/cowsliproad-placement/src/demand.rs
+++ b/cowsliproad-placement/src/demand.rs
@@ -102,12 +102,13 @@
     /// The share of the demand that went elsewhere after a sample, less what
     /// may have by chance; `None` if there is nothing to compare.
     fn differs(&self, split: usize) -> Option<f64> {
-        let (_, newest) = self.samples.back()?;
-        let (_, middle) = &self.samples[split];
-        let (_, oldest) = self.samples.get(self.first())?;
-        if split <= self.first() {
+        let first = self.first();
+        if split <= first {
             return None;
         }
+        let (_, newest) = self.samples.back()?;
+        let (_, middle) = &self.samples[split];
+        let (_, oldest) = self.samples.get(first)?;
         let (after, before) =
             (difference(newest, middle), difference(middle, oldest));
         Some(distance(&after, &before) - chance(&after) - chance(&before))
--- a/cowsliproad-placement/src/live.rs
+++ b/cowsliproad-placement/src/live.rs
@@ -117,7 +117,6 @@
 ) -> (Map, usize) {
     let layers = present.layers.iter().zip(loads);
     let mut walks: Vec<Walk> = layers
-        .filter(|it| it.1.iter().sum::<f64>() > 0.0)
         .map(|(layer, loads)| Walk::new(shape, config, layer, loads, speeds))
         .collect();
     let mut taken = vec![0; shape.ranks];
@@ -128,20 +127,14 @@
     {
         walk.step(&mut taken);
     }
-    let mut walks = walks.into_iter();
+    let mut map = present.clone();
     let mut moves = 0;
-    let layers = present.layers.iter().zip(loads).map(|(layer, loads)| {
-        let walked = loads.iter().sum::<f64>() > 0.0;
-        let best = walked.then(|| walks.next()).flatten();
-        match best.and_then(|it| it.best) {
-            Some((better, copies)) => {
-                moves += copies;
-                better
-            }
-            None => layer.clone(),
+    for (layer, walk) in map.layers.iter_mut().zip(walks) {
+        if let Some((better, copies)) = walk.best {
+            *layer = better;
+            moves += copies;
         }
-    });
-    let map = Map { layers: layers.collect() };
+    }
     (map, moves)
 }
 
@@ -171,7 +164,9 @@
         let before = search.longest();
         let mean = loads.iter().sum::<f64>() / shape.ranks as f64;
         let (price, value) = (config.price, config.threshold * before);
-        Walk { search, price, before, mean, best: None, value, tries: 0 }
+        // A layer that nothing is asked of stays as it is.
+        let tries = if mean > 0.0 { 0 } else { TRIES };
+        Walk { search, price, before, mean, best: None, value, tries }
     }
 
     fn skew(&self) -> f64 {
--- a/cowsliproad-placement/src/live/search.rs
+++ b/cowsliproad-placement/src/live/search.rs
@@ -141,8 +141,7 @@
 
     /// What is new to a rank in this layer.
     fn news(&self, rank: Rank) -> usize {
-        let new = |it: &&Expert| !self.present.has(rank, **it);
-        self.layer.held(rank).iter().filter(new).count()
+        self.present.missing_at(rank, &self.layer)
     }
 
     /// By how much a change lowers the sum of powers.
--- a/cowsliproad-placement/src/map.rs
+++ b/cowsliproad-placement/src/map.rs
@@ -96,12 +96,14 @@
 
     /// Copies that `other` has and this layer hasn't.
     pub fn missing(&self, other: &Layer) -> usize {
-        let pairs = self.held.iter().zip(&other.held);
-        pairs
-            .map(|(own, theirs)| {
-                theirs.iter().filter(|it| !own.contains(it)).count()
-            })
-            .sum()
+        let ranks = 0..self.held.len() as Rank;
+        ranks.map(|rank| self.missing_at(rank, other)).sum()
+    }
+
+    /// Those of one rank.
+    pub fn missing_at(&self, rank: Rank, other: &Layer) -> usize {
+        let theirs = other.held(rank).iter();
+        theirs.filter(|it| !self.has(rank, **it)).count()
     }
 
     /// Whether each expert is held and no rank holds too many.
--- a/cowsliproad-rank/tests/lead.rs
+++ b/cowsliproad-rank/tests/lead.rs
@@ -2,9 +2,7 @@
 //! to it, and its word is what is looked at.
 
 use cowsliproad_kernel::{clock::Millis, gossip::Subscribe};
-use cowsliproad_mapswitch::order::{
-    Aim, Arms, Epoch, Report, Seal, Standing, Version,
-};
+use cowsliproad_mapswitch::order::{Aim, Arms, Epoch, Report, Seal, Version};
 use cowsliproad_rank::{
     lead::{Lead, Start},
     wire::{Choices, Status},
@@ -25,17 +23,7 @@
     fn new() -> Group {
         let start = Start { fence: 1, rank: 0, predecessor: None };
         let lead = Lead::new(start, 0.03, Logger::root(Discard, o!()));
-        let report = |rank| Report {
-            epoch: Epoch(1),
-            rank,
-            ranks: RANKS,
-            standing: Standing::Open,
-            step: 0,
-            map: Version(0),
-            prepared: None,
-            armed: None,
-            held: None,
-        };
+        let report = |rank| Report::new(Epoch(1), rank, RANKS);
         let reports = (0..RANKS).map(report).collect();
         Group { lead, reports, now: Millis(10_000) }
     }
--- a/tests/order/main.rs
+++ b/tests/order/main.rs
@@ -135,17 +135,7 @@
         let (word, sealed) = (None, None);
         let agent = Agent { fence: 0, word, unanswered: 0, sealed };
         let mut first = chair(1, FIRST);
-        let report = |rank| Report {
-            epoch: EPOCH,
-            rank,
-            ranks: RANKS,
-            standing: Standing::Open,
-            step: 0,
-            map: Version(0),
-            prepared: None,
-            armed: None,
-            held: None,
-        };
+        let report = |rank| Report::new(EPOCH, rank, RANKS);
         let sight = |rank| Sight {
             report: report(rank),
             arms: Arms::Answered,
