Lines say what work a request is, and whether its target ended under it

Needed to tell the hypotheses apart: no line showed that two requests are the same work under other ids, or whether a target's process ended or only the connection went. Nothing is decided by it.

--- a/cowsliproad-admission/src/lib.rs
+++ b/cowsliproad-admission/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`register`]: that agent's record of the tickets it saw;
 //! * [`queue`]: the order of waiting work and what is refused instead;
 //! * [`patience`]: whether a stream that waited is still worth its start;
+//! * [`quarantine`]: work that ends the targets that run it;
 //! * [`budget`]: the share of requests that may be retries.
 //!
 //! All is pure and takes the time as an argument.
@@ -13,6 +14,7 @@
 
 pub mod budget;
 pub mod patience;
+pub mod quarantine;
 pub mod queue;
 pub mod register;
 pub mod ticket;
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -14,10 +14,13 @@
 //! of targets that one request is sent to stays within its route's bound,
 //! and every try after the first draws on the retry budget.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use cowsliproad_admission::patience::{Asked, Start, Visit};
+use cowsliproad_admission::{
+    patience::{Asked, Start, Visit},
+    quarantine::Work,
+};
 use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_platform::header;
 use cowsliproad_routing::catalog::Route;
@@ -31,7 +34,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    entry::{Choice, Entry, Seat, Source},
+    ends::{self, Doubt},
+    entry::{Choice, Entry, Source},
     receive::{USUAL_TIME, drop_hop_by_hop},
     reply::{self, Body},
     upstream::{self, Failure, Lease, Reuse},
@@ -77,6 +81,8 @@
 pub struct Call {
     /// Its id, for logs.
     pub id: Name,
+    /// What it is, whatever its id.
+    pub work: Work,
     /// The rule it goes by.
     pub route: Arc<Route>,
     /// The service that it goes to.
@@ -144,36 +150,70 @@
     pub lease: Lease,
 }
 
-/// A request's stay at a target.
+/// A request's stay at a target. However it is left, by its caller too, it is
+/// asked whether the target ended under it, unless it is known not to have.
 #[derive(Debug)]
 pub struct Stay {
-    seat: Rc<RefCell<Seat>>,
+    entry: Rc<Entry>,
+    choice: Choice,
+    call: (Name, Work),
     began: Millis,
+    /// Whether the target outlived it, or never began it.
+    outlived: Cell<bool>,
 }
 
 impl Stay {
     /// Counts a request in.
-    pub fn new(choice: &Choice) -> Stay {
+    pub fn new(entry: &Rc<Entry>, call: &Call, choice: &Choice) -> Stay {
         choice.seat.borrow_mut().record.start();
-        Stay { seat: choice.seat.clone(), began: Millis::now() }
+        Stay {
+            entry: entry.clone(),
+            choice: choice.clone(),
+            call: (call.id.clone(), call.work),
+            began: Millis::now(),
+            outlived: Cell::new(false),
+        }
     }
 
     /// Notes a good answer.
     pub fn success(&self) {
         let now = Millis::now();
         let took = now.since(self.began);
-        self.seat.borrow_mut().record.success(took, now);
+        self.choice.seat.borrow_mut().record.success(took, now);
+        self.outlived.set(true);
+    }
+
+    /// Notes an answer that tells of a failure.
+    pub fn failed(&self) {
+        self.choice.seat.borrow_mut().record.failure(Millis::now());
+        self.outlived();
+    }
+
+    /// Notes that the target outlived it.
+    pub fn outlived(&self) {
+        self.outlived.set(true);
     }
 
-    /// Notes a failure.
-    pub fn failure(&self) {
-        self.seat.borrow_mut().record.failure(Millis::now());
+    /// Notes that there was no answer.
+    pub fn missed(&self, miss: &Miss) {
+        self.choice.seat.borrow_mut().record.failure(Millis::now());
+        self.left(miss);
+    }
+
+    /// Notes whether it may have begun.
+    pub fn left(&self, miss: &Miss) {
+        let began = matches!(miss, Miss::Unknown(_));
+        self.outlived.set(!began);
     }
 }
 
 impl Drop for Stay {
     fn drop(&mut self) {
-        self.seat.borrow_mut().record.end();
+        self.choice.seat.borrow_mut().record.end();
+        if !self.outlived.get() {
+            let (request, work) = self.call.clone();
+            ends::doubt(&self.entry, &self.choice, Doubt::new(request, work));
+        }
     }
 }
 
@@ -211,6 +251,7 @@
         let id = id.and_then(|it| it.to_str().ok()).unwrap_or("-").into();
         Call {
             id,
+            work: work_of(&head, &body),
             route: destination.route,
             service: destination.service,
             priority: destination.priority,
@@ -334,6 +375,7 @@
         let group = seat.group.as_ref();
         let age = group.map_or(-1, |it| now.since(it.heard).0 as i64);
         info!(entry.log, "chosen"; "request" => &*self.id,
+            "work" => %self.work,
             "target" => &*choice.target.id, "route" => &*self.route.name,
             "cost" => choice.cost as u64, "at_target" => seat.record.occupancy(),
             "own" => seat.record.in_flight(), "report_age" => age,
@@ -360,6 +402,7 @@
                 Failure::Unknown(why) => Miss::Unknown(why),
             })?;
         let (head, body) = answer.into_parts();
+        choice.seat.borrow_mut().lived = Millis::now();
         note_load(choice, &head.headers);
         let echoed = head.headers.get(&header::REQUEST_ID);
         let own = self.head.headers.get(&header::REQUEST_ID);
@@ -556,6 +599,21 @@
     Ok(Response::from_parts(head, body))
 }
 
+/// What a request is, by all of it that a target could run differently. Who
+/// asks is known by the organisation, which is all of it that targets see.
+fn work_of(head: &request::Parts, body: &Bytes) -> Work {
+    let text =
+        |name| head.headers.get(name).map_or(&[][..], |it| it.as_bytes());
+    let path = head.uri.path_and_query().map_or("/", |it| it.as_str());
+    Work::new(&[
+        text(&header::ORGANISATION),
+        text(&standard::HOST),
+        head.method.as_str().as_bytes(),
+        path.as_bytes(),
+        body,
+    ])
+}
+
 /// Takes in the load that a target states with its answers.
 fn note_load(choice: &Choice, headers: &HeaderMap) {
     let text = headers.get(&header::LOAD).and_then(|it| it.to_str().ok());
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -26,7 +26,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    measure::Measure, peers::Peers, settings::Settings, upstream::Pool,
+    ends::Doubt, measure::Measure, peers::Peers, settings::Settings,
+    upstream::Pool,
 };
 
 mod choose;
@@ -74,6 +75,11 @@
     pub freed: Rc<Notify>,
     /// What its agent last said of its group.
     pub group: Option<Group>,
+    /// When it was last known to live: its agent read its report, or it
+    /// answered.
+    pub lived: Millis,
+    /// Requests under which it may have ended.
+    pub doubts: Vec<Doubt>,
 }
 
 /// The group of a target.
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -69,12 +69,12 @@
             Ok(choice) => choice,
             Err(answer) => return kept.unwrap_or(answer),
         };
-        let stay = Stay::new(&choice);
+        let stay = Stay::new(entry, call, &choice);
         let patience = call.patience();
         let tried = timeout(patience.duration(), call.get(entry, &choice));
         let miss = match tried.await {
             Ok(Ok(answer)) if answer.status().is_server_error() => {
-                stay.failure();
+                stay.failed();
                 entry.measure.tried("failed");
                 call.ran();
                 if !call.may_try_again(entry, &choice, "failed") {
@@ -91,7 +91,7 @@
             Ok(Err(miss)) => miss,
             Err(_) => Miss::Unknown("no answer in time"),
         };
-        stay.failure();
+        stay.missed(&miss);
         drop(stay);
         if let Some(answer) = call.missed(entry, &choice, miss).await {
             return kept.unwrap_or(answer);
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`call`]: tries at targets, and what may follow each;
 //! * [`stream`]: answers that are streams of events, resumed elsewhere;
 //! * [`upstream`]: connections to targets;
+//! * [`ends`]: whether a target ended under its requests;
 //! * [`follow`]: configuration and targets from the platform's log;
 //! * [`peers`]: what entries and agents tell one another;
 //! * [`reply`]: the entry's own answers;
@@ -34,6 +35,7 @@
 
 pub mod call;
 pub mod callers;
+pub mod ends;
 pub mod entry;
 pub mod follow;
 pub mod forward;
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -15,6 +15,7 @@
     tries: Counter<u64>,
     first_byte: Histogram<u64>,
     whole: Histogram<u64>,
+    doubts: Counter<u64>,
     peers: Gauge<u64>,
     targets: Gauge<u64>,
 }
@@ -29,6 +30,7 @@
             tries: meter.u64_counter("tries").build(),
             first_byte: meter.u64_histogram("first_byte_ms").build(),
             whole: meter.u64_histogram("whole_answer_ms").build(),
+            doubts: meter.u64_counter("doubts").build(),
             peers: meter.u64_gauge("peers").build(),
             targets: meter.u64_gauge("targets").build(),
             metrics,
@@ -52,6 +54,12 @@
         self.tries.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Notes what became of requests under which a target may have ended.
+    pub fn doubted(&self, requests: usize, outcome: &'static str) {
+        let outcome = KeyValue::new("outcome", outcome);
+        self.doubts.add(requests as u64, &[outcome]);
+    }
+
     /// Notes how many other entries and targets it knows.
     pub fn knows(&self, peers: usize, targets: usize) {
         self.peers.record(peers as u64, &[]);
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -390,6 +390,7 @@
     let stands = |it: &Group| (it.epoch, it.open, it.pace / NEWS_PERCENT);
     let before = seat.group.as_ref().map(stands);
     seat.record.report(load.running + load.queued);
+    seat.lived = Millis::now();
     let group = Group {
         name: load.group.clone(),
         epoch: load.epoch,
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -139,14 +139,20 @@
     choice: &Choice,
     resume: Option<u64>,
 ) -> Result<Result<(response::Parts, Run), Opened>, Miss> {
-    let stay = Stay::new(choice);
+    let stay = Stay::new(entry, call, choice);
     let end = call.end();
     let since = Moment::new(entry, choice);
     let mut opening = std::pin::pin!(call.open(entry, choice, resume));
     let opened = loop {
         let look = Instant::now() + LOOK_TIME.duration();
         tokio::select! {
-            opened = &mut opening => break opened?,
+            opened = &mut opening => match opened {
+                Ok(opened) => break opened,
+                Err(miss) => {
+                    stay.left(&miss);
+                    return Err(miss);
+                }
+            },
             () = entry.news.notified() => {}
             () = sleep_until(end.min(look)) => {}
         }
@@ -163,6 +169,7 @@
         }
     };
     if !opened.head.status.is_success() {
+        stay.outlived();
         return Ok(Err(opened));
     }
     let run = Run {
@@ -328,7 +335,7 @@
                     return "complete";
                 }
                 Next::Miss(miss) => {
-                    run.stay.failure();
+                    run.stay.missed(&miss);
                     let resumed = tokio::select! {
                         resumed = self.resume(run, miss) => resumed,
                         () = pieces.closed() => return "caller left",
