--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -1,10 +1,34 @@
 //! Work that ends the targets that run it.
 //!
 //! A caller's tries have ids of their own and go to any entry, so work that
-//! ends its target is new each time, unless it is known by what it is:
-//! [`Work`].
+//! ends its target is new to each of them, and ends one target after the
+//! other, unless it is known by what it is: [`Work`]. Each entry notes under
+//! which work a target ended and tells the others ([`Suspect`]). Once
+//! [`ENDS`] targets have ended under one piece of work, all entries refuse
+//! it ([`Ledger::standing`]).
+//!
+//! Others work beside it, and targets end for other reasons, so that alone
+//! proves little, and what it can prove wrongly is kept small:
+//!
+//! * work that a target outlived, here or at any entry, in the last minutes
+//!   is suspected only after [`PROVEN_ENDS`]: what comes often is mostly
+//!   proven before the targets of its service are killed in a row;
+//! * an end that was none is taken back everywhere once the target shows
+//!   life ([`Ledger::lives`]): a target that is cut off looks like one that
+//!   ended;
+//! * all of it is forgotten [`KEEP_TIME`] after the work came last, and
+//!   [`LONGEST_TIME`] after it was first refused, so that targets that were
+//!   mended get it again. Trying it sooner would cost a target each time.
+//!
+//! What entries tell one another only ever grows (ends, lives, outlived), so
+//! it may be heard late, twice and in any order, and all come to the same.
 
-use std::fmt;
+use std::{
+    collections::{BTreeSet, HashMap, HashSet},
+    fmt,
+};
+
+use cowsliproad_kernel::{clock::Millis, gossip::Suspect};
 
 /// What tells a piece of work from others, whatever its id: 64 bits of a
 /// digest, shared by all entries. Two different pieces are alike by chance
@@ -61,3 +85,357 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+/// Targets that may end under work that none is known to have outlived.
+/// Fewer would refuse what was there by chance when two targets were killed.
+pub const ENDS: usize = 3;
+
+/// The same for work that was outlived in the last minutes.
+pub const PROVEN_ENDS: usize = 6;
+
+/// How long work is suspected after it came last, by any entry's clock.
+pub const KEEP_TIME: Millis = Millis(10 * 60 * 1_000);
+
+/// How long it is refused at most. Three targets an hour are the price of
+/// finding out whether it still ends them.
+pub const LONGEST_TIME: Millis = Millis(60 * 60 * 1_000);
+
+/// How long news is told: eight digests, of which seven may be lost.
+const TELL_TIME: Millis = Millis(4_000);
+
+/// Pieces of work that are told of at a time, 60 bytes each: a quarter of
+/// the largest datagram.
+const MOST_TOLD: usize = 256;
+
+/// Pieces of work that are suspected, 150 bytes each. What a target ran and
+/// had waiting at its end is some 50.
+const MOST_CASES: usize = 4_096;
+
+/// Ends that are remembered of one piece of work.
+const MOST_ENDS: usize = 8;
+
+/// Ends that were none. Those of a whole availability zone that was cut off.
+const MOST_LIVES: usize = 1_024;
+
+/// Outlived work that is remembered twice over, 9 bytes each: that of the
+/// last five to ten minutes at 14 answers a second.
+const MOST_OUTLIVED: usize = 4_096;
+const OUTLIVED_TIME: Millis = Millis(5 * 60 * 1_000);
+
+/// What a word may take on its way, and be older than it says. Each telling
+/// of one another would keep work in mind for that much longer.
+const WAY_TIME: Millis = Millis(1_000);
+
+/// How often what is due is looked for.
+const SWEEP_TIME: Millis = Millis(10_000);
+
+/// Times before the start of the process, as others tell them, are counted
+/// from so long before it.
+const BEFORE: Millis = Millis(24 * 60 * 60 * 1_000);
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// It may run.
+    Free,
+    /// It is refused, and may be tried again after this time.
+    Refused(Millis),
+}
+
+/// How news changed what is known of a piece of work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Not at all.
+    None,
+    /// It is suspected, or less so.
+    Suspected,
+    /// It is refused from now on.
+    Refused,
+    /// It is refused no longer.
+    Freed,
+}
+
+/// What an entry knows of work that targets ended under.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    cases: HashMap<Work, Case>,
+    /// Ends that were none, and when that was last heard.
+    lives: HashMap<End, Millis>,
+    outlived: Outlived,
+    swept: Millis,
+}
+
+/// What is known of one piece of work. Times are counted from [`BEFORE`].
+#[derive(Clone, Debug)]
+struct Case {
+    ends: BTreeSet<End>,
+    /// Whether a target is known to have outlived it.
+    proven: bool,
+    /// When it came last.
+    seen: Millis,
+    /// Since when it is refused.
+    since: Option<Millis>,
+    /// When what is told of it last changed.
+    changed: Millis,
+}
+
+/// Work that targets outlived, of the time before and the one before that.
+#[derive(Debug, Default)]
+struct Outlived {
+    newer: HashSet<Work>,
+    older: HashSet<Work>,
+    since: Millis,
+}
+
+impl Ledger {
+    /// Nothing known.
+    pub fn new() -> Ledger {
+        Ledger::default()
+    }
+
+    /// Whether work may run now.
+    pub fn standing(&self, work: Work, now: Millis) -> Standing {
+        if self.cases.is_empty() {
+            return Standing::Free;
+        }
+        let now = now + BEFORE;
+        let case = self.cases.get(&work).filter(|it| !it.is_over(now));
+        match case.and_then(|it| it.since) {
+            None => Standing::Free,
+            Some(since) => {
+                let longest = (since + LONGEST_TIME).since(now);
+                Standing::Refused(KEEP_TIME.min(longest))
+            }
+        }
+    }
+
+    /// Notes that refused work came again.
+    pub fn sighted(&mut self, work: Work, now: Millis) {
+        if let Some(case) = self.cases.get_mut(&work) {
+            case.seen = now + BEFORE;
+        }
+    }
+
+    /// Notes that a target ended under work.
+    pub fn ended(&mut self, work: Work, end: End, now: Millis) -> Change {
+        self.hear(
+            &Suspect {
+                work: work.0,
+                ends: vec![end.0],
+                proven: false,
+                idle: Millis(0),
+                refused: None,
+            },
+            now,
+        )
+    }
+
+    /// Notes that a target outlived work.
+    pub fn outlived(&mut self, work: Work, now: Millis) -> Change {
+        self.outlived.note(work, now);
+        let now = now + BEFORE;
+        let Some(case) = self.cases.get_mut(&work) else {
+            return Change::None;
+        };
+        if case.proven {
+            return Change::None;
+        }
+        case.proven = true;
+        case.changed = now;
+        match case.judge(now) {
+            Change::None => Change::Suspected,
+            change => change,
+        }
+    }
+
+    /// Takes in what another entry, or one before this process, knows.
+    pub fn hear(&mut self, told: &Suspect, now: Millis) -> Change {
+        let now = now + BEFORE;
+        let refused = told.refused.unwrap_or_default();
+        if told.idle >= KEEP_TIME || refused >= LONGEST_TIME {
+            return Change::None;
+        }
+        let work = Work(told.work);
+        if !self.cases.contains_key(&work) {
+            self.make_room();
+        }
+        let outlived = self.outlived.holds(work);
+        let case = self.cases.entry(work).or_insert_with(|| Case {
+            ends: BTreeSet::new(),
+            proven: outlived,
+            seen: now - told.idle,
+            since: None,
+            changed: now,
+        });
+        if case.is_over(now) {
+            case.since = None;
+            case.ends.clear();
+        }
+        if now.since(case.seen) > told.idle + WAY_TIME {
+            case.seen = now - told.idle;
+        }
+        let before = (case.ends.len(), case.proven);
+        for end in told.ends.iter().map(|it| End(*it)) {
+            // Whoever still tells of it hasn't heard that it was none.
+            if let Some(heard) = self.lives.get_mut(&end) {
+                *heard = now;
+            } else if case.ends.len() < MOST_ENDS {
+                case.ends.insert(end);
+            }
+        }
+        case.proven |= told.proven;
+        if (case.ends.len(), case.proven) != before {
+            case.changed = now;
+        }
+        let change = case.judge(now);
+        if let (Some(since), Some(_)) = (&mut case.since, told.refused) {
+            *since = (*since).min(now - refused);
+        }
+        match change {
+            Change::None if case.changed == now => Change::Suspected,
+            change => change,
+        }
+    }
+
+    /// Notes that a target that was taken for ended lives. Returns the work
+    /// that is refused no longer.
+    pub fn lives(&mut self, end: End, now: Millis) -> Vec<Work> {
+        let now = now + BEFORE;
+        if self.lives.insert(end, now).is_some() {
+            return Vec::new();
+        }
+        if self.lives.len() > MOST_LIVES {
+            let oldest = self.lives.iter().min_by_key(|it| it.1);
+            if let Some(oldest) = oldest.map(|it| *it.0) {
+                self.lives.remove(&oldest);
+            }
+        }
+        let mut freed = Vec::new();
+        for (work, case) in &mut self.cases {
+            if case.ends.remove(&end) && case.judge(now) == Change::Freed {
+                freed.push(*work);
+            }
+        }
+        freed
+    }
+
+    /// Whether an end is held against any work.
+    pub fn holds(&self, end: End) -> bool {
+        self.cases.values().any(|it| it.ends.contains(&end))
+    }
+
+    /// How many ends are held against work.
+    pub fn ends(&self, work: Work) -> usize {
+        self.cases.get(&work).map_or(0, |it| it.ends.len())
+    }
+
+    /// What is known of a piece of work, to be told or kept.
+    pub fn suspect(&self, work: Work, now: Millis) -> Option<Suspect> {
+        let now = now + BEFORE;
+        self.cases.get(&work).map(|it| it.told(work, now))
+    }
+
+    /// What others are told: what is refused, and news.
+    pub fn told(&self, now: Millis) -> Vec<Suspect> {
+        let now = now + BEFORE;
+        let mut told: Vec<(&Work, &Case)> =
+            self.cases.iter().filter(|it| it.1.is_told(now)).collect();
+        told.sort_by_key(|it| {
+            (it.1.since.is_none(), MOST_ENDS - it.1.ends.len())
+        });
+        told.truncate(MOST_TOLD);
+        told.into_iter().map(|it| it.1.told(*it.0, now)).collect()
+    }
+
+    /// Ends that were none, as far as that is news.
+    pub fn lives_told(&self, now: Millis) -> Vec<u64> {
+        let now = now + BEFORE;
+        let news = |at: Millis| now.since(at) < TELL_TIME;
+        let told = self.lives.iter().filter(|it| news(*it.1));
+        told.take(MOST_TOLD).map(|it| it.0.0).collect()
+    }
+
+    /// Forgets what is over, and says which work that was.
+    pub fn sweep(&mut self, now: Millis) -> Vec<Work> {
+        if now.since(self.swept) < SWEEP_TIME {
+            return Vec::new();
+        }
+        self.swept = now;
+        let now = now + BEFORE;
+        self.lives.retain(|_, at| now.since(*at) < LONGEST_TIME);
+        let is_over = |it: &Case| it.is_over(now);
+        let over = self.cases.iter().filter(|it| is_over(it.1));
+        let over: Vec<Work> = over.map(|it| *it.0).collect();
+        for work in &over {
+            self.cases.remove(work);
+        }
+        over
+    }
+
+    /// Drops what is least worth keeping: not refused, the fewest ends, the
+    /// longest unseen.
+    fn make_room(&mut self) {
+        if self.cases.len() < MOST_CASES {
+            return;
+        }
+        let worth = |it: &Case| (it.since.is_some(), it.ends.len(), it.seen);
+        let least = self.cases.iter().min_by_key(|it| worth(it.1));
+        if let Some(least) = least.map(|it| *it.0) {
+            self.cases.remove(&least);
+        }
+    }
+}
+
+impl Case {
+    /// Sees whether it is to be refused.
+    fn judge(&mut self, now: Millis) -> Change {
+        let most = if self.proven { PROVEN_ENDS } else { ENDS };
+        let refused = self.ends.len() >= most;
+        match (self.since, refused) {
+            (None, true) => {
+                self.since = Some(now);
+                Change::Refused
+            }
+            (Some(_), false) => {
+                self.since = None;
+                Change::Freed
+            }
+            _ => Change::None,
+        }
+    }
+
+    fn is_over(&self, now: Millis) -> bool {
+        let longest = |since| now.since(since) >= LONGEST_TIME;
+        now.since(self.seen) >= KEEP_TIME || self.since.is_some_and(longest)
+    }
+
+    fn is_told(&self, now: Millis) -> bool {
+        !self.is_over(now)
+            && (self.since.is_some() || now.since(self.changed) < TELL_TIME)
+    }
+
+    fn told(&self, work: Work, now: Millis) -> Suspect {
+        Suspect {
+            work: work.0,
+            ends: self.ends.iter().map(|it| it.0).collect(),
+            proven: self.proven,
+            idle: now.since(self.seen),
+            refused: self.since.map(|it| now.since(it)),
+        }
+    }
+}
+
+impl Outlived {
+    fn note(&mut self, work: Work, now: Millis) {
+        let is_old = now.since(self.since) >= OUTLIVED_TIME;
+        if is_old || self.newer.len() >= MOST_OUTLIVED {
+            self.older = std::mem::take(&mut self.newer);
+            self.since = now;
+        }
+        self.newer.insert(work);
+    }
+
+    fn holds(&self, work: Work) -> bool {
+        self.newer.contains(&work) || self.older.contains(&work)
+    }
+}
--- a/cowsliproad-agent/src/adapter/plain.rs
+++ b/cowsliproad-agent/src/adapter/plain.rs
@@ -90,7 +90,9 @@
 /// What a failed call says of the work.
 pub(super) fn failure(error: Error) -> Failure {
     match error {
-        Error::Connect(_) => Failure::new(Code::TargetFailed, Ran::NotRun),
+        Error::Connect(_) | Error::Refused(_) => {
+            Failure::new(Code::TargetFailed, Ran::NotRun)
+        }
         Error::Timeout => Failure::new(Code::TimedOut, Ran::OutcomeUnknown),
         Error::Exchange(_) | Error::TooLarge => {
             Failure::new(Code::TargetFailed, Ran::OutcomeUnknown)
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -19,7 +19,7 @@
 use bytes::Bytes;
 use cowsliproad_admission::{
     patience::{Asked, Start, Visit},
-    quarantine::Work,
+    quarantine::{Standing, Work},
 };
 use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_platform::header;
@@ -73,6 +73,9 @@
 /// a VM that has used up its share of a tenth of a second.
 const ANSWER_TIME: Millis = Millis(100);
 
+/// What a caller hears whose work ends its targets.
+const DEADLY: &str = "targets ended each time they ran this\n";
+
 /// The pause before a target that refused is asked again.
 const AGAIN_TIME: Millis = Millis(60);
 
@@ -158,8 +161,8 @@
     choice: Choice,
     call: (Name, Work),
     began: Millis,
-    /// Whether the target outlived it, or never began it.
-    outlived: Cell<bool>,
+    /// Whether it is known, or asked, what became of the target.
+    settled: Cell<bool>,
 }
 
 impl Stay {
@@ -171,7 +174,7 @@
             choice: choice.clone(),
             call: (call.id.clone(), call.work),
             began: Millis::now(),
-            outlived: Cell::new(false),
+            settled: Cell::new(false),
         }
     }
 
@@ -180,7 +183,8 @@
         let now = Millis::now();
         let took = now.since(self.began);
         self.choice.seat.borrow_mut().record.success(took, now);
-        self.outlived.set(true);
+        self.outlived();
+        self.entry.note_outlived(self.call.1, now);
     }
 
     /// Notes an answer that tells of a failure.
@@ -191,7 +195,7 @@
 
     /// Notes that the target outlived it.
     pub fn outlived(&self) {
-        self.outlived.set(true);
+        self.settled.set(true);
     }
 
     /// Notes that there was no answer.
@@ -200,20 +204,27 @@
         self.left(miss);
     }
 
-    /// Notes whether it may have begun.
+    /// Asks what became of the target, if it may have begun it.
     pub fn left(&self, miss: &Miss) {
-        let began = matches!(miss, Miss::Unknown(_));
-        self.outlived.set(!began);
+        match miss {
+            Miss::Refused(_) | Miss::Unsent(_) => self.outlived(),
+            Miss::Unknown(_) => self.doubt(),
+        }
+    }
+
+    fn doubt(&self) {
+        if self.settled.replace(true) {
+            return;
+        }
+        let (request, work) = self.call.clone();
+        ends::doubt(&self.entry, &self.choice, Doubt::new(request, work));
     }
 }
 
 impl Drop for Stay {
     fn drop(&mut self) {
         self.choice.seat.borrow_mut().record.end();
-        if !self.outlived.get() {
-            let (request, work) = self.call.clone();
-            ends::doubt(&self.entry, &self.choice, Doubt::new(request, work));
-        }
+        self.doubt();
     }
 }
 
@@ -300,6 +311,10 @@
             let (news, freed) =
                 (entry.news.notified(), entry.freed.notified());
             let now = Millis::now();
+            let standing = entry.quarantine.borrow_mut().admit(self.work, now);
+            if let Standing::Refused(after) = standing {
+                return Err(self.refuse(entry, after));
+            }
             if let Some(choice) = self.choose(entry, now) {
                 if let Start::Later(after) = self.start(entry, now) {
                     return Err(self.put_off(entry, after));
@@ -349,6 +364,19 @@
         reply::not_run("not run: too late for a first event\n", after)
     }
 
+    /// The answer to a caller whose work ends its targets. That it ran is said
+    /// where it may have; otherwise it never does.
+    fn refuse(&self, entry: &Entry, after: Millis) -> Response<Body> {
+        info!(entry.log, "refused"; "request" => &*self.id,
+            "work" => %self.work, "certainty" => ?self.certainty,
+            "after" => after.0);
+        entry.measure.quarantined("request");
+        match self.certainty {
+            Certainty::NotRun => reply::not_run(DEADLY, after),
+            Certainty::Unknown => reply::unknown(DEADLY),
+        }
+    }
+
     /// How long the request may wait for a target to be usable. A caller of a
     /// stream that hears nothing for longer leaves and is lost; one that is
     /// answered just before comes back when it was told to.
@@ -402,7 +430,7 @@
                 Failure::Unknown(why) => Miss::Unknown(why),
             })?;
         let (head, body) = answer.into_parts();
-        choice.seat.borrow_mut().lived = Millis::now();
+        note_life(entry, choice);
         note_load(choice, &head.headers);
         let echoed = head.headers.get(&header::REQUEST_ID);
         let own = self.head.headers.get(&header::REQUEST_ID);
@@ -614,6 +642,14 @@
     ])
 }
 
+/// Notes that a target answers.
+fn note_life(entry: &Entry, choice: &Choice) {
+    let now = Millis::now();
+    choice.seat.borrow_mut().lived = Some(now);
+    entry.heard_from(&choice.target.zone, now);
+    entry.note_answer(&choice.target, now);
+}
+
 /// Takes in the load that a target states with its answers.
 fn note_load(choice: &Choice, headers: &HeaderMap) {
     let text = headers.get(&header::LOAD).and_then(|it| it.to_str().ok());
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -3,10 +3,13 @@
 //! A connection that breaks under a request says little: the target may have
 //! ended, its group may have stalled, an answer may be lost, or only the
 //! connection went. A caller that leaves says nothing at all. So it is asked
-//! a moment later whether the target lives. An agent that reads its engine's
-//! report, or an answer to anybody, says so for nothing; otherwise a new
-//! connection tells: a VM whose process is gone refuses it. Silence tells
-//! nothing, as when the VM is frozen, cut off or without power.
+//! a moment later whether the target lives. Its agent, which stands on the
+//! same VM, says that it reads its report or that its process is gone, and an
+//! answer to anybody says that it lives. Where neither comes, a new connection
+//! tells: a VM whose process is gone refuses it. So does a zone that is cut
+//! off with resets, so a refusal counts only while somebody else in that zone
+//! is heard from. Silence tells nothing, as when a VM is frozen, cut off or
+//! without power.
 
 use std::{io, rc::Rc};
 
@@ -64,6 +67,7 @@
 enum Fate {
     Lives,
     Ended,
+    /// Nobody can tell.
     Unknown,
 }
 
@@ -87,11 +91,15 @@
         let Some(due) = settle_by_signs(&entry, &choice) else { return };
         let wait = due.since(Millis::now());
         if wait > Millis(0) {
-            sleep(wait.duration()).await;
+            tokio::select! {
+                () = sleep(wait.duration()) => {}
+                // An agent may have said what became of it.
+                () = entry.news.notified() => {}
+            }
             continue;
         }
         let asked_at = Millis::now();
-        let fate = ask(&choice).await;
+        let fate = ask(&entry, &choice).await;
         asked += 1;
         if fate == Fate::Unknown && asked < MOST_ASKED {
             sleep(PAUSE.duration()).await;
@@ -105,8 +113,14 @@
 /// Settles what signs of life have settled, and says when to ask about the
 /// rest.
 fn settle_by_signs(entry: &Entry, choice: &Choice) -> Option<Millis> {
-    let lived = choice.seat.borrow().lived;
-    settle(entry, choice, Fate::Lives, |it| it.at + WAY_TIME <= lived);
+    let (lived, lost) = {
+        let seat = choice.seat.borrow();
+        (seat.lived, seat.lost)
+    };
+    let outlived = |it: &Doubt| lived.is_some_and(|at| it.at + WAY_TIME <= at);
+    settle(entry, choice, Fate::Lives, outlived);
+    let ended = |it: &Doubt| lost.is_some_and(|at| it.at <= at + WAY_TIME);
+    settle(entry, choice, Fate::Ended, ended);
     let seat = choice.seat.borrow();
     let oldest = seat.doubts.first()?.at;
     Some(oldest + patience(&seat, oldest))
@@ -120,11 +134,16 @@
     }
 }
 
-async fn ask(choice: &Choice) -> Fate {
+async fn ask(entry: &Entry, choice: &Choice) -> Fate {
+    let newest = choice.seat.borrow().doubts.last().map(|it| it.at);
+    let since = newest.unwrap_or_default() + WAY_TIME;
     let opening = TcpStream::connect(choice.target.address);
     match tokio::time::timeout(ASK_TIME.duration(), opening).await {
         Ok(Ok(_)) => Fate::Lives,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+        Ok(Err(error))
+            if error.kind() == io::ErrorKind::ConnectionRefused
+                && entry.reaches(&choice.target.zone, since) =>
+        {
             Fate::Ended
         }
         Ok(Err(_)) | Err(_) => Fate::Unknown,
@@ -166,4 +185,5 @@
     info!(entry.log, "ended_under"; "target" => &*choice.target.id,
         "request" => &*doubt.request, "work" => %doubt.work,
         "known_after" => age.0);
+    entry.note_ended(&choice.target, doubt.work, Millis::now());
 }
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -26,8 +26,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    ends::Doubt, measure::Measure, peers::Peers, settings::Settings,
-    upstream::Pool,
+    ends::Doubt, measure::Measure, peers::Peers, quarantine::Quarantine,
+    settings::Settings, upstream::Pool,
 };
 
 mod choose;
@@ -37,6 +37,10 @@
 /// than operators have had.
 const MOST_ROUTES: usize = 10_000;
 
+/// Availability zones that are kept track of, twice those of the largest
+/// fleet to come.
+const MOST_ZONES: usize = 64;
+
 /// Entries of other writers that are told of.
 const MOST_REFUSED: usize = 1_000;
 
@@ -77,7 +81,9 @@
     pub group: Option<Group>,
     /// When it was last known to live: its agent read its report, or it
     /// answered.
-    pub lived: Millis,
+    pub lived: Option<Millis>,
+    /// When its agent last said that its process is gone.
+    pub lost: Option<Millis>,
     /// Requests under which it may have ended.
     pub doubts: Vec<Doubt>,
 }
@@ -122,6 +128,10 @@
     budgets: RefCell<HashMap<Name, Window>>,
     /// What was last said of each group, by any of its ranks.
     formations: RefCell<HashMap<Name, Formation>>,
+    /// Work that ends its targets.
+    pub quarantine: RefCell<Quarantine>,
+    /// When each availability zone was last heard from.
+    zones: RefCell<HashMap<Name, Millis>>,
     /// Other entries.
     pub peers: RefCell<Peers>,
     /// Wakes requests that wait for a target.
@@ -184,6 +194,8 @@
             seats: RefCell::new(HashMap::new()),
             budgets: RefCell::new(HashMap::new()),
             formations: RefCell::new(HashMap::new()),
+            quarantine: RefCell::new(Quarantine::default()),
+            zones: RefCell::new(HashMap::new()),
             peers: RefCell::new(peers),
             news: Notify::new(),
             freed: Rc::default(),
@@ -367,6 +379,25 @@
         *longest
     }
 
+    /// Notes that a VM of an availability zone was heard from.
+    pub fn heard_from(&self, zone: &Name, now: Millis) {
+        let mut zones = self.zones.borrow_mut();
+        if let Some(heard) = zones.get_mut(zone) {
+            *heard = now;
+        } else if zones.len() < MOST_ZONES {
+            zones.insert(zone.clone(), now);
+        }
+    }
+
+    /// Whether there is a way to an availability zone since a moment: one of
+    /// its VMs was heard from, or, for the own zone, any other VM was.
+    pub fn reaches(&self, zone: &Name, since: Millis) -> bool {
+        let own = self.settings().zone == *zone;
+        let zones = self.zones.borrow();
+        let mut heard = zones.iter().filter(|it| own || it.0 == zone);
+        heard.any(|it| *it.1 >= since)
+    }
+
     /// Notes a request in its service's retry budget.
     pub fn count_request(&self, service: &Name, now: Millis) {
         self.budget(service, |it| it.request(now));
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -42,18 +42,20 @@
 const READ_PERCENT: u64 = 40;
 
 /// Contact with the log as one task sees it.
-struct Contact {
+pub struct Contact {
     topic: &'static str,
     last: Millis,
     failures: u32,
 }
 
 impl Contact {
-    fn new(topic: &'static str) -> Contact {
+    /// Nothing called yet.
+    pub fn new(topic: &'static str) -> Contact {
         Contact { topic, last: Millis::now(), failures: 0 }
     }
 
-    fn good(&mut self, entry: &Entry) {
+    /// Notes an answer.
+    pub fn good(&mut self, entry: &Entry) {
         let now = Millis::now();
         let away = now.since(self.last);
         if self.failures > 0 {
@@ -65,7 +67,7 @@
     }
 
     /// Notes a failure and waits before the next call.
-    async fn bad(&mut self, entry: &Entry, error: &Error) {
+    pub async fn bad(&mut self, entry: &Entry, error: &Error) {
         if self.failures == 0 {
             warn!(entry.log, "log_lost"; "topic" => self.topic,
                 "error" => %error);
@@ -209,6 +211,7 @@
         Some(raw) => match target::decode(&record.key, raw) {
             Ok(target) => {
                 let id = target.id.clone();
+                entry.note_announcement(&target, now);
                 let change = entry.fleet.borrow_mut().announce(target, now);
                 if entry.fleet.borrow().is_ready(&id) {
                     entry.announced.borrow_mut().insert(id, raw.clone());
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`stream`]: answers that are streams of events, resumed elsewhere;
 //! * [`upstream`]: connections to targets;
 //! * [`ends`]: whether a target ended under its requests;
+//! * [`quarantine`]: work that ends its targets is refused by all entries;
 //! * [`follow`]: configuration and targets from the platform's log;
 //! * [`peers`]: what entries and agents tell one another;
 //! * [`reply`]: the entry's own answers;
@@ -41,6 +42,7 @@
 pub mod forward;
 pub mod measure;
 pub mod peers;
+pub mod quarantine;
 pub mod readiness;
 pub mod receive;
 pub mod reply;
@@ -66,6 +68,8 @@
     tokio::task::spawn_local(peers::tell(entry.clone(), datagrams));
     tokio::task::spawn_local(follow::catalog(entry.clone()));
     tokio::task::spawn_local(follow::targets(entry.clone()));
+    tokio::task::spawn_local(quarantine::follow(entry.clone()));
+    tokio::task::spawn_local(quarantine::write(entry.clone()));
     let reloaded = entry.clone();
     let reload = program::reload(path, move |read| reloaded.reload(read));
     tokio::task::spawn_local(reload);
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -16,6 +16,7 @@
     first_byte: Histogram<u64>,
     whole: Histogram<u64>,
     doubts: Counter<u64>,
+    quarantined: Counter<u64>,
     peers: Gauge<u64>,
     targets: Gauge<u64>,
 }
@@ -30,6 +31,7 @@
             tries: meter.u64_counter("tries").build(),
             first_byte: meter.u64_histogram("first_byte_ms").build(),
             whole: meter.u64_histogram("whole_answer_ms").build(),
+            quarantined: meter.u64_counter("quarantined").build(),
             doubts: meter.u64_counter("doubts").build(),
             peers: meter.u64_gauge("peers").build(),
             targets: meter.u64_gauge("targets").build(),
@@ -60,6 +62,12 @@
         self.doubts.add(requests as u64, &[outcome]);
     }
 
+    /// Notes work that is refused, a request of it that was, or work that is
+    /// refused no longer.
+    pub fn quarantined(&self, outcome: &'static str) {
+        self.quarantined.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Notes how many other entries and targets it knows.
     pub fn knows(&self, peers: usize, targets: usize) {
         self.peers.record(peers as u64, &[]);
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -15,13 +15,13 @@
 use cowsliproad_kernel::{
     Name,
     clock::Millis,
-    gossip::{self, Datagram, Digest, Load, Subscribe},
+    gossip::{self, Datagram, Digest, Load, Lost, Subscribe},
 };
 use cowsliproad_net::client::Client;
 use cowsliproad_platform::{catalog, log::Record};
 use cowsliproad_routing::{
     catalog::{Engine, Service},
-    fleet::{Parting, Start},
+    fleet::{Parting, Start, Target},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -180,6 +180,7 @@
 fn digest(entry: &Entry, now: Millis) -> Digest {
     let since = now - LEFT_TIME;
     let fleet = entry.fleet.borrow();
+    let (suspects, lives) = entry.quarantine.borrow().told(now);
     let (mut left, mut withdrawn) = (Vec::new(), Vec::new());
     for (id, parting) in fleet.left_since(since) {
         match parting {
@@ -198,6 +199,9 @@
         left,
         withdrawn,
         peers: entry.peers.borrow().known.keys().copied().collect(),
+        zone: entry.settings().zone.clone(),
+        suspects,
+        lives,
     }
 }
 
@@ -285,6 +289,7 @@
                     introduce(&entry, &socket, load.target).await;
                 }
             }
+            Some(Datagram::Lost(lost)) => take_lost(&entry, &lost),
             None => warn!(entry.log, "strange_datagram"; "bytes" => length),
         }
     }
@@ -301,6 +306,8 @@
         let change = entry.fleet.borrow_mut().hear_parting(id, parting, now);
         entry.changed(id, change, Source::Peer);
     }
+    entry.heard_from(&heard.zone, now);
+    entry.hear_suspects(&heard.suspects, &heard.lives, now);
     let at = now - Millis(heard.read_ms);
     entry.note_reading(at, heard.changed, now);
     let (is_new, others) = {
@@ -379,25 +386,26 @@
 /// Takes an agent's report in.
 fn take_load(entry: &Entry, load: &Load) {
     entry.lists.borrow_mut().insert(load.target, load.list);
-    let id = {
-        let fleet = entry.fleet.borrow();
-        let target = fleet.ready().find(|it| it.address == load.target);
-        target.map(|it| it.id.clone())
+    let now = Millis::now();
+    let Some(target) = target_at(entry, load.target, load.start) else {
+        return;
     };
-    let Some(id) = id else { return };
+    entry.heard_from(&target.zone, now);
+    entry.note_report(&target, Start(load.start), now);
+    let id = target.id;
     let seat = entry.seat(&id);
     let mut seat = seat.borrow_mut();
     let stands = |it: &Group| (it.epoch, it.open, it.pace / NEWS_PERCENT);
     let before = seat.group.as_ref().map(stands);
     seat.record.report(load.running + load.queued);
-    seat.lived = Millis::now();
+    seat.lived = Some(now);
     let group = Group {
         name: load.group.clone(),
         epoch: load.epoch,
         open: load.open,
         step: load.step,
         pace: load.pace,
-        heard: Millis::now(),
+        heard: now,
     };
     let after = stands(&group);
     entry.note_formation(&group.name, group.epoch, group.open);
@@ -410,6 +418,35 @@
     }
 }
 
+/// Takes in that an agent finds no process of its engine.
+fn take_lost(entry: &Entry, lost: &Lost) {
+    let now = Millis::now();
+    let Some(target) = target_at(entry, lost.target, lost.start) else {
+        return;
+    };
+    entry.heard_from(&target.zone, now);
+    let seat = entry.seat(&target.id);
+    let before = seat.borrow_mut().lost.replace(now);
+    if before.is_none() {
+        info!(entry.log, "target_lost"; "target" => &*target.id);
+        entry.tell_news();
+    }
+}
+
+/// The target that listens at an address, of the start that its agent saw.
+/// One that took the place of another is announced before that one lapses.
+fn target_at(
+    entry: &Entry,
+    address: SocketAddr,
+    start: u64,
+) -> Option<Target> {
+    let same = |it: &Target| {
+        it.address == address
+            && (start == 0 || it.start.0 == 0 || it.start.0 == start)
+    };
+    entry.fleet.borrow().ready().find(|it| same(it)).cloned()
+}
+
 /// The entry's state, for one that starts or is turned away by the log.
 pub fn state(
     entry: &Entry,
--- /dev/null
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -0,0 +1,380 @@
+//! The entry's part in refusing work that ends its targets.
+//!
+//! What is decided stands in [`cowsliproad_admission::quarantine`]. Here is
+//! who is told: other entries at once and then by digests, so that it works
+//! while the platform's log is away and within a zone that is cut off; and
+//! the log, from the second end on, so that entries that all start anew know
+//! it, and one that the others don't reach. What the log brings is waited
+//! for, which costs two calls a minute.
+
+use std::{
+    collections::{BTreeSet, HashMap, HashSet},
+    rc::Rc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use cowsliproad_admission::quarantine::{Change, End, Ledger, Standing, Work};
+use cowsliproad_kernel::{
+    clock::Millis,
+    gossip::{self, Suspect},
+};
+use cowsliproad_platform::log::{self, Client, Error, Record};
+use cowsliproad_routing::fleet::{Start, Target};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::{sync::Notify, time::sleep};
+
+use crate::{
+    entry::{Entry, Source},
+    follow::Contact,
+};
+
+/// Ends from which on work is written to the log. After the first, one end
+/// more is the price of all entries' starting anew; written from the first
+/// on, each killed target would cost a call for all that it ran.
+const WRITTEN_ENDS: usize = 2;
+
+/// How long the log may hold a read: the longest that it allows.
+const HOLD_TIME: Millis = Millis(30_000);
+
+/// The least time between two reads of which the first brought nothing.
+const LEAST_TIME: Millis = Millis(15_000);
+
+/// A target that answers so soon after its end did not end: none has started
+/// again by then.
+const RESTART_TIME: Millis = Millis(1_000);
+
+/// Announcements of before an end are read by then.
+const READ_TIME: Millis = Millis(3_000);
+
+/// Two announcements that lie further apart are not of one reading.
+const RENEWAL_TIME: Millis = Millis(1_000);
+
+/// Ended targets whose signs of life are looked for, 100 bytes each.
+const MOST_ENDED: usize = 1_024;
+
+/// What the entry knows and has to do.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    ledger: Ledger,
+    /// Work under which this entry saw a target end.
+    own: HashSet<Work>,
+    /// Work that the log is to be told of, and that it was told of.
+    unwritten: BTreeSet<Work>,
+    written: HashSet<Work>,
+    /// Ends that are held against work, whose targets may yet show life.
+    ended: HashMap<End, Ended>,
+    /// Wakes the task that writes.
+    due: Rc<Notify>,
+}
+
+/// A target that was taken for ended.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    /// When it was first heard of.
+    at: Millis,
+    /// An announcement that was read after the end, and when.
+    announced: Option<(u64, Millis)>,
+}
+
+/// What the log keeps of a piece of work.
+#[derive(Debug, Deserialize, Serialize)]
+struct Kept {
+    #[serde(rename = "s")]
+    suspect: Suspect,
+    /// When it was written, as a Unix millisecond.
+    #[serde(rename = "t")]
+    at: u64,
+}
+
+impl Quarantine {
+    /// Whether work may run now. Work that is refused counts as seen.
+    pub fn admit(&mut self, work: Work, now: Millis) -> Standing {
+        let standing = self.ledger.standing(work, now);
+        if standing != Standing::Free {
+            self.ledger.sighted(work, now);
+        }
+        standing
+    }
+
+    /// Whether work is refused.
+    pub fn refuses(&self, work: Work, now: Millis) -> bool {
+        self.ledger.standing(work, now) != Standing::Free
+    }
+
+    /// What other entries are told.
+    pub fn told(&self, now: Millis) -> (Vec<Suspect>, Vec<u64>) {
+        (self.ledger.told(now), self.ledger.lives_told(now))
+    }
+
+    fn note(&mut self, work: Work) {
+        let known = self.ledger.ends(work);
+        if self.own.contains(&work) && known >= WRITTEN_ENDS {
+            self.unwritten.insert(work);
+            self.due.notify_one();
+        }
+    }
+
+    fn sweep(&mut self, now: Millis) {
+        for work in self.ledger.sweep(now) {
+            self.own.remove(&work);
+            if self.written.remove(&work) {
+                self.unwritten.insert(work);
+                self.due.notify_one();
+            }
+        }
+        self.ended.retain(|end, _| self.ledger.holds(*end));
+    }
+
+    fn watch(&mut self, end: End, now: Millis) {
+        if self.ended.len() < MOST_ENDED {
+            let new = Ended { at: now, announced: None };
+            self.ended.entry(end).or_insert(new);
+        }
+    }
+
+    /// What is known of the end of a target, if it is held against work.
+    fn end_of(&mut self, target: &Target) -> Option<(End, &mut Ended)> {
+        if self.ended.is_empty() {
+            return None;
+        }
+        let end = End::new(&target.id, target.start.0);
+        self.ended.get_mut(&end).map(|it| (end, it))
+    }
+}
+
+impl Entry {
+    /// Notes that a target ended under work.
+    pub fn note_ended(&self, target: &Target, work: Work, now: Millis) {
+        let end = End::new(&target.id, target.start.0);
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.watch(end, now);
+        quarantine.own.insert(work);
+        let change = quarantine.ledger.ended(work, end, now);
+        drop(quarantine);
+        self.judged(work, change, Source::Own);
+    }
+
+    /// Notes that a target outlived work.
+    pub fn note_outlived(&self, work: Work, now: Millis) {
+        let change = self.quarantine.borrow_mut().ledger.outlived(work, now);
+        self.judged(work, change, Source::Own);
+    }
+
+    /// Notes that a target answers. Later it may have started again under its
+    /// name.
+    pub fn note_answer(&self, target: &Target, now: Millis) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        let Some((end, ended)) = quarantine.end_of(target) else { return };
+        let is_soon = now.since(ended.at) < RESTART_TIME;
+        drop(quarantine);
+        if is_soon {
+            self.note_lives(end, now, Source::Own);
+        }
+    }
+
+    /// Notes that an agent reads the report of its engine's start. Where the
+    /// start isn't told it may be one that came after the target.
+    pub fn note_report(&self, target: &Target, start: Start, now: Millis) {
+        if start != target.start || start == Start::default() {
+            return;
+        }
+        let mut quarantine = self.quarantine.borrow_mut();
+        let Some((end, _)) = quarantine.end_of(target) else { return };
+        drop(quarantine);
+        self.note_lives(end, now, Source::Own);
+    }
+
+    /// Notes that a target renews its announcement.
+    pub fn note_announcement(&self, target: &Target, now: Millis) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        let Some((end, ended)) = quarantine.end_of(target) else { return };
+        if now.since(ended.at) < READ_TIME {
+            return;
+        }
+        let (first, at) =
+            *ended.announced.get_or_insert((target.sequence, now));
+        drop(quarantine);
+        if target.sequence > first && now.since(at) >= RENEWAL_TIME {
+            self.note_lives(end, now, Source::Log);
+        }
+    }
+
+    /// Notes that what was taken for the end of a target was none.
+    fn note_lives(&self, end: End, now: Millis, source: Source) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        let held = quarantine.ledger.holds(end);
+        let freed = quarantine.ledger.lives(end, now);
+        quarantine.ended.remove(&end);
+        drop(quarantine);
+        if !held {
+            return;
+        }
+        info!(self.log, "end_taken_back"; "end" => ?end, "source" => ?source);
+        for work in freed {
+            self.judged(work, Change::Freed, source);
+        }
+        if source != Source::Peer {
+            self.rumour.notify_one();
+        }
+    }
+
+    /// Takes in what another entry tells of work that ends targets.
+    pub fn hear_suspects(
+        &self,
+        suspects: &[Suspect],
+        lives: &[u64],
+        now: Millis,
+    ) {
+        for end in lives.iter().map(|it| End(*it)) {
+            self.note_lives(end, now, Source::Peer);
+        }
+        for suspect in suspects {
+            self.hear_suspect(suspect, now, Source::Peer);
+        }
+        self.quarantine.borrow_mut().sweep(now);
+    }
+
+    fn hear_suspect(&self, suspect: &Suspect, now: Millis, source: Source) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        let change = quarantine.ledger.hear(suspect, now);
+        for end in suspect.ends.iter().map(|it| End(*it)) {
+            if change != Change::None && quarantine.ledger.holds(end) {
+                quarantine.watch(end, now);
+            }
+        }
+        drop(quarantine);
+        self.judged(Work(suspect.work), change, source);
+    }
+
+    /// Does what follows when something is learnt of a piece of work.
+    fn judged(&self, work: Work, change: Change, source: Source) {
+        if change == Change::None {
+            return;
+        }
+        let ends = self.quarantine.borrow().ledger.ends(work);
+        match change {
+            Change::None | Change::Suspected => {}
+            Change::Refused => {
+                info!(self.log, "work_refused"; "work" => %work,
+                    "ends" => ends, "source" => ?source);
+                self.measure.quarantined("refused");
+                // Requests that wait with it are answered now.
+                self.tell_news();
+            }
+            Change::Freed => {
+                info!(self.log, "work_freed"; "work" => %work,
+                    "ends" => ends, "source" => ?source);
+                self.measure.quarantined("freed");
+            }
+        }
+        self.quarantine.borrow_mut().note(work);
+        if source == Source::Own {
+            self.rumour.notify_one();
+        }
+    }
+}
+
+/// Follows what the log keeps, for ever.
+pub async fn follow(entry: Rc<Entry>) {
+    let mut client = Client::new(entry.settings().log);
+    let mut contact = Contact::new(log::QUARANTINE);
+    let mut next = None;
+    loop {
+        let called = Millis::now();
+        let read = match next {
+            None => client.newest(log::QUARANTINE).await,
+            Some(from) => client.read(log::QUARANTINE, from, HOLD_TIME).await,
+        };
+        match read {
+            Ok(page) => {
+                contact.good(&entry);
+                let first = next.replace(page.next).is_none();
+                for record in &page.records {
+                    take(&entry, record);
+                }
+                // A log that doesn't hold reads is not asked all the time.
+                let rest = (called + LEAST_TIME).since(Millis::now());
+                if !first && page.records.is_empty() {
+                    sleep(rest.duration()).await;
+                }
+            }
+            Err(Error::Expired) => {
+                info!(entry.log, "records_expired"; "topic" => log::QUARANTINE);
+                next = None;
+            }
+            Err(error) => contact.bad(&entry, &error).await,
+        }
+    }
+}
+
+/// Takes in a record of the log.
+fn take(entry: &Entry, record: &Record) {
+    // Work that was forgotten elsewhere is forgotten here in its own time.
+    let Some(value) = &record.value else { return };
+    let Some(kept) = gossip::decode::<Kept>(value) else {
+        warn!(entry.log, "strange_record"; "topic" => log::QUARANTINE,
+            "key" => &record.key);
+        return;
+    };
+    let age = Millis(unix_now()).since(Millis(kept.at));
+    let mut suspect = kept.suspect;
+    // The record says when its work was refused, not when it came last.
+    suspect.idle = Millis(0);
+    suspect.refused = suspect.refused.map(|it| it + age);
+    let now = Millis::now();
+    entry.hear_suspect(&suspect, now, Source::Log);
+    let work = Work(suspect.work);
+    let mut quarantine = entry.quarantine.borrow_mut();
+    if quarantine.ledger.suspect(work, now).is_none() {
+        // It is over, and whoever wrote it may be gone.
+        quarantine.unwritten.insert(work);
+        quarantine.due.notify_one();
+    }
+}
+
+/// Writes to the log what it has to keep, for ever.
+pub async fn write(entry: Rc<Entry>) {
+    let mut client = Client::new(entry.settings().log);
+    let mut contact = Contact::new(log::QUARANTINE);
+    let due = entry.quarantine.borrow().due.clone();
+    loop {
+        let first = entry.quarantine.borrow().unwritten.first().copied();
+        let Some(work) = first else {
+            due.notified().await;
+            continue;
+        };
+        let value = value_of(&entry, work);
+        let key = work.to_string();
+        let written = client.put(log::QUARANTINE, &key, &value).await;
+        if let Err(error) = written {
+            contact.bad(&entry, &error).await;
+            continue;
+        }
+        contact.good(&entry);
+        let mut quarantine = entry.quarantine.borrow_mut();
+        quarantine.unwritten.remove(&work);
+        if value.is_empty() {
+            quarantine.written.remove(&work);
+        } else {
+            quarantine.written.insert(work);
+        }
+        drop(quarantine);
+        info!(entry.log, "work_written"; "work" => %work,
+            "bytes" => value.len());
+    }
+}
+
+/// What the log is to keep of work; nothing if it is to forget it.
+fn value_of(entry: &Entry, work: Work) -> Vec<u8> {
+    let suspect =
+        entry.quarantine.borrow().ledger.suspect(work, Millis::now());
+    let kept = suspect.map(|suspect| Kept { suspect, at: unix_now() });
+    kept.map(|it| gossip::encode(&it)).unwrap_or_default()
+}
+
+/// The time of day, for records that outlive this process.
+fn unix_now() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |it| it.as_millis() as u64)
+}
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -140,7 +140,7 @@
     resume: Option<u64>,
 ) -> Result<Result<(response::Parts, Run), Opened>, Miss> {
     let stay = Stay::new(entry, call, choice);
-    let end = call.end();
+    let (end, work) = (call.end(), call.work);
     let since = Moment::new(entry, choice);
     let mut opening = std::pin::pin!(call.open(entry, choice, resume));
     let opened = loop {
@@ -162,6 +162,10 @@
         if slows_others(entry, choice) {
             return Err(Miss::Unknown("slow"));
         }
+        // It may still wait its turn there; left alone it ends one more.
+        if entry.quarantine.borrow().refuses(work, Millis::now()) {
+            return Err(Miss::Unknown("it ends its targets"));
+        }
         // A request may wait its turn at a target that is well.
         let alone = is_left_behind(entry, choice, since);
         if alone && !entry.hears_of(choice) {
--- a/cowsliproad-direct/tests/entry/quarantine.rs
+++ b/cowsliproad-direct/tests/entry/quarantine.rs
@@ -15,12 +15,17 @@
     time::{Duration, Instant},
 };
 
-use cowsliproad_kernel::clock::Millis;
-use cowsliproad_platform_standin::target::{Config, Target};
+use cowsliproad_kernel::gossip::{self, Datagram, Lost};
+use cowsliproad_platform::log::QUARANTINE;
+use cowsliproad_platform_standin::{
+    log::Fault,
+    target::{self, Config, Target},
+};
+use futures_util::future::join_all;
 use http::{StatusCode, header::RETRY_AFTER};
-use tokio::time::sleep;
+use tokio::{net::UdpSocket, time::sleep};
 
-use crate::harness::{Entry, KEY, Plant};
+use crate::harness::{Entry, KEY, Plant, until};
 
 /// The body of work that ends its targets.
 const DEADLY: &str = "deadly";
@@ -118,12 +123,24 @@
 }
 
 async fn until_met(entry: &Entry, peers: f64) {
-    crate::harness::until("entries know one another", async || {
+    until("entries know one another", async || {
         entry.metric("peers").await == Some(peers)
     })
     .await;
 }
 
+/// Waits until an entry refuses so many pieces of work.
+async fn until_refused(entry: &Entry, works: f64) {
+    let name = "quarantined_total{outcome=\"refused\"";
+    until("work is refused", async || entry.metric(name).await == Some(works))
+        .await;
+}
+
+async fn status(entry: &Entry, path: &str, key: &str, body: &str) -> u16 {
+    let answer = entry.ask_with(path, key, body).await;
+    answer.expect("an answer").status().as_u16()
+}
+
 async fn check(kind: Kind, path: &str) {
     let scene = Scene::start(kind).await;
     scene.end_three(path).await;
@@ -145,3 +162,246 @@
 async fn work_that_runs_once_and_ends_its_targets_is_sent_to_no_more() {
     check(Kind::Calls, "/once/a").await;
 }
+
+/// What only looks like it is served: other work of the same caller and path,
+/// the same words of another caller, and the same words elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_looks_like_it_is_served() {
+    let mut scene = Scene::start(Kind::Calls).await;
+    scene.plant.target("i-well", "model").await;
+    scene.plant.catalog =
+        scene.plant.catalog.clone().with_organisation("kose", &["key-2"]);
+    scene.plant.catalog.publish(&scene.plant.log);
+    scene.end_three("/many/a").await;
+    until_refused(&scene.entries[0], 1.0).await;
+    let entry = &scene.entries[0];
+    until("the other organisation is known", async || {
+        status(entry, "/many/a", "key-2", "other").await == 200
+    })
+    .await;
+    for body in ["other", "deadly?", ""] {
+        assert_eq!(status(entry, "/many/a", KEY, body).await, 200, "{body}");
+    }
+    // The same words on a route whose targets bear them.
+    let path = "/many/model/a";
+    assert_eq!(status(entry, path, KEY, DEADLY).await, 200);
+    // Another caller's are another's: they end a target of their own accord.
+    let before = scene.reached();
+    assert_ne!(status(entry, "/many/a", "key-2", DEADLY).await, 503);
+    assert!(scene.reached() > before);
+}
+
+/// A stream that runs on three targets as they end beside it goes on, and the
+/// next of its kind is served. It had no whole answer before.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_ran_beside_it_is_served() {
+    let mut plant = Plant::start().await;
+    let mut targets = Vec::new();
+    for number in 0..6 {
+        let id = format!("i-{number}");
+        let config = Config::new(&id, "model", "a")
+            .with_events(20, Duration::from_millis(100))
+            .with_deadly(DEADLY);
+        targets.push(plant.target_with(config).await);
+    }
+    let entries = entries(&mut plant).await;
+    let beside = async {
+        let asked = (0..12).map(|number| {
+            let (entry, body) = (&entries[number % 3], number.to_string());
+            async move { entry.ask_with("/stream/a", KEY, &body).await }
+        });
+        let answers = join_all(asked).await;
+        // Two targets are all that a route allows a request.
+        answers.iter().filter(|it| it.is_ok()).count()
+    };
+    let deadly = async {
+        sleep(Duration::from_millis(300)).await;
+        let mut sent = 0;
+        while targets.iter().filter(|it| it.has_ended()).count() < 3 {
+            let entry = &entries[sent % 3];
+            let _ = entry.ask_with("/stream/a", KEY, DEADLY).await;
+            sent += 1;
+        }
+    };
+    let (served, ()) = tokio::join!(beside, deadly);
+    assert!(served > 0, "{served}");
+    for entry in &entries {
+        until_refused(entry, 1.0).await;
+        let asked = (0..12).map(|number| async move {
+            status(entry, "/stream/a", KEY, &number.to_string()).await
+        });
+        assert_eq!(join_all(asked).await, [200; 12]);
+    }
+}
+
+/// Three targets are killed one after the other, each while it runs the
+/// lookup that everybody sends.
+#[tokio::test(flavor = "multi_thread")]
+async fn common_work_at_killed_targets_is_served() {
+    let mut plant = Plant::start().await;
+    let mut targets = Vec::new();
+    for number in 0..5 {
+        targets.push(plant.target(&format!("i-{number}"), "plain").await);
+    }
+    let entries = entries(&mut plant).await;
+    for entry in &entries {
+        assert_eq!(status(entry, "/many/a", KEY, "common").await, 200);
+    }
+    for killed in &targets[..3] {
+        killed.set(target::Fault::End);
+        until("the target is killed", async || {
+            let entry = &entries[killed.runs().len() % 3];
+            assert_eq!(status(entry, "/many/a", KEY, "common").await, 200);
+            killed.has_ended()
+        })
+        .await;
+    }
+    sleep(BOUND).await;
+    for entry in &entries {
+        assert_eq!(status(entry, "/many/a", KEY, "common").await, 200);
+        assert_eq!(entry.metric("quarantined_total").await, None);
+    }
+}
+
+/// All entries are killed at once; those that start in their place know it.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_all_start_anew_refuse_it() {
+    let mut scene = Scene::start(Kind::Calls).await;
+    scene.end_three("/many/a").await;
+    for entry in &scene.entries {
+        until_refused(entry, 1.0).await;
+    }
+    until("the log knows it", async || {
+        scene.plant.log.records(QUARANTINE) > 1
+    })
+    .await;
+    let settings: Vec<_> =
+        scene.entries.drain(..).map(|it| it.settings.clone()).collect();
+    scene.entries = settings.into_iter().map(Entry::start).collect();
+    for entry in &scene.entries {
+        entry.until_ready().await;
+        until_refused(entry, 1.0).await;
+    }
+    scene.is_refused("/many/a").await;
+}
+
+/// The platform's log is away: entries know it from one another, one that
+/// joins later too.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_tell_one_another_while_the_log_is_away() {
+    let mut scene = Scene::start(Kind::Calls).await;
+    scene.plant.log.set(Fault::Silent);
+    scene.end_three("/once/a").await;
+    sleep(BOUND).await;
+    scene.is_refused("/once/a").await;
+    let settings = scene.plant.settings(&[&scene.entries[0]]);
+    scene.entries.push(Entry::start(settings));
+    let late = &scene.entries[3];
+    late.until_ready().await;
+    until_refused(late, 1.0).await;
+    scene.is_refused("/once/a").await;
+}
+
+/// Entries that don't reach one another know it from the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_entries_that_do_not_reach_one_another() {
+    let mut scene = Scene::start(Kind::Calls).await;
+    let alone = Entry::start(scene.plant.settings(&[]));
+    alone.until_ready().await;
+    scene.end_three("/once/a").await;
+    until_refused(&alone, 1.0).await;
+    assert_eq!(alone.metric("peers").await, Some(0.0));
+    scene.entries = vec![alone];
+    scene.is_refused("/once/a").await;
+}
+
+/// A request that waits for a target is answered as soon as its work is
+/// known to end them.
+#[tokio::test(flavor = "multi_thread")]
+async fn whoever_waits_with_it_is_answered_at_once() {
+    let mut plant = Plant::start().await;
+    let mut targets = Vec::new();
+    for number in 0..3 {
+        let config = Config::new(&format!("i-{number}"), "plain", "a");
+        let config = config.with_deadly(DEADLY);
+        targets.push(plant.target_with(config).await);
+    }
+    // Its answers say that there is a way to the targets' zone.
+    plant.target("i-well", "model").await;
+    let entries = entries(&mut plant).await;
+    for entry in &entries {
+        let _ = entry.ask_with("/once/a", KEY, DEADLY).await;
+    }
+    assert!(targets.iter().all(|it| it.has_ended()));
+    let asked = Instant::now();
+    let answer = entries[0].ask_with("/once/a", KEY, DEADLY).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let wait = Duration::from_millis(entries[0].settings.wait_ms.0);
+    assert!(asked.elapsed() < wait, "{:?}", asked.elapsed());
+}
+
+/// A zone that is cut off with resets refuses connections as targets do
+/// that ended. Nobody else is heard from there, so it proves nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_of_a_zone_that_is_out_of_reach_are_not_taken_for_ended() {
+    let mut plant = Plant::start().await;
+    let mut far = Vec::new();
+    for number in 0..3 {
+        let config = Config::new(&format!("i-{number}"), "plain", "b");
+        far.push(plant.target_with(config).await);
+    }
+    let entries = entries(&mut plant).await;
+    for target in &far {
+        target.set(target::Fault::End);
+    }
+    for entry in &entries {
+        let _ = entry.ask_with("/once/a", KEY, "innocent").await;
+    }
+    assert!(far.iter().all(|it| it.has_ended()));
+    sleep(BOUND).await;
+    plant.target("i-near", "plain").await;
+    for entry in &entries {
+        until("it is served", async || {
+            status(entry, "/once/a", KEY, "innocent").await == 200
+        })
+        .await;
+    }
+}
+
+/// An agent says that its engine's process is gone. That is known although
+/// nobody else in the engine's zone is heard from.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agents_word_that_its_engine_is_gone_counts() {
+    let mut plant = Plant::start().await;
+    let mut targets = Vec::new();
+    for number in 0..5 {
+        let config = Config::new(&format!("i-{number}"), "model", "b")
+            .with_events(5, Duration::from_millis(2))
+            .with_deadly(DEADLY);
+        targets.push(plant.target_with(config).await);
+    }
+    let entry = plant.entry().await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let to = entry.settings.peer_address();
+    let agents = targets.clone();
+    tokio::spawn(async move {
+        loop {
+            for target in agents.iter().filter(|it| it.has_ended()) {
+                let Some(target) = target.address() else { continue };
+                let lost = Datagram::Lost(Lost { target, start: 0 });
+                let _ = socket.send_to(&gossip::encode(&lost), to).await;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    let mut sent = 0;
+    while targets.iter().filter(|it| it.has_ended()).count() < 3 {
+        assert!(sent < 5, "the work ends no target");
+        let _ = entry.ask_with("/stream/a", KEY, DEADLY).await;
+        sent += 1;
+    }
+    until_refused(&entry, 1.0).await;
+    assert_eq!(status(&entry, "/stream/a", KEY, DEADLY).await, 503);
+    assert_eq!(status(&entry, "/stream/a", KEY, "other").await, 200);
+}
--- a/cowsliproad-direct/tests/entry/streams.rs
+++ b/cowsliproad-direct/tests/entry/streams.rs
@@ -110,6 +110,7 @@
             step: 1,
             open: true,
             list: 0,
+            start: 0,
         };
         let agents = Arc::new(Agents {
             loads: Mutex::new(targets.iter().map(load).collect()),
--- a/cowsliproad-entry/src/log.rs
+++ b/cowsliproad-entry/src/log.rs
@@ -76,7 +76,7 @@
         return Append::NotDone;
     };
     match shared.client.call(request, MAX_READ, APPEND).await {
-        Err(Error::Connect(_)) => Append::NotDone,
+        Err(Error::Connect(_) | Error::Refused(_)) => Append::NotDone,
         Err(_) => Append::Unknown,
         Ok(answer) if answer.status() == StatusCode::OK => {
             match serde_json::from_slice::<Appended>(answer.body()) {
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Name;
+use crate::{Name, clock::Millis};
 
 /// Encodes a message. All of ours encode.
 pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
@@ -48,6 +48,9 @@
     /// From an agent.
     #[serde(rename = "l")]
     Load(Load),
+    /// From an agent whose engine's process is gone.
+    #[serde(rename = "x")]
+    Lost(Lost),
 }
 
 /// A message between entries.
@@ -81,6 +84,39 @@
     /// Other entries that it heard from lately.
     #[serde(rename = "p")]
     pub peers: Vec<SocketAddr>,
+    /// The sender's availability zone.
+    #[serde(rename = "z", default = "nowhere")]
+    pub zone: Name,
+    /// Work that targets ended under: what is refused, and news.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<Suspect>,
+    /// Ends of targets that were none.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub lives: Vec<u64>,
+}
+
+fn nowhere() -> Name {
+    "".into()
+}
+
+/// Work that targets ended under.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspect {
+    /// What the work is: a digest of who asks, the path and the body.
+    #[serde(rename = "w")]
+    pub work: u64,
+    /// The targets, each as a digest of its name and its start.
+    #[serde(rename = "e")]
+    pub ends: Vec<u64>,
+    /// Whether some target is known to have outlived it.
+    #[serde(rename = "s")]
+    pub proven: bool,
+    /// How long ago it came last, in milliseconds.
+    #[serde(rename = "i")]
+    pub idle: Millis,
+    /// For how long it has been refused, in milliseconds, if it is.
+    #[serde(rename = "r")]
+    pub refused: Option<Millis>,
 }
 
 /// An entry's word to an agent: report to me.
@@ -140,4 +176,19 @@
     /// The list of engines that the agent knows; 0 for none.
     #[serde(rename = "l")]
     pub list: u64,
+    /// When the engine started, as a Unix millisecond; 0 where it doesn't say.
+    #[serde(rename = "b", default)]
+    pub start: u64,
+}
+
+/// An agent's word to entries: its engine's process is gone. Nobody listens
+/// on the VM that the agent itself runs on, so no cut is taken for an end.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Lost {
+    /// Where the engine listened.
+    #[serde(rename = "a")]
+    pub target: SocketAddr,
+    /// When it had started, as a Unix millisecond; 0 where it didn't say.
+    #[serde(rename = "b")]
+    pub start: u64,
 }
--- a/cowsliproad-net/src/client.rs
+++ b/cowsliproad-net/src/client.rs
@@ -16,6 +16,8 @@
 pub enum Error {
     /// No connection could be made, so nothing was sent.
     Connect(String),
+    /// Nobody listens there, so nothing was sent.
+    Refused(String),
     /// The exchange broke; the other side may have acted.
     Exchange(String),
     /// The answer took too long; the other side may have acted.
@@ -102,7 +104,9 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Error::Connect(why) => write!(f, "can't connect: {why}"),
+            Error::Connect(why) | Error::Refused(why) => {
+                write!(f, "can't connect: {why}")
+            }
             Error::Exchange(why) => write!(f, "the exchange broke: {why}"),
             Error::Timeout => f.write_str("no answer in time"),
             Error::TooLarge => f.write_str("the answer is too large"),
--- a/cowsliproad-net/src/single.rs
+++ b/cowsliproad-net/src/single.rs
@@ -4,7 +4,7 @@
 //! broke or was overdue the next one opens another: an answer that comes
 //! after all belongs to nobody.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header::HOST};
@@ -77,7 +77,10 @@
 async fn connect(
     address: SocketAddr,
 ) -> Result<SendRequest<Full<Bytes>>, Error> {
-    let failed = |error: std::io::Error| Error::Connect(error.to_string());
+    let failed = |error: io::Error| match error.kind() {
+        io::ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
+        _ => Error::Connect(error.to_string()),
+    };
     let stream = TcpStream::connect(address).await.map_err(failed)?;
     stream.set_nodelay(true).map_err(failed)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -82,6 +82,8 @@
     state: Option<State>,
     /// Which start of the engine all below is of.
     start: Option<u64>,
+    /// Whether the engine's process is known to be gone.
+    engine_ended: Ended,
     /// The group that the engine last named.
     group: Option<Name>,
     /// Engines of the service that are of other groups.
@@ -109,6 +111,13 @@
     last: Times,
 }
 
+/// Whether an engine's process is gone. One that doesn't answer may live.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ended {
+    Yes,
+    No,
+}
+
 /// An *arm* without an answer.
 #[derive(Clone, Copy)]
 struct Unanswered {
@@ -158,6 +167,7 @@
             shape: None,
             state: None,
             start: None,
+            engine_ended: Ended::No,
             group: None,
             strangers: BTreeSet::new(),
             experts: None,
--- a/cowsliproad-rank/src/agent/readings.rs
+++ b/cowsliproad-rank/src/agent/readings.rs
@@ -1,10 +1,12 @@
 //! What an agent reads at its engine.
 
+use std::io;
+
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_placement::growth::Growth;
 use slog::info;
 
-use super::Agent;
+use super::{Agent, Ended};
 use crate::{
     rota::{Due, Rota},
     wire::{Choices, Message},
@@ -20,6 +22,7 @@
         match self.engine.state().await {
             Ok(state) => {
                 self.note_start(state.start);
+                self.engine_ended = Ended::No;
                 self.group = state.group.clone().or(self.group.take());
                 self.state = Some(state);
             }
@@ -27,6 +30,7 @@
                 if self.state.take().is_some() {
                     info!(self.log, "engine_lost"; "error" => %error);
                 }
+                self.note_loss(&error);
                 return;
             }
         }
@@ -46,6 +50,16 @@
         }
     }
 
+    /// Sees from a failed call whether nobody listens any more, and tells
+    /// entries at once, which ask under which work the engine ended.
+    fn note_loss(&mut self, error: &io::Error) {
+        let gone = error.kind() == io::ErrorKind::ConnectionRefused;
+        if gone && self.engine_ended == Ended::No {
+            self.engine_ended = Ended::Yes;
+            self.last.load = Millis(0);
+        }
+    }
+
     /// Forgets what was of another start of the engine: it holds no map, no
     /// order and no counts of before.
     fn note_start(&mut self, start: u64) {
--- a/cowsliproad-rank/src/agent/words.rs
+++ b/cowsliproad-rank/src/agent/words.rs
@@ -4,12 +4,12 @@
 
 use cowsliproad_kernel::{
     clock::Millis,
-    gossip::{self, Datagram, Load},
+    gossip::{self, Datagram, Load, Lost},
 };
 use cowsliproad_mapswitch::order::{self, Aim, Standing};
 use slog::info;
 
-use super::{Agent, send};
+use super::{Agent, Ended, send};
 use crate::{
     lead::Lead,
     plan::Plan,
@@ -27,7 +27,9 @@
 
 impl Agent {
     pub(super) async fn tell_entries(&mut self) {
-        let Some(state) = &self.state else { return };
+        let Some(state) = &self.state else {
+            return self.tell_loss().await;
+        };
         let report = state.report.as_ref();
         let load = Datagram::Load(Load {
             target: self.settings.engine,
@@ -39,8 +41,22 @@
             step: report.map_or(0, |it| it.step),
             open: report.is_none_or(|it| it.standing == Standing::Open),
             list: self.list(),
+            start: state.start,
         });
-        let bytes = gossip::encode(&load);
+        self.say_to_entries(&load).await;
+    }
+
+    /// Tells entries that the engine's process is gone, while it is.
+    async fn tell_loss(&self) {
+        let (Some(start), Ended::Yes) = (self.start, self.engine_ended) else {
+            return;
+        };
+        let target = self.settings.engine;
+        self.say_to_entries(&Datagram::Lost(Lost { target, start })).await;
+    }
+
+    async fn say_to_entries(&self, word: &Datagram) {
+        let bytes = gossip::encode(word);
         for entry in self.entries.keys() {
             send(&self.log, &self.entries_socket, &bytes, *entry).await;
         }
--- a/cowsliproad-rank/src/engine.rs
+++ b/cowsliproad-rank/src/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_mapswitch::order::{Epoch, Order, Verdict};
-use cowsliproad_net::single::Single;
+use cowsliproad_net::{client::Error, single::Single};
 use cowsliproad_platform::engine::{self, Choices, Lists, State};
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -77,7 +77,12 @@
     ) -> io::Result<(StatusCode, Bytes)> {
         let time = time.duration();
         let call = self.connection.call(request, MOST_BYTES, time).await;
-        let answer = call.map_err(io::Error::other)?;
+        let answer = call.map_err(|error| match error {
+            Error::Refused(_) => {
+                io::Error::new(io::ErrorKind::ConnectionRefused, error)
+            }
+            error => io::Error::other(error),
+        })?;
         Ok((answer.status(), answer.into_body()))
     }
 }
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -7,6 +7,7 @@
 mod live;
 mod patience;
 mod placement;
+mod quarantine;
 mod queue;
 mod readings;
 mod register;
--- /dev/null
+++ b/tests/properties/quarantine.rs
@@ -0,0 +1,311 @@
+//! Work that ends its targets: who is refused, who is not, and that all
+//! entries come to the same whatever they hear when.
+
+use cowsliproad::{
+    admission::quarantine::{
+        Change, ENDS, End, KEEP_TIME, LONGEST_TIME, Ledger, PROVEN_ENDS,
+        Standing, Work,
+    },
+    kernel::{clock::Millis, gossip::Suspect},
+};
+use proptest::prelude::*;
+
+const NOW: Millis = Millis(1_000_000);
+
+fn end(number: u64) -> End {
+    End::new(&format!("i-{number}"), 0)
+}
+
+fn work(body: &str) -> Work {
+    Work::new(&[b"harju", b"/draft/", body.as_bytes()])
+}
+
+/// A ledger in which so many targets ended under work.
+fn after(ends: u64, work: Work) -> Ledger {
+    let mut ledger = Ledger::new();
+    for number in 0..ends {
+        ledger.ended(work, end(number), NOW);
+    }
+    ledger
+}
+
+fn is_refused(ledger: &Ledger, work: Work, now: Millis) -> bool {
+    ledger.standing(work, now) != Standing::Free
+}
+
+#[test]
+fn it_is_refused_from_the_third_end_on() {
+    let deadly = work("deadly");
+    for ends in 0..ENDS as u64 {
+        assert!(!is_refused(&after(ends, deadly), deadly, NOW), "{ends}");
+    }
+    let mut ledger = after(ENDS as u64 - 1, deadly);
+    assert_eq!(ledger.ended(deadly, end(7), NOW), Change::Refused);
+    assert!(is_refused(&ledger, deadly, NOW));
+}
+
+/// Several requests of one target tell of the same end.
+#[test]
+fn one_end_counts_once_however_often_it_is_told() {
+    let deadly = work("deadly");
+    let mut ledger = Ledger::new();
+    for _ in 0..20 {
+        ledger.ended(deadly, end(0), NOW);
+    }
+    assert!(!is_refused(&ledger, deadly, NOW));
+}
+
+#[test]
+fn a_target_that_starts_again_under_its_name_may_end_again() {
+    assert_ne!(End::new("i-1", 1), End::new("i-1", 2));
+}
+
+#[test]
+fn parts_of_work_do_not_run_into_one_another() {
+    assert_ne!(Work::new(&[b"ab", b"c"]), Work::new(&[b"a", b"bc"]));
+    assert_ne!(Work::new(&[b"ab", b""]), Work::new(&[b"ab"]));
+}
+
+#[test]
+fn what_looks_alike_runs() {
+    let ledger = after(3, work("deadly"));
+    assert!(!is_refused(&ledger, work("deadly."), NOW));
+    let other = Work::new(&[b"other", b"/draft/", b"deadly"]);
+    assert!(!is_refused(&ledger, other, NOW));
+}
+
+/// Three targets of a service are killed in a row, and the lookup that
+/// everybody sends all the time was at each.
+#[test]
+fn work_that_was_outlived_lately_is_refused_later() {
+    let common = work("common");
+    let mut ledger = Ledger::new();
+    ledger.outlived(common, NOW);
+    for number in 0..PROVEN_ENDS as u64 - 1 {
+        ledger.ended(common, end(number), NOW);
+    }
+    assert!(!is_refused(&ledger, common, NOW));
+    ledger.ended(common, end(99), NOW);
+    assert!(is_refused(&ledger, common, NOW));
+}
+
+#[test]
+fn work_that_another_entry_saw_outlived_is_freed() {
+    let common = work("common");
+    let mut ledger = after(3, common);
+    let mut other = Ledger::new();
+    other.outlived(common, NOW);
+    // It hears that three ended, and knows better.
+    for told in ledger.told(NOW) {
+        other.hear(&told, NOW);
+    }
+    assert!(!is_refused(&other, common, NOW));
+    let told = other.told(NOW);
+    let changes: Vec<Change> =
+        told.iter().map(|it| ledger.hear(it, NOW)).collect();
+    assert_eq!(changes, [Change::Freed]);
+}
+
+/// A cut looks like an end until the target is heard from again.
+#[test]
+fn an_end_that_was_none_is_taken_back_everywhere() {
+    let innocent = work("innocent");
+    let mut ledger = after(3, innocent);
+    let mut other = Ledger::new();
+    for told in ledger.told(NOW) {
+        other.hear(&told, NOW);
+    }
+    assert!(is_refused(&other, innocent, NOW));
+    assert_eq!(ledger.lives(end(1), NOW), [innocent]);
+    assert!(!is_refused(&ledger, innocent, NOW));
+    for lives in ledger.lives_told(NOW) {
+        other.lives(End(lives), NOW);
+    }
+    assert!(!is_refused(&other, innocent, NOW));
+    // One who hasn't heard it tells of the end again.
+    let late = Suspect {
+        work: innocent.0,
+        ends: vec![end(1).0],
+        proven: false,
+        idle: Millis(0),
+        refused: None,
+    };
+    other.hear(&late, NOW + Millis(8_000));
+    assert!(!is_refused(&other, innocent, NOW + Millis(8_000)));
+    assert_eq!(other.lives_told(NOW + Millis(8_000)), [end(1).0]);
+}
+
+#[test]
+fn it_is_forgotten_once_it_stays_away_and_after_an_hour() {
+    let deadly = work("deadly");
+    let mut ledger = after(3, deadly);
+    let later = NOW + KEEP_TIME - Millis(1);
+    assert!(is_refused(&ledger, deadly, later));
+    ledger.sighted(deadly, later);
+    assert!(is_refused(&ledger, deadly, later + KEEP_TIME - Millis(1)));
+    assert!(!is_refused(&ledger, deadly, later + KEEP_TIME));
+    let mut now = NOW;
+    while now < NOW + LONGEST_TIME {
+        assert!(is_refused(&ledger, deadly, now), "{now}");
+        ledger.sighted(deadly, now);
+        now = now + KEEP_TIME - Millis(1);
+    }
+    assert!(!is_refused(&ledger, deadly, NOW + LONGEST_TIME));
+    assert_eq!(ledger.sweep(NOW + LONGEST_TIME), [deadly]);
+    assert_eq!(ledger.ends(deadly), 0);
+}
+
+/// Entries tell one another for ever, and none keeps it alive for the others.
+#[test]
+fn telling_keeps_nothing_alive() {
+    let deadly = work("deadly");
+    let mut ledgers = [after(3, deadly), Ledger::new()];
+    let mut now = NOW;
+    while now < NOW + KEEP_TIME + Millis(2_000) {
+        for (from, to) in [(0, 1), (1, 0)] {
+            for told in ledgers[from].told(now) {
+                ledgers[to].hear(&told, now + Millis(5));
+            }
+        }
+        now = now + Millis(500);
+    }
+    for ledger in &ledgers {
+        assert!(!is_refused(ledger, deadly, now));
+        assert!(ledger.told(now).is_empty());
+    }
+}
+
+/// An entry that has just started hears what is older than itself.
+#[test]
+fn a_young_entry_does_not_make_it_last_longer() {
+    let deadly = work("deadly");
+    let mut old = after(3, deadly);
+    let idle = KEEP_TIME - Millis(2_000);
+    let mut young = Ledger::new();
+    for told in old.told(NOW + idle) {
+        // Its clock began a second ago.
+        young.hear(&told, Millis(1_000));
+    }
+    assert!(is_refused(&young, deadly, Millis(2_900)));
+    assert!(!is_refused(&young, deadly, Millis(3_000)));
+    for told in young.told(Millis(2_900)) {
+        old.hear(&told, NOW + idle + Millis(1_900));
+    }
+    assert!(!is_refused(&old, deadly, NOW + KEEP_TIME));
+}
+
+/// A whole fleet's targets are killed, with 50 pieces of work on each.
+#[test]
+fn what_is_kept_and_told_is_bounded() {
+    let deadly = work("deadly");
+    let mut ledger = after(3, deadly);
+    for number in 0..20_000_u64 {
+        let work = Work::new(&[&number.to_be_bytes()]);
+        ledger.outlived(work, NOW);
+        ledger.ended(work, end(number / 50), NOW);
+    }
+    let told = ledger.told(NOW);
+    assert!(told.len() <= 256, "{}", told.len());
+    assert_eq!(told[0].work, deadly.0);
+    let kept = (0..20_000_u64)
+        .filter(|it| ledger.ends(Work::new(&[&it.to_be_bytes()])) > 0)
+        .count();
+    assert!(kept < 4_096, "{kept}");
+    assert!(is_refused(&ledger, deadly, NOW));
+}
+
+/// What one entry learns.
+#[derive(Clone, Copy, Debug)]
+enum Fact {
+    Ended(u8, u8),
+    Outlived(u8),
+    Lives(u8),
+}
+
+fn fact() -> impl Strategy<Value = Fact> {
+    prop_oneof![
+        6 => (0..4_u8, 0..8_u8).prop_map(|it| Fact::Ended(it.0, it.1)),
+        1 => (0..4_u8).prop_map(Fact::Outlived),
+        1 => (0..8_u8).prop_map(Fact::Lives),
+    ]
+}
+
+fn learn(ledger: &mut Ledger, fact: Fact, now: Millis) {
+    match fact {
+        Fact::Ended(piece, target) => {
+            ledger.ended(Work(piece.into()), end(target.into()), now);
+        }
+        Fact::Outlived(piece) => {
+            ledger.outlived(Work(piece.into()), now);
+        }
+        Fact::Lives(target) => {
+            ledger.lives(end(target.into()), now);
+        }
+    }
+}
+
+fn tell(from: &Ledger, to: &mut Ledger, now: Millis) {
+    for lives in from.lives_told(now) {
+        to.lives(End(lives), now);
+    }
+    for told in from.told(now) {
+        to.hear(&told, now);
+    }
+}
+
+proptest! {
+    #![proptest_config(super::config(200))]
+
+    /// Whoever learnt what, and whichever words were lost or came twice and
+    /// in any order, after two rounds in which none is lost all entries
+    /// refuse the same.
+    #[test]
+    fn entries_that_tell_one_another_come_to_the_same(
+        facts in proptest::collection::vec((0..3_usize, fact()), 0..40),
+        told in proptest::collection::vec((0..3_usize, 0..3_usize), 0..20),
+    ) {
+        let mut ledgers = [Ledger::new(), Ledger::new(), Ledger::new()];
+        let mut now = NOW;
+        let mut words = told.into_iter();
+        for (entry, fact) in facts {
+            now = now + Millis(10);
+            learn(&mut ledgers[entry], fact, now);
+            if let Some((from, to)) = words.next() && from != to {
+                let (from, to) = pair(&mut ledgers, from, to);
+                tell(from, to, now);
+                tell(from, to, now);
+            }
+        }
+        for _ in 0..2 {
+            now = now + Millis(500);
+            for from in 0..3 {
+                for to in (0..3).filter(|it| *it != from) {
+                    let (from, to) = pair(&mut ledgers, from, to);
+                    tell(from, to, now);
+                }
+            }
+        }
+        for piece in 0..4 {
+            let refused = ledgers.each_ref().map(|it| {
+                is_refused(it, Work(piece), now)
+            });
+            prop_assert!(
+                refused == [true; 3] || refused == [false; 3],
+                "{piece}: {refused:?}"
+            );
+        }
+    }
+}
+
+fn pair(
+    ledgers: &mut [Ledger; 3],
+    from: usize,
+    to: usize,
+) -> (&Ledger, &mut Ledger) {
+    let (low, high) = ledgers.split_at_mut(from.max(to));
+    if from < to {
+        (&low[from], &mut high[0])
+    } else {
+        (&high[0], &mut low[to])
+    }
+}
