The product's own path refuses work that ends its targets, and tells the truth

Cause: as on the platform's path, attempts were counted by request; and a refused resumption was taken for a refused start.

Agents, which stand on the target's own VM, note under which work it ended and tell every entry, also those that link later. Entries refuse such work with Quarantined. Where an agent may have taken it in before (a ticket, an idempotency key) the submission still goes there, with leave only to tell what became of it: a ticket that ran is never said to have not run. A stream that had begun is OUTCOME_UNKNOWN when its engine can't be asked to go on.

On the platform's path a request that was given up here (by its caller, or for another try) is asked about for half a second longer than one whose connection broke: its target may still begin it.

Before: one request ended four targets, sent again four more; NOT_RUN for a stream that had begun.

--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -24,6 +24,7 @@
 //! it may be heard late, twice and in any order, and all come to the same.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeSet, HashMap, HashSet},
     fmt,
 };
@@ -43,6 +44,11 @@
     pub fn new(parts: &[&[u8]]) -> Work {
         Work(digest(parts))
     }
+
+    /// The same work at one of several services that don't know of others.
+    pub fn within(self, service: &str) -> Work {
+        Work(digest(&[service.as_bytes(), &self.0.to_be_bytes()]))
+    }
 }
 
 /// One start of a target, as entries tell one another of its end.
@@ -347,6 +353,17 @@
         told.into_iter().map(|it| it.1.told(*it.0, now)).collect()
     }
 
+    /// All that is known, for a peer that was out of reach.
+    pub fn known(&self, now: Millis) -> Vec<Suspect> {
+        let now = now + BEFORE;
+        let kept = self.cases.iter().filter(|it| !it.1.is_over(now));
+        let mut kept: Vec<Suspect> =
+            kept.map(|it| it.1.told(*it.0, now)).collect();
+        kept.sort_by_key(|it| (Reverse(it.ends.len()), it.idle));
+        kept.truncate(MOST_TOLD);
+        kept
+    }
+
     /// Ends that were none, as far as that is news.
     pub fn lives_told(&self, now: Millis) -> Vec<u64> {
         let now = now + BEFORE;
--- a/cowsliproad-agent/src/adapter.rs
+++ b/cowsliproad-agent/src/adapter.rs
@@ -14,7 +14,7 @@
 };
 use tokio::runtime::Handle;
 
-use crate::{gate::Gate, settings::Settings, work::Work};
+use crate::{ends, gate::Gate, settings::Settings, work::Work};
 
 /// A kind of target.
 #[derive(Clone, Copy, Debug)]
@@ -67,4 +67,5 @@
     let start = Instant::now();
     let result = adapter.call(&work).await;
     gate.finish(&work, result, start.elapsed());
+    ends::look(&gate, &work, result).await;
 }
--- a/cowsliproad-agent/src/adapter/engine.rs
+++ b/cowsliproad-agent/src/adapter/engine.rs
@@ -87,7 +87,12 @@
                 Reading::Broken => {
                     events.rest.clear();
                     let resume = self.resume(work, events.tokens)?;
-                    response = self.head(resume).await?;
+                    let resumed = self.head(resume).await;
+                    // It has begun, whatever became of the resumption.
+                    response = resumed.map_err(|it| Failure {
+                        ran: Ran::OutcomeUnknown,
+                        ..it
+                    })?;
                 }
             }
         }
--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -27,7 +27,8 @@
     id,
     sync::lock,
     wire::{
-        Answer, Beat, Cancel, Failure, Handover, Load, Phase, Reclaim, Submit,
+        Answer, Beat, Cancel, Failure, Handover, Load, Permit, Phase, Reclaim,
+        Submit,
     },
 };
 use opentelemetry::{
@@ -38,6 +39,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    ends::Ends,
     settings::Settings,
     work::{Ending, Repeat, Wanted, Work},
 };
@@ -49,6 +51,8 @@
     pub settings: Arc<Settings>,
     ticket_key: [u8; ticket::KEY],
     incarnation: id::Incarnation,
+    /// Work under which the target's process ended.
+    pub ends: Ends,
     inner: Mutex<Inner>,
     ready: Notify,
     log: Logger,
@@ -102,6 +106,11 @@
 /// The weight of a new measurement is one part in so many.
 const SMOOTHING: u64 = 16;
 
+/// The refusal of work that ends the targets that run it. The entry, which
+/// knows of all ends, says when to come back.
+const QUARANTINED: Failure =
+    Failure { code: Code::Quarantined, ran: Ran::NotRun, retry_after: None };
+
 /// How often waiting work is checked against its deadline.
 const SWEEP: Duration = Duration::from_millis(20);
 
@@ -123,10 +132,12 @@
             service_us: FIRST_GUESS_US,
             count: 0,
         };
+        let incarnation = id::Incarnation::random();
         Gate {
             ticket_key: settings.key.derive("cowsliproad ticket").0,
+            ends: Ends::new(&settings.name, incarnation),
             settings,
-            incarnation: id::Incarnation::random(),
+            incarnation,
             inner: Mutex::new(inner),
             ready: Notify::new(),
             log,
@@ -135,6 +146,11 @@
         }
     }
 
+    /// Its logger.
+    pub fn log(&self) -> &Logger {
+        &self.log
+    }
+
     /// This process start.
     pub fn incarnation(&self) -> id::Incarnation {
         self.incarnation
@@ -339,8 +355,9 @@
     ) -> Result<Arc<Work>, Failure> {
         let ticket = self.open(text, submit)?;
         let leaving = inner.phase == Phase::Leaving;
+        let recalled = submit.permit == Permit::Recall;
         let verdict = if ticket.incarnation == self.incarnation {
-            if leaving {
+            if leaving || recalled {
                 inner.register.burn(&ticket, now)
             } else {
                 inner.register.submit(&ticket, now)
@@ -358,6 +375,7 @@
                 .get(&ticket.request)
                 .cloned()
                 .ok_or(Failure::new(Code::AnswerDropped, Ran::Ran)),
+            Verdict::Burned if recalled => Err(QUARANTINED),
             Verdict::Burned if leaving => {
                 Err(Failure::new(Code::Leaving, Ran::NotRun))
             }
@@ -402,6 +420,9 @@
             let foreign = Failure::new(Code::ForeignToken, Ran::NotForwarded);
             return own.then(|| work.clone()).ok_or(foreign);
         }
+        if submit.permit == Permit::Recall {
+            return Err(QUARANTINED);
+        }
         if inner.phase == Phase::Leaving {
             return Err(Failure::new(Code::Leaving, Ran::NotRun));
         }
--- a/cowsliproad-agent/src/lib.rs
+++ b/cowsliproad-agent/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! * [`gate`]: admission, the queue, tickets and kept answers;
 //! * [`work`]: one request and its growing answer;
+//! * [`ends`]: work under which the target's process ended;
 //! * [`adapter`]: how the target is spoken to, one plug-in for each kind;
 //! * [`links`]: entries' links and what is said on them;
 //! * [`handover`]: the graceful stop;
@@ -17,6 +18,7 @@
 #![forbid(unsafe_code)]
 
 pub mod adapter;
+pub mod ends;
 pub mod gate;
 pub mod handover;
 mod http;
--- a/cowsliproad-agent/src/links.rs
+++ b/cowsliproad-agent/src/links.rs
@@ -15,6 +15,7 @@
 };
 
 use cowsliproad_kernel::{
+    gossip::Suspect,
     id,
     sync::lock,
     wire::{
@@ -64,11 +65,15 @@
     /// Sends a heartbeat on every link.
     pub fn beat(&self) {
         let beat = Frame::Beat(self.gate.beat(self.replica.next()));
+        let news = self.gate.ends.take_news();
         let mut open = self.lock();
         open.retain(|link| !link.is_gone());
         for link in open.iter() {
             // A full queue means that the peer will hear of us anyway.
             let _ = link.try_send(beat.clone());
+            if !news.is_empty() {
+                tell(link, news.clone());
+            }
         }
     }
 
@@ -86,6 +91,15 @@
     }
 }
 
+/// Tells an entry of work that ended the target, also on a busy link.
+fn tell(link: &Sender, suspects: Vec<Suspect>) {
+    let link = link.clone();
+    tokio::spawn(async move {
+        // An entry whose link is gone is told all when it links again.
+        let _ = link.send(Frame::Suspects(suspects)).await;
+    });
+}
+
 /// Sends heartbeats for as long as the agent runs.
 pub async fn beat(links: Arc<Links>) {
     loop {
@@ -117,6 +131,10 @@
         }
     };
     info!(links.log, "link_open"; "peer" => %hello.name);
+    let known = links.gate.ends.known();
+    if !known.is_empty() {
+        tell(&sender, known);
+    }
     links.lock().push(sender.clone());
     let session =
         Session { links: links.clone(), sender, attempts: HashMap::new() };
--- a/cowsliproad-agent/src/work.rs
+++ b/cowsliproad-agent/src/work.rs
@@ -13,12 +13,13 @@
 };
 
 use bytes::Bytes;
+use cowsliproad_admission::quarantine;
 use cowsliproad_kernel::{
     Name,
     clock::Millis,
     id,
     sync::lock,
-    wire::{Answer, Content, Failure, Format, Persistence, Submit},
+    wire::{Answer, Content, Failure, Format, Permit, Persistence, Submit},
 };
 use tokio::sync::Notify;
 
@@ -95,6 +96,15 @@
 }
 
 impl Work {
+    /// What it is, whatever request it is of.
+    pub fn kind(&self) -> quarantine::Work {
+        quarantine::Work::new(&[
+            self.organisation.as_bytes(),
+            self.request_type.as_bytes(),
+            &self.body,
+        ])
+    }
+
     /// Work that has not started.
     pub fn new(submit: &Submit, now: Millis) -> Work {
         Work {
@@ -132,6 +142,7 @@
             persistence: Persistence::Keep,
             share: 1,
             body: Vec::new(),
+            permit: Permit::Recall,
         };
         let work = Work::new(&submit, Millis(0));
         match answer.result {
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -138,8 +138,10 @@
     Refused(&'static str),
     /// It was not sent.
     Unsent(&'static str),
-    /// It may have run.
+    /// It may have run, and was given up here.
     Unknown(&'static str),
+    /// It may have run, and its connection broke.
+    Broken(&'static str),
 }
 
 /// An answer whose body is still to be read.
@@ -208,23 +210,23 @@
     pub fn left(&self, miss: &Miss) {
         match miss {
             Miss::Refused(_) | Miss::Unsent(_) => self.outlived(),
-            Miss::Unknown(_) => self.doubt(),
+            Miss::Broken(_) => self.doubt(Doubt::broken),
+            Miss::Unknown(_) => self.doubt(Doubt::given_up),
         }
     }
 
-    fn doubt(&self) {
-        if self.settled.replace(true) {
-            return;
+    fn doubt(&self, new: fn(Name, Work) -> Doubt) {
+        if !self.settled.replace(true) {
+            let (request, work) = self.call.clone();
+            ends::doubt(&self.entry, &self.choice, new(request, work));
         }
-        let (request, work) = self.call.clone();
-        ends::doubt(&self.entry, &self.choice, Doubt::new(request, work));
     }
 }
 
 impl Drop for Stay {
     fn drop(&mut self) {
         self.choice.seat.borrow_mut().record.end();
-        self.doubt();
+        self.doubt(Doubt::given_up);
     }
 }
 
@@ -427,7 +429,7 @@
             .await
             .map_err(|failure| match failure {
                 Failure::Unsent(why) => Miss::Unsent(why),
-                Failure::Unknown(why) => Miss::Unknown(why),
+                Failure::Unknown(why) => Miss::Broken(why),
             })?;
         let (head, body) = answer.into_parts();
         note_life(entry, choice);
@@ -545,7 +547,7 @@
                 }
                 why
             }
-            Miss::Unknown(why) => {
+            Miss::Unknown(why) | Miss::Broken(why) => {
                 entry.measure.tried("unknown");
                 self.ran();
                 why
@@ -609,7 +611,7 @@
 pub async fn read_whole(opened: Opened) -> Result<Response<Body>, Miss> {
     let Opened { mut head, body, lease } = opened;
     let body = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|_| Miss::Unknown("the answer was cut"))?;
+    let body = body.map_err(|_| Miss::Broken("the answer was cut"))?;
     lease.keep(Millis::now());
     let promises = matches!(
         head.status,
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -52,16 +52,35 @@
 pub struct Doubt {
     request: Name,
     work: Work,
+    /// When its connection broke or was given up.
     at: Millis,
+    /// How long after that the target may still have been at work on it.
+    lingers: Millis,
 }
 
 impl Doubt {
-    /// A request that just ended without an answer.
-    pub fn new(request: Name, work: Work) -> Doubt {
-        Doubt { request, work, at: Millis::now() }
+    /// A request whose connection broke.
+    pub fn broken(request: Name, work: Work) -> Doubt {
+        Doubt { request, work, at: Millis::now(), lingers: Millis(0) }
+    }
+
+    /// A request that was given up here.
+    pub fn given_up(request: Name, work: Work) -> Doubt {
+        let lingers = LINGER_TIME;
+        Doubt { lingers, ..Doubt::broken(request, work) }
+    }
+
+    /// From when on a sign of life says that the target outlived it.
+    fn counts_from(&self) -> Millis {
+        self.at + self.lingers + WAY_TIME
     }
 }
 
+/// How long a target may go on with a request whose connection was reset. Most
+/// drop it at once; one that reads it late has a tenth of a second to begin
+/// and another to end.
+const LINGER_TIME: Millis = Millis(500);
+
 /// What became of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Fate {
@@ -105,7 +124,7 @@
             sleep(PAUSE.duration()).await;
             continue;
         }
-        settle(&entry, &choice, fate, |it| it.at <= asked_at);
+        settle(&entry, &choice, fate, |it| it.at + it.lingers <= asked_at);
         asked = 0;
     }
 }
@@ -117,13 +136,13 @@
         let seat = choice.seat.borrow();
         (seat.lived, seat.lost)
     };
-    let outlived = |it: &Doubt| lived.is_some_and(|at| it.at + WAY_TIME <= at);
+    let outlived = |it: &Doubt| lived.is_some_and(|at| it.counts_from() <= at);
     settle(entry, choice, Fate::Lives, outlived);
     let ended = |it: &Doubt| lost.is_some_and(|at| it.at <= at + WAY_TIME);
     settle(entry, choice, Fate::Ended, ended);
     let seat = choice.seat.borrow();
-    let oldest = seat.doubts.first()?.at;
-    Some(oldest + patience(&seat, oldest))
+    let due = |it: &Doubt| it.at + it.lingers + patience(&seat, it.at);
+    seat.doubts.iter().map(due).min()
 }
 
 fn patience(seat: &Seat, since: Millis) -> Millis {
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -229,10 +229,10 @@
                     self.last_bytes = Moment::new(entry, &self.choice);
                 }
                 Some(Err(_)) => {
-                    return Next::Miss(Miss::Unknown("the stream was cut"));
+                    return Next::Miss(Miss::Broken("the stream was cut"));
                 }
                 None if self.splitter.is_inside() => {
-                    return Next::Miss(Miss::Unknown("cut inside an event"));
+                    return Next::Miss(Miss::Broken("cut inside an event"));
                 }
                 None => return Next::End,
             }
--- a/cowsliproad-entry/src/callers.rs
+++ b/cowsliproad-entry/src/callers.rs
@@ -38,6 +38,7 @@
     answer::{self, Companion},
     choose,
     forward::{Forward, Item, Order, needs_ticket},
+    quarantine,
     target::Event,
     view::{InFlight, Organisation, Service},
 };
@@ -189,6 +190,10 @@
         let ticket = self.ticket(&request, &checked)?;
         let body = self.body(request, &checked.request_type).await?;
         let keep = delivery != Delivery::Whole || key.is_some();
+        let organisation = &checked.organisation.declared.name;
+        let kind = &checked.request_type.name;
+        let work =
+            quarantine::work_of(&checked.service, organisation, kind, &body);
         let order = Order {
             request: ticket
                 .as_ref()
@@ -205,6 +210,7 @@
             },
             deadline: Millis::now() + checked.request_type.deadline_ms,
             body,
+            work,
         };
         let finish = Finish {
             shared: self.shared.clone(),
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -18,20 +18,25 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use cowsliproad_admission::ticket::{self, Purpose, Ticket};
+use cowsliproad_admission::{
+    quarantine::{Standing, Work},
+    ticket::{self, Purpose, Ticket},
+};
 use cowsliproad_config::object::{Repeat, RequestType};
 use cowsliproad_kernel::{
     Name,
     clock::Millis,
     code::{Code, Ran},
     id,
-    wire::{Ack, End, Failure, Frame, Persistence, Reclaim, Submit, WINDOW},
+    wire::{
+        Ack, End, Failure, Frame, Permit, Persistence, Reclaim, Submit, WINDOW,
+    },
 };
 use cowsliproad_relay::{Assembly, Step};
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
-    Shared, choose,
+    Shared, choose, quarantine,
     target::{Event, Link, Outcome, Target, outcome},
     view::Service,
 };
@@ -100,6 +105,8 @@
     pub deadline: Millis,
     /// The body.
     pub body: Vec<u8>,
+    /// What the work is, whatever the request.
+    pub work: Work,
 }
 
 /// What is forwarded.
@@ -266,6 +273,15 @@
 
     async fn submit(&mut self, target: Arc<Target>) {
         let Task::Work(order) = &self.task else { return };
+        let permit = match quarantine::standing(&self.shared, order) {
+            Standing::Free => Permit::Run,
+            // What became of earlier submissions is still told.
+            Standing::Refused(_) if may_be_known(order) => Permit::Recall,
+            Standing::Refused(after) => {
+                let failure = Failure::new(Code::Quarantined, self.ran());
+                return self.fail(failure.with_retry_after(after));
+            }
+        };
         let attempt = id::Attempt::random();
         let budget = self.deadline.since(Millis::now());
         let submit = Submit {
@@ -280,6 +296,7 @@
             persistence: order.persistence,
             share: order.share,
             body: order.body.clone(),
+            permit,
         };
         let request = order.request;
         self.attempts += 1;
@@ -458,6 +475,11 @@
     }
 }
 
+/// Whether an agent may have taken the work in before.
+fn may_be_known(order: &Order) -> bool {
+    order.ticket.is_some() || order.key.is_some()
+}
+
 /// Whether a type's work needs a ticket.
 pub fn needs_ticket(request_type: &RequestType) -> bool {
     request_type.repeat == Repeat::Never
--- a/cowsliproad-entry/src/forward/failure.rs
+++ b/cowsliproad-entry/src/forward/failure.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
+use cowsliproad_admission::quarantine::Standing;
 use cowsliproad_kernel::{
     clock::Millis,
     code::{Code, Ran},
@@ -15,7 +16,10 @@
     ASK_AGAIN, Attempt, FREE_MOVES, Forward, Item, LOOK_AGAIN, MAX_ATTEMPTS,
     Task,
 };
-use crate::target::{Outcome, Target};
+use crate::{
+    quarantine,
+    target::{Outcome, Target},
+};
 
 impl Forward {
     pub(super) fn time_out(&mut self, attempt: Attempt) {
@@ -72,6 +76,7 @@
         if self.may_try_again(&failure) {
             return self.restart_given();
         }
+        let failure = self.timed(failure);
         let ran = match &self.task {
             // Only the agent's own word counts for a ticket.
             Task::Work(order) if order.ticket.is_some() => failure.ran,
@@ -81,6 +86,19 @@
         self.fail(Failure { ran, ..failure });
     }
 
+    /// Adds when to come back to a refusal of work that ends its targets,
+    /// which the agent doesn't know.
+    fn timed(&self, failure: Failure) -> Failure {
+        let Task::Work(order) = &self.task else { return failure };
+        if failure.code != Code::Quarantined {
+            return failure;
+        }
+        match quarantine::standing(&self.shared, order) {
+            Standing::Refused(after) => failure.with_retry_after(after),
+            Standing::Free => failure.with_retry_after(ASK_AGAIN),
+        }
+    }
+
     fn may_try_again(&mut self, failure: &Failure) -> bool {
         let Task::Work(order) = &self.task else { return false };
         if order.ticket.is_some() || Millis::now() >= self.deadline {
@@ -130,6 +148,7 @@
         if let Task::Work(order) = &self.task {
             let budget = &order.service.budget;
             lock(budget).earn();
+            quarantine::outlived(&self.shared, order);
         }
     }
 
--- a/cowsliproad-entry/src/lib.rs
+++ b/cowsliproad-entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`choose`]: the choice of a target; [`target`]: what is known of each;
 //! * [`control`]: the control thread, which owns the replica and publishes
 //!   the [`view::View`] that traffic reads;
+//! * [`quarantine`]: work that ends its targets is refused;
 //! * [`links`]: links to agents and between entries;
 //! * [`log`] and [`vms`]: the platform's log and VM list;
 //! * [`admin`]: the operators' gRPC.
@@ -23,6 +24,7 @@
 pub mod forward;
 pub mod links;
 pub mod log;
+pub mod quarantine;
 pub mod settings;
 pub mod target;
 pub mod view;
@@ -32,12 +34,13 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
 
+use cowsliproad_admission::quarantine::Ledger;
 use cowsliproad_kernel::{clock::Millis, id, wire::Phase};
 use cowsliproad_net::{
     client::Client,
@@ -61,6 +64,8 @@
     pub ticket_key: [u8; 32],
     /// What traffic reads.
     pub published: Published,
+    /// Work that ends its targets.
+    pub quarantine: Mutex<Ledger>,
     /// Requests in flight.
     pub in_flight: AtomicU32,
     /// Whether the entry is stopping.
@@ -119,6 +124,7 @@
         incarnation: id::Incarnation::random(),
         ticket_key: settings.key.derive("cowsliproad ticket").0,
         published: Published::new(),
+        quarantine: Mutex::default(),
         in_flight: AtomicU32::new(0),
         stopping: AtomicBool::new(false),
         control: inbox,
--- a/cowsliproad-entry/src/links.rs
+++ b/cowsliproad-entry/src/links.rs
@@ -20,6 +20,7 @@
 use crate::{
     Shared,
     control::Event,
+    quarantine,
     target::{Link, Target},
 };
 
@@ -79,6 +80,9 @@
                 target.take_beat(beat, Millis::now());
                 push.compare(shared, &sender, offset).await;
             }
+            Frame::Suspects(suspects) => {
+                quarantine::hear(shared, target, suspects);
+            }
             other => take(shared, &sender, &link, other).await,
         }
     }
--- /dev/null
+++ b/cowsliproad-entry/src/quarantine.rs
@@ -0,0 +1,58 @@
+//! Work that ends its targets is refused.
+//!
+//! Agents tell every entry that links to them under which work their targets
+//! ended. Entries need not speak to one another for it: one that starts anew
+//! hears it from the agents, and one in a zone that is cut off counts the ends
+//! of the targets that it can reach.
+
+use cowsliproad_admission::quarantine::{Change, Standing, Work};
+use cowsliproad_kernel::{clock::Millis, gossip::Suspect, sync::lock};
+use slog::info;
+
+use crate::{Shared, forward::Order, target::Target, view::Service};
+
+/// What a request is, whatever its id. Agents know it without its service.
+pub fn work_of(
+    service: &Service,
+    organisation: &str,
+    request_type: &str,
+    body: &[u8],
+) -> Work {
+    let parts = [organisation.as_bytes(), request_type.as_bytes(), body];
+    Work::new(&parts).within(&service.name)
+}
+
+/// Takes in what an agent tells.
+pub fn hear(shared: &Shared, target: &Target, suspects: Vec<Suspect>) {
+    let now = Millis::now();
+    let mut ledger = lock(&shared.quarantine);
+    ledger.sweep(now);
+    for suspect in suspects {
+        let work = Work(suspect.work).within(&target.service);
+        let suspect = Suspect { work: work.0, ..suspect };
+        let change = ledger.hear(&suspect, now);
+        if matches!(change, Change::Refused | Change::Freed) {
+            info!(shared.log, "work_judged"; "work" => %work,
+                "change" => ?change, "ends" => ledger.ends(work),
+                "target" => %target.name);
+        }
+    }
+}
+
+/// Notes that a target outlived a request.
+pub fn outlived(shared: &Shared, order: &Order) {
+    lock(&shared.quarantine).outlived(order.work, Millis::now());
+}
+
+/// Whether a request may run now, and when it may come back if not.
+pub fn standing(shared: &Shared, order: &Order) -> Standing {
+    let (now, work) = (Millis::now(), order.work);
+    let mut ledger = lock(&shared.quarantine);
+    let standing = ledger.standing(work, now);
+    if let Standing::Refused(after) = standing {
+        ledger.sighted(work, now);
+        info!(shared.log, "refused"; "request" => %order.request,
+            "work" => %work, "after" => after.0);
+    }
+    standing
+}
--- a/cowsliproad-kernel/src/code.rs
+++ b/cowsliproad-kernel/src/code.rs
@@ -113,6 +113,7 @@
     RegisterFull = 2008 503 "Too many open tickets at the target.",
     Cancelled = 2009 409 "The caller cancelled the request.",
     NotReady = 2010 503 "This entry has no configuration yet; come back.",
+    Quarantined = 2011 503 "Targets ended each time they ran this work.",
     TargetFailed = 3000 502 "The target failed while it worked.",
     TargetGone = 3001 502 "The target left before the outcome was known.",
     LinkLost = 3002 502 "The link to the target broke; ask again.",
--- a/cowsliproad-kernel/src/wire.rs
+++ b/cowsliproad-kernel/src/wire.rs
@@ -12,6 +12,7 @@
     Name,
     clock::Millis,
     code::{Code, Ran},
+    gossip::Suspect,
     id,
 };
 
@@ -75,6 +76,9 @@
     /// The sender asks for the receiver's folded configuration.
     #[serde(rename = "cp")]
     Pull(u64),
+    /// Work that ended the agent's target.
+    #[serde(rename = "sp")]
+    Suspects(Vec<Suspect>),
     /// A stopping agent's ticket records and kept answers.
     #[serde(rename = "ho")]
     Handover(Box<Handover>),
@@ -228,6 +232,22 @@
     /// The caller's body.
     #[serde(rename = "b", with = "serde_bytes")]
     pub body: Vec<u8>,
+    /// What the agent may do.
+    #[serde(rename = "m", default)]
+    pub permit: Permit,
+}
+
+/// What an agent may do with work that is submitted.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
+)]
+pub enum Permit {
+    /// Run it, unless it was taken in before.
+    #[default]
+    Run,
+    /// Only tell what became of it, if it was taken in before. Otherwise it
+    /// is refused for good: it ends the targets that run it.
+    Recall,
 }
 
 /// What becomes of work whose last listener left.
--- a/tests/properties/decoders.rs
+++ b/tests/properties/decoders.rs
@@ -7,7 +7,10 @@
     kernel::{
         clock::Millis,
         id, settings,
-        wire::{self, Beat, Frame, Load, Persistence, Phase, Submit, Urgency},
+        wire::{
+            self, Beat, Frame, Load, Permit, Persistence, Phase, Submit,
+            Urgency,
+        },
     },
 };
 use proptest::prelude::*;
@@ -32,6 +35,10 @@
             persistence: Persistence::Keep,
             share: 1,
             body,
+            permit: match numbers[0] % 2 {
+                0 => Permit::Run,
+                _ => Permit::Recall,
+            },
         })
 }
 
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -130,7 +130,7 @@
             let said: Value =
                 serde_json::from_slice(answer.body()).expect("JSON");
             assert_eq!(said["title"], json!("Quarantined"));
-            assert_ne!(said["ran"], json!("OUTCOME_UNKNOWN"));
+            assert_eq!(said["ran"], json!("NOT_RUN"));
             assert!(said["retry_after_ms"].is_u64());
         }
     }
@@ -222,3 +222,25 @@
     let said: Value = serde_json::from_slice(answer.body()).expect("JSON");
     assert_eq!(said["ran"], json!("OUTCOME_UNKNOWN"), "{said}");
 }
+
+/// The work of a ticket ended its target. Asked again once such work is
+/// refused, its outcome is still what it was.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_that_ran_is_not_said_to_have_never_run() {
+    let scene = Scene::start().await;
+    let first = scene.post(0, HANGAR, TOW, None, &call()).await;
+    let ticket = first.headers()["request-ticket"].to_str();
+    let ticket = Some(ticket.expect("it is text"));
+    scene.post(0, HANGAR, TOW, ticket, &call()).await;
+    assert_eq!(scene.ends(), 1);
+    scene.end_three(TOW, &call()).await;
+    sleep(BOUND).await;
+    let before = scene.ends();
+    for entry in 0..3 {
+        let answer = scene.post(entry, HANGAR, TOW, ticket, &call()).await;
+        let said: Value = serde_json::from_slice(answer.body()).expect("JSON");
+        assert_eq!(said["title"], json!("TargetFailed"), "{said}");
+        assert_eq!(said["ran"], json!("OUTCOME_UNKNOWN"), "{said}");
+    }
+    assert_eq!(scene.ends(), before);
+}
