--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -10,9 +10,9 @@
 //! Others work beside it, and targets end for other reasons, so that alone
 //! proves little, and what it can prove wrongly is kept small:
 //!
-//! * work that a target outlived, here or at any entry, in the last minutes
-//!   is suspected only after [`PROVEN_ENDS`]: what comes often is mostly
-//!   proven before the targets of its service are killed in a row;
+//! * a target that outlives work excuses it of all ends that were known then,
+//!   at all entries, and from then on it takes [`PROVEN_ENDS`] more: what
+//!   comes often is at many targets that are killed, and outlived all along;
 //! * an end that was none is taken back everywhere once the target shows
 //!   life ([`Ledger::lives`]): a target that is cut off looks like one that
 //!   ended;
@@ -20,8 +20,8 @@
 //!   [`LONGEST_TIME`] after it was first refused, so that targets that were
 //!   mended get it again. Trying it sooner would cost a target each time.
 //!
-//! What entries tell one another only ever grows (ends, lives, outlived), so
-//! it may be heard late, twice and in any order, and all come to the same.
+//! What entries tell one another only ever grows (ends, excuses, lives), so it
+//! may be heard late, twice and in any order, and all come to the same.
 
 use std::{
     cmp::Reverse,
@@ -96,7 +96,8 @@
 /// Fewer would refuse what was there by chance when two targets were killed.
 pub const ENDS: usize = 3;
 
-/// The same for work that was outlived in the last minutes.
+/// The same for work that some target outlived in the last minutes, counted
+/// anew each time that one does.
 pub const PROVEN_ENDS: usize = 6;
 
 /// How long work is suspected after it came last, by any entry's clock.
@@ -106,19 +107,29 @@
 /// finding out whether it still ends them.
 pub const LONGEST_TIME: Millis = Millis(60 * 60 * 1_000);
 
-/// How long news is told: eight digests, of which seven may be lost.
+/// How long own news is told: eight digests, of which seven may be lost. So
+/// it reaches all of 31 entries of which 16 are told at a time.
 const TELL_TIME: Millis = Millis(4_000);
 
-/// Pieces of work that are told of at a time, 60 bytes each: a quarter of
+/// How long what was heard is passed on, for entries that whoever learnt it
+/// doesn't reach: two digests. Only from the second end on: passed on at
+/// once, all that runs on killed targets was two thirds of what 31 entries
+/// told one another.
+const PASS_ON_TIME: Millis = Millis(1_000);
+const PASSED_ON_ENDS: usize = 2;
+
+/// Pieces of work that are told of at a time, 8 to 35 bytes each: a third of
 /// the largest datagram.
-const MOST_TOLD: usize = 256;
+const MOST_TOLD: usize = 512;
 
-/// Pieces of work that are suspected, 150 bytes each. What a target ran and
+/// Pieces of work that are suspected, some 250 bytes each. What a target ran and
 /// had waiting at its end is some 50.
 const MOST_CASES: usize = 4_096;
 
-/// Ends that are remembered of one piece of work.
+/// Ends that are held against one piece of work, and those that it is excused
+/// of.
 const MOST_ENDS: usize = 8;
+const MOST_EXCUSED: usize = 16;
 
 /// Ends that were none. Those of a whole availability zone that was cut off.
 const MOST_LIVES: usize = 1_024;
@@ -175,14 +186,16 @@
 #[derive(Clone, Debug)]
 struct Case {
     ends: BTreeSet<End>,
+    /// Ends that were before some target outlived it, the newest last.
+    excused: Vec<End>,
     /// Whether a target is known to have outlived it.
     proven: bool,
     /// When it came last.
     seen: Millis,
     /// Since when it is refused.
     since: Option<Millis>,
-    /// When what is told of it last changed.
-    changed: Millis,
+    /// Until when it is told.
+    told_until: Millis,
 }
 
 /// Work that targets outlived, of the time before and the one before that.
@@ -224,16 +237,15 @@
 
     /// Notes that a target ended under work.
     pub fn ended(&mut self, work: Work, end: End, now: Millis) -> Change {
-        self.hear(
-            &Suspect {
-                work: work.0,
-                ends: vec![end.0],
-                proven: false,
-                idle: Millis(0),
-                refused: None,
-            },
-            now,
-        )
+        let seen = Suspect {
+            work: work.0,
+            ends: vec![end.0],
+            excused: Vec::new(),
+            proven: false,
+            idle: Millis(0),
+            refused: None,
+        };
+        self.learn(&seen, TELL_TIME, now)
     }
 
     /// Notes that a target outlived work.
@@ -243,11 +255,14 @@
         let Some(case) = self.cases.get_mut(&work) else {
             return Change::None;
         };
-        if case.proven {
+        if case.proven && case.ends.is_empty() {
             return Change::None;
         }
         case.proven = true;
-        case.changed = now;
+        for end in std::mem::take(&mut case.ends) {
+            case.excuse(end);
+        }
+        case.told_until = now + TELL_TIME;
         match case.judge(now) {
             Change::None => Change::Suspected,
             change => change,
@@ -256,6 +271,16 @@
 
     /// Takes in what another entry, or one before this process, knows.
     pub fn hear(&mut self, told: &Suspect, now: Millis) -> Change {
+        self.learn(told, PASS_ON_TIME, now)
+    }
+
+    /// Takes something in that is told for a time.
+    fn learn(
+        &mut self,
+        told: &Suspect,
+        telling: Millis,
+        now: Millis,
+    ) -> Change {
         let now = now + BEFORE;
         let refused = told.refused.unwrap_or_default();
         if told.idle >= KEEP_TIME || refused >= LONGEST_TIME {
@@ -268,10 +293,11 @@
         let outlived = self.outlived.holds(work);
         let case = self.cases.entry(work).or_insert_with(|| Case {
             ends: BTreeSet::new(),
+            excused: Vec::new(),
             proven: outlived,
             seen: now - told.idle,
             since: None,
-            changed: now,
+            told_until: now,
         });
         if case.is_over(now) {
             case.since = None;
@@ -280,25 +306,36 @@
         if now.since(case.seen) > told.idle + WAY_TIME {
             case.seen = now - told.idle;
         }
-        let before = (case.ends.len(), case.proven);
+        let before = (case.ends.len(), case.excused.len(), case.proven);
+        // Whoever tells of proven work as of any other, or of an end that was
+        // excused or none, hasn't heard it, and would soon refuse what
+        // everybody sends.
+        let mut misses = case.proven && !told.proven;
+        case.proven |= told.proven;
+        for end in told.excused.iter().map(|it| End(*it)) {
+            case.excuse(end);
+        }
         for end in told.ends.iter().map(|it| End(*it)) {
-            // Whoever still tells of it hasn't heard that it was none.
             if let Some(heard) = self.lives.get_mut(&end) {
                 *heard = now;
+            } else if case.excused.contains(&end) {
+                misses = true;
             } else if case.ends.len() < MOST_ENDS {
                 case.ends.insert(end);
             }
         }
-        case.proven |= told.proven;
-        if (case.ends.len(), case.proven) != before {
-            case.changed = now;
+        let after = (case.ends.len(), case.excused.len(), case.proven);
+        let is_news = after != before;
+        let is_passed_on = case.ends.len() >= PASSED_ON_ENDS || case.proven;
+        if misses || is_news && (is_passed_on || telling == TELL_TIME) {
+            case.told_until = case.told_until.max(now + telling);
         }
         let change = case.judge(now);
         if let (Some(since), Some(_)) = (&mut case.since, told.refused) {
             *since = (*since).min(now - refused);
         }
         match change {
-            Change::None if case.changed == now => Change::Suspected,
+            Change::None if is_news => Change::Suspected,
             change => change,
         }
     }
@@ -335,6 +372,11 @@
         self.cases.get(&work).map_or(0, |it| it.ends.len())
     }
 
+    /// Pieces of work that are kept.
+    pub fn cases(&self) -> usize {
+        self.cases.len()
+    }
+
     /// What is known of a piece of work, to be told or kept.
     pub fn suspect(&self, work: Work, now: Millis) -> Option<Suspect> {
         let now = now + BEFORE;
@@ -346,8 +388,10 @@
         let now = now + BEFORE;
         let mut told: Vec<(&Work, &Case)> =
             self.cases.iter().filter(|it| it.1.is_told(now)).collect();
-        told.sort_by_key(|it| {
-            (it.1.since.is_none(), MOST_ENDS - it.1.ends.len())
+        // Own news lasts longer than what is passed on.
+        told.sort_by_key(|(_, case)| {
+            let ends = Reverse(case.ends.len());
+            (case.since.is_none(), ends, Reverse(case.told_until))
         });
         told.truncate(MOST_TOLD);
         told.into_iter().map(|it| it.1.told(*it.0, now)).collect()
@@ -404,6 +448,17 @@
 }
 
 impl Case {
+    /// Holds an end against it no longer.
+    fn excuse(&mut self, end: End) {
+        self.ends.remove(&end);
+        if !self.excused.contains(&end) {
+            self.excused.push(end);
+        }
+        if self.excused.len() > MOST_EXCUSED {
+            self.excused.remove(0);
+        }
+    }
+
     /// Sees whether it is to be refused.
     fn judge(&mut self, now: Millis) -> Change {
         let most = if self.proven { PROVEN_ENDS } else { ENDS };
@@ -427,14 +482,14 @@
     }
 
     fn is_told(&self, now: Millis) -> bool {
-        !self.is_over(now)
-            && (self.since.is_some() || now.since(self.changed) < TELL_TIME)
+        !self.is_over(now) && (self.since.is_some() || now < self.told_until)
     }
 
     fn told(&self, work: Work, now: Millis) -> Suspect {
         Suspect {
             work: work.0,
             ends: self.ends.iter().map(|it| it.0).collect(),
+            excused: self.excused.iter().map(|it| it.0).collect(),
             proven: self.proven,
             idle: now.since(self.seen),
             refused: self.since.map(|it| now.since(it)),
--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -8,6 +8,7 @@
 pub mod overload;
 pub mod pace;
 pub mod placement;
+pub mod quarantine;
 pub mod routing;
 pub mod slopes;
 pub mod switch;
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -16,7 +16,7 @@
 use cowsliproad_admission::quarantine::{Change, End, Ledger, Standing, Work};
 use cowsliproad_kernel::{
     clock::Millis,
-    gossip::{self, Suspect},
+    gossip::{self, Suspect, Suspects},
 };
 use cowsliproad_platform::log::{self, Client, Error, Record};
 use cowsliproad_routing::fleet::{Start, Target};
@@ -57,7 +57,7 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     ledger: Ledger,
-    /// Work under which this entry saw a target end.
+    /// Work of which this entry saw something itself.
     own: HashSet<Work>,
     /// Work that the log is to be told of, and that it was told of.
     unwritten: BTreeSet<Work>,
@@ -103,8 +103,9 @@
     }
 
     /// What other entries are told.
-    pub fn told(&self, now: Millis) -> (Vec<Suspect>, Vec<u64>) {
-        (self.ledger.told(now), self.ledger.lives_told(now))
+    pub fn told(&self, now: Millis) -> (Suspects, Vec<u64>) {
+        let suspects = Suspects::pack(self.ledger.told(now));
+        (suspects, self.ledger.lives_told(now))
     }
 
     fn note(&mut self, work: Work) {
@@ -157,7 +158,13 @@
 
     /// Notes that a target outlived work.
     pub fn note_outlived(&self, work: Work, now: Millis) {
-        let change = self.quarantine.borrow_mut().ledger.outlived(work, now);
+        let mut quarantine = self.quarantine.borrow_mut();
+        let change = quarantine.ledger.outlived(work, now);
+        if change != Change::None {
+            // What the log keeps of it is to say so too.
+            quarantine.own.insert(work);
+        }
+        drop(quarantine);
         self.judged(work, change, Source::Own);
     }
 
@@ -222,15 +229,15 @@
     /// Takes in what another entry tells of work that ends targets.
     pub fn hear_suspects(
         &self,
-        suspects: &[Suspect],
+        suspects: &Suspects,
         lives: &[u64],
         now: Millis,
     ) {
         for end in lives.iter().map(|it| End(*it)) {
             self.note_lives(end, now, Source::Peer);
         }
-        for suspect in suspects {
-            self.hear_suspect(suspect, now, Source::Peer);
+        for suspect in suspects.unpack() {
+            self.hear_suspect(&suspect, now, Source::Peer);
         }
         self.quarantine.borrow_mut().sweep(now);
     }
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -6,11 +6,13 @@
 //! the configuration, goes over HTTP between entries.
 
 use std::{
+    collections::BTreeMap,
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
 };
 
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 
 use crate::{Name, clock::Millis};
 
@@ -88,8 +90,8 @@
     #[serde(rename = "z", default = "nowhere")]
     pub zone: Name,
     /// Work that targets ended under: what is refused, and news.
-    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
-    pub suspects: Vec<Suspect>,
+    #[serde(rename = "q", default, skip_serializing_if = "Suspects::is_none")]
+    pub suspects: Suspects,
     /// Ends of targets that were none.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
     pub lives: Vec<u64>,
@@ -105,9 +107,13 @@
     /// What the work is: a digest of who asks, the path and the body.
     #[serde(rename = "w")]
     pub work: u64,
-    /// The targets, each as a digest of its name and its start.
+    /// The targets that this is held against, each as a digest of its name and
+    /// its start.
     #[serde(rename = "e")]
     pub ends: Vec<u64>,
+    /// Those of them that were before some target outlived it.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub excused: Vec<u64>,
     /// Whether some target is known to have outlived it.
     #[serde(rename = "s")]
     pub proven: bool,
@@ -181,6 +187,62 @@
     pub start: u64,
 }
 
+/// Many pieces of work that targets ended under. Mostly one target ended
+/// under all that it ran, and those take 8 bytes each instead of some 35.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspects {
+    /// Work under which one target ended, by that end.
+    #[serde(rename = "o")]
+    once: Vec<(u64, ByteBuf)>,
+    /// What more is known of.
+    #[serde(rename = "m")]
+    more: Vec<Suspect>,
+}
+
+/// The bytes that one piece of work takes.
+const WORK_BYTES: usize = 8;
+
+impl Suspects {
+    /// Packs them.
+    pub fn pack(suspects: Vec<Suspect>) -> Suspects {
+        let mut once: BTreeMap<u64, ByteBuf> = BTreeMap::new();
+        let mut more = Vec::new();
+        for suspect in suspects {
+            match suspect.ends[..] {
+                [end] if !suspect.proven && suspect.refused.is_none() => {
+                    let works = once.entry(end).or_default();
+                    works.extend_from_slice(&suspect.work.to_be_bytes());
+                }
+                _ => more.push(suspect),
+            }
+        }
+        Suspects { once: once.into_iter().collect(), more }
+    }
+
+    /// Whether there are none.
+    pub fn is_none(&self) -> bool {
+        self.once.is_empty() && self.more.is_empty()
+    }
+
+    /// Unpacks them. Those that were packed closely count as seen just now:
+    /// they are told for some seconds only.
+    pub fn unpack(&self) -> impl Iterator<Item = Suspect> {
+        let once = self.once.iter().flat_map(|(end, works)| {
+            works.chunks_exact(WORK_BYTES).map(|work| Suspect {
+                work: work
+                    .iter()
+                    .fold(0, |it, byte| it << 8 | u64::from(*byte)),
+                ends: vec![*end],
+                excused: Vec::new(),
+                proven: false,
+                idle: Millis(0),
+                refused: None,
+            })
+        });
+        once.chain(self.more.iter().cloned())
+    }
+}
+
 /// An agent's word to entries: its engine's process is gone. Nobody listens
 /// on the VM that the agent itself runs on, so no cut is taken for an end.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
