--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -15,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-use cowsliproad_kernel::gossip::{self, Datagram, Load, Subscribe};
+use cowsliproad_kernel::gossip::{self, Datagram, Load, Lost, Subscribe};
 use cowsliproad_platform::{SETTINGS_VARIABLE, log::COORDINATORS};
 use cowsliproad_platform_standin::{
     group::{self, Frozen, Group},
@@ -42,6 +42,7 @@
     log_address: SocketAddr,
     agents: Vec<Agent>,
     loads: Arc<std::sync::Mutex<Vec<Load>>>,
+    losts: Arc<std::sync::Mutex<Vec<Lost>>>,
 }
 
 struct Agent {
@@ -83,6 +84,7 @@
             log_address,
             agents: Vec::new(),
             loads: Arc::default(),
+            losts: Arc::default(),
         };
         for number in numbers {
             let agent = plant.agent(number);
@@ -132,13 +134,19 @@
                 sleep(Duration::from_millis(200)).await;
             }
         });
-        let loads = self.loads.clone();
+        let (loads, losts) = (self.loads.clone(), self.losts.clone());
         tokio::spawn(async move {
             let mut buffer = [0; 2_048];
             while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
                 let read = gossip::decode::<Datagram>(&buffer[..length]);
-                if let Some(Datagram::Load(load)) = read {
-                    loads.lock().expect("no panic").push(load);
+                match read {
+                    Some(Datagram::Load(load)) => {
+                        loads.lock().expect("no panic").push(load);
+                    }
+                    Some(Datagram::Lost(lost)) => {
+                        losts.lock().expect("no panic").push(lost);
+                    }
+                    _ => {}
                 }
             }
         });
@@ -346,3 +354,28 @@
     }
     assert_eq!(one.group.tally().mixed + other.group.tally().mixed, 0);
 }
+
+/// An agent stands on its engine's own VM and knows best that its process is
+/// gone. One whose engine only doesn't answer says nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_says_that_its_engines_process_is_gone() {
+    let (plant, engines) = Plant::prepare().await;
+    plant.ask(engines.clone()).await;
+    let reports_of = |engine: SocketAddr| {
+        let loads = plant.loads.lock().expect("no panic");
+        loads.iter().filter(|it| it.target == engine).count()
+    };
+    until("every agent reports", || {
+        engines.iter().all(|it| reports_of(*it) > 0)
+    })
+    .await;
+    plant.group.freeze(3, Frozen::Yes);
+    plant.group.end(2);
+    let losts = || plant.losts.lock().expect("no panic").clone();
+    until("it is said, and said again", || losts().len() > 2).await;
+    assert!(losts().iter().all(|it| it.target == engines[2]));
+    let before = reports_of(engines[2]);
+    let others = reports_of(engines[1]);
+    until("the others report", || reports_of(engines[1]) > others + 1).await;
+    assert_eq!(reports_of(engines[2]), before);
+}
