Signs of life are told for seconds only; a request's stay in a file of its own

Cause: an end taken back was told again whenever it was heard, so that two entries kept it alive between them; and what the log kept of two ends had no age. Sweeping looked at all ends for each word.

--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -122,7 +122,7 @@
 /// the largest datagram.
 const MOST_TOLD: usize = 512;
 
-/// Pieces of work that are suspected, some 250 bytes each. What a target ran and
+/// Pieces of work that are suspected, 350 bytes each. What a target ran and
 /// had waiting at its end is some 50.
 const MOST_CASES: usize = 4_096;
 
@@ -344,9 +344,10 @@
     /// that is refused no longer.
     pub fn lives(&mut self, end: End, now: Millis) -> Vec<Work> {
         let now = now + BEFORE;
-        if self.lives.insert(end, now).is_some() {
+        if self.took_back(end) {
             return Vec::new();
         }
+        self.lives.insert(end, now);
         if self.lives.len() > MOST_LIVES {
             let oldest = self.lives.iter().min_by_key(|it| it.1);
             if let Some(oldest) = oldest.map(|it| *it.0) {
@@ -362,6 +363,16 @@
         freed
     }
 
+    /// Whether an end is known to have been none.
+    pub fn took_back(&self, end: End) -> bool {
+        self.lives.contains_key(&end)
+    }
+
+    /// Whether anything is known of a piece of work.
+    pub fn knows(&self, work: Work) -> bool {
+        self.cases.contains_key(&work)
+    }
+
     /// Whether an end is held against any work.
     pub fn holds(&self, end: End) -> bool {
         self.cases.values().any(|it| it.ends.contains(&end))
--- a/cowsliproad-bench/src/experiment/slopes.rs
+++ b/cowsliproad-bench/src/experiment/slopes.rs
@@ -13,6 +13,7 @@
 };
 
 use cowsliproad_admission::{
+    quarantine::{End, Ledger, Work as Kind},
     queue::{self, Item, Pace, Queue},
     register::Register,
     ticket::{Purpose, Ticket},
@@ -64,6 +65,7 @@
     organisations(&mut figures);
     kept_answers(&mut figures);
     tickets(&mut figures);
+    suspects(&mut figures);
     eprintln!("requests");
     let time = Duration::from_millis(if quick { 400 } else { 2_000 });
     requests(&mut figures, time).await?;
@@ -404,3 +406,41 @@
         agent: crate::plant::ANY,
     })
 }
+
+/// Memory and time of work that targets ended under, and of telling work.
+/// Some ledgers at once, since one is too small to be seen.
+fn suspects(figures: &mut Value) {
+    const LEDGERS: u64 = 16;
+    let now = Millis(1_000_000);
+    let (mut suspected, mut learn) = (Points::new(), Points::new());
+    for count in [512_u64, 1_024, 2_048, 4_096] {
+        let before = meter::memory();
+        let mut ledgers: Vec<Ledger> =
+            (0..LEDGERS).map(|_| Ledger::new()).collect();
+        let start = Instant::now();
+        for ledger in &mut ledgers {
+            for work in 0..count {
+                ledger.ended(Kind(work), End(work / 50), now);
+            }
+        }
+        let taken = start.elapsed().as_nanos() as f64 / 1e3;
+        let grown = meter::memory().saturating_sub(before);
+        suspected.push((count as f64, grown as f64 / LEDGERS as f64));
+        learn.push((count as f64, taken / LEDGERS as f64));
+        std::mem::forget(black_box(ledgers));
+    }
+    add(figures, "memory_bytes_per_suspect", "bytes", &suspected);
+    add(figures, "suspect_us", "us", &learn);
+    let mut digest = Points::new();
+    for kilobytes in [1_usize, 4, 16, 64] {
+        let body = vec![b'x'; kilobytes << 10];
+        let times = 2_000;
+        let start = Instant::now();
+        for _ in 0..times {
+            black_box(Kind::new(&[b"organisation", b"/path/", &body]));
+        }
+        let taken = start.elapsed().as_nanos() as f64 / 1e3;
+        digest.push((kilobytes as f64, taken / f64::from(times)));
+    }
+    add(figures, "work_us_per_kilobyte", "us", &digest);
+}
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -14,7 +14,7 @@
 //! of targets that one request is sent to stays within its route's bound,
 //! and every try after the first draws on the retry budget.
 
-use std::{cell::Cell, rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use cowsliproad_admission::{
@@ -34,9 +34,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    ends::{self, Doubt},
     entry::{Choice, Entry, Source},
-    receive::{USUAL_TIME, drop_hop_by_hop},
+    receive::{USUAL_TIME, drop_hop_by_hop, work_of},
     reply::{self, Body},
     upstream::{self, Failure, Lease, Reuse},
 };
@@ -155,81 +154,6 @@
     pub lease: Lease,
 }
 
-/// A request's stay at a target. However it is left, by its caller too, it is
-/// asked whether the target ended under it, unless it is known not to have.
-#[derive(Debug)]
-pub struct Stay {
-    entry: Rc<Entry>,
-    choice: Choice,
-    call: (Name, Work),
-    began: Millis,
-    /// Whether it is known, or asked, what became of the target.
-    settled: Cell<bool>,
-}
-
-impl Stay {
-    /// Counts a request in.
-    pub fn new(entry: &Rc<Entry>, call: &Call, choice: &Choice) -> Stay {
-        choice.seat.borrow_mut().record.start();
-        Stay {
-            entry: entry.clone(),
-            choice: choice.clone(),
-            call: (call.id.clone(), call.work),
-            began: Millis::now(),
-            settled: Cell::new(false),
-        }
-    }
-
-    /// Notes a good answer.
-    pub fn success(&self) {
-        let now = Millis::now();
-        let took = now.since(self.began);
-        self.choice.seat.borrow_mut().record.success(took, now);
-        self.outlived();
-        self.entry.note_outlived(self.call.1, now);
-    }
-
-    /// Notes an answer that tells of a failure.
-    pub fn failed(&self) {
-        self.choice.seat.borrow_mut().record.failure(Millis::now());
-        self.outlived();
-    }
-
-    /// Notes that the target outlived it.
-    pub fn outlived(&self) {
-        self.settled.set(true);
-    }
-
-    /// Notes that there was no answer.
-    pub fn missed(&self, miss: &Miss) {
-        self.choice.seat.borrow_mut().record.failure(Millis::now());
-        self.left(miss);
-    }
-
-    /// Asks what became of the target, if it may have begun it.
-    pub fn left(&self, miss: &Miss) {
-        match miss {
-            Miss::Refused(_) | Miss::Unsent(_) => self.outlived(),
-            Miss::Broken(_) => self.doubt(Doubt::broken),
-            Miss::Unknown(_) => self.doubt(Doubt::given_up),
-        }
-    }
-
-    fn doubt(&self, new: fn(Name, Work) -> Doubt) {
-        if !self.settled.replace(true) {
-            let (request, work) = self.call.clone();
-            ends::doubt(&self.entry, &self.choice, new(request, work));
-        }
-    }
-}
-
-impl Drop for Stay {
-    fn drop(&mut self) {
-        self.choice.seat.borrow_mut().record.end();
-        self.doubt(Doubt::given_up);
-    }
-}
-
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub struct Destination {
@@ -629,21 +553,6 @@
     Ok(Response::from_parts(head, body))
 }
 
-/// What a request is, by all of it that a target could run differently. Who
-/// asks is known by the organisation, which is all of it that targets see.
-fn work_of(head: &request::Parts, body: &Bytes) -> Work {
-    let text =
-        |name| head.headers.get(name).map_or(&[][..], |it| it.as_bytes());
-    let path = head.uri.path_and_query().map_or("/", |it| it.as_str());
-    Work::new(&[
-        text(&header::ORGANISATION),
-        text(&standard::HOST),
-        head.method.as_str().as_bytes(),
-        path.as_bytes(),
-        body,
-    ])
-}
-
 /// Notes that a target answers.
 fn note_life(entry: &Entry, choice: &Choice) {
     let now = Millis::now();
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -10,11 +10,12 @@
 use tokio::time::timeout;
 
 use crate::{
-    call::{Call, Miss, Stay},
+    call::{Call, Miss},
     callers::Busy,
     entry::Entry,
     receive::receive,
     reply::{self, Body},
+    stay::Stay,
     stream,
 };
 
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`forward`]: from a request to its answer;
 //! * [`call`]: tries at targets, and what may follow each;
 //! * [`stream`]: answers that are streams of events, resumed elsewhere;
+//! * [`stay`]: a request's stay at a target;
 //! * [`upstream`]: connections to targets;
 //! * [`ends`]: whether a target ended under its requests;
 //! * [`quarantine`]: work that ends its targets is refused by all entries;
@@ -47,6 +48,7 @@
 pub mod receive;
 pub mod reply;
 pub mod settings;
+pub mod stay;
 pub mod stream;
 pub mod upstream;
 
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -160,6 +160,7 @@
     let mut asked = 0;
     loop {
         let now = Millis::now();
+        entry.quarantine.borrow_mut().sweep(now);
         let told = entry.peers.borrow_mut().told(now);
         let digest = gossip::encode(&Datagram::Digest(digest(&entry, now)));
         for peer in told {
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -50,6 +50,9 @@
 /// Two announcements that lie further apart are not of one reading.
 const RENEWAL_TIME: Millis = Millis(1_000);
 
+/// How often what is over is looked for.
+const SWEEP_TIME: Millis = Millis(10_000);
+
 /// Ended targets whose signs of life are looked for, 100 bytes each.
 const MOST_ENDED: usize = 1_024;
 
@@ -66,6 +69,7 @@
     ended: HashMap<End, Ended>,
     /// Wakes the task that writes.
     due: Rc<Notify>,
+    swept: Millis,
 }
 
 /// A target that was taken for ended.
@@ -116,15 +120,22 @@
         }
     }
 
-    fn sweep(&mut self, now: Millis) {
+    /// Forgets what is over, and has the log forget it.
+    pub fn sweep(&mut self, now: Millis) {
+        if now.since(self.swept) < SWEEP_TIME {
+            return;
+        }
+        self.swept = now;
         for work in self.ledger.sweep(now) {
-            self.own.remove(&work);
             if self.written.remove(&work) {
                 self.unwritten.insert(work);
                 self.due.notify_one();
             }
         }
-        self.ended.retain(|end, _| self.ledger.holds(*end));
+        let ledger = &self.ledger;
+        self.own.retain(|it| ledger.knows(*it));
+        self.written.retain(|it| ledger.knows(*it));
+        self.ended.retain(|end, _| ledger.holds(*end));
     }
 
     fn watch(&mut self, end: End, now: Millis) {
@@ -210,6 +221,9 @@
     /// Notes that what was taken for the end of a target was none.
     fn note_lives(&self, end: End, now: Millis, source: Source) {
         let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.ledger.took_back(end) {
+            return;
+        }
         let held = quarantine.ledger.holds(end);
         let freed = quarantine.ledger.lives(end, now);
         quarantine.ended.remove(&end);
@@ -239,14 +253,13 @@
         for suspect in suspects.unpack() {
             self.hear_suspect(&suspect, now, Source::Peer);
         }
-        self.quarantine.borrow_mut().sweep(now);
     }
 
     fn hear_suspect(&self, suspect: &Suspect, now: Millis, source: Source) {
         let mut quarantine = self.quarantine.borrow_mut();
         let change = quarantine.ledger.hear(suspect, now);
         for end in suspect.ends.iter().map(|it| End(*it)) {
-            if change != Change::None && quarantine.ledger.holds(end) {
+            if change != Change::None && !quarantine.ledger.took_back(end) {
                 quarantine.watch(end, now);
             }
         }
@@ -326,9 +339,14 @@
     };
     let age = Millis(unix_now()).since(Millis(kept.at));
     let mut suspect = kept.suspect;
-    // The record says when its work was refused, not when it came last.
-    suspect.idle = Millis(0);
-    suspect.refused = suspect.refused.map(|it| it + age);
+    match &mut suspect.refused {
+        // It may have come since, which is not written each time.
+        Some(refused) => {
+            *refused = *refused + age;
+            suspect.idle = Millis(0);
+        }
+        None => suspect.idle = suspect.idle + age,
+    }
     let now = Millis::now();
     entry.hear_suspect(&suspect, now, Source::Log);
     let work = Work(suspect.work);
--- /dev/null
+++ b/cowsliproad-direct/src/stay.rs
@@ -0,0 +1,87 @@
+//! A request's stay at a target, from its sending to its end.
+
+use std::{cell::Cell, rc::Rc};
+
+use cowsliproad_admission::quarantine::Work;
+use cowsliproad_kernel::{Name, clock::Millis};
+
+use crate::{
+    call::{Call, Miss},
+    ends::{self, Doubt},
+    entry::{Choice, Entry},
+};
+
+/// A request's stay at a target. However it is left, by its caller too, it is
+/// asked whether the target ended under it, unless it is known not to have.
+#[derive(Debug)]
+pub struct Stay {
+    entry: Rc<Entry>,
+    choice: Choice,
+    call: (Name, Work),
+    began: Millis,
+    /// Whether it is known, or asked, what became of the target.
+    settled: Cell<bool>,
+}
+
+impl Stay {
+    /// Counts a request in.
+    pub fn new(entry: &Rc<Entry>, call: &Call, choice: &Choice) -> Stay {
+        choice.seat.borrow_mut().record.start();
+        Stay {
+            entry: entry.clone(),
+            choice: choice.clone(),
+            call: (call.id.clone(), call.work),
+            began: Millis::now(),
+            settled: Cell::new(false),
+        }
+    }
+
+    /// Notes a good answer.
+    pub fn success(&self) {
+        let now = Millis::now();
+        let took = now.since(self.began);
+        self.choice.seat.borrow_mut().record.success(took, now);
+        self.outlived();
+        self.entry.note_outlived(self.call.1, now);
+    }
+
+    /// Notes an answer that tells of a failure.
+    pub fn failed(&self) {
+        self.choice.seat.borrow_mut().record.failure(Millis::now());
+        self.outlived();
+    }
+
+    /// Notes that the target outlived it.
+    pub fn outlived(&self) {
+        self.settled.set(true);
+    }
+
+    /// Notes that there was no answer.
+    pub fn missed(&self, miss: &Miss) {
+        self.choice.seat.borrow_mut().record.failure(Millis::now());
+        self.left(miss);
+    }
+
+    /// Asks what became of the target, if it may have begun it.
+    pub fn left(&self, miss: &Miss) {
+        match miss {
+            Miss::Refused(_) | Miss::Unsent(_) => self.outlived(),
+            Miss::Broken(_) => self.doubt(Doubt::broken),
+            Miss::Unknown(_) => self.doubt(Doubt::given_up),
+        }
+    }
+
+    fn doubt(&self, new: fn(Name, Work) -> Doubt) {
+        if !self.settled.replace(true) {
+            let (request, work) = self.call.clone();
+            ends::doubt(&self.entry, &self.choice, new(request, work));
+        }
+    }
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        self.choice.seat.borrow_mut().record.end();
+        self.doubt(Doubt::given_up);
+    }
+}
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -21,11 +21,12 @@
 };
 
 use crate::{
-    call::{Call, Miss, Opened, Stay, read_whole},
+    call::{Call, Miss, Opened, read_whole},
     callers::Busy,
     entry::{Choice, Entry, Group},
     receive::drop_hop_by_hop,
     reply::{Body, Piece},
+    stay::Stay,
     upstream::Lease,
 };
 
--- a/tests/properties/quarantine.rs
+++ b/tests/properties/quarantine.rs
@@ -196,18 +196,23 @@
 fn telling_keeps_nothing_alive() {
     let deadly = work("deadly");
     let mut ledgers = [after(3, deadly), Ledger::new()];
+    ledgers[0].lives(end(9), NOW);
     let mut now = NOW;
     while now < NOW + KEEP_TIME + Millis(2_000) {
         for (from, to) in [(0, 1), (1, 0)] {
             for told in ledgers[from].told(now) {
                 ledgers[to].hear(&told, now + Millis(5));
             }
+            for lives in ledgers[from].lives_told(now) {
+                ledgers[to].lives(End(lives), now + Millis(5));
+            }
         }
         now = now + Millis(500);
     }
     for ledger in &ledgers {
         assert!(!is_refused(ledger, deadly, now));
         assert!(ledger.told(now).is_empty());
+        assert!(ledger.lives_told(now).is_empty());
     }
 }
 
