The process tests wait for every address of an entry

Cause of stopping_programs_exit_with_success failing now and then: an entry binds its callers' address, then the operators' and the links'. The harness waited for the first and called the second.

Ports are also drawn from below those that the system gives to outgoing connections, which could take one between its choice and the program's start. That was suspected, and not seen.

--- a/tests/processes/harness.rs
+++ b/tests/processes/harness.rs
@@ -4,9 +4,13 @@
     collections::HashMap,
     fs,
     net::{SocketAddr, TcpListener},
+    ops::Range,
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -131,7 +135,10 @@
     ) {
         let program =
             self.spawn("cowsliproad-entry", &settings.name, &settings);
-        wait_for(settings.http).await;
+        // It listens at one address after the other.
+        for address in [settings.http, settings.admin, settings.link] {
+            wait_for(address).await;
+        }
         self.balancer.add(settings.http);
         self.entries.push(Entry { settings, program });
     }
@@ -272,10 +279,23 @@
     settings
 }
 
-/// A port that was free a moment ago.
+/// Ports below those that the system gives to connections: one of these
+/// would be taken between its choice and the program's start.
+const PORTS: Range<u16> = 10_000..32_000;
+
+/// A port that nobody listens at and that no other call has returned. Test
+/// programs that run beside one another begin at ports of their own.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
+    static DRAWN: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(37);
+    loop {
+        let drawn = DRAWN.fetch_add(1, Ordering::Relaxed);
+        let offset = first.wrapping_add(drawn) % PORTS.len() as u32;
+        let address = ([127, 0, 0, 1], PORTS.start + offset as u16).into();
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 async fn wait_for(address: SocketAddr) {
