Failing tests: work is sent on though targets ended under it after it was given up

Stand-in targets can now go on with a request whose caller left, and end later. On both paths three targets end under the same work, nobody is told, and the next entries send it on.

On the users' platform an entry asks half a second after a request was given up whether its target lives, and takes a yes for the last word. On the product's own path an agent doesn't ask at all once it has given a call up.

--- a/cowsliproad-direct/tests/entry/quarantine.rs
+++ b/cowsliproad-direct/tests/entry/quarantine.rs
@@ -23,7 +23,10 @@
 };
 use futures_util::future::join_all;
 use http::{StatusCode, header::RETRY_AFTER};
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::{
+    net::UdpSocket,
+    time::{sleep, timeout},
+};
 
 use crate::harness::{Entry, KEY, Plant, report, until};
 
@@ -163,6 +166,34 @@
     check(Kind::Calls, "/once/a").await;
 }
 
+/// Callers leave before the target begins, and it goes on all the same and
+/// ends later. One ended after the other, since a target that lived half a
+/// second after its caller left was taken to have outlived the work.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_that_targets_go_on_with_when_its_callers_left_is_refused() {
+    let mut plant = Plant::start().await;
+    let mut targets = Vec::new();
+    for number in 0..7 {
+        let config = Config::new(&format!("i-{number}"), "plain", "a")
+            .with_deadly(DEADLY)
+            .with_stubborn(Duration::from_millis(1_500));
+        targets.push(plant.target_with(config).await);
+    }
+    let entries = entries(&mut plant).await;
+    let scene = Scene { plant, entries, targets };
+    for number in 0..3 {
+        let entry = &scene.entries[number];
+        let asked = entry.ask_with("/once/a", KEY, DEADLY);
+        let left = timeout(Duration::from_millis(300), asked).await;
+        assert!(left.is_err(), "it was answered");
+        until("its target ends", async || scene.ended() > number).await;
+    }
+    sleep(BOUND).await;
+    scene.is_refused("/once/a").await;
+    let other = status(&scene.entries[0], "/once/a", KEY, "other").await;
+    assert_eq!(other, 200);
+}
+
 /// What only looks like it is served: other work of the same caller and path,
 /// the same words of another caller, and the same words elsewhere.
 #[tokio::test(flavor = "multi_thread")]
@@ -349,7 +380,7 @@
         let asked = Instant::now();
         let wait = Duration::from_millis(500);
         let other = scene.entries[0].ask_with("/stream/a", KEY, "other");
-        let _ = tokio::time::timeout(wait, other).await;
+        let _ = timeout(wait, other).await;
         asked.elapsed() >= wait
     })
     .await;
--- a/cowsliproad-standin/src/mortal.rs
+++ b/cowsliproad-standin/src/mortal.rs
@@ -33,6 +33,7 @@
     deadly: Vec<u8>,
     down: Duration,
     lag: Duration,
+    stubborn: Option<Duration>,
 }
 
 impl Config {
@@ -42,6 +43,7 @@
             deadly: deadly.as_bytes().to_vec(),
             down: Duration::from_millis(500),
             lag: Duration::ZERO,
+            stubborn: None,
         }
     }
 
@@ -50,6 +52,12 @@
         Config { down, ..self }
     }
 
+    /// One that goes on when its caller has left, and ends so long after it
+    /// was sent such work.
+    pub fn with_stubborn(self, time: Duration) -> Config {
+        Config { stubborn: Some(time), ..self }
+    }
+
     /// One whose listener goes so long after its connections.
     pub fn with_lag(self, lag: Duration) -> Config {
         Config { lag, ..self }
@@ -98,6 +106,13 @@
         self.end.send_replace(());
     }
 
+    fn end_after(self: Arc<Mortal>, time: Duration) {
+        tokio::spawn(async move {
+            sleep(time).await;
+            self.end();
+        });
+    }
+
     fn is_deadly(&self, bytes: &[u8]) -> bool {
         let deadly = &self.config.deadly;
         bytes.windows(deadly.len()).any(|it| it == deadly)
@@ -147,7 +162,10 @@
     }
 }
 
-async fn connection(mortal: &Mortal, stream: TcpStream) -> io::Result<()> {
+async fn connection(
+    mortal: &Arc<Mortal>,
+    stream: TcpStream,
+) -> io::Result<()> {
     let behind = TcpStream::connect(mortal.behind).await?;
     let (caller_reads, caller_writes) = stream.into_split();
     let (target_reads, target_writes) = behind.into_split();
@@ -158,7 +176,7 @@
 }
 
 async fn requests(
-    mortal: &Mortal,
+    mortal: &Arc<Mortal>,
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
 ) -> io::Result<()> {
@@ -171,7 +189,10 @@
         }
         request.extend_from_slice(&buffer[..length]);
         if mortal.is_deadly(&request) {
-            mortal.end();
+            match mortal.config.stubborn {
+                Some(time) => mortal.clone().end_after(time),
+                None => mortal.end(),
+            }
             // The connection goes with the process.
             return pending().await;
         }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -21,7 +21,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const HANGAR: &str = "harju-hangars";
 const OTHER: &str = "wattleford";
@@ -172,6 +172,26 @@
     check(DRAFT, &draft()).await;
 }
 
+/// Callers leave, or their time is over, and targets go on all the same and
+/// end later. Nobody waits for an answer any more when they do.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_that_targets_go_on_with_when_it_was_given_up_is_refused() {
+    // Agents give up after two seconds.
+    for stubborn in [1_200, 2_500].map(Duration::from_millis) {
+        let mortal = mortal::Config::new(DEADLY).with_stubborn(stubborn);
+        let scene = Scene::start_of(engine::Config::new(), mortal).await;
+        let body = call();
+        for entry in 0..3 {
+            let asked = scene.send(entry, HANGAR, GATE, &body);
+            let left = timeout(Duration::from_millis(300), asked).await;
+            assert!(left.is_err(), "it was answered");
+        }
+        sleep(stubborn + BOUND).await;
+        assert!(scene.ends() >= 3);
+        scene.is_refused(GATE, &body).await;
+    }
+}
+
 /// Work with a ticket is for one target only. While that one's process is
 /// gone it was answered 502, one in five such requests here.
 #[tokio::test(flavor = "multi_thread")]
