A target whose process ended gets nothing until it is back

Now an agent tells every entry that nobody listens at its target, and again when somebody does, which it looks for every tenth of a second. It tells that, and the work under which the target ended, before the answer to that work and on the same link, so that the request itself stops after three targets; it ended four. It looks once more after 50 ms, since a process closes its listener and its connections one after the other. Work that was given up is remembered until its deadline, or a second, and counts if the target ends by then.

Ruled out: trying a request with a ticket elsewhere (a ticket runs at most once since one agent alone decides).

--- a/cowsliproad-agent/src/adapter.rs
+++ b/cowsliproad-agent/src/adapter.rs
@@ -14,7 +14,12 @@
 };
 use tokio::runtime::Handle;
 
-use crate::{ends, gate::Gate, settings::Settings, work::Work};
+use crate::{
+    ends::{self, Seen},
+    gate::Gate,
+    settings::Settings,
+    work::Work,
+};
 
 /// A kind of target.
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +71,11 @@
 async fn run<A: Adapter>(gate: Arc<Gate>, adapter: Arc<A>, work: Arc<Work>) {
     let start = Instant::now();
     let result = adapter.call(&work).await;
-    gate.finish(&work, result, start.elapsed());
-    ends::look(&gate, &work, result).await;
+    let held = start.elapsed();
+    // Before the answer, so that no entry sends it on to one target more.
+    let seen = ends::look(&gate, &work, result).await;
+    gate.finish(&work, result, held);
+    if seen == Seen::Listens {
+        ends::look_again(&gate, &work).await;
+    }
 }
--- a/cowsliproad-agent/src/ends.rs
+++ b/cowsliproad-agent/src/ends.rs
@@ -5,8 +5,18 @@
 //! was broken off then, and those that link later. What follows is decided by
 //! entries, which hear of all targets; see
 //! [`cowsliproad_admission::quarantine`].
+//!
+//! Entries hear it before the answer to that work, on the same link: one
+//! request goes to another target at each attempt, and would end four of them
+//! in the quarter of a second between two heartbeats. They also hear that the
+//! process is gone and that it is back, and send nothing there meanwhile.
 
-use std::{io, sync::Mutex, time::Duration};
+use std::{
+    collections::VecDeque,
+    io,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use cowsliproad_admission::quarantine::{self, Change, End, Ledger};
 use cowsliproad_kernel::{
@@ -15,12 +25,16 @@
     gossip::Suspect,
     id,
     sync::lock,
-    wire::{Failure, Format},
+    wire::{Failure, Format, Presence},
 };
 use slog::info;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::TcpStream,
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
-use crate::{gate::Gate, work::Work};
+use crate::{gate::Gate, links::Links, work::Work};
 
 /// The time for a connection on the same VM to be made or refused.
 const ASK_TIME: Duration = Duration::from_millis(100);
@@ -28,11 +42,30 @@
 /// Breaks within so long are of one end: no target starts again sooner.
 const ONE_END: Millis = Millis(300);
 
-/// What ended the target.
+/// A process closes its listener and its connections one after the other. It
+/// is asked once more after this time, which it never takes to start again.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
+
+/// How often it is looked whether the target is back, or still there while it
+/// may be at work that was given up: one connection on the same VM each time.
+const LOOK_TIME: Duration = Duration::from_millis(100);
+
+/// How long a target may go on with work that was given up, if its deadline
+/// is nearer. Ten times the usual work.
+const LINGER_TIME: Millis = Millis(1_000);
+
+/// Work that was given up and is remembered, 16 bytes a piece: all that waits
+/// at a target.
+const MOST_LEFT: usize = 256;
+
+/// What ended the target, and whether it is there.
 #[derive(Debug)]
 pub struct Ends {
     target: String,
     inner: Mutex<Inner>,
+    /// Wakes whoever looks after it while it is gone or has work that was
+    /// given up.
+    watch: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -42,6 +75,22 @@
     last: Option<(End, Millis)>,
     /// Work that entries are to be told of.
     news: Vec<quarantine::Work>,
+    presence: Presence,
+    /// Whether entries are to be told of that.
+    changed: bool,
+    /// Work that was given up, and until when the target may go on with it.
+    left: VecDeque<(quarantine::Work, Millis)>,
+}
+
+/// What was seen of the target after work failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Seen {
+    /// Its process lives or lived on after the work, or nothing was asked.
+    Lives,
+    /// Its process is gone.
+    Gone,
+    /// Somebody still listens, which an ending process may do for a moment.
+    Listens,
 }
 
 impl Ends {
@@ -50,12 +99,25 @@
         Ends {
             target: format!("{target} {incarnation}"),
             inner: Mutex::default(),
+            watch: Notify::new(),
         }
     }
 
+    /// Whether the target's process is there.
+    pub fn presence(&self) -> Presence {
+        lock(&self.inner).presence
+    }
+
+    /// Whether there is anything that entries haven't been told yet.
+    pub fn has_news(&self) -> bool {
+        let inner = lock(&self.inner);
+        inner.changed || !inner.news.is_empty()
+    }
+
     /// What entries haven't been told yet.
     pub fn take_news(&self) -> Vec<Suspect> {
         let mut inner = lock(&self.inner);
+        inner.changed = false;
         let news = std::mem::take(&mut inner.news);
         let now = Millis::now();
         let known = |it: &quarantine::Work| inner.ledger.suspect(*it, now);
@@ -88,27 +150,130 @@
         inner.ledger.ended(work, end, now);
         inner.news.push(work);
     }
+
+    /// Notes whether the target's process is there. Returns whether that is
+    /// new.
+    fn note(&self, presence: Presence) -> bool {
+        let mut inner = lock(&self.inner);
+        let is_new = inner.presence != presence;
+        inner.presence = presence;
+        inner.changed |= is_new;
+        drop(inner);
+        if presence == Presence::Gone {
+            self.watch.notify_one();
+        }
+        is_new
+    }
+
+    /// Notes that work was given up, which the target may go on with.
+    fn leave(&self, work: quarantine::Work, until: Millis) {
+        let mut inner = lock(&self.inner);
+        if inner.left.len() >= MOST_LEFT {
+            inner.left.pop_front();
+        }
+        inner.left.push_back((work, until));
+        drop(inner);
+        self.watch.notify_one();
+    }
+
+    /// Whether the target is to be looked after.
+    fn is_watched(&self, now: Millis) -> bool {
+        let mut inner = lock(&self.inner);
+        inner.left.retain(|it| now < it.1);
+        inner.presence == Presence::Gone || !inner.left.is_empty()
+    }
+
+    /// The work that was given up and that the target may have been at.
+    fn take_left(&self) -> Vec<quarantine::Work> {
+        let left = std::mem::take(&mut lock(&self.inner).left);
+        left.into_iter().map(|it| it.0).collect()
+    }
 }
 
 /// Notes how work went, and asks whether the target ended under it.
-pub async fn look(gate: &Gate, work: &Work, result: Result<Format, Failure>) {
-    let kind = work.kind();
-    match result {
-        Ok(_) => gate.ends.outlived(kind),
-        Err(failure) if may_have_ended(&failure) => {
-            if nobody_listens(gate).await {
-                info!(gate.log(), "ended_under";
-                    "request" => %work.request, "work" => %kind,
-                    "target" => %gate.settings.target);
-                gate.ends.ended(kind);
+pub async fn look(
+    gate: &Gate,
+    work: &Work,
+    result: Result<Format, Failure>,
+) -> Seen {
+    let failure = match result {
+        Ok(_) => {
+            gate.ends.outlived(work.kind());
+            return Seen::Lives;
+        }
+        Err(failure) if failure.code == Code::TargetFailed => failure,
+        Err(failure) => {
+            if failure.ran == Ran::OutcomeUnknown {
+                let until = Millis::now() + LINGER_TIME;
+                gate.ends.leave(work.kind(), until.max(work.deadline));
             }
+            return Seen::Lives;
+        }
+    };
+    let is_gone = nobody_listens(gate).await;
+    match (failure.ran, is_gone) {
+        (Ran::OutcomeUnknown, true) => {
+            note_end(gate, work);
+            Seen::Gone
+        }
+        (Ran::OutcomeUnknown, false) => Seen::Listens,
+        // It was gone before this work came.
+        (_, true) => {
+            note_presence(gate, Presence::Gone);
+            Seen::Gone
         }
-        Err(_) => {}
+        (_, false) => Seen::Lives,
     }
 }
 
-fn may_have_ended(failure: &Failure) -> bool {
-    failure.code == Code::TargetFailed && failure.ran == Ran::OutcomeUnknown
+/// Asks a moment later whether the target ended under work.
+pub async fn look_again(gate: &Gate, work: &Work) {
+    sleep(CLOSE_TIME).await;
+    if nobody_listens(gate).await {
+        note_end(gate, work);
+    }
+}
+
+/// Looks after the target for as long as the agent runs: whether it is back
+/// when it was gone, and whether it ends under work that was given up. Tells
+/// entries.
+pub async fn follow(gate: Arc<Gate>, links: Arc<Links>) {
+    loop {
+        gate.ends.watch.notified().await;
+        while gate.ends.is_watched(Millis::now()) {
+            let is_gone = nobody_listens(&gate).await;
+            if is_gone {
+                for kind in gate.ends.take_left() {
+                    info!(gate.log(), "ended_under_left"; "work" => %kind,
+                        "target" => %gate.settings.target);
+                    gate.ends.ended(kind);
+                }
+            }
+            let presence = match is_gone {
+                true => Presence::Gone,
+                false => Presence::Here,
+            };
+            note_presence(&gate, presence);
+            links.tell_news();
+            sleep(LOOK_TIME).await;
+        }
+    }
+}
+
+fn note_end(gate: &Gate, work: &Work) {
+    let kind = work.kind();
+    info!(gate.log(), "ended_under";
+        "request" => %work.request, "work" => %kind,
+        "target" => %gate.settings.target);
+    gate.ends.ended(kind);
+    note_presence(gate, Presence::Gone);
+}
+
+fn note_presence(gate: &Gate, presence: Presence) {
+    if gate.ends.note(presence) {
+        info!(gate.log(), "target_presence";
+            "target" => %gate.settings.target, "is" => ?presence);
+    }
 }
 
 async fn nobody_listens(gate: &Gate) -> bool {
--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -277,6 +277,7 @@
             clock: Millis::now(),
             phase: inner.phase,
             load: inner.load(self.settings.slots),
+            presence: self.ends.presence(),
             holds: inner.inherited.keys().copied().collect(),
             offset,
         }
--- a/cowsliproad-agent/src/lib.rs
+++ b/cowsliproad-agent/src/lib.rs
@@ -79,6 +79,7 @@
     threads.traffic.spawn(links::accept(links.clone(), listener));
     threads.control.spawn(links::beat(links.clone()));
     threads.control.spawn(gate::sweep(gate.clone()));
+    threads.control.spawn(ends::follow(gate.clone(), links.clone()));
     let door = Door::new();
     let http = http::start(&settings, &gate, &metrics, &door).await?;
     info!(log, "start";
--- a/cowsliproad-agent/src/links.rs
+++ b/cowsliproad-agent/src/links.rs
@@ -62,11 +62,24 @@
         Links { gate, replica, log, open: Mutex::default() }
     }
 
-    /// Sends a heartbeat on every link.
+    /// Sends a heartbeat on every link, and news of the target's ends.
     pub fn beat(&self) {
-        let beat = Frame::Beat(self.gate.beat(self.replica.next()));
+        self.beat_on(self.lock());
+    }
+
+    /// Has every entry know of the target's ends before it hears what is
+    /// sent next.
+    pub fn tell_news(&self) {
+        // Under the lock, so that whoever took the news has passed it on.
+        let open = self.lock();
+        if self.gate.ends.has_news() {
+            self.beat_on(open);
+        }
+    }
+
+    fn beat_on(&self, mut open: MutexGuard<'_, Vec<Sender>>) {
         let news = self.gate.ends.take_news();
-        let mut open = self.lock();
+        let beat = Frame::Beat(self.gate.beat(self.replica.next()));
         open.retain(|link| !link.is_gone());
         for link in open.iter() {
             // A full queue means that the peer will hear of us anyway.
@@ -93,10 +106,14 @@
 
 /// Tells an entry of work that ended the target, also on a busy link.
 fn tell(link: &Sender, suspects: Vec<Suspect>) {
+    let frame = Frame::Suspects(suspects);
+    if link.try_send(frame.clone()).is_ok() {
+        return;
+    }
     let link = link.clone();
     tokio::spawn(async move {
         // An entry whose link is gone is told all when it links again.
-        let _ = link.send(Frame::Suspects(suspects)).await;
+        let _ = link.send(frame).await;
     });
 }
 
@@ -333,6 +350,9 @@
                     self.window.wait(sent).await;
                 }
                 Piece::End(ending) => {
+                    if matches!(ending, Ending::Failed(_)) {
+                        self.links.tell_news();
+                    }
                     let frame = self.ending(ending, sequence);
                     let _ = self.sender.send(frame).await;
                     self.report_load().await;
--- a/cowsliproad-bench/src/experiment/slopes.rs
+++ b/cowsliproad-bench/src/experiment/slopes.rs
@@ -29,7 +29,10 @@
     clock::Millis,
     id,
     plugin::inventory,
-    wire::{self, Answer, Beat, Content, Format, Frame, Load, Phase, Urgency},
+    wire::{
+        self, Answer, Beat, Content, Format, Frame, Load, Phase, Presence,
+        Urgency,
+    },
 };
 use cowsliproad_routing::choice;
 use cowsliproad_standin::{engine, plain};
@@ -270,6 +273,7 @@
                 service_us: 81_234,
                 count: 1_234_567,
             },
+            presence: Presence::Here,
             holds: (0..holds).map(|_| id::Incarnation::random()).collect(),
             offset: 123_456,
         })
--- a/cowsliproad-entry/src/links.rs
+++ b/cowsliproad-entry/src/links.rs
@@ -8,7 +8,7 @@
 
 use cowsliproad_kernel::{
     clock::Millis,
-    wire::{Beat, Frame, Load, Role},
+    wire::{Beat, Frame, Load, Presence, Role},
 };
 use cowsliproad_net::link::{self, Identity, Receiver, Sender};
 use slog::{debug, info};
@@ -257,6 +257,7 @@
         clock: Millis::now(),
         phase: shared.phase(),
         load: Load::default(),
+        presence: Presence::Here,
         holds: Vec::new(),
         offset: shared.published.load().state.next(),
     }
--- a/cowsliproad-entry/src/target.rs
+++ b/cowsliproad-entry/src/target.rs
@@ -20,7 +20,7 @@
     code::Code,
     id,
     sync::lock,
-    wire::{Beat, Data, End, Failure, Frame, Load, Phase, Refusal},
+    wire::{Beat, Data, End, Failure, Frame, Load, Phase, Presence, Refusal},
 };
 use cowsliproad_net::link::{Gone, Sender};
 use cowsliproad_routing::{
@@ -99,7 +99,7 @@
 /// What is shown of a target to operators.
 #[derive(Clone, Debug)]
 pub struct Status {
-    /// `unreachable`, `serving`, `leaving` or `ejected`.
+    /// `unreachable`, `ended`, `leaving`, `ejected` or `serving`.
     pub state: &'static str,
     /// The last load report.
     pub load: Load,
@@ -181,8 +181,10 @@
         let stats = lock(&self.stats);
         let serving =
             stats.beat.as_ref().is_some_and(|it| it.phase == Phase::Serving);
+        let here = stats.presence() == Presence::Here;
         drop(stats);
         serving
+            && here
             && self.link.load().is_some()
             && !self.drained.load(Ordering::Relaxed)
             && !self.vm_leaving.load(Ordering::Relaxed)
@@ -239,11 +241,13 @@
         let open = self.is_open();
         let linked = self.link.load().is_some();
         let stats = lock(&self.stats);
-        let state = match (linked, open, stats.health.is_ejected()) {
+        let is_ejected = stats.health.is_ejected();
+        let state = match (linked, stats.presence(), open) {
             (false, _, _) => "unreachable",
-            (true, false, _) => "leaving",
-            (true, true, true) => "ejected",
-            (true, true, false) => "serving",
+            (true, Presence::Gone, _) => "ended",
+            (true, Presence::Here, false) => "leaving",
+            (true, Presence::Here, true) if is_ejected => "ejected",
+            (true, Presence::Here, true) => "serving",
         };
         let beat = stats.beat.as_ref();
         Status {
@@ -255,6 +259,13 @@
     }
 }
 
+impl Stats {
+    /// Whether the target's process is there, by its agent's last word.
+    fn presence(&self) -> Presence {
+        self.beat.as_ref().map_or(Presence::Here, |it| it.presence)
+    }
+}
+
 impl Link {
     /// A link without attempts.
     pub fn new(sender: Sender, incarnation: id::Incarnation) -> Link {
--- a/cowsliproad-kernel/src/wire.rs
+++ b/cowsliproad-kernel/src/wire.rs
@@ -127,6 +127,18 @@
     Leaving,
 }
 
+/// Whether the process of an agent's target is there.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
+)]
+pub enum Presence {
+    /// It is, as far as the agent knows.
+    #[default]
+    Here,
+    /// Nobody listens at its address.
+    Gone,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Beat {
@@ -145,6 +157,9 @@
     /// Its load.
     #[serde(rename = "l")]
     pub load: Load,
+    /// Whether the target's process is there.
+    #[serde(rename = "x", default)]
+    pub presence: Presence,
     /// Earlier incarnations whose tickets it answers for.
     #[serde(rename = "h")]
     pub holds: Vec<id::Incarnation>,
--- a/tests/properties/decoders.rs
+++ b/tests/properties/decoders.rs
@@ -8,8 +8,8 @@
         clock::Millis,
         id, settings,
         wire::{
-            self, Beat, Frame, Load, Permit, Persistence, Phase, Submit,
-            Urgency,
+            self, Beat, Frame, Load, Permit, Persistence, Phase, Presence,
+            Submit, Urgency,
         },
     },
 };
@@ -59,6 +59,7 @@
                 service_us: load[3],
                 count: 1,
             },
+            presence: Presence::Gone,
             holds: vec![id::Incarnation(1)],
             offset: 3,
         };
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -6,7 +6,10 @@
 //! and nothing was remembered of it. The cause is the same: attempts are
 //! counted by request. The first two tests failed with all targets ended.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use cowsliproad_bench::{
@@ -172,6 +175,29 @@
     check(DRAFT, &draft()).await;
 }
 
+/// Each attempt goes to another target, so one request could end four.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_by_itself_ends_no_more_than_three() {
+    for _ in 0..3 {
+        let scene = Scene::start().await;
+        let answer = scene.send(0, HANGAR, GATE, &call()).await;
+        let said: Value = serde_json::from_slice(answer.body()).expect("JSON");
+        assert!(scene.ends() <= 3, "{said}");
+        assert_eq!(said["ran"], json!("OUTCOME_UNKNOWN"), "{said}");
+    }
+}
+
+/// A process closes its listener and its connections one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_is_seen_where_the_listener_goes_last() {
+    let lag = Duration::from_millis(20);
+    let mortal = mortal::Config::new(DEADLY).with_lag(lag);
+    let scene = Scene::start_of(engine::Config::new(), mortal).await;
+    scene.end_three(TOW, &call()).await;
+    sleep(BOUND).await;
+    scene.is_refused(TOW, &call()).await;
+}
+
 /// Callers leave, or their time is over, and targets go on all the same and
 /// end later. Nobody waits for an answer any more when they do.
 #[tokio::test(flavor = "multi_thread")]
@@ -211,6 +237,30 @@
     scene.plant.settle().await.expect("it is back");
 }
 
+/// With every target gone the answer is prompt, true and has a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_target_is_said_while_all_are_gone() {
+    let down = Duration::from_secs(20);
+    let mortal = mortal::Config::new(DEADLY).with_down(down);
+    let scene = Scene::start_of(engine::Config::new(), mortal).await;
+    for number in 0..5 {
+        let body = json!({ "id": DEADLY, "number": number }).to_string();
+        scene.send(0, HANGAR, TOW, &body).await;
+    }
+    assert_eq!(scene.ends(), 5);
+    let other = json!({ "id": "other" }).to_string();
+    for (path, ran) in [(TOW, "NOT_FORWARDED"), (GATE, "NOT_RUN")] {
+        let began = Instant::now();
+        let answer = scene.send(0, HANGAR, path, &other).await;
+        assert!(began.elapsed() < Duration::from_secs(1));
+        let said: Value = serde_json::from_slice(answer.body()).expect("JSON");
+        assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE, "{said}");
+        assert_eq!(said["title"], json!("NoTarget"), "{said}");
+        assert_eq!(said["ran"], json!(ran), "{said}");
+        assert!(said["retry_after_ms"].is_u64(), "{said}");
+    }
+}
+
 /// Other words, another caller's and another type's are served.
 #[tokio::test(flavor = "multi_thread")]
 async fn what_looks_like_it_is_served() {
