Work that was given up counts for as long as its target may be at it

Cause: a request whose caller left was asked about once, half a second later. A target that still had it in its queue lived then, so it was taken to have outlived the work, and its end a second later was nobody's.

It takes 70 bytes a request, 64 a target at most, of which those that were given up make room for others.

--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -43,8 +43,9 @@
 const MOST_ASKED: u32 = 3;
 const PAUSE: Millis = Millis(300);
 
-/// Requests that are asked about at once, some 50 bytes each: all that a
-/// target runs and has waiting from one entry.
+/// Requests that are asked about at once, some 70 bytes each: all that a
+/// target runs and has waiting from one entry. Those that were given up give
+/// way to others, the oldest first.
 const MOST_DOUBTS: usize = 64;
 
 /// A request under which its target may have ended.
@@ -52,22 +53,39 @@
 pub struct Doubt {
     request: Name,
     work: Work,
-    /// When its connection broke or was given up.
+    /// When its connection broke or was given up, or since then the target
+    /// was last seen to live.
     at: Millis,
-    /// How long after that the target may still have been at work on it.
+    /// How long after that the target may still have been at work on it
+    /// before it is asked.
     lingers: Millis,
+    /// Until when the target may be at work on it at all.
+    until: Millis,
 }
 
 impl Doubt {
     /// A request whose connection broke.
     pub fn broken(request: Name, work: Work) -> Doubt {
-        Doubt { request, work, at: Millis::now(), lingers: Millis(0) }
+        let at = Millis::now();
+        Doubt { request, work, at, lingers: Millis(0), until: at }
     }
 
-    /// A request that was given up here.
-    pub fn given_up(request: Name, work: Work) -> Doubt {
+    /// A request that was given up here, and that the target may go on with
+    /// until its time is over.
+    pub fn given_up(request: Name, work: Work, until: Millis) -> Doubt {
+        let broken = Doubt::broken(request, work);
         let lingers = LINGER_TIME;
-        Doubt { lingers, ..Doubt::broken(request, work) }
+        let until = until.min(broken.at + LONGEST_LINGER);
+        Doubt { lingers, until, ..broken }
+    }
+
+    fn is_given_up(&self) -> bool {
+        self.lingers > Millis(0)
+    }
+
+    /// What is still in doubt once the target is seen to live.
+    fn renewed(&self, now: Millis) -> Option<Doubt> {
+        (self.until > now).then(|| Doubt { at: now, ..self.clone() })
     }
 
     /// From when on a sign of life says that the target outlived it.
@@ -76,11 +94,16 @@
     }
 }
 
-/// How long a target may go on with a request whose connection was reset. Most
-/// drop it at once; one that reads it late has a tenth of a second to begin
-/// and another to end.
+/// When a target is first asked that may go on with a request whose connection
+/// was reset. Most drop it at once; one that reads it late has a tenth of a
+/// second to begin and another to end. Others have it wait its turn for as
+/// long as it has time; these are looked at again as often.
 const LINGER_TIME: Millis = Millis(500);
 
+/// The longest that a request's time may be: that of streams, and a quarter
+/// more.
+const LONGEST_LINGER: Millis = Millis(10_000);
+
 /// What became of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Fate {
@@ -95,7 +118,9 @@
     let mut seat = choice.seat.borrow_mut();
     if seat.doubts.len() >= MOST_DOUBTS {
         entry.measure.doubted(1, "untold");
-        return;
+        let oldest = seat.doubts.iter().position(Doubt::is_given_up);
+        let Some(oldest) = oldest else { return };
+        seat.doubts.remove(oldest);
     }
     seat.doubts.push(doubt);
     if seat.doubts.len() == 1 {
@@ -175,13 +200,19 @@
     fate: Fate,
     is_settled: impl Fn(&Doubt) -> bool,
 ) {
+    let now = Millis::now();
     let mut settled = Vec::new();
-    choice.seat.borrow_mut().doubts.retain(|it| {
-        let keep = !is_settled(it);
-        if !keep {
-            settled.push(it.clone());
+    choice.seat.borrow_mut().doubts.retain_mut(|it| {
+        if !is_settled(it) {
+            return true;
+        }
+        let lives_on = fate == Fate::Lives;
+        if let Some(renewed) = it.renewed(now).filter(|_| lives_on) {
+            *it = renewed;
+            return true;
         }
-        keep
+        settled.push(it.clone());
+        false
     });
     if settled.is_empty() {
         return;
--- a/cowsliproad-direct/src/stay.rs
+++ b/cowsliproad-direct/src/stay.rs
@@ -19,6 +19,8 @@
     choice: Choice,
     call: (Name, Work),
     began: Millis,
+    /// When the request ends, also at the target.
+    until: Millis,
     /// Whether it is known, or asked, what became of the target.
     settled: Cell<bool>,
 }
@@ -32,6 +34,7 @@
             choice: choice.clone(),
             call: (call.id.clone(), call.work),
             began: Millis::now(),
+            until: call.until,
             settled: Cell::new(false),
         }
     }
@@ -67,11 +70,16 @@
         match miss {
             Miss::Refused(_) | Miss::Unsent(_) => self.outlived(),
             Miss::Broken(_) => self.doubt(Doubt::broken),
-            Miss::Unknown(_) => self.doubt(Doubt::given_up),
+            Miss::Unknown(_) => self.give_up(),
         }
     }
 
-    fn doubt(&self, new: fn(Name, Work) -> Doubt) {
+    fn give_up(&self) {
+        let until = self.until;
+        self.doubt(|request, work| Doubt::given_up(request, work, until));
+    }
+
+    fn doubt(&self, new: impl FnOnce(Name, Work) -> Doubt) {
         if !self.settled.replace(true) {
             let (request, work) = self.call.clone();
             ends::doubt(&self.entry, &self.choice, new(request, work));
@@ -82,6 +90,6 @@
 impl Drop for Stay {
     fn drop(&mut self) {
         self.choice.seat.borrow_mut().record.end();
-        self.doubt(Doubt::given_up);
+        self.give_up();
     }
 }
