Failing test: the ends of targets that were taken for ended once don't count

Its targets had been taken for ended in a cut 18 s before, and that had been taken back; the note of it hides every end of such a target for an hour, or until it starts again. After a cut, work that ends its targets could end all of them.

--- a/cowsliproad-direct/tests/entry/quarantine.rs
+++ b/cowsliproad-direct/tests/entry/quarantine.rs
@@ -431,6 +431,50 @@
     }
 }
 
+/// Targets are taken for ended, for instance in a cut, and live; later they
+/// end under deadly work. Of targets that had been taken for ended once no end
+/// was believed any more, and the work went on to the next.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_that_were_taken_for_ended_may_end_after_all() {
+    let scene = Scene::start(Kind::Calls).await;
+    let entry = &scene.entries[0];
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let lose = Duration::from_millis(100);
+    let all_lost = async || {
+        for target in scene.targets.iter().filter_map(|it| it.address()) {
+            let lost =
+                gossip::encode(&Datagram::Lost(Lost { target, start: 0 }));
+            let to = entry.settings.peer_address();
+            socket.send_to(&lost, to).await.expect("it is sent");
+        }
+    };
+    scene.targets.iter().for_each(|it| it.set(target::Fault::LoseAnswer));
+    let runs = |least| scene.targets.iter().all(|it| it.runs().len() >= least);
+    let mut sent = 0;
+    while !runs(1) {
+        let body = format!("innocent {sent}");
+        let _ = timeout(lose, entry.ask_with("/once/a", KEY, &body)).await;
+        all_lost().await;
+        sent += 1;
+        assert!(sent < 200, "some target gets nothing");
+    }
+    until("they are taken for ended", async || {
+        let ended = "doubts_total{outcome=\"ended\"";
+        entry.metric(ended).await >= Some(scene.targets.len() as f64)
+    })
+    .await;
+    // Each answers somebody, which takes its end back.
+    while !runs(3) {
+        let asked = (0..16).map(|number| async move {
+            status(entry, "/once/a", KEY, &number.to_string()).await
+        });
+        join_all(asked).await;
+    }
+    scene.end_three("/once/a").await;
+    sleep(BOUND).await;
+    scene.is_refused("/once/a").await;
+}
+
 /// An agent says that its engine's process is gone. It stands on the same VM
 /// and is believed, although the address takes connections: another process
 /// may have it by now.
