--- a/cowsliproad-direct/tests/entry/quarantine.rs
+++ b/cowsliproad-direct/tests/entry/quarantine.rs
@@ -519,6 +519,49 @@
     scene.is_refused("/once/a").await;
 }
 
+/// Answers that were on their way when their targets ended arrive after the
+/// news of it. Only an answer to what was sent later says that they live.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_was_on_its_way_takes_no_end_back() {
+    let scene = Scene::start_with(Kind::Calls, 3).await;
+    let entry = &scene.entries[0];
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let to = entry.settings.peer_address();
+    let slow = target::Fault::Slow(Duration::from_millis(900));
+    scene.targets.iter().for_each(|it| it.set(slow));
+    let have_run = |body: &str, least| {
+        let has = |it: &Arc<Target>| {
+            it.runs().iter().filter(|it| it.body == body).count() >= least
+        };
+        scene.targets.iter().all(has)
+    };
+    let on_their_way = async {
+        let asked =
+            (0..12).map(|_| status(entry, "/once/a", KEY, "on its way"));
+        assert_eq!(join_all(asked).await, [200; 12]);
+    };
+    let ends = async {
+        until("each has some", async || have_run("on its way", 1)).await;
+        while !have_run("suspect", 1) {
+            for target in &scene.targets {
+                target.set(target::Fault::LoseAnswer);
+            }
+            let _ = entry.ask_with("/once/a", KEY, "suspect").await;
+            for target in
+                scene.targets.iter().filter(|it| has_run(it, "suspect"))
+            {
+                let Some(target) = target.address() else { continue };
+                let lost = Datagram::Lost(Lost { target, start: 0 });
+                let sent = socket.send_to(&gossip::encode(&lost), to).await;
+                sent.expect("it is sent");
+            }
+        }
+        until_refused(entry, 1.0).await;
+    };
+    tokio::join!(on_their_way, ends);
+    assert_eq!(status(entry, "/once/a", KEY, "suspect").await, 503);
+}
+
 /// An agent says that its engine's process is gone. It stands on the same VM
 /// and is believed, although the address takes connections: another process
 /// may have it by now.
