Only an answer to what was sent after an end takes it back

Cause: the head of an answer counted as a sign of life at the moment it was read. Read late, by an entry that stood or had used up its share, it took the true end of its target back, and the work was sent on.

An answer now says that the target lived when the request was sent: for what is in doubt, for whether a zone is reached and for taking an end back. An agent's report counts from a tenth of a second after the news, as it did for what is in doubt.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -377,7 +377,7 @@
             entry.changed(id, change, Source::Own);
             return Err(Miss::Refused("another incarnation"));
         }
-        note_life(entry, choice);
+        stay.answered();
         if head.headers.contains_key(&header::NOT_RUN) {
             let at_fault = head.headers.contains_key(&header::AT_FAULT);
             drop(body);
@@ -566,14 +566,6 @@
     Ok(Response::from_parts(head, body))
 }
 
-/// Notes that a target answers.
-fn note_life(entry: &Entry, choice: &Choice) {
-    let now = Millis::now();
-    choice.seat.borrow_mut().lived = Some(now);
-    entry.heard_from(&choice.target.zone, now);
-    entry.note_answer(&choice.target, now);
-}
-
 /// Takes in the load that a target states with its answers.
 fn note_load(choice: &Choice, headers: &HeaderMap) {
     let text = headers.get(&header::LOAD).and_then(|it| it.to_str().ok());
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -23,7 +23,7 @@
 /// What a report or answer may have taken on its way: one that came sooner
 /// after a break may be from before it. Some 5 ms each, and more where a VM
 /// has used up its share of a tenth of a second.
-const WAY_TIME: Millis = Millis(100);
+pub const WAY_TIME: Millis = Millis(100);
 
 /// When a target without an agent is asked. Others whose connections broke
 /// with it are asked about together.
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -380,12 +380,12 @@
     }
 
     /// Notes that a VM of an availability zone was heard from.
-    pub fn heard_from(&self, zone: &Name, now: Millis) {
+    pub fn heard_from(&self, zone: &Name, at: Millis) {
         let mut zones = self.zones.borrow_mut();
         if let Some(heard) = zones.get_mut(zone) {
-            *heard = now;
+            *heard = at.max(*heard);
         } else if zones.len() < MOST_ZONES {
-            zones.insert(zone.clone(), now);
+            zones.insert(zone.clone(), at);
         }
     }
 
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -25,6 +25,7 @@
 use tokio::{sync::Notify, time::sleep};
 
 use crate::{
+    ends::WAY_TIME,
     entry::{Entry, Source},
     follow::Contact,
 };
@@ -179,14 +180,15 @@
         self.judged(work, change, Source::Own);
     }
 
-    /// Notes that a target answers. Later it may have started again under its
-    /// name.
-    pub fn note_answer(&self, target: &Target, now: Millis) {
+    /// Notes that a target answers what was sent to it after its end was heard
+    /// of. Later it may have started again under its name.
+    pub fn note_answer(&self, target: &Target, sent: Millis, now: Millis) {
         let mut quarantine = self.quarantine.borrow_mut();
         let Some((end, ended)) = quarantine.end_of(target) else { return };
+        let is_later = sent > ended.at;
         let is_soon = now.since(ended.at) < RESTART_TIME;
         drop(quarantine);
-        if is_soon {
+        if is_later && is_soon {
             self.note_lives(end, now, Source::Own);
         }
     }
@@ -198,9 +200,12 @@
             return;
         }
         let mut quarantine = self.quarantine.borrow_mut();
-        let Some((end, _)) = quarantine.end_of(target) else { return };
+        let Some((end, ended)) = quarantine.end_of(target) else { return };
+        let is_later = now.since(ended.at) >= WAY_TIME;
         drop(quarantine);
-        self.note_lives(end, now, Source::Own);
+        if is_later {
+            self.note_lives(end, now, Source::Own);
+        }
     }
 
     /// Notes that a target renews its announcement.
--- a/cowsliproad-direct/src/stay.rs
+++ b/cowsliproad-direct/src/stay.rs
@@ -21,8 +21,8 @@
     began: Millis,
     /// When the request ends, also at the target.
     until: Millis,
-    /// Whether it was written to a connection.
-    sent: Cell<bool>,
+    /// When it was written to a connection.
+    sent: Cell<Option<Millis>>,
     /// Whether it is known, or asked, what became of the target.
     settled: Cell<bool>,
 }
@@ -37,15 +37,32 @@
             call: (call.id.clone(), call.work),
             began: Millis::now(),
             until: call.until,
-            sent: Cell::new(false),
+            sent: Cell::new(None),
             settled: Cell::new(false),
         }
     }
 
-    /// Notes whether it is written to a connection. One that was never made
-    /// says nothing of the request, whatever becomes of the target.
-    pub fn set_sent(&self, sent: bool) {
-        self.sent.set(sent);
+    /// Notes that it is written to a connection. As long as none is made, what
+    /// becomes of the target says nothing of the request.
+    pub fn sent(&self) {
+        self.sent.set(Some(Millis::now()));
+    }
+
+    /// Notes that nothing was written after all.
+    pub fn unsent(&self) {
+        self.sent.set(None);
+    }
+
+    /// Notes that the target answers: it lived when the request was sent. The
+    /// answer may have been on its way for long.
+    pub fn answered(&self) {
+        let Some(sent) = self.sent.get() else { return };
+        let target = &self.choice.target;
+        let mut seat = self.choice.seat.borrow_mut();
+        seat.lived = seat.lived.max(Some(sent));
+        drop(seat);
+        self.entry.heard_from(&target.zone, sent);
+        self.entry.note_answer(target, sent, Millis::now());
     }
 
     /// Notes a good answer.
@@ -89,7 +106,7 @@
     }
 
     fn doubt(&self, new: impl FnOnce(Name, Work) -> Doubt) {
-        if !self.settled.replace(true) && self.sent.get() {
+        if !self.settled.replace(true) && self.sent.get().is_some() {
             let (request, work) = self.call.clone();
             ends::doubt(&self.entry, &self.choice, new(request, work));
         }
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -146,7 +146,7 @@
             Some(sender) => sender,
             None => connect(choice).await?,
         };
-        stay.set_sent(true);
+        stay.sent();
         match sender.try_send_request(request).await {
             Ok(answer) => {
                 let keep = idle_time(answer.headers());
@@ -156,7 +156,7 @@
             Err(mut error) => match error.take_message() {
                 // The connection had ended before a byte was written.
                 Some(unsent) => {
-                    stay.set_sent(false);
+                    stay.unsent();
                     if !was_kept {
                         return Err(Failure::Unsent("closed at once"));
                     }
