--- a/cowsliproad-kernel/src/wire.rs
+++ b/cowsliproad-kernel/src/wire.rs
@@ -139,6 +139,12 @@
     Gone,
 }
 
+impl Presence {
+    fn is_here(&self) -> bool {
+        *self == Presence::Here
+    }
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Beat {
@@ -158,7 +164,7 @@
     #[serde(rename = "l")]
     pub load: Load,
     /// Whether the target's process is there.
-    #[serde(rename = "x", default)]
+    #[serde(rename = "x", default, skip_serializing_if = "Presence::is_here")]
     pub presence: Presence,
     /// Earlier incarnations whose tickets it answers for.
     #[serde(rename = "h")]
