--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -16,9 +16,9 @@
 };
 
 use cowsliproad_admission::{
-    queue::{self, Item, Outcome, Pace, Queue},
-    register::{Register, Verdict},
-    ticket::{self, Purpose, Ticket},
+    queue::{self, Pace, Queue},
+    register::Register,
+    ticket,
 };
 use cowsliproad_kernel::{
     Name,
@@ -26,16 +26,13 @@
     code::{Code, Ran},
     id,
     sync::lock,
-    wire::{
-        Answer, Beat, Cancel, Failure, Handover, Load, Permit, Phase, Reclaim,
-        Submit,
-    },
+    wire::{Answer, Beat, Cancel, Failure, Handover, Load, Phase, Reclaim},
 };
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Histogram, Meter},
 };
-use slog::{Logger, debug, info};
+use slog::{Logger, info};
 use tokio::sync::Notify;
 
 use crate::{
@@ -44,6 +41,8 @@
     work::{Ending, Repeat, Wanted, Work},
 };
 
+mod submit;
+
 /// The gate in front of a target.
 #[derive(Debug)]
 pub struct Gate {
@@ -106,11 +105,6 @@
 /// The weight of a new measurement is one part in so many.
 const SMOOTHING: u64 = 16;
 
-/// The refusal of work that ends the targets that run it. The entry, which
-/// knows of all ends, says when to come back.
-const QUARANTINED: Failure =
-    Failure { code: Code::Quarantined, ran: Ran::NotRun, retry_after: None };
-
 /// How often waiting work is checked against its deadline.
 const SWEEP: Duration = Duration::from_millis(20);
 
@@ -156,36 +150,6 @@
         self.incarnation
     }
 
-    /// Takes work in, or finds what an earlier submission left of it.
-    pub fn submit(&self, submit: &Submit) -> Result<Arc<Work>, Failure> {
-        let now = Millis::now();
-        let mut inner = self.lock();
-        let outcome = match &submit.ticket {
-            Some(text) => self.submit_ticket(&mut inner, text, submit, now),
-            None => self.submit_plain(&mut inner, submit, now),
-        };
-        drop(inner);
-        match &outcome {
-            Ok(work) => {
-                debug!(self.log, "admit";
-                    "request" => %work.request,
-                    "organisation" => %submit.organisation,
-                    "type" => %submit.request_type);
-                self.ready.notify_one();
-            }
-            Err(failure) => {
-                self.count(failure.code);
-                info!(self.log, "refuse";
-                    "request" => %submit.request,
-                    "organisation" => %submit.organisation,
-                    "type" => %submit.request_type,
-                    "code" => failure.code.name(),
-                    "ran" => failure.ran.as_str());
-            }
-        }
-        outcome
-    }
-
     /// Finds kept or running work for its organisation.
     pub fn reclaim(&self, reclaim: &Reclaim) -> Result<Arc<Work>, Failure> {
         self.find(reclaim.request, &reclaim.organisation)
@@ -347,142 +311,6 @@
             "kept" => inner.finished.len());
     }
 
-    fn submit_ticket(
-        &self,
-        inner: &mut Inner,
-        text: &[u8],
-        submit: &Submit,
-        now: Millis,
-    ) -> Result<Arc<Work>, Failure> {
-        let ticket = self.open(text, submit)?;
-        let leaving = inner.phase == Phase::Leaving;
-        let recalled = submit.permit == Permit::Recall;
-        let verdict = if ticket.incarnation == self.incarnation {
-            if leaving || recalled {
-                inner.register.burn(&ticket, now)
-            } else {
-                inner.register.submit(&ticket, now)
-            }
-        } else if let Some(it) = inner.inherited.get_mut(&ticket.incarnation) {
-            let then = it.now(now);
-            it.register.submit(&ticket, then)
-        } else {
-            return Err(Failure::new(Code::TargetGone, Ran::OutcomeUnknown));
-        };
-        match verdict {
-            Verdict::Run => self.enqueue(inner, submit, now),
-            Verdict::Seen => inner
-                .works
-                .get(&ticket.request)
-                .cloned()
-                .ok_or(Failure::new(Code::AnswerDropped, Ran::Ran)),
-            Verdict::Burned if recalled => Err(QUARANTINED),
-            Verdict::Burned if leaving => {
-                Err(Failure::new(Code::Leaving, Ran::NotRun))
-            }
-            Verdict::Burned => {
-                Err(Failure::new(Code::TicketBurned, Ran::NotRun))
-            }
-            Verdict::Expired => {
-                Err(Failure::new(Code::TicketExpired, Ran::NotRun))
-            }
-            Verdict::TooOld => {
-                Err(Failure::new(Code::TicketExpired, Ran::OutcomeUnknown))
-            }
-            Verdict::Full => {
-                Err(Failure::new(Code::RegisterFull, Ran::NotForwarded)
-                    .with_retry_after(Millis(1_000)))
-            }
-        }
-    }
-
-    fn submit_plain(
-        &self,
-        inner: &mut Inner,
-        submit: &Submit,
-        now: Millis,
-    ) -> Result<Arc<Work>, Failure> {
-        let key = submit.key.as_ref();
-        let key = key.map(|it| (submit.organisation.clone(), it.clone()));
-        if let Some(key) = &key
-            && let Some(keyed) = inner.keys.get(key)
-        {
-            if keyed.body != blake3::hash(&submit.body) {
-                return Err(Failure::new(Code::KeyReused, Ran::NotRun));
-            }
-            let known = inner.works.get(&keyed.request);
-            if let Some(work) = known.filter(|it| !has_failed(it)) {
-                return Ok(work.clone());
-            }
-        }
-        let known = inner.works.get(&submit.request);
-        if let Some(work) = known.filter(|it| !has_failed(it)) {
-            let own = work.organisation == submit.organisation;
-            let foreign = Failure::new(Code::ForeignToken, Ran::NotForwarded);
-            return own.then(|| work.clone()).ok_or(foreign);
-        }
-        if submit.permit == Permit::Recall {
-            return Err(QUARANTINED);
-        }
-        if inner.phase == Phase::Leaving {
-            return Err(Failure::new(Code::Leaving, Ran::NotRun));
-        }
-        let work = self.enqueue(inner, submit, now)?;
-        if let Some(key) = key {
-            let body = blake3::hash(&submit.body);
-            inner.keys.insert(key, Keyed { request: work.request, body });
-        }
-        Ok(work)
-    }
-
-    fn enqueue(
-        &self,
-        inner: &mut Inner,
-        submit: &Submit,
-        now: Millis,
-    ) -> Result<Arc<Work>, Failure> {
-        let work = Arc::new(Work::new(submit, now));
-        let item = Item {
-            organisation: submit.organisation.clone(),
-            share: submit.share,
-            urgency: submit.urgency,
-            deadline: work.deadline,
-            work: work.clone(),
-        };
-        let pace = inner.pace(self.settings.slots);
-        // With a free slot nothing waits, so only the deadline can refuse.
-        match inner.queue.push(item, pace, now) {
-            Outcome::Queued => {}
-            Outcome::Displaced(loser, wait) => {
-                let failure = Failure::new(Code::Shed, Ran::NotRun);
-                inner.give_up(&loser.work, failure.with_retry_after(wait));
-            }
-            Outcome::Refused(_, wait) => {
-                inner.register.give_up(work.request);
-                return Err(Failure::new(Code::Overloaded, Ran::NotRun)
-                    .with_retry_after(wait));
-            }
-        }
-        inner.count += 1;
-        inner.works.insert(work.request, work.clone());
-        Ok(work)
-    }
-
-    fn open(&self, text: &[u8], submit: &Submit) -> Result<Ticket, Failure> {
-        let forged = Failure::new(Code::ForgedToken, Ran::NotForwarded);
-        let text = std::str::from_utf8(text).map_err(|_| forged)?;
-        let ticket =
-            ticket::open(text, &self.ticket_key).map_err(|_| forged)?;
-        let fits = ticket.purpose == Purpose::Ticket
-            && ticket.organisation == submit.organisation
-            && ticket.request_type == submit.request_type
-            && ticket.request == submit.request;
-        if !fits {
-            return Err(Failure::new(Code::ForeignToken, Ran::NotForwarded));
-        }
-        Ok(ticket)
-    }
-
     fn find(
         &self,
         request: id::Request,
@@ -626,7 +454,3 @@
         self.clock + now.since(self.since)
     }
 }
-
-fn has_failed(work: &Work) -> bool {
-    matches!(work.ending(), Some(Ending::Failed(_)))
-}
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -36,11 +36,13 @@
 use crate::{
     entry::{Choice, Entry, Source},
     receive::{USUAL_TIME, drop_hop_by_hop, work_of},
-    reply::{self, Body},
+    reply::Body,
     stay::Stay,
     upstream::{self, Failure, Lease, Reuse},
 };
 
+pub mod failure;
+
 /// The largest answer that is read whole before it is passed on.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
 
@@ -52,40 +54,16 @@
 /// the usual work.
 const LEAST_TRY: Millis = Millis(40);
 
-/// When to come back if all targets are full.
-pub const FULL_TIME: Millis = Millis(250);
-
-/// Tries beyond the targets that a route allows, at targets that were asked
-/// before and said that they did not run the request.
-const SPARE_TRIES: usize = 4;
-
 /// Ranks that a request falls back in a target's queue once it is late.
 const LATE_RANKS: u16 = 2;
 
 /// The last rank of a target's queue.
 const LAST_RANK: u16 = 9;
 
-/// Tries of one request of any kind. Those that can't connect end at once or
-/// after a quarter of a second each.
-const MOST_TRIES: usize = 12;
-
 /// What is left of a caller's patience for the answer's way: 3 ms there, and
 /// a VM that has used up its share of a tenth of a second.
 const ANSWER_TIME: Millis = Millis(100);
 
-/// What a caller hears whose work ends its targets.
-const DEADLY: &str = "targets ended each time they ran this\n";
-
-/// The pause after a connection broke under a request. Where many targets end
-/// at the same moment, connections to the others are seen to break by then:
-/// the way there and back takes 3 ms. Without it a second try went to a target
-/// that was gone too, and none was left: 70 requests on four days of crashes,
-/// each of which broke within 7 ms.
-const BREAK_TIME: Millis = Millis(8);
-
-/// The pause before a target that refused is asked again.
-const AGAIN_TIME: Millis = Millis(60);
-
 /// A request on its way.
 #[derive(Debug)]
 pub struct Call {
@@ -289,28 +267,6 @@
         asked.start(now, entry.draw())
     }
 
-    /// The answer to a caller that is best off coming back.
-    fn put_off(&self, entry: &Entry, after: Millis) -> Response<Body> {
-        info!(entry.log, "put_off"; "request" => &*self.id,
-            "waited" => Millis::now().since(self.arrived).0,
-            "visit" => ?self.visit, "after" => after.0,
-            "left" => self.left().0);
-        reply::not_run("not run: too late for a first event\n", after)
-    }
-
-    /// The answer to a caller whose work ends its targets. That it ran is said
-    /// where it may have; otherwise it never does.
-    fn refuse(&self, entry: &Entry, after: Millis) -> Response<Body> {
-        info!(entry.log, "refused"; "request" => &*self.id,
-            "work" => %self.work, "certainty" => ?self.certainty,
-            "after" => after.0);
-        entry.measure.quarantined("request");
-        match self.certainty {
-            Certainty::NotRun => reply::not_run(DEADLY, after),
-            Certainty::Unknown => reply::unknown(DEADLY),
-        }
-    }
-
     /// How long the request may wait for a target to be usable. A caller of a
     /// stream that hears nothing for longer leaves and is lost; one that is
     /// answered just before comes back when it was told to.
@@ -457,91 +413,6 @@
         let first = Millis(aim.0 * FIRST_TRY_PERCENT / 100);
         first.max(LEAST_TRY).min(left)
     }
-
-    /// Takes a miss in. Returns the final answer if nothing may follow.
-    pub async fn missed(
-        &mut self,
-        entry: &Rc<Entry>,
-        choice: &Choice,
-        miss: Miss,
-    ) -> Option<Response<Body>> {
-        let why = match miss {
-            Miss::Refused(why) => {
-                entry.measure.tried("refused");
-                why
-            }
-            Miss::Unsent(why) => {
-                entry.measure.tried("unsent");
-                self.sent.retain(|it| *it != choice.target.id);
-                // What never arrived is no repeat.
-                if self.left().0 > 0 && self.tries < MOST_TRIES {
-                    info!(entry.log, "unsent"; "request" => &*self.id,
-                        "target" => &*choice.target.id, "why" => why);
-                    return None;
-                }
-                why
-            }
-            Miss::Unknown(why) | Miss::Broken(why) => {
-                entry.measure.tried("unknown");
-                self.ran();
-                why
-            }
-        };
-        if !self.may_try_again(entry, choice, why) {
-            return Some(self.give_up(entry, why));
-        }
-        if matches!(miss, Miss::Broken(_)) {
-            sleep(BREAK_TIME.duration()).await;
-        }
-        let again = self.sent.len() >= self.route.attempts as usize;
-        if again && matches!(miss, Miss::Refused(_)) {
-            sleep(AGAIN_TIME.duration()).await;
-        }
-        None
-    }
-
-    /// Whether another try is allowed. It draws on the budget once there is a
-    /// target for it.
-    pub fn may_try_again(
-        &mut self,
-        entry: &Entry,
-        choice: &Choice,
-        why: &'static str,
-    ) -> bool {
-        let safe = self.certainty == Certainty::NotRun || self.route.repeats();
-        let attempts = self.route.attempts as usize;
-        let room = self.runs < attempts && self.tries < attempts + SPARE_TRIES;
-        let allowed = safe && room && self.left().0 > 0;
-        self.next = Draws::Budget;
-        info!(entry.log, "missed"; "request" => &*self.id,
-            "target" => &*choice.target.id, "why" => why,
-            "repeats" => self.route.repeats(), "tries" => self.tries,
-            "runs" => self.runs, "again" => allowed,
-            "left" => self.left().0);
-        allowed
-    }
-
-    /// The final answer of a request that no target answers.
-    pub fn give_up(&self, entry: &Entry, why: &'static str) -> Response<Body> {
-        let left = self.left();
-        info!(entry.log, "given_up"; "request" => &*self.id, "why" => why,
-            "certainty" => ?self.certainty, "tries" => self.tries,
-            "left" => left.0);
-        match self.certainty {
-            Certainty::NotRun => {
-                reply::not_run("not run: no target\n", self.come_back())
-            }
-            Certainty::Unknown if left.0 == 0 => reply::overdue(),
-            Certainty::Unknown => reply::unknown("no whole answer\n"),
-        }
-    }
-
-    /// When the caller should come back: callers wait for a third of what
-    /// they have left at most.
-    fn come_back(&self) -> Millis {
-        let third = Millis(self.left().0 / 3);
-        if self.route.streams() { third } else { third.min(FULL_TIME) }
-    }
 }
 
 /// Reads the body of an answer and keeps its connection.
--- a/cowsliproad-direct/src/receive.rs
+++ b/cowsliproad-direct/src/receive.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    call::{Call, Destination, FULL_TIME, Span},
+    call::{Call, Destination, Span, failure::FULL_TIME},
     entry::Entry,
     reply::{self, Body},
 };
