--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -10,6 +10,12 @@
 //! off with resets, so a refusal counts only while somebody else in that zone
 //! is heard from. Silence tells nothing, as when a VM is frozen, cut off or
 //! without power.
+//!
+//! A target may go on with a request that was given up here, as long as it has
+//! time: it waits its turn there and runs when nobody listens any more. So a
+//! sign of life settles such a request only once its time is over, and puts
+//! the question off until then. A request that was never written to a
+//! connection is not asked about at all.
 
 use std::{io, rc::Rc};
 
