--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -41,6 +41,8 @@
     plant: Plant,
     targets: Vec<Arc<Mortal>>,
     client: Client,
+    /// The idempotency key of all requests.
+    key: Option<String>,
 }
 
 impl Scene {
@@ -75,7 +77,7 @@
             plant.start_agent(index).await.expect("it starts");
         }
         plant.settle().await.expect("agents are linked");
-        Scene { plant, targets, client: Client::new() }
+        Scene { plant, targets, client: Client::new(), key: None }
     }
 
     fn ends(&self) -> u32 {
@@ -98,6 +100,9 @@
         if let Some(ticket) = ticket {
             request = request.header("request-ticket", ticket);
         }
+        if let Some(key) = &self.key {
+            request = request.header("idempotency-key", key);
+        }
         let body = Full::new(Bytes::from(body.to_string()));
         let request = request.body(body).expect("the parts are valid");
         let patience = Duration::from_secs(30);
@@ -170,6 +175,21 @@
     check(TOW, &call()).await;
 }
 
+/// Resends with a key go to the same target while it is there.
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_see_keyed_work_that_ends_its_targets() {
+    let mut scene = Scene::start().await;
+    scene.key = Some("of-the-gate".into());
+    scene.end_three(GATE, &call()).await;
+    sleep(BOUND).await;
+    scene.is_refused(GATE, &call()).await;
+    scene.key = Some("another".into());
+    scene.is_refused(GATE, &call()).await;
+    let other = json!({ "id": "other" }).to_string();
+    let served = scene.send(0, HANGAR, GATE, &other).await;
+    assert_eq!(served.status(), StatusCode::OK);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn agents_see_a_stream_that_ends_its_targets() {
     check(DRAFT, &draft()).await;
