--- a/cowsliproad-direct/tests/entry/siege.rs
+++ b/cowsliproad-direct/tests/entry/siege.rs
@@ -5,7 +5,8 @@
 //! are taken for ended that live, and several are killed at one moment.
 //!
 //! `FIRST_SEED=1 SEEDS=50 cargo test -p cowsliproad-direct --test entry siege -- --nocapture`
-//! plays more of them and prints a line for each. With `LOGS=DIRECTORY` each
+//! plays more of them and prints a line for each, with `ENTRIES=100` at the
+//! size of a large fleet. With `LOGS=DIRECTORY` each
 //! entry's lines are kept there.
 
 use std::{
@@ -30,6 +31,7 @@
 
 use crate::harness::{Entry, KEY, Plant};
 
+/// Entries, where `ENTRIES` doesn't say how many.
 const ENTRIES: usize = 4;
 const TARGETS: usize = 8;
 const DEADLY: &str = "deadly";
@@ -101,7 +103,7 @@
             places.push(Place { target, starts });
         }
         let mut entries: Vec<Entry> = Vec::new();
-        for _ in 0..ENTRIES {
+        for _ in 0..number("ENTRIES").unwrap_or(ENTRIES) {
             let seeds: Vec<&Entry> = entries.iter().take(2).collect();
             let settings = plant.settings(&seeds);
             entries.push(start(settings));
@@ -132,7 +134,7 @@
     /// Sends a request to an entry, if it is there.
     async fn ask(&self, path: &str, body: &str) -> Option<(u16, String)> {
         let request = {
-            let entry = self.entries[self.draw(ENTRIES)].borrow();
+            let entry = self.entries[self.draw(self.entries.len())].borrow();
             entry.as_ref()?.request(path, KEY, body)
         };
         let client = cowsliproad_net::client::Client::new();
@@ -276,7 +278,7 @@
     }
 
     async fn stop_entry(&self) {
-        let number = self.draw(ENTRIES);
+        let number = self.draw(self.entries.len());
         if let Some(entry) = &*self.entries[number].borrow() {
             entry.signal(Signal::STOP);
         }
@@ -288,7 +290,7 @@
     }
 
     fn kill_entry(&self) {
-        let place = &self.entries[self.draw(ENTRIES)];
+        let place = &self.entries[self.draw(self.entries.len())];
         let Some(killed) = place.take() else { return };
         let settings = killed.settings.clone();
         drop(killed);
@@ -358,12 +360,14 @@
     assert!(answered * 20 > sent * 19, "seed {seed}: {answered} of {sent}");
 }
 
+/// A number that the environment gives.
+fn number(name: &str) -> Option<usize> {
+    std::env::var(name).ok().and_then(|it| it.parse().ok())
+}
+
 async fn play(shape: Shape) {
-    let number = |name: &str| {
-        std::env::var(name).ok().and_then(|it| it.parse::<u64>().ok())
-    };
-    let first = number("FIRST_SEED").unwrap_or(1);
-    for seed in (first..).take(number("SEEDS").unwrap_or(1) as usize) {
+    let first = number("FIRST_SEED").unwrap_or(1) as u64;
+    for seed in (first..).take(number("SEEDS").unwrap_or(1)) {
         siege(seed, shape).await;
     }
 }
