--- a/cowsliproad-agent/src/adapter.rs
+++ b/cowsliproad-agent/src/adapter.rs
@@ -72,8 +72,12 @@
     let start = Instant::now();
     let result = adapter.call(&work).await;
     let held = start.elapsed();
+    let Err(failure) = result else {
+        gate.finish(&work, result, held);
+        return gate.ends.outlived(work.kind());
+    };
     // Before the answer, so that no entry sends it on to one target more.
-    let seen = ends::look(&gate, &work, result).await;
+    let seen = ends::look(&gate, &work, failure).await;
     gate.finish(&work, result, held);
     if seen == Seen::Listens {
         ends::look_again(&gate, &work).await;
--- a/cowsliproad-agent/src/ends.rs
+++ b/cowsliproad-agent/src/ends.rs
@@ -25,7 +25,7 @@
     gossip::Suspect,
     id,
     sync::lock,
-    wire::{Failure, Format, Presence},
+    wire::{Failure, Presence},
 };
 use slog::info;
 use tokio::{
@@ -85,10 +85,8 @@
 /// What was seen of the target after work failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Seen {
-    /// Its process lives or lived on after the work, or nothing was asked.
-    Lives,
-    /// Its process is gone.
-    Gone,
+    /// All that there is to see.
+    Enough,
     /// Somebody still listens, which an ending process may do for a moment.
     Listens,
 }
@@ -132,7 +130,8 @@
         inner.ledger.known(now)
     }
 
-    fn outlived(&self, work: quarantine::Work) {
+    /// Notes that the target outlived work.
+    pub fn outlived(&self, work: quarantine::Work) {
         let mut inner = lock(&self.inner);
         if inner.ledger.outlived(work, Millis::now()) != Change::None {
             inner.news.push(work);
@@ -195,39 +194,28 @@
     }
 }
 
-/// Notes how work went, and asks whether the target ended under it.
-pub async fn look(
-    gate: &Gate,
-    work: &Work,
-    result: Result<Format, Failure>,
-) -> Seen {
-    let failure = match result {
-        Ok(_) => {
-            gate.ends.outlived(work.kind());
-            return Seen::Lives;
+/// Asks whether the target ended under work that failed.
+pub async fn look(gate: &Gate, work: &Work, failure: Failure) -> Seen {
+    if failure.code != Code::TargetFailed {
+        if failure.ran == Ran::OutcomeUnknown {
+            let until = Millis::now() + LINGER_TIME;
+            gate.ends.leave(work.kind(), until.max(work.deadline));
         }
-        Err(failure) if failure.code == Code::TargetFailed => failure,
-        Err(failure) => {
-            if failure.ran == Ran::OutcomeUnknown {
-                let until = Millis::now() + LINGER_TIME;
-                gate.ends.leave(work.kind(), until.max(work.deadline));
-            }
-            return Seen::Lives;
-        }
-    };
+        return Seen::Enough;
+    }
     let is_gone = nobody_listens(gate).await;
     match (failure.ran, is_gone) {
         (Ran::OutcomeUnknown, true) => {
             note_end(gate, work);
-            Seen::Gone
+            Seen::Enough
         }
         (Ran::OutcomeUnknown, false) => Seen::Listens,
         // It was gone before this work came.
         (_, true) => {
             note_presence(gate, Presence::Gone);
-            Seen::Gone
+            Seen::Enough
         }
-        (_, false) => Seen::Lives,
+        (_, false) => Seen::Enough,
     }
 }
 
--- a/cowsliproad-bench/src/experiment.rs
+++ b/cowsliproad-bench/src/experiment.rs
@@ -70,6 +70,16 @@
     Quick,
 }
 
+impl Extent {
+    /// The sizes to play, of which the first is the quick one.
+    pub fn sizes<T>(self, all: &[T]) -> &[T] {
+        match self {
+            Extent::Full => all,
+            Extent::Quick => &all[..1],
+        }
+    }
+}
+
 /// What follows an experiment's end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ending {
--- a/cowsliproad-bench/src/experiment/quarantine.rs
+++ b/cowsliproad-bench/src/experiment/quarantine.rs
@@ -25,7 +25,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use serde_json::{Value, json};
 
-use super::{Extent, Options, Outcome, Plugin, lognormal};
+use super::{Options, Outcome, Plugin, lognormal};
 
 inventory::submit! {
     Plugin {
@@ -489,13 +489,9 @@
         ("told", Policy::Told),
         ("kept", Policy::Kept),
     ];
-    let sizes = match options.extent {
-        Extent::Full => &SIZES[..],
-        Extent::Quick => &SIZES[..1],
-    };
     let mut figures = json!({});
     let mut table = String::new();
-    for size in sizes {
+    for size in options.extent.sizes(&SIZES) {
         let percent = (size.loss * 100.0) as u32;
         let name = format!("{}x{}-{percent}", size.entries, size.targets);
         for (policy_name, policy) in policies {
--- a/cowsliproad-bench/src/experiment/routing.rs
+++ b/cowsliproad-bench/src/experiment/routing.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 
-use super::{Extent, Options, Outcome, Plugin, lognormal};
+use super::{Options, Outcome, Plugin, lognormal};
 
 inventory::submit! {
     Plugin {
@@ -210,13 +210,9 @@
         ("spread", Policy::Spread),
         ("all_knowing", Policy::AllKnowing),
     ];
-    let sizes = match options.extent {
-        Extent::Full => &SIZES[..],
-        Extent::Quick => &SIZES[..1],
-    };
     let mut figures = json!({});
     let mut table = String::new();
-    for size in sizes {
+    for size in options.extent.sizes(&SIZES) {
         let name = format!("{}x{}", size.entries, size.ranks);
         for (policy_name, policy) in policies {
             let score = play(*size, policy, options.seed);
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -15,7 +15,10 @@
 
 use bytes::Bytes;
 use cowsliproad_direct::settings::Settings;
-use cowsliproad_kernel::{clock::Millis, gossip::Load};
+use cowsliproad_kernel::{
+    clock::Millis,
+    gossip::{self, Datagram, Load, Lost},
+};
 use cowsliproad_net::client::{Client, Error};
 use cowsliproad_platform::{READINESS_PATH, SETTINGS_VARIABLE, header};
 use cowsliproad_platform_standin::{
@@ -26,7 +29,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use rustix::process::{Pid, Signal, kill_process};
-use tokio::time::sleep;
+use tokio::{net::UdpSocket, time::sleep};
 
 /// How long anything may take that has no bound of its own.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -260,6 +263,14 @@
     fs::write(file, text).expect("a settings file");
 }
 
+/// Tells an entry what an agent does: that its engine's process is gone.
+pub async fn tell_lost(target: SocketAddr, entry: SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let lost = Datagram::Lost(Lost { target, start: 0 });
+    let sent = socket.send_to(&gossip::encode(&lost), entry).await;
+    sent.expect("it is sent");
+}
+
 /// What an idle engine's agent reports.
 pub fn report(target: &Target) -> Load {
     Load {
--- a/cowsliproad-direct/tests/entry/quarantine.rs
+++ b/cowsliproad-direct/tests/entry/quarantine.rs
@@ -16,7 +16,7 @@
     time::{Duration, Instant},
 };
 
-use cowsliproad_kernel::gossip::{self, Datagram, Load, Lost};
+use cowsliproad_kernel::gossip::{self, Datagram, Load};
 use cowsliproad_platform::log::{QUARANTINE, TARGETS};
 use cowsliproad_platform_standin::{
     log::Fault,
@@ -29,7 +29,7 @@
     time::{sleep, timeout},
 };
 
-use crate::harness::{Entry, KEY, Plant, report, until};
+use crate::harness::{Entry, KEY, Plant, report, tell_lost, until};
 
 /// The body of work that ends its targets.
 const DEADLY: &str = "deadly";
@@ -418,16 +418,13 @@
         full.push(Full::start(&mut plant, &format!("i-{number}")).await);
     }
     let entry = plant.entry().await;
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
     let to = entry.settings.peer_address();
     for _ in 0..12 {
         let asked = entry.ask_with("/once/a", KEY, "innocent");
         let left = timeout(Duration::from_millis(100), asked).await;
         assert!(left.is_err(), "somebody answered");
         for Full { address: target, .. } in &full {
-            let lost = Datagram::Lost(Lost { target: *target, start: 0 });
-            let sent = socket.send_to(&gossip::encode(&lost), to).await;
-            sent.expect("it is sent");
+            tell_lost(*target, to).await;
         }
     }
     sleep(PROMPT).await;
@@ -477,14 +474,11 @@
 async fn targets_that_were_taken_for_ended_may_end_after_all() {
     let scene = Scene::start_with(Kind::Calls, 4).await;
     let entry = &scene.entries[0];
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let to = entry.settings.peer_address();
     let lose = Duration::from_millis(100);
     let all_lost = async || {
         for target in scene.targets.iter().filter_map(|it| it.address()) {
-            let lost =
-                gossip::encode(&Datagram::Lost(Lost { target, start: 0 }));
-            let to = entry.settings.peer_address();
-            socket.send_to(&lost, to).await.expect("it is sent");
+            tell_lost(target, to).await;
         }
     };
     scene.targets.iter().for_each(|it| it.set(target::Fault::LoseAnswer));
@@ -525,24 +519,18 @@
 async fn an_answer_that_was_on_its_way_takes_no_end_back() {
     let scene = Scene::start_with(Kind::Calls, 3).await;
     let entry = &scene.entries[0];
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
     let to = entry.settings.peer_address();
     let slow = target::Fault::Slow(Duration::from_millis(900));
     scene.targets.iter().for_each(|it| it.set(slow));
-    let have_run = |body: &str, least| {
-        let has = |it: &Arc<Target>| {
-            it.runs().iter().filter(|it| it.body == body).count() >= least
-        };
-        scene.targets.iter().all(has)
-    };
+    let have_run = |body| scene.targets.iter().all(|it| has_run(it, body));
     let on_their_way = async {
         let asked =
             (0..12).map(|_| status(entry, "/once/a", KEY, "on its way"));
         assert_eq!(join_all(asked).await, [200; 12]);
     };
     let ends = async {
-        until("each has some", async || have_run("on its way", 1)).await;
-        while !have_run("suspect", 1) {
+        until("each has some", async || have_run("on its way")).await;
+        while !have_run("suspect") {
             for target in &scene.targets {
                 target.set(target::Fault::LoseAnswer);
             }
@@ -551,9 +539,7 @@
                 scene.targets.iter().filter(|it| has_run(it, "suspect"))
             {
                 let Some(target) = target.address() else { continue };
-                let lost = Datagram::Lost(Lost { target, start: 0 });
-                let sent = socket.send_to(&gossip::encode(&lost), to).await;
-                sent.expect("it is sent");
+                tell_lost(target, to).await;
             }
         }
         until_refused(entry, 1.0).await;
@@ -575,15 +561,13 @@
         targets.push(plant.target_with(config).await);
     }
     let entry = plant.entry().await;
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
     let to = entry.settings.peer_address();
     let agents = targets.clone();
     tokio::spawn(async move {
         loop {
             for target in agents.iter().filter(|it| has_run(it, DEADLY)) {
                 let Some(target) = target.address() else { continue };
-                let lost = Datagram::Lost(Lost { target, start: 0 });
-                let _ = socket.send_to(&gossip::encode(&lost), to).await;
+                tell_lost(target, to).await;
             }
             sleep(Duration::from_millis(20)).await;
         }
--- a/cowsliproad-direct/tests/entry/siege.rs
+++ b/cowsliproad-direct/tests/entry/siege.rs
@@ -17,19 +17,15 @@
 };
 
 use cowsliproad_direct::settings::Settings;
-use cowsliproad_kernel::gossip::{self, Datagram, Lost};
 use cowsliproad_platform_standin::{
     log,
     target::{self, Config, Target},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rustix::process::Signal;
-use tokio::{
-    net::UdpSocket,
-    time::{sleep, timeout},
-};
+use tokio::time::{sleep, timeout};
 
-use crate::harness::{Entry, KEY, Plant};
+use crate::harness::{Entry, KEY, Plant, tell_lost};
 
 /// Entries, where `ENTRIES` doesn't say how many.
 const ENTRIES: usize = 4;
@@ -266,14 +262,11 @@
         target.set(target::Fault::LoseAnswer);
         sleep(Duration::from_millis(50)).await;
         let Some(target) = target.address() else { return };
-        let lost = Datagram::Lost(Lost { target, start: 0 });
-        let lost = gossip::encode(&lost);
-        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
         for entry in &self.entries {
             let to =
                 entry.borrow().as_ref().map(|it| it.settings.peer_address());
             let Some(to) = to else { continue };
-            socket.send_to(&lost, to).await.expect("it is sent");
+            tell_lost(target, to).await;
         }
     }
 
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -278,8 +278,9 @@
             // What became of earlier submissions is still told.
             Standing::Refused(_) if may_be_known(order) => Permit::Recall,
             Standing::Refused(after) => {
-                let failure = Failure::new(Code::Quarantined, self.ran());
-                return self.fail(failure.with_retry_after(after));
+                let (shared, ran) = (&self.shared, self.ran());
+                let failure = quarantine::refusal(shared, order, ran, after);
+                return self.fail(failure);
             }
         };
         let attempt = id::Attempt::random();
--- a/cowsliproad-entry/src/forward/failure.rs
+++ b/cowsliproad-entry/src/forward/failure.rs
@@ -93,10 +93,11 @@
         if failure.code != Code::Quarantined {
             return failure;
         }
-        match quarantine::standing(&self.shared, order) {
-            Standing::Refused(after) => failure.with_retry_after(after),
-            Standing::Free => failure.with_retry_after(ASK_AGAIN),
-        }
+        let after = match quarantine::standing(&self.shared, order) {
+            Standing::Refused(after) => after,
+            Standing::Free => ASK_AGAIN,
+        };
+        quarantine::refusal(&self.shared, order, failure.ran, after)
     }
 
     fn may_try_again(&mut self, failure: &Failure) -> bool {
--- a/cowsliproad-entry/src/quarantine.rs
+++ b/cowsliproad-entry/src/quarantine.rs
@@ -6,7 +6,13 @@
 //! of the targets that it can reach.
 
 use cowsliproad_admission::quarantine::{Change, Standing, Work};
-use cowsliproad_kernel::{clock::Millis, gossip::Suspect, sync::lock};
+use cowsliproad_kernel::{
+    clock::Millis,
+    code::{Code, Ran},
+    gossip::Suspect,
+    sync::lock,
+    wire::Failure,
+};
 use slog::info;
 
 use crate::{Shared, forward::Order, target::Target, view::Service};
@@ -48,10 +54,20 @@
     let (now, work) = (Millis::now(), order.work);
     let mut ledger = lock(&shared.quarantine);
     let standing = ledger.standing(work, now);
-    if let Standing::Refused(after) = standing {
+    if standing != Standing::Free {
         ledger.sighted(work, now);
-        info!(shared.log, "refused"; "request" => %order.request,
-            "work" => %work, "after" => after.0);
     }
     standing
 }
+
+/// The final answer to a request of such work.
+pub fn refusal(
+    shared: &Shared,
+    order: &Order,
+    ran: Ran,
+    after: Millis,
+) -> Failure {
+    info!(shared.log, "refused"; "request" => %order.request,
+        "work" => %order.work, "after" => after.0);
+    Failure::new(Code::Quarantined, ran).with_retry_after(after)
+}
