--- a/cowsliproad-admission/src/lib.rs
+++ b/cowsliproad-admission/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`register`]: that agent's record of the tickets it saw;
 //! * [`queue`]: the order of waiting work and what is refused instead;
 //! * [`patience`]: whether a stream that waited is still worth its start;
+//! * [`limit`]: how many requests a second a target takes from all VMs;
 //! * [`quarantine`]: work that ends the targets that run it;
 //! * [`budget`]: the share of requests that may be retries.
 //!
@@ -13,6 +14,7 @@
 #![forbid(unsafe_code)]
 
 pub mod budget;
+pub mod limit;
 pub mod patience;
 pub mod quarantine;
 pub mod queue;
--- /dev/null
+++ b/cowsliproad-admission/src/limit.rs
@@ -0,0 +1,247 @@
+//! How many requests a second a target takes from all VMs together.
+//!
+//! A target says so in its answers, for as long as it holds. Two questions
+//! are decided here:
+//!
+//! * *What holds now* ([`Known`]). Answers overtake one another, wait at VMs
+//!   that stand still, and are told on by others. What allows less counts
+//!   from when it was read. What allows more, or lifts the limit, counts only
+//!   from when its request was sent: an answer that was on its way when the
+//!   target began to name a limit says nothing against it.
+//! * *Who may send* ([`Keeper`]). Shares of a limit don't work: of one request
+//!   a second, a hundred entries would each have one in a hundred seconds, and
+//!   the target would be idle before the one that has callers. So for each
+//!   target one entry keeps the pace, and the others ask it for a place each
+//!   time. Whoever keeps the pace anew begins as if a place had just been
+//!   given, and gives out no larger part of the limit than the part of all
+//!   entries that it reaches, so the parts that a cut leaves make up one limit.
+
+use cowsliproad_kernel::clock::Millis;
+
+/// A target that takes less than this is asked all the same, once in ten
+/// seconds by all together: only its answer tells that the limit is over.
+const LEAST_RATE: f64 = 0.1;
+
+/// How far back a place may count that nobody asked for in time. A place is
+/// asked for when a request comes, some time after it is free.
+const LATENESS_MS: f64 = 250.0;
+
+/// The longest text that is taken for a number.
+const MOST_DIGITS: usize = 24;
+
+/// Requests a second.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// A rate, unless it is no number or less than nothing.
+    pub fn new(a_second: f64) -> Option<Rate> {
+        let sound = a_second.is_finite() && a_second >= 0.0;
+        sound.then_some(Rate(a_second))
+    }
+
+    /// Reads a decimal number: digits, and maybe a point and more of them.
+    pub fn parse(text: &str) -> Option<Rate> {
+        let text = text.trim();
+        let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
+        let digits = |it: &str| {
+            !it.is_empty() && it.bytes().all(|it| it.is_ascii_digit())
+        };
+        if text.len() > MOST_DIGITS || !digits(whole) || !digits(part) {
+            return None;
+        }
+        Rate::new(text.parse().ok()?)
+    }
+
+    /// Requests a second.
+    pub fn a_second(self) -> f64 {
+        self.0
+    }
+
+    /// The time from one request to the next in milliseconds, for whoever
+    /// keeps a share of the rate.
+    fn interval(self, share: f64) -> f64 {
+        1_000.0 / (self.0.max(LEAST_RATE) * share)
+    }
+}
+
+/// What was last said of a target's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Word {
+    /// The limit; `None` once the target names none any more.
+    pub rate: Option<Rate>,
+    /// For how long this has counted.
+    pub age: Millis,
+}
+
+/// What is known of a target's limit.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Known {
+    word: Option<Held>,
+    /// Whether the last answer named something that is no number.
+    unreadable: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    rate: Option<Rate>,
+    /// Since when it counts, in milliseconds; before 0 if it was told by
+    /// somebody who knew it before this process began.
+    since: i64,
+}
+
+/// What a piece of news changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing.
+    None,
+    /// The limit is new or lower.
+    Tightened,
+    /// The limit is higher or gone.
+    Loosened,
+}
+
+impl Known {
+    /// The limit in force.
+    pub fn rate(&self) -> Option<Rate> {
+        self.word?.rate
+    }
+
+    /// What was last said, for others. A target that never named a limit has
+    /// no word.
+    pub fn word(&self, now: Millis) -> Option<Word> {
+        let Held { rate, since } = self.word?;
+        let age = Millis((now.0 as i64 - since).max(0) as u64);
+        Some(Word { rate, age })
+    }
+
+    /// Whether it is news that a target names what is no number. It then names
+    /// no limit.
+    pub fn is_news_unreadable(&mut self, unreadable: bool) -> bool {
+        let before = std::mem::replace(&mut self.unreadable, unreadable);
+        unreadable && !before
+    }
+
+    /// Takes in an answer to a request that was sent at `sent`.
+    pub fn answered(
+        &mut self,
+        rate: Option<Rate>,
+        sent: Millis,
+        now: Millis,
+    ) -> Change {
+        let loosens = loosens(self.rate(), rate);
+        let age = if loosens { now.since(sent) } else { Millis(0) };
+        self.hear(Word { rate, age }, now)
+    }
+
+    /// Takes in what another entry was told.
+    pub fn hear(&mut self, word: Word, now: Millis) -> Change {
+        let Word { rate, age } = word;
+        let since = now.0 as i64 - age.0.min(i64::MAX as u64 / 2) as i64;
+        let Some(known) = self.word else {
+            if rate.is_none() {
+                return Change::None;
+            }
+            self.word = Some(Held { rate, since });
+            return Change::Tightened;
+        };
+        if since <= known.since {
+            return Change::None;
+        }
+        self.word = Some(Held { rate, since });
+        if loosens(known.rate, rate) {
+            Change::Loosened
+        } else if known.rate == rate {
+            Change::None
+        } else {
+            Change::Tightened
+        }
+    }
+}
+
+/// Whether a limit allows more than the one before.
+fn loosens(before: Option<Rate>, after: Option<Rate>) -> bool {
+    match (before, after) {
+        (None, _) => false,
+        (Some(_), None) => true,
+        (Some(before), Some(after)) => after > before,
+    }
+}
+
+/// What whoever asks for a place is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// A request may be sent after this time.
+    Place(Millis),
+    /// None is free before this time is over.
+    Later(Millis),
+}
+
+/// The pace of requests to a target that names a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Keeper {
+    rate: Rate,
+    /// When the next place is free, in milliseconds.
+    next: f64,
+    asked: Millis,
+}
+
+impl Keeper {
+    /// A pace that is kept from now on. Whoever kept it before may have given
+    /// a place just now.
+    pub fn new(rate: Rate, now: Millis) -> Keeper {
+        let next = now.0 as f64 + rate.interval(1.0);
+        Keeper { rate, next, asked: now }
+    }
+
+    /// When a place was last asked for.
+    pub fn asked(&self) -> Millis {
+        self.asked
+    }
+
+    /// Asks for a place that is free within `patience`. `share` is the part
+    /// of the limit that may be given out here, over 0 to 1.
+    pub fn ask(
+        &mut self,
+        rate: Rate,
+        share: f64,
+        patience: Millis,
+        now: Millis,
+    ) -> Verdict {
+        let interval = rate.interval(share);
+        let now_ms = now.0 as f64;
+        // Places that were promised under another limit don't bind this one.
+        if rate > self.rate {
+            self.next = self.next.min(now_ms + interval);
+        } else if rate < self.rate {
+            self.next = self.next.max(now_ms + interval);
+        }
+        self.rate = rate;
+        self.asked = now;
+        let place = self.next.max(now_ms - LATENESS_MS);
+        let wait = (place - now_ms).max(0.0).ceil();
+        if wait > patience.0 as f64 {
+            return Verdict::Later(Millis(wait as u64));
+        }
+        self.next = place + interval;
+        Verdict::Place(Millis(wait as u64))
+    }
+}
+
+/// A place at a target, as whoever asked for it holds it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Place {
+    /// The limit that it was given under.
+    pub rate: Rate,
+    /// When it may be used.
+    pub from: Millis,
+    /// When it lapses.
+    pub until: Millis,
+}
+
+impl Place {
+    /// Whether a request may still be sent for it under the limit in force.
+    pub fn holds(&self, rate: Rate, now: Millis) -> bool {
+        self.from <= now && now <= self.until && self.rate <= rate
+    }
+}
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -34,7 +34,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    entry::{Choice, Entry, Source},
+    entry::{Choice, Entry, Source, choose::Wish},
+    limits,
     receive::{USUAL_TIME, drop_hop_by_hop, work_of},
     reply::Body,
     stay::Stay,
@@ -54,6 +55,10 @@
 /// the usual work.
 const LEAST_TRY: Millis = Millis(40);
 
+/// Places that a request asks for in vain before it goes where no limit is,
+/// or is refused: a few of 3 ms each.
+const MOST_TURNED_AWAY: usize = 3;
+
 /// Ranks that a request falls back in a target's queue once it is late.
 const LATE_RANKS: u16 = 2;
 
@@ -90,6 +95,8 @@
     /// Targets that it was sent to.
     sent: Vec<Name>,
     tries: usize,
+    /// Places that it asked for in vain.
+    turned_away: usize,
     /// Tries that may have run.
     runs: usize,
     /// What the next try draws on.
@@ -123,6 +130,8 @@
     Refused(&'static str),
     /// It was not sent.
     Unsent(&'static str),
+    /// It was not sent, as its target names a limit.
+    Limited,
     /// It may have run, and was given up here.
     Unknown(&'static str),
     /// It may have run, and its connection broke.
@@ -186,6 +195,7 @@
             waits_since: span.arrived,
             sent: Vec::new(),
             tries: 0,
+            turned_away: 0,
             runs: 0,
             next: Draws::Nothing,
             certainty: Certainty::NotRun,
@@ -227,10 +237,21 @@
             if let Standing::Refused(after) = standing {
                 return Err(self.refuse(entry, after));
             }
-            if let Some(choice) = self.choose(entry, now) {
+            let choice = self.choose(entry, Millis(0));
+            let waits = choice.is_none();
+            // A place that is free in time is better than none.
+            let choice =
+                choice.or_else(|| self.choose(entry, wait.since(now)));
+            if let Some(mut choice) = choice {
                 if let Start::Later(after) = self.start(entry, now) {
                     return Err(self.put_off(entry, after));
                 }
+                let patience = if waits { wait.since(now) } else { Millis(0) };
+                if !limits::place(entry, &mut choice, patience).await {
+                    self.turned_away += 1;
+                    continue;
+                }
+                let now = Millis::now();
                 if self.next == Draws::Budget
                     && !entry.spend_retry(&self.service, now)
                 {
@@ -241,6 +262,10 @@
                 return Ok(choice);
             }
             let patience = wait.since(now);
+            if let Some(free) = self.full_until(entry, now) {
+                let after = free.since(now);
+                return Err(self.turn_away(entry, after));
+            }
             if patience.0 == 0 {
                 return Err(self.give_up(entry, "no target can be used"));
             }
@@ -277,15 +302,29 @@
 
     /// The best target that the request may still be sent to: a new one while
     /// its route allows more, else one that was asked before.
-    fn choose(&self, entry: &Entry, now: Millis) -> Option<Choice> {
+    fn choose(&self, entry: &Entry, patience: Millis) -> Option<Choice> {
         let is_new = |id: &Name| !self.sent.contains(id);
+        let wish = Wish {
+            service: &self.service,
+            now: Millis::now(),
+            patience,
+            asks: self.turned_away < MOST_TURNED_AWAY,
+        };
         if self.sent.len() < self.route.attempts as usize {
-            let new = entry.choose(&self.service, now, |it| is_new(&it.id));
+            let new = entry.choose(wish, |it| is_new(&it.id));
             if new.is_some() {
                 return new;
             }
         }
-        entry.choose(&self.service, now, |it| !is_new(&it.id))
+        entry.choose(wish, |it| !is_new(&it.id))
+    }
+
+    /// When a target may take the request that is only kept from it by its
+    /// limit, if there is one and none that it may be sent to.
+    fn full_until(&self, entry: &Entry, now: Millis) -> Option<Millis> {
+        let is_new = |id: &Name| !self.sent.contains(id);
+        let more = self.sent.len() < self.route.attempts as usize;
+        entry.full_until(&self.service, now, |it| more == is_new(&it.id))
     }
 
     fn log_choice(&self, entry: &Entry, choice: &Choice, now: Millis) {
@@ -297,6 +336,7 @@
             "target" => &*choice.target.id, "route" => &*self.route.name,
             "cost" => choice.cost as u64, "at_target" => seat.record.occupancy(),
             "own" => seat.record.in_flight(), "report_age" => age,
+            "limit" => choice.limit.map(|it| it.a_second()),
             "left" => self.left().0, "try" => self.tries + 1);
     }
 
@@ -318,6 +358,7 @@
             .await
             .map_err(|failure| match failure {
                 Failure::Unsent(why) => Miss::Unsent(why),
+                Failure::Limited => Miss::Limited,
                 Failure::Unknown(why) => Miss::Broken(why),
             })?;
         let (head, body) = answer.into_parts();
@@ -333,6 +374,9 @@
             entry.changed(id, change, Source::Own);
             return Err(Miss::Refused("another incarnation"));
         }
+        if echoed.is_some() || head.headers.contains_key(&header::NOT_RUN) {
+            entry.note_limit(choice, stay, &head.headers);
+        }
         stay.answered();
         if head.headers.contains_key(&header::NOT_RUN) {
             let at_fault = head.headers.contains_key(&header::AT_FAULT);
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -16,6 +16,10 @@
 /// When to come back if all targets are full.
 pub const FULL_TIME: Millis = Millis(250);
 
+/// Callers that are told of a free place come back after this at the least:
+/// their way there and back takes longer than the place stays free.
+const LEAST_RETURN: Millis = Millis(50);
+
 /// Tries beyond the targets that a route allows, at targets that were asked
 /// before and said that they did not run the request.
 const SPARE_TRIES: usize = 4;
@@ -61,6 +65,14 @@
                 }
                 why
             }
+            Miss::Limited => {
+                entry.measure.tried("limited");
+                self.sent.retain(|it| *it != choice.target.id);
+                if self.left().0 > 0 && self.tries < MOST_TRIES {
+                    return None;
+                }
+                "a limit was named meanwhile"
+            }
             Miss::Unknown(why) | Miss::Broken(why) => {
                 entry.measure.tried("unknown");
                 self.ran();
@@ -136,6 +148,27 @@
         reply::not_run("not run: too late for a first event\n", after)
     }
 
+    /// The answer to a caller whose targets take no more for now.
+    pub(super) fn turn_away(
+        &self,
+        entry: &Entry,
+        after: Millis,
+    ) -> Response<Body> {
+        info!(entry.log, "turned_away"; "request" => &*self.id,
+            "certainty" => ?self.certainty, "after" => after.0,
+            "left" => self.left().0);
+        entry.measure.limited("refused");
+        match self.certainty {
+            Certainty::NotRun => {
+                // Callers wait no longer than for a third of what they have.
+                let most = Millis(self.left().0 / 3);
+                let after = after.clamp(LEAST_RETURN.min(most), most);
+                reply::not_run("not run: targets take no more\n", after)
+            }
+            Certainty::Unknown => reply::unknown("no whole answer\n"),
+        }
+    }
+
     /// The answer to a caller whose work ends its targets. That it ran is said
     /// where it may have; otherwise it never does.
     pub(super) fn refuse(
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -13,7 +13,10 @@
 };
 
 use bytes::Bytes;
-use cowsliproad_admission::window::{self, Window};
+use cowsliproad_admission::{
+    limit::{Known, Place, Rate},
+    window::{self, Window},
+};
 use cowsliproad_kernel::{Name, clock::Millis, settings};
 use cowsliproad_routing::{
     catalog::Catalog,
@@ -26,11 +29,11 @@
 use tokio::sync::Notify;
 
 use crate::{
-    ends::Doubt, measure::Measure, peers::Peers, quarantine::Quarantine,
-    settings::Settings, upstream::Pool,
+    ends::Doubt, limits::Limits, measure::Measure, peers::Peers,
+    quarantine::Quarantine, settings::Settings, upstream::Pool,
 };
 
-mod choose;
+pub mod choose;
 mod groups;
 
 /// Routes whose callers' patience is remembered, some 60 bytes each: more
@@ -86,6 +89,14 @@
     pub lost: Option<Millis>,
     /// Requests under which it may have ended.
     pub doubts: Vec<Doubt>,
+    /// How many requests a second it takes.
+    pub limit: Known,
+    /// Places there that came too late for the requests that asked.
+    pub places: Vec<Place>,
+    /// When a place there is to be asked for at the earliest.
+    pub full_until: Millis,
+    /// Whether a place there is being asked for.
+    pub asking: bool,
 }
 
 /// The group of a target.
@@ -132,6 +143,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// When each availability zone was last heard from.
     zones: RefCell<HashMap<Name, Millis>>,
+    /// The pace of requests to targets that name a limit.
+    pub limits: RefCell<Limits>,
     /// Other entries.
     pub peers: RefCell<Peers>,
     /// Wakes requests that wait for a target.
@@ -175,6 +188,10 @@
     pub seat: Rc<RefCell<Seat>>,
     /// Its cost when it was chosen, in milliseconds.
     pub cost: f64,
+    /// The limit that it names.
+    pub limit: Option<Rate>,
+    /// The place there that the request holds.
+    pub place: Option<Place>,
 }
 
 impl Entry {
@@ -196,6 +213,7 @@
             formations: RefCell::new(HashMap::new()),
             quarantine: RefCell::new(Quarantine::default()),
             zones: RefCell::new(HashMap::new()),
+            limits: RefCell::new(Limits::default()),
             peers: RefCell::new(peers),
             news: Notify::new(),
             freed: Rc::default(),
@@ -296,6 +314,7 @@
                     // Requests there, connections and what its agent said
                     // were of the start before.
                     self.seats.borrow_mut().remove(id);
+                    self.limits.borrow_mut().forget(id);
                 }
                 let fleet = self.fleet.borrow();
                 let Some(target) = fleet.get(id) else { return };
@@ -310,6 +329,7 @@
                 info!(self.log, "target_left"; "target" => id,
                     "source" => ?source);
                 self.seats.borrow_mut().remove(id);
+                self.limits.borrow_mut().forget(id);
                 let addresses: HashSet<SocketAddr> =
                     self.fleet.borrow().ready().map(|it| it.address).collect();
                 self.lists.borrow_mut().retain(|it, _| addresses.contains(it));
@@ -350,6 +370,11 @@
         self.news.notify_waiters();
     }
 
+    /// What is kept of a target, if anything is.
+    pub fn known_seat(&self, id: &str) -> Option<Rc<RefCell<Seat>>> {
+        self.seats.borrow().get(id).cloned()
+    }
+
     /// What is kept of a target.
     pub fn seat(&self, id: &Name) -> Rc<RefCell<Seat>> {
         let new = || {
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -10,16 +10,81 @@
 
 use super::{Choice, Entry, Group, Seat, groups::SILENT_TIME};
 
+/// What a request wishes of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// When it is chosen.
+    pub now: Millis,
+    /// How long the request can wait for a place at a target that names a
+    /// limit; 0 if it goes elsewhere then.
+    pub patience: Millis,
+    /// Whether it may ask for such a place.
+    pub asks: bool,
+}
+
+/// A target that a request could go to, or could but for its limit.
+struct Seen {
+    choice: Choice,
+    slots: u32,
+    /// When a place there may be asked for, if one has to be.
+    free: Option<Millis>,
+}
+
 impl Entry {
     /// A target among those of a service that `fits` lets through: the one
     /// with the least cost, or, where agents report, one of those with little
-    /// cost; see [`pick::spread`].
+    /// cost; see [`pick::spread`]. One that takes fewer requests than its part
+    /// is chosen whenever it costs no more, so that it gets what it takes.
     pub fn choose(
+        &self,
+        wish: Wish,
+        fits: impl Fn(&Target) -> bool,
+    ) -> Option<Choice> {
+        let Wish { service, now, patience, asks } = wish;
+        let (mut seen, view) = self.look_at(service, now, fits);
+        seen.retain(|it| {
+            let seat = it.choice.seat.borrow();
+            it.free.is_none_or(|free| {
+                let idle = patience > Millis(0) || !seat.asking;
+                asks && idle && free <= now + patience
+            })
+        });
+        let costs: Vec<f64> = seen.iter().map(|it| it.choice.cost).collect();
+        let slots = seen.iter().map(|it| it.slots).max().unwrap_or(1);
+        let step = view.usual.in_step() / f64::from(slots);
+        let place = pick::spread(&costs, step, view.unseen, self.draw())?;
+        let binds =
+            |it: &Choice| it.limit.is_some_and(|it| it.a_second() < view.part);
+        let scarce = seen.iter().map(|it| &it.choice);
+        let scarce = scarce
+            .enumerate()
+            .filter(|(_, it)| binds(it) && it.cost <= costs[place])
+            .min_by(|(_, a), (_, b)| a.cost.total_cmp(&b.cost))
+            .map(|it| it.0);
+        Some(seen.swap_remove(scarce.unwrap_or(place)).choice)
+    }
+
+    /// When a place may be free at a target that a request could go to but
+    /// for its limit.
+    pub fn full_until(
         &self,
         service: &str,
         now: Millis,
         fits: impl Fn(&Target) -> bool,
-    ) -> Option<Choice> {
+    ) -> Option<Millis> {
+        let (seen, _) = self.look_at(service, now, fits);
+        seen.iter().filter_map(|it| it.free).min()
+    }
+
+    /// The targets of a service that work and that `fits` lets through.
+    fn look_at(
+        &self,
+        service: &str,
+        now: Millis,
+        fits: impl Fn(&Target) -> bool,
+    ) -> (Vec<Seen>, View) {
         let fleet = self.fleet.borrow();
         let most = self.connections(service);
         let zone = &self.settings().zone;
@@ -37,8 +102,10 @@
         let records: Vec<Record> =
             seated.iter().map(|it| it.1.borrow().record).collect();
         let usual = Usual::new(records.iter());
-        let mut choices: Vec<Choice> = Vec::new();
-        let mut slots = 1;
+        let unseen =
+            if reported { self.unseen(service, &records, now) } else { 0.0 };
+        let part = self.part(service, seated.len(), now);
+        let mut seen: Vec<Seen> = Vec::new();
         for (target, seat) in seated {
             let held = seat.borrow();
             let group = held.group.as_ref();
@@ -64,16 +131,26 @@
                 usual_ms,
             };
             let cost = pick::cost(&candidate, now);
+            let limit = held.limit.rate();
+            let needs = limit.filter(|it| !held.has_place(*it, now));
+            let free = needs.map(|_| held.full_until);
             drop(held);
-            slots = slots.max(target.slots);
-            choices.push(Choice { target: target.clone(), seat, cost });
+            let target = target.clone();
+            let slots = target.slots;
+            let choice = Choice { target, seat, cost, limit, place: None };
+            seen.push(Seen { choice, slots, free });
         }
-        let costs: Vec<f64> = choices.iter().map(|it| it.cost).collect();
-        let unseen =
-            if reported { self.unseen(service, &records, now) } else { 0.0 };
-        let step = usual.in_step() / f64::from(slots);
-        let place = pick::spread(&costs, step, unseen, self.draw())?;
-        Some(choices.swap_remove(place))
+        (seen, View { usual, unseen, part })
+    }
+
+    /// Requests a second that a target of a service would get if all were
+    /// sent as many.
+    fn part(&self, service: &str, targets: usize, now: Millis) -> f64 {
+        let entries = self.peers.borrow().entries() as f64;
+        let budgets = self.budgets.borrow();
+        let usual = budgets.get(service);
+        let usual = usual.map_or(0.0, |it| it.usual(SECOND, now));
+        usual * entries / targets.max(1) as f64
     }
 
     /// Requests that other entries send to a service without a report that
@@ -100,6 +177,17 @@
     }
 }
 
+/// What an entry sees of a service.
+struct View {
+    usual: Usual,
+    /// Requests of others that no report shows.
+    unseen: f64,
+    /// Requests a second that a target would get if all were sent as many.
+    part: f64,
+}
+
+const SECOND: Millis = Millis(1_000);
+
 /// The time for which requests of others are allowed for: two reports of an
 /// agent. Behind 31 entries 0.2% of the requests then find no free slot at
 /// one of 72 ranks, 0.5% with one report, and 38% with nothing allowed for
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`stay`]: a request's stay at a target;
 //! * [`upstream`]: connections to targets;
 //! * [`ends`]: whether a target ended under its requests;
+//! * [`limits`]: targets that name how much they take from all entries;
 //! * [`quarantine`]: work that ends its targets is refused by all entries;
 //! * [`follow`]: configuration and targets from the platform's log;
 //! * [`peers`]: what entries and agents tell one another;
@@ -41,6 +42,7 @@
 pub mod entry;
 pub mod follow;
 pub mod forward;
+pub mod limits;
 pub mod measure;
 pub mod peers;
 pub mod quarantine;
@@ -61,6 +63,7 @@
     let datagrams = Rc::new(UdpSocket::bind(settings.peer_address()).await?);
     info!(log, "started"; "callers" => %settings.callers);
     let entry = Rc::new(Entry::new(settings, log.clone()));
+    entry.limits.borrow_mut().speak(datagrams.clone());
     let answers =
         readiness::serve(entry.clone(), readiness, readiness::answer);
     tokio::task::spawn_local(answers);
--- /dev/null
+++ b/cowsliproad-direct/src/limits.rs
@@ -0,0 +1,453 @@
+//! Targets that name how many requests a second they take from all entries.
+//!
+//! What is decided stands in [`cowsliproad_admission::limit`]; here is who
+//! tells and asks whom. What a target says is told to the other entries at
+//! once and then by digests. A request that is to go to such a target first
+//! gets a place: from this entry, if it keeps the target's pace, else by one
+//! datagram there and one back. An entry that is asked and knows of a better
+//! keeper passes the question on, so that entries that know different ones of
+//! the others still keep one pace; one that gets no answer from the keeper
+//! takes its place, and begins anew.
+
+use std::{cell::RefCell, collections::HashMap, fmt, net::SocketAddr, rc::Rc};
+
+use cowsliproad_admission::limit::{self, Change, Place, Rate, Verdict, Word};
+use cowsliproad_kernel::{
+    Name,
+    clock::Millis,
+    gossip::{self, Ask, Datagram, Limit, Reply},
+};
+use cowsliproad_platform::header;
+use cowsliproad_routing::fleet::{Start, Target};
+use http::{HeaderMap, HeaderValue};
+use slog::{debug, info, warn};
+use tokio::{
+    net::UdpSocket,
+    sync::oneshot,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    call::Miss,
+    entry::{Choice, Entry, Seat, Source},
+    peers::Keeper,
+    stay::Stay,
+};
+
+/// How often a question for a place may be passed on: to the entry that is
+/// taken for the keeper, and from there to the one that it takes for it.
+const RELAYS: u8 = 2;
+
+/// The time for an answer from an entry that asks nobody else: the way there
+/// and back, and a VM that has used up its share of a tenth of a second.
+const ANSWER_TIME: Millis = Millis(120);
+
+/// How long a request that can go elsewhere waits for its answer.
+const PATIENCE: Millis = Millis(40);
+
+/// How long an entry that didn't answer is passed over.
+const MUTE_TIME: Millis = Millis(2_000);
+
+/// Entries that are asked for one place. Each may be gone.
+const MOST_ASKED: usize = 2;
+
+/// When a place is asked for again if nobody knows when one is free.
+const AGAIN_TIME: Millis = Millis(250);
+
+/// How long a place is held for its request to get a connection.
+const HOLD_TIME: Millis = Millis(400);
+
+/// After so long somebody else may have kept the pace.
+const RESUMED_TIME: Millis = Millis(1_000);
+
+/// How long others are told that a limit is over.
+const OVER_TIME: Millis = Millis(8_000);
+
+/// Limits that others are told of at a time, some 40 bytes each.
+const MOST_TOLD: usize = 256;
+
+/// Changes of limits are told at once no more often than this, however often
+/// targets change them.
+const TELL_PAUSE: Millis = Millis(100);
+
+/// The pace of requests to targets, and questions that are open.
+#[derive(Default)]
+pub struct Limits {
+    socket: Option<Rc<UdpSocket>>,
+    keepers: HashMap<Name, (Start, limit::Keeper)>,
+    open: HashMap<u64, oneshot::Sender<Reply>>,
+    told: Millis,
+}
+
+impl fmt::Debug for Limits {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Limits")
+            .field("keepers", &self.keepers)
+            .field("open", &self.open.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Limits {
+    /// Asks and answers through a socket from now on.
+    pub fn speak(&mut self, socket: Rc<UdpSocket>) {
+        self.socket = Some(socket);
+    }
+
+    /// Forgets the pace of a target that left.
+    pub fn forget(&mut self, target: &str) {
+        self.keepers.remove(target);
+    }
+}
+
+impl Choice {
+    /// Whether a request may be sent there now.
+    pub fn may_send(&self, now: Millis) -> bool {
+        let rate = self.seat.borrow().limit.rate();
+        let Some(rate) = rate else { return true };
+        self.place.is_some_and(|it| it.holds(rate, now))
+    }
+}
+
+impl Choice {
+    /// Notes that a request got no answer there.
+    pub fn missed(&self, miss: &Miss) {
+        // A limit that came in between is no fault of the target.
+        if *miss != Miss::Limited {
+            self.seat.borrow_mut().record.failure(Millis::now());
+        }
+    }
+}
+
+impl Seat {
+    /// A place that came too late for the request that asked for it.
+    pub fn has_place(&self, rate: Rate, now: Millis) -> bool {
+        self.places.iter().any(|it| it.holds(rate, now))
+    }
+
+    fn take_place(&mut self, rate: Rate, now: Millis) -> Option<Place> {
+        self.places.retain(|it| it.until >= now && it.rate <= rate);
+        let at = self.places.iter().position(|it| it.holds(rate, now))?;
+        Some(self.places.swap_remove(at))
+    }
+}
+
+/// Gets a place at the target that was chosen, if it names a limit. One that
+/// is free within `patience` is waited for.
+pub async fn place(
+    entry: &Rc<Entry>,
+    choice: &mut Choice,
+    patience: Millis,
+) -> bool {
+    let Some(rate) = choice.limit else { return true };
+    let now = Millis::now();
+    let kept = choice.seat.borrow_mut().take_place(rate, now);
+    if kept.is_some() {
+        choice.place = kept;
+        return true;
+    }
+    choice.seat.borrow_mut().asking = true;
+    let (sender, given) = oneshot::channel();
+    let asking = get(entry.clone(), choice.clone(), patience, sender);
+    tokio::task::spawn_local(asking);
+    let wait = match patience {
+        Millis(0) => PATIENCE,
+        _ => Millis(ANSWER_TIME.0 * u64::from(RELAYS + 1)),
+    };
+    let Ok(Ok(Some(place))) = timeout(wait.duration(), given).await else {
+        entry.measure.limited("none");
+        return false;
+    };
+    let mut held = Held { seat: choice.seat.clone(), place: Some(place) };
+    sleep(place.from.since(Millis::now()).duration()).await;
+    choice.place = held.place.take();
+    entry.measure.limited("place");
+    true
+}
+
+/// A place whose time has not come. If its request is gone by then another
+/// one may have it.
+struct Held {
+    seat: Rc<RefCell<Seat>>,
+    place: Option<Place>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.seat.borrow_mut().places.extend(self.place.take());
+    }
+}
+
+/// Asks for a place, and keeps one that comes too late for the next request.
+async fn get(
+    entry: Rc<Entry>,
+    choice: Choice,
+    patience: Millis,
+    given: oneshot::Sender<Option<Place>>,
+) {
+    let verdict = decide(&entry, &choice.target, patience, RELAYS).await;
+    let now = Millis::now();
+    let mut seat = choice.seat.borrow_mut();
+    seat.asking = false;
+    match verdict {
+        Verdict::Place(after) => {
+            let from = now + after;
+            let rate = seat.limit.rate().or(choice.limit);
+            let Some(rate) = rate else { return };
+            let place = Place { rate, from, until: from + HOLD_TIME };
+            if given.send(Some(place)).is_err() {
+                seat.places.push(place);
+            }
+        }
+        Verdict::Later(after) => {
+            seat.full_until = now + after;
+            // Whoever asked may have gone elsewhere.
+            let _ = given.send(None);
+        }
+    }
+    drop(seat);
+    debug!(entry.log, "place"; "target" => &*choice.target.id,
+        "verdict" => ?verdict, "patience" => patience.0);
+}
+
+/// Decides on a place, here or where the target's pace is kept.
+async fn decide(
+    entry: &Rc<Entry>,
+    target: &Target,
+    patience: Millis,
+    relays: u8,
+) -> Verdict {
+    for _ in 0..MOST_ASKED {
+        let now = Millis::now();
+        let zone = entry.settings().zone.clone();
+        let keeper = entry.peers.borrow().keeper(target, &zone, now);
+        let other = match keeper {
+            Keeper::Other(other) if relays > 0 => other,
+            Keeper::Other(_) | Keeper::Own => {
+                return entry.give(target, false, patience, now);
+            }
+            Keeper::Substitute => {
+                return entry.give(target, true, patience, now);
+            }
+        };
+        match ask(entry, other, target, patience, relays - 1).await {
+            Some(reply) if reply.given => return Verdict::Place(reply.after),
+            Some(reply) => return Verdict::Later(reply.after),
+            None => {
+                let until = Millis::now() + MUTE_TIME;
+                entry.peers.borrow_mut().mute(other, until);
+                info!(entry.log, "keeper_mute"; "peer" => %other,
+                    "target" => &*target.id);
+            }
+        }
+    }
+    Verdict::Later(AGAIN_TIME)
+}
+
+/// Asks another entry for a place.
+async fn ask(
+    entry: &Entry,
+    other: SocketAddr,
+    target: &Target,
+    patience: Millis,
+    relays: u8,
+) -> Option<Reply> {
+    let number = rand::random();
+    let limit = entry.limit_told(target, Millis::now());
+    let question = Ask { number, limit, patience, relays };
+    let (sender, reply) = oneshot::channel();
+    entry.limits.borrow_mut().open.insert(number, sender);
+    entry.say(Datagram::Ask(question), other).await;
+    let wait = Millis(ANSWER_TIME.0 * (u64::from(relays) + 1));
+    let reply = timeout(wait.duration(), reply).await;
+    entry.limits.borrow_mut().open.remove(&number);
+    reply.ok()?.ok()
+}
+
+/// Answers another entry's question.
+pub fn answer(entry: &Rc<Entry>, ask: Ask, from: SocketAddr) {
+    entry.hear_limit(&ask.limit, Millis::now());
+    let entry = entry.clone();
+    tokio::task::spawn_local(async move {
+        let target = entry.fleet.borrow().get(&ask.limit.target).cloned();
+        let same = target.filter(|it| it.start.0 == ask.limit.start);
+        let (verdict, limit) = match same {
+            Some(target) => {
+                let verdict =
+                    decide(&entry, &target, ask.patience, ask.relays).await;
+                (verdict, entry.limit_told(&target, Millis::now()))
+            }
+            // Its announcement has not come here yet.
+            None => (Verdict::Later(AGAIN_TIME), ask.limit),
+        };
+        let (given, after) = match verdict {
+            Verdict::Place(after) => (true, after),
+            Verdict::Later(after) => (false, after),
+        };
+        let reply = Reply { number: ask.number, limit, given, after };
+        entry.say(Datagram::Reply(reply), from).await;
+    });
+}
+
+impl Entry {
+    /// Takes in what a target says of its limit with an answer.
+    pub fn note_limit(
+        &self,
+        choice: &Choice,
+        stay: &Stay,
+        headers: &HeaderMap,
+    ) {
+        let mut seat = choice.seat.borrow_mut();
+        let named = headers.get(&header::LIMIT);
+        let unreadable = named.is_some_and(|it| read(it).is_none());
+        if seat.limit.is_news_unreadable(unreadable) {
+            warn!(self.log, "limit_refused"; "target" => &*choice.target.id,
+                "limit" => ?named);
+        }
+        if named.is_none() && seat.limit.word(Millis(0)).is_none() {
+            return;
+        }
+        let rate = named.and_then(read);
+        let now = Millis::now();
+        let sent = stay.sent_at().unwrap_or(now);
+        let change = seat.limit.answered(rate, sent, now);
+        drop(seat);
+        self.limit_changed(&choice.target.id, change, Source::Own);
+    }
+
+    /// Takes in what another entry tells of limits.
+    pub fn hear_limits(&self, limits: &[Limit], now: Millis) {
+        for limit in limits {
+            self.hear_limit(limit, now);
+        }
+    }
+
+    fn hear_limit(&self, limit: &Limit, now: Millis) {
+        let fleet = self.fleet.borrow();
+        let target = fleet.get(&limit.target);
+        if target.is_none_or(|it| it.start.0 != limit.start) {
+            return;
+        }
+        drop(fleet);
+        let rate = limit.rate.and_then(Rate::new);
+        if rate.is_none() != limit.rate.is_none() {
+            return;
+        }
+        let word = Word { rate, age: limit.age };
+        let seat = self.seat(&limit.target);
+        let change = seat.borrow_mut().limit.hear(word, now);
+        self.limit_changed(&limit.target, change, Source::Peer);
+    }
+
+    fn limit_changed(&self, target: &Name, change: Change, source: Source) {
+        if change == Change::None {
+            return;
+        }
+        let Some(seat) = self.known_seat(target) else { return };
+        let mut seat = seat.borrow_mut();
+        let rate = seat.limit.rate();
+        if change == Change::Loosened {
+            seat.full_until = Millis(0);
+        }
+        drop(seat);
+        info!(self.log, "limit"; "target" => &**target,
+            "a_second" => rate.map(Rate::a_second), "change" => ?change,
+            "source" => ?source);
+        if change == Change::Loosened {
+            self.tell_news();
+        }
+        // Others hand it on too: there may be more entries than one tells.
+        let now = Millis::now();
+        let mut limits = self.limits.borrow_mut();
+        if now.since(limits.told) >= TELL_PAUSE {
+            limits.told = now;
+            self.rumour.notify_one();
+        }
+    }
+
+    /// What others are told of limits.
+    pub fn limits_told(&self, now: Millis) -> Vec<Limit> {
+        let fleet = self.fleet.borrow();
+        let told = |target: &Target| {
+            let seat = self.known_seat(&target.id)?;
+            let word = seat.borrow().limit.word(now)?;
+            let told = word.rate.is_some() || word.age < OVER_TIME;
+            told.then(|| limit_of(target, word))
+        };
+        fleet.ready().filter_map(told).take(MOST_TOLD).collect()
+    }
+
+    /// Targets that name a limit.
+    pub fn limits_known(&self) -> usize {
+        let fleet = self.fleet.borrow();
+        let limited = |target: &&Target| {
+            let seat = self.known_seat(&target.id);
+            seat.is_some_and(|it| it.borrow().limit.rate().is_some())
+        };
+        fleet.ready().filter(limited).count()
+    }
+
+    /// What is known of a target's limit.
+    fn limit_told(&self, target: &Target, now: Millis) -> Limit {
+        let word = self.seat(&target.id).borrow().limit.word(now);
+        let never = Word { rate: None, age: Millis(u64::MAX) };
+        limit_of(target, word.unwrap_or(never))
+    }
+
+    /// Decides on a place as the one that keeps the target's pace.
+    fn give(
+        &self,
+        target: &Target,
+        substitute: bool,
+        patience: Millis,
+        now: Millis,
+    ) -> Verdict {
+        let rate = self.seat(&target.id).borrow().limit.rate();
+        let Some(rate) = rate else {
+            return Verdict::Place(Millis(0));
+        };
+        let share = self.peers.borrow().reached(now);
+        let new = (target.start, limit::Keeper::new(rate, now));
+        let mut limits = self.limits.borrow_mut();
+        let kept = limits.keepers.entry(target.id.clone()).or_insert(new);
+        let resumed = now.since(kept.1.asked()) > RESUMED_TIME;
+        if kept.0 != target.start || substitute && resumed {
+            *kept = new;
+        }
+        kept.1.ask(rate, share, patience, now)
+    }
+
+    /// Takes in the answer to a question.
+    pub fn hear_reply(&self, reply: Reply) {
+        self.hear_limit(&reply.limit, Millis::now());
+        let open = self.limits.borrow_mut().open.remove(&reply.number);
+        if let Some(open) = open {
+            // Whoever asked may have stopped waiting just now.
+            let _ = open.send(reply);
+        }
+    }
+
+    async fn say(&self, message: Datagram, to: SocketAddr) {
+        let Some(socket) = self.limits.borrow().socket.clone() else {
+            return;
+        };
+        let bytes = gossip::encode(&message);
+        if let Err(error) = socket.send_to(&bytes, to).await {
+            debug!(self.log, "not_said"; "peer" => %to, "error" => %error);
+        }
+    }
+}
+
+fn read(value: &HeaderValue) -> Option<Rate> {
+    Rate::parse(value.to_str().ok()?)
+}
+
+fn limit_of(target: &Target, word: Word) -> Limit {
+    Limit {
+        target: target.id.clone(),
+        start: target.start.0,
+        rate: word.rate.map(Rate::a_second),
+        age: word.age,
+    }
+}
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -17,6 +17,8 @@
     whole: Histogram<u64>,
     doubts: Counter<u64>,
     quarantined: Counter<u64>,
+    limited: Counter<u64>,
+    limits: Gauge<u64>,
     peers: Gauge<u64>,
     targets: Gauge<u64>,
 }
@@ -32,6 +34,8 @@
             first_byte: meter.u64_histogram("first_byte_ms").build(),
             whole: meter.u64_histogram("whole_answer_ms").build(),
             quarantined: meter.u64_counter("quarantined").build(),
+            limited: meter.u64_counter("limited").build(),
+            limits: meter.u64_gauge("limits").build(),
             doubts: meter.u64_counter("doubts").build(),
             peers: meter.u64_gauge("peers").build(),
             targets: meter.u64_gauge("targets").build(),
@@ -68,6 +72,16 @@
         self.quarantined.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Notes what came of asking for a place at a target that names a limit.
+    pub fn limited(&self, outcome: &'static str) {
+        self.limited.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Notes how many targets name a limit.
+    pub fn knows_limits(&self, targets: usize) {
+        self.limits.record(targets as u64, &[]);
+    }
+
     /// Notes how many other entries and targets it knows.
     pub fn knows(&self, peers: usize, targets: usize) {
         self.peers.record(peers as u64, &[]);
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -9,7 +9,12 @@
 //! Agents beside model engines report to whoever asks them to, so a new
 //! entry hears from all of them within a second, and nobody keeps a list.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use cowsliproad_kernel::{
@@ -36,7 +41,7 @@
 
 use crate::{
     entry::{Entry, Group, Source},
-    follow,
+    follow, limits,
     settings::Settings,
 };
 
@@ -54,6 +59,9 @@
 /// Without a word for so long an entry is no longer told to others.
 const FORGET_TIME: Millis = Millis(12_000);
 
+/// Three digests missing.
+const SILENT_TIME: Millis = Millis(1_600);
+
 /// How long the targets that left are told of.
 const LEFT_TIME: Millis = Millis(8_000);
 
@@ -84,7 +92,21 @@
 #[derive(Debug)]
 struct Peer {
     vm: Name,
+    zone: Name,
     heard: Millis,
+    /// Until when it is taken for one that doesn't answer.
+    mute_until: Millis,
+}
+
+/// Which entry keeps the pace of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Keeper {
+    /// This one.
+    Own,
+    /// This one, in place of one that isn't heard from.
+    Substitute,
+    /// Another one.
+    Other(SocketAddr),
 }
 
 /// What an entry that starts without the log takes from another.
@@ -130,12 +152,71 @@
     }
 
     fn hear(&mut self, digest: &Digest, now: Millis) -> bool {
-        let peer = Peer { vm: digest.vm.clone(), heard: now };
+        let known = self.known.get(&digest.address);
+        let peer = Peer {
+            vm: digest.vm.clone(),
+            zone: digest.zone.clone(),
+            heard: now,
+            mute_until: known.map_or(Millis(0), |it| it.mute_until),
+        };
         // A VM that was replaced speaks from another address.
         self.known.retain(|at, it| it.vm != peer.vm || *at == digest.address);
         self.known.insert(digest.address, peer).is_none()
     }
 
+    /// The entry that keeps the pace of a target, this one too. Entries of
+    /// the target's availability zone go first: whoever is cut off from them
+    /// mostly doesn't reach the target either. Of these each target has
+    /// another one.
+    pub fn keeper(
+        &self,
+        target: &Target,
+        own_zone: &Name,
+        now: Millis,
+    ) -> Keeper {
+        let silence = self.silence();
+        let rank = |address: &SocketAddr, zone: &Name| {
+            let mut hasher = DefaultHasher::new();
+            (address, &*target.id, target.start.0).hash(&mut hasher);
+            (*zone == target.zone, hasher.finish())
+        };
+        let own = rank(&self.own, own_zone);
+        let mut better: Vec<_> = self.known.iter().collect();
+        better.retain(|it| rank(it.0, &it.1.zone) > own);
+        let heard = |it: &&(&SocketAddr, &Peer)| {
+            now.since(it.1.heard) < silence && it.1.mute_until <= now
+        };
+        let best = better.iter().filter(|it| heard(it));
+        match best.max_by_key(|it| rank(it.0, &it.1.zone)) {
+            Some((address, _)) => Keeper::Other(**address),
+            None if better.is_empty() => Keeper::Own,
+            None => Keeper::Substitute,
+        }
+    }
+
+    /// Notes that an entry doesn't answer questions.
+    pub fn mute(&mut self, address: SocketAddr, until: Millis) {
+        if let Some(peer) = self.known.get_mut(&address) {
+            peer.mute_until = until;
+        }
+    }
+
+    /// The part of all entries that are heard from, this one included.
+    pub fn reached(&self, now: Millis) -> f64 {
+        let silence = self.silence();
+        let known = self.known.values();
+        let heard = known.filter(|it| now.since(it.heard) < silence);
+        (heard.count() + 1) as f64 / self.entries() as f64
+    }
+
+    /// After so long without a word an entry is taken for one that can't be
+    /// reached. Where there are more of them than are told at a time, each is
+    /// heard from less often.
+    fn silence(&self) -> Millis {
+        let rounds = (self.known.len() / MOST_TOLD).max(1) as u64;
+        Millis(SILENT_TIME.0 * rounds)
+    }
+
     /// Notes entries that others speak of.
     fn introduce(&mut self, peers: &[SocketAddr]) -> Vec<SocketAddr> {
         let new = |it: &&SocketAddr| {
@@ -168,6 +249,7 @@
         }
         let known = entry.peers.borrow().known.len();
         entry.measure.knows(known, entry.fleet.borrow().ready().count());
+        entry.measure.knows_limits(entry.limits_known());
         let joined = entry.joined.get();
         if round % ASK_EVERY == 0 || joined != asked {
             asked = joined;
@@ -203,6 +285,7 @@
         zone: entry.settings().zone.clone(),
         suspects,
         lives,
+        limits: entry.limits_told(now),
     }
 }
 
@@ -275,7 +358,7 @@
 pub async fn listen(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; gossip::MOST_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // An unreachable peer shows here; the next datagram may be good.
             sleep(OWN_TIME.duration()).await;
             continue;
@@ -291,6 +374,8 @@
                 }
             }
             Some(Datagram::Lost(lost)) => take_lost(&entry, &lost),
+            Some(Datagram::Ask(ask)) => limits::answer(&entry, ask, from),
+            Some(Datagram::Reply(reply)) => entry.hear_reply(reply),
             None => warn!(entry.log, "strange_datagram"; "bytes" => length),
         }
     }
@@ -309,6 +394,7 @@
     }
     entry.heard_from(&heard.zone, now);
     entry.hear_suspects(&heard.suspects, &heard.lives, now);
+    entry.hear_limits(&heard.limits, now);
     let at = now - Millis(heard.read_ms);
     entry.note_reading(at, heard.changed, now);
     let (is_new, others) = {
--- a/cowsliproad-direct/src/stay.rs
+++ b/cowsliproad-direct/src/stay.rs
@@ -53,6 +53,11 @@
         self.sent.set(None);
     }
 
+    /// When it was written to a connection.
+    pub fn sent_at(&self) -> Option<Millis> {
+        self.sent.get()
+    }
+
     /// Notes that the target answers: it lived when the request was sent. The
     /// answer may have been on its way for long.
     pub fn answered(&self) {
@@ -87,14 +92,16 @@
 
     /// Notes that there was no answer.
     pub fn missed(&self, miss: &Miss) {
-        self.choice.seat.borrow_mut().record.failure(Millis::now());
+        self.choice.missed(miss);
         self.left(miss);
     }
 
     /// Asks what became of the target, if it may have begun it.
     pub fn left(&self, miss: &Miss) {
         match miss {
-            Miss::Refused(_) | Miss::Unsent(_) => self.outlived(),
+            Miss::Refused(_) | Miss::Unsent(_) | Miss::Limited => {
+                self.outlived();
+            }
             Miss::Broken(_) => self.doubt(Doubt::broken),
             Miss::Unknown(_) => self.give_up(),
         }
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -58,6 +58,8 @@
 pub enum Failure {
     /// It was not sent.
     Unsent(&'static str),
+    /// It was not sent, as its target has named a limit since it was chosen.
+    Limited,
     /// It was sent and may have run.
     Unknown(&'static str),
 }
@@ -116,16 +118,24 @@
 impl Lease {
     /// Keeps the connection for the next request, after a whole answer.
     pub fn keep(self, now: Millis) {
-        if self.keep.0 == 0 || self.sender.is_closed() {
-            return;
-        }
-        let mut seat = self.seat.borrow_mut();
-        let idle = &mut seat.pool.idle;
-        if idle.len() < MOST_IDLE {
-            let until = now + self.keep;
-            idle.push(Idle { sender: self.sender, until, used: now });
-            seat.freed.notify_waiters();
-        }
+        keep(&self.seat, self.sender, self.keep, now);
+    }
+}
+
+fn keep(
+    seat: &RefCell<Seat>,
+    sender: SendRequest<Full<Bytes>>,
+    time: Millis,
+    now: Millis,
+) {
+    if time.0 == 0 || sender.is_closed() {
+        return;
+    }
+    let mut seat = seat.borrow_mut();
+    let idle = &mut seat.pool.idle;
+    if idle.len() < MOST_IDLE {
+        idle.push(Idle { sender, until: now + time, used: now });
+        seat.freed.notify_waiters();
     }
 }
 
@@ -146,6 +156,11 @@
             Some(sender) => sender,
             None => connect(choice).await?,
         };
+        // The limit may have changed while a connection was made.
+        if !choice.may_send(Millis::now()) {
+            keep(&choice.seat, sender, USUAL_IDLE, Millis::now());
+            return Err(Failure::Limited);
+        }
         stay.sent();
         match sender.try_send_request(request).await {
             Ok(answer) => {
--- a/cowsliproad-direct/tests/entry/limits.rs
+++ b/cowsliproad-direct/tests/entry/limits.rs
@@ -2,18 +2,30 @@
 //!
 //! Seen: two model engines that had named 1.2 and 1 a second went on getting
 //! 3 a second, 13 requests within 4 s from entries that they had told.
+//! How: nobody read what they named, so all entries sent them what they sent
+//! to the others, with first tries. Cause: a number that a target tells all
+//! of its callers together can't be kept by any of them alone, and nothing in
+//! the entries knew such a number. Proof: the rate at these targets didn't
+//! change as they began to name a limit, and here a target that names 2 a
+//! second got 49 requests within 4 s from four entries.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use cowsliproad_kernel::gossip::{self, Datagram};
 use cowsliproad_net::client::Client;
-use cowsliproad_platform_standin::target::Target;
+use cowsliproad_platform_standin::target::{Config, Fault, Target};
 use http::StatusCode;
-use tokio::{task::JoinSet, time::interval};
+use tokio::{
+    net::UdpSocket,
+    task::JoinSet,
+    time::{interval, sleep},
+};
 
-use crate::harness::{Entry, KEY, Plant, until};
+use crate::harness::{Entry, KEY, Plant, report, until};
 
 /// The span in which requests are counted.
 const SPAN: Duration = Duration::from_secs(4);
@@ -97,11 +109,14 @@
     entries
 }
 
-/// The limited target and two others.
+/// The limited target and two slower ones, so that it would get most requests
+/// if it named none.
 async fn targets(plant: &mut Plant) -> Vec<Arc<Target>> {
     let mut targets = Vec::new();
-    for id in ["i-1", "i-2", "i-3"] {
-        targets.push(plant.target(id, "plain").await);
+    for (id, pause) in [("i-1", 2), ("i-2", 15), ("i-3", 15)] {
+        let pause = Duration::from_millis(pause);
+        let config = Config::new(id, "plain", "a").with_pause(pause);
+        targets.push(plant.target_with(config).await);
     }
     targets
 }
@@ -128,3 +143,207 @@
     let least = RATE * (TIME.as_secs() as usize - 1) * 8 / 10;
     assert!(got >= least, "it is left idle: {got}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_holds_for_as_long_as_it_is_named() {
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant).await;
+    let entries = entries(&mut plant, 3).await;
+    let entries: Vec<&Entry> = entries.iter().collect();
+    let pause = Duration::from_millis(20);
+    let stage = async |limit: Option<&str>, time: u64| {
+        let begun = Instant::now();
+        targets[0].set_limit(limit);
+        let time = Duration::from_secs(time);
+        let heard = load(&entries, "/many/a", pause, time).await;
+        assert_eq!((heard.refused, heard.other), (0, 0), "{heard:?}");
+        let told = begun + Duration::from_millis(500);
+        let times = targets[0].times();
+        times.iter().filter(|it| **it >= told).count()
+    };
+    let lowered = stage(Some("8.0"), 4).await;
+    assert!((20..=29).contains(&lowered), "8 a second: {lowered} in 3.5 s");
+    let lowest = stage(Some("1"), 5).await;
+    assert!((3..=6).contains(&lowest), "1 a second: {lowest} in 4.5 s");
+    let raised = stage(Some("8"), 4).await;
+    assert!((14..=29).contains(&raised), "8 a second: {raised} in 3.5 s");
+    stage(Some("1"), 3).await;
+    let lifted = stage(None, 4).await;
+    assert!(lifted >= 30, "without a limit: {lifted} in 3.5 s");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_no_number_is_no_limit() {
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant).await;
+    let entries = entries(&mut plant, 2).await;
+    let entries: Vec<&Entry> = entries.iter().collect();
+    let bad = [
+        "",
+        "none",
+        "-1",
+        "NaN",
+        "inf",
+        "1e3",
+        "0x10",
+        "1,5",
+        "1.5.1",
+        ".",
+        "1.",
+        "+1",
+        "99999999999999999999999999",
+    ];
+    for value in bad {
+        // Also in place of a limit that was good.
+        targets[0].set_limit(Some("1"));
+        let pause = Duration::from_millis(10);
+        let time = Duration::from_millis(200);
+        load(&entries, "/many/a", pause, time).await;
+        targets[0].set_limit(Some(value));
+        load(&entries, "/many/a", pause, Duration::from_millis(1_300)).await;
+        let before = targets[0].arrivals();
+        let heard = load(&entries, "/many/a", pause, time * 2).await;
+        assert_eq!((heard.refused, heard.other), (0, 0), "{value}: {heard:?}");
+        let got = targets[0].arrivals() - before;
+        assert!(got >= 5, "{value:?} is believed: {got} of 40");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_takes_nothing_is_asked_whether_that_is_so() {
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant).await;
+    let entries = entries(&mut plant, 2).await;
+    let entries: Vec<&Entry> = entries.iter().collect();
+    let pause = Duration::from_millis(20);
+    targets[0].set_limit(Some("0"));
+    let begun = Instant::now();
+    load(&entries, "/many/a", pause, Duration::from_secs(6)).await;
+    let told = begun + Duration::from_millis(500);
+    let most = most_within(&targets[0], told, SPAN);
+    assert!(most <= 1, "{most} in 4 s");
+    targets[0].set_limit(None);
+    let before = targets[0].arrivals();
+    load(&entries, "/many/a", pause, Duration::from_secs(9)).await;
+    assert!(
+        targets[0].arrivals() > before + 10,
+        "the limit outlives its word"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_limited_targets_cant_take_is_refused_at_once() {
+    const TIME: Duration = Duration::from_secs(8);
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant).await;
+    let entries = entries(&mut plant, 3).await;
+    let entries: Vec<&Entry> = entries.iter().collect();
+    for target in &targets {
+        target.set_limit(Some("2"));
+    }
+    let begun = Instant::now();
+    let pause = Duration::from_millis(25);
+    let heard = load(&entries, "/once/a", pause, TIME).await;
+    assert_eq!(heard.other, 0, "{heard:?}");
+    let told = begun + Duration::from_millis(500);
+    for target in &targets {
+        let most = most_within(target, told, SPAN);
+        assert!(most <= 9, "{most} in 4 s");
+    }
+    let served: u64 = targets.iter().map(|it| it.arrivals()).sum();
+    assert_eq!(heard.good as u64, served, "{heard:?}");
+    assert!(heard.good >= 3 * 2 * 7 * 8 / 10, "they are left idle: {heard:?}");
+    // It is told when to come back, so it doesn't wait in vain.
+    let most = Duration::from_millis(500);
+    assert!(heard.refused_after < most, "{heard:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_tries_keep_a_limit() {
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant).await;
+    let entries = entries(&mut plant, 3).await;
+    let entries: Vec<&Entry> = entries.iter().collect();
+    for failing in &targets[1..] {
+        failing.set(Fault::Failing);
+    }
+    targets[0].set_limit(Some("2"));
+    let begun = Instant::now();
+    let pause = Duration::from_millis(25);
+    load(&entries, "/many/a", pause, Duration::from_secs(6)).await;
+    let told = begun + Duration::from_millis(500);
+    let most = most_within(&targets[0], told, SPAN);
+    assert!(most <= 9, "{most} in 4 s");
+    assert!(targets[0].arrivals() >= 9, "it is left idle");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limited_rank_of_a_group_gets_what_it_takes() {
+    let mut plant = Plant::start().await;
+    let mut ranks = Vec::new();
+    for id in ["i-1", "i-2", "i-3", "i-4"] {
+        let config = Config::new(id, "model", "a")
+            .with_events(4, Duration::from_millis(10));
+        ranks.push(plant.target_with(config).await);
+    }
+    let entries = entries(&mut plant, 3).await;
+    let agents = entries.iter().map(|it| it.settings.peer_address());
+    let reports = tokio::spawn(report_all(ranks.clone(), agents.collect()));
+    let entries: Vec<&Entry> = entries.iter().collect();
+    ranks[0].set_limit(Some("2"));
+    let begun = Instant::now();
+    let cuts = tokio::spawn(cut(ranks.clone()));
+    let pause = Duration::from_millis(25);
+    let time = Duration::from_secs(8);
+    let heard = load(&entries, "/stream/a", pause, time).await;
+    cuts.abort();
+    reports.abort();
+    assert_eq!((heard.refused, heard.other), (0, 0), "{heard:?}");
+    let told = begun + Duration::from_millis(500);
+    let most = most_within(&ranks[0], told, SPAN);
+    assert!(most <= 9, "{most} in 4 s");
+    let got = ranks[0].times().iter().filter(|it| **it >= told).count();
+    assert!(got >= 2 * 7 * 8 / 10, "it is left idle: {got}");
+}
+
+/// What agents beside ranks report.
+async fn report_all(ranks: Vec<Arc<Target>>, entries: Vec<SocketAddr>) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    loop {
+        for rank in &ranks {
+            let load = gossip::encode(&Datagram::Load(report(rank)));
+            for entry in &entries {
+                let _ = socket.send_to(&load, entry).await;
+            }
+        }
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// Has ranks cut streams, which go on at others.
+async fn cut(ranks: Vec<Arc<Target>>) {
+    loop {
+        for rank in &ranks[1..] {
+            rank.set(Fault::Cut);
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_joins_keeps_a_limit_from_the_start() {
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant).await;
+    let first = entries(&mut plant, 3).await;
+    let before: Vec<&Entry> = first.iter().collect();
+    targets[0].set_limit(Some("1"));
+    let pause = Duration::from_millis(20);
+    load(&before, "/many/a", pause, Duration::from_secs(2)).await;
+    let begun = Instant::now();
+    let joins = Entry::start(plant.settings(&before));
+    joins.until_ready().await;
+    load(&[&joins], "/many/a", pause, Duration::from_secs(5)).await;
+    let most = most_within(&targets[0], begun, SPAN);
+    assert!(most <= 5, "{most} in 4 s");
+    assert!(most >= 3, "it is left idle: {most} in 4 s");
+}
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -53,6 +53,12 @@
     /// From an agent whose engine's process is gone.
     #[serde(rename = "x")]
     Lost(Lost),
+    /// From an entry that has a request for a target with a limit.
+    #[serde(rename = "p")]
+    Ask(Ask),
+    /// The answer to that.
+    #[serde(rename = "r")]
+    Reply(Reply),
 }
 
 /// A message between entries.
@@ -95,6 +101,60 @@
     /// Ends of targets that were none.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
     pub lives: Vec<u64>,
+    /// Limits that targets named, and that they lately ceased to name.
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<Limit>,
+}
+
+/// What a target was last heard to say of how much it takes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Limit {
+    /// The target.
+    #[serde(rename = "t")]
+    pub target: Name,
+    /// When it had started, as a Unix millisecond; 0 where it doesn't say.
+    #[serde(rename = "b", default)]
+    pub start: u64,
+    /// Requests a second from all VMs together, if it names a limit.
+    #[serde(rename = "r")]
+    pub rate: Option<f64>,
+    /// How long ago that counted from, in milliseconds.
+    #[serde(rename = "i")]
+    pub age: Millis,
+}
+
+/// May a request be sent to a target that names a limit?
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ask {
+    /// Names the question in the answer.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The target, and its limit as whoever asks knows it.
+    #[serde(rename = "l")]
+    pub limit: Limit,
+    /// How long the request can wait, in milliseconds.
+    #[serde(rename = "w")]
+    pub patience: Millis,
+    /// How often the question may be passed on.
+    #[serde(rename = "h")]
+    pub relays: u8,
+}
+
+/// An answer to [`Ask`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Reply {
+    /// The question that this answers.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The target, and its limit as whoever answers knows it.
+    #[serde(rename = "l")]
+    pub limit: Limit,
+    /// Whether there is a place.
+    #[serde(rename = "g")]
+    pub given: bool,
+    /// When it may be used, or when one may be free; in milliseconds.
+    #[serde(rename = "w")]
+    pub after: Millis,
 }
 
 fn nowhere() -> Name {
