Test: a limit's pace is kept while entries stand still and are killed

Tried and dropped: that entries are deaf for 120 ms after each datagram to a process that is gone. The socket is not connected and never tells of it; a test of that passed on the code before.

--- a/cowsliproad-direct/tests/entry/limits.rs
+++ b/cowsliproad-direct/tests/entry/limits.rs
@@ -19,6 +19,7 @@
 use cowsliproad_net::client::Client;
 use cowsliproad_platform_standin::target::{Config, Fault, Target};
 use http::StatusCode;
+use rustix::process::Signal;
 use tokio::{
     net::UdpSocket,
     task::JoinSet,
@@ -347,3 +348,36 @@
     assert!(most <= 5, "{most} in 4 s");
     assert!(most >= 3, "it is left idle: {most} in 4 s");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_pace_is_kept_when_its_keeper_is_gone_or_stands_still() {
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant).await;
+    let mut entries = entries(&mut plant, 4).await;
+    targets[0].set_limit(Some("2"));
+    let pause = Duration::from_millis(20);
+    let time = Duration::from_millis(3_000);
+    let begun = Instant::now();
+    // Whichever keeps the pace, it is among those that stop for a while.
+    for turn in 0..3 {
+        entries[turn].signal(Signal::STOP);
+        let others = [&entries[3], &entries[(turn + 1) % 3]];
+        let before = targets[0].arrivals();
+        load(&others, "/many/a", pause, time).await;
+        let got = targets[0].arrivals() - before;
+        assert!(got >= 2, "it is left idle: {got} in 3 s");
+        entries[turn].signal(Signal::CONT);
+    }
+    for _ in 0..3 {
+        entries.remove(0);
+        let others: Vec<&Entry> = entries.iter().collect();
+        let before = targets[0].arrivals();
+        load(&others, "/many/a", pause, time).await;
+        let got = targets[0].arrivals() - before;
+        assert!(got >= 1, "it is left idle: {got} in 3 s");
+    }
+    let told = begun + Duration::from_millis(500);
+    let most = most_within(&targets[0], told, SPAN);
+    // One place more where somebody else begins to keep the pace.
+    assert!(most <= 11, "{most} in 4 s");
+}
