--- /dev/null
+++ b/cowsliproad-direct/tests/entry/limit_siege.rs
@@ -0,0 +1,314 @@
+//! Targets name limits, lower, raise and lift them and name what is no number,
+//! while entries stand still, are killed, are stopped and started again and
+//! join, and the platform's log misbehaves; in series that overlap, drawn from
+//! a seed. Callers send more than the limited targets take.
+//!
+//! `FIRST_SEED=1 SEEDS=50 cargo test -p cowsliproad-direct --test entry limit_siege -- --nocapture`
+//! plays more of them and prints a line for each, with `ENTRIES=100` at the
+//! size of a large fleet. With `LOGS=DIRECTORY` each entry's lines are kept
+//! there.
+
+use std::{
+    cell::{Cell, RefCell},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cowsliproad_direct::settings::Settings;
+use cowsliproad_net::client::Client;
+use cowsliproad_platform_standin::{
+    log,
+    target::{Config, Target},
+};
+use http::StatusCode;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use rustix::process::Signal;
+use tokio::time::{interval, sleep};
+
+use crate::{
+    harness::{Entry, KEY, Plant},
+    limits::{PATIENCE, SPAN, most_between},
+    siege,
+};
+
+/// Entries, where `ENTRIES` doesn't say how many.
+const ENTRIES: usize = 4;
+const LIMITED: usize = 3;
+const RATE: usize = 100;
+
+/// How long there is trouble, then none, and how long is checked after that.
+const TROUBLE: Duration = Duration::from_secs(12);
+const CALM: Duration = Duration::from_secs(4);
+const CHECKED: Duration = Duration::from_secs(5);
+
+/// From a limit's naming until all that were told of it keep to it.
+const TOLD: Duration = Duration::from_millis(3_000);
+
+/// What targets may name, and what it stands for.
+const LIMITS: [(Option<&str>, Option<f64>); 7] = [
+    (Some("1"), Some(1.0)),
+    (Some("1.2"), Some(1.2)),
+    (Some("3"), Some(3.0)),
+    (Some("10.0"), Some(10.0)),
+    (Some("0"), Some(0.0)),
+    (Some("many"), None),
+    (None, None),
+];
+
+/// A limit that was named from a moment until the next one.
+struct Stage {
+    from: Instant,
+    rate: Option<f64>,
+}
+
+struct Limited {
+    target: Arc<Target>,
+    stages: RefCell<Vec<Stage>>,
+    /// Whether it took nothing at the end, and is asked in ten seconds.
+    closed: Cell<bool>,
+}
+
+struct Siege {
+    plant: RefCell<Plant>,
+    entries: Vec<RefCell<Option<Entry>>>,
+    limited: Vec<Limited>,
+    random: RefCell<StdRng>,
+    over: Cell<bool>,
+    good: Cell<usize>,
+    refused: Cell<usize>,
+    other: Cell<usize>,
+}
+
+impl Limited {
+    fn name(&self, (text, rate): (Option<&str>, Option<f64>)) {
+        self.target.set_limit(text);
+        let from = Instant::now();
+        self.stages.borrow_mut().push(Stage { from, rate });
+    }
+
+    /// The worst span of each limit by what it allows, as the share of that.
+    fn worst(&self, end: Instant) -> f64 {
+        let stages = self.stages.borrow();
+        let mut worst: f64 = 0.0;
+        for (at, stage) in stages.iter().enumerate() {
+            let Some(rate) = stage.rate else { continue };
+            let until = stages.get(at + 1).map_or(end, |it| it.from);
+            let from = stage.from + TOLD;
+            let most = most_between(&self.target, from..until, SPAN);
+            let allowed = 1.5 * rate * SPAN.as_secs_f64() + 5.0;
+            worst = worst.max(most as f64 / allowed);
+        }
+        worst
+    }
+}
+
+impl Siege {
+    async fn start(seed: u64) -> Siege {
+        let mut plant = Plant::start().await;
+        let mut limited = Vec::new();
+        for number in 0..=LIMITED {
+            // What names no limit is slower, so that it is the others that
+            // would get most.
+            let pause = if number == LIMITED { 25 } else { 5 };
+            let pause = Duration::from_millis(pause);
+            let id = format!("i-{number}");
+            let config = Config::new(&id, "plain", "a").with_pause(pause);
+            let target = plant.target_with(config).await;
+            if number < LIMITED {
+                let stages = RefCell::new(Vec::new());
+                let closed = Cell::new(false);
+                limited.push(Limited { target, stages, closed });
+            }
+        }
+        let mut entries: Vec<Entry> = Vec::new();
+        for _ in 0..number("ENTRIES").unwrap_or(ENTRIES) {
+            let seeds: Vec<&Entry> = entries.iter().take(3).collect();
+            let settings = plant.settings(&seeds);
+            entries.push(siege::start(settings));
+        }
+        for entry in &entries {
+            entry.until_ready().await;
+        }
+        let entries = entries.into_iter().map(|it| RefCell::new(Some(it)));
+        Siege {
+            plant: RefCell::new(plant),
+            entries: entries.collect(),
+            limited,
+            random: RefCell::new(StdRng::seed_from_u64(seed)),
+            over: Cell::new(false),
+            good: Cell::new(0),
+            refused: Cell::new(0),
+            other: Cell::new(0),
+        }
+    }
+
+    fn draw(&self, below: usize) -> usize {
+        self.random.borrow_mut().random_range(0..below)
+    }
+
+    /// Callers that don't wait for one another.
+    async fn send(&self) {
+        let mut due = interval(Duration::from_secs(1) / RATE as u32);
+        let asked = tokio::task::LocalSet::new();
+        let answers = std::rc::Rc::new(RefCell::new(Vec::new()));
+        asked
+            .run_until(async {
+                while !self.over.get() {
+                    due.tick().await;
+                    let path = ["/many/a", "/once/a"][self.draw(2)];
+                    let at = self.draw(self.entries.len());
+                    let request = {
+                        let entry = self.entries[at].borrow();
+                        let Some(entry) = entry.as_ref() else { continue };
+                        entry.request(path, KEY, "")
+                    };
+                    let answers = answers.clone();
+                    tokio::task::spawn_local(async move {
+                        let client = Client::new();
+                        let answer = client.call(request, 1 << 20, PATIENCE);
+                        let status = answer.await.map(|it| it.status());
+                        answers.borrow_mut().push(status.ok());
+                    });
+                }
+            })
+            .await;
+        for answer in answers.borrow().iter() {
+            let count = match answer {
+                Some(StatusCode::OK) => &self.good,
+                Some(StatusCode::SERVICE_UNAVAILABLE) => &self.refused,
+                _ => &self.other,
+            };
+            count.set(count.get() + 1);
+        }
+    }
+
+    async fn change_limits(&self) {
+        let begun = Instant::now();
+        while begun.elapsed() < TROUBLE {
+            let limited = &self.limited[self.draw(LIMITED)];
+            limited.name(LIMITS[self.draw(LIMITS.len())]);
+            let pause = 1_000 + self.draw(4_000) as u64;
+            sleep(Duration::from_millis(pause)).await;
+        }
+        for limited in &self.limited {
+            let last = limited.stages.borrow().last().and_then(|it| it.rate);
+            limited.closed.set(last == Some(0.0));
+            limited.name(LIMITS[2]);
+        }
+    }
+
+    async fn make_trouble(&self) {
+        let begun = Instant::now();
+        while begun.elapsed() < TROUBLE {
+            match self.draw(5) {
+                0 => self.freeze_entry().await,
+                1 => self.replace_entry(Signal::KILL).await,
+                2 => self.replace_entry(Signal::TERM).await,
+                3 => self.set_log(log::Fault::Refusing),
+                _ => self.set_log(log::Fault::None),
+            }
+            let pause = 200 + self.draw(800) as u64;
+            sleep(Duration::from_millis(pause)).await;
+        }
+        self.set_log(log::Fault::None);
+    }
+
+    fn set_log(&self, fault: log::Fault) {
+        self.plant.borrow().log.set(fault);
+    }
+
+    async fn freeze_entry(&self) {
+        let number = self.draw(self.entries.len());
+        let signal = |signal| {
+            if let Some(entry) = &*self.entries[number].borrow() {
+                entry.signal(signal);
+            }
+        };
+        signal(Signal::STOP);
+        let pause = 200 + self.draw(2_000) as u64;
+        sleep(Duration::from_millis(pause)).await;
+        signal(Signal::CONT);
+    }
+
+    /// One entry ends, and another one takes its place, at times at another
+    /// address.
+    async fn replace_entry(&self, signal: Signal) {
+        let place = &self.entries[self.draw(self.entries.len())];
+        let Some(mut gone) = place.take() else { return };
+        gone.signal(signal);
+        let mut settings = gone.settings.clone();
+        if self.draw(3) == 0 {
+            let fresh = self.plant.borrow_mut().settings(&[]);
+            // A VM that is replaced keeps its name.
+            settings = Settings { vm: settings.vm, ..fresh };
+        }
+        // Settings name entries that were there a moment ago.
+        let others = self
+            .entries
+            .iter()
+            .filter_map(|it| Some(it.borrow().as_ref()?.settings.callers));
+        settings.seeds = others.take(3).collect();
+        if signal == Signal::KILL {
+            gone.ended().await;
+        }
+        // One that was told to stop serves on for seconds; it is let go.
+        drop(gone);
+        place.replace(Some(siege::start(settings)));
+    }
+
+    async fn play(&self) -> (f64, f64, f64) {
+        tokio::join!(self.make_trouble(), self.change_limits());
+        let end = Instant::now();
+        sleep(CALM).await;
+        let checked = Instant::now();
+        sleep(CHECKED).await;
+        self.over.set(true);
+        let worst = self.limited.iter().map(|it| it.worst(end));
+        let worst = worst.fold(0.0, f64::max);
+        let open = self.limited.iter().filter(|it| !it.closed.get());
+        let calm = open.map(|it| {
+            let until = checked + CHECKED;
+            let times = it.target.times();
+            let within = times.iter().filter(|it| **it >= checked);
+            let got = within.filter(|it| **it < until).count() as f64;
+            got / (3.0 * CHECKED.as_secs_f64())
+        });
+        let calm: Vec<f64> = calm.collect();
+        let most = calm.iter().copied().fold(0.0, f64::max);
+        let least = calm.iter().copied().fold(f64::MAX, f64::min);
+        (worst, least, most)
+    }
+}
+
+async fn play(seed: u64) {
+    let siege = Siege::start(seed).await;
+    let ((worst, least, most), ()) = tokio::join!(siege.play(), siege.send());
+    let memory = siege.entries.iter();
+    let memory = memory.filter_map(|it| Some(it.borrow().as_ref()?.memory()));
+    println!(
+        "seed {seed}: worst {worst:.2} of the bound, then {least:.2} to \
+         {most:.2} of the limit; served {}, refused {}, other {}; entries of \
+         {} KB at most",
+        siege.good.get(),
+        siege.refused.get(),
+        siege.other.get(),
+        memory.max().unwrap_or(0) / 1_024,
+    );
+    assert!(worst <= 1.0, "seed {seed}: {worst} of what is allowed");
+    assert!(least >= 0.8, "seed {seed}: a target is left idle: {least}");
+    // Two places more than the limit, one at each end.
+    assert!(most <= 1.15, "seed {seed}: {most} of the limit");
+}
+
+/// A number that the environment gives.
+fn number(name: &str) -> Option<usize> {
+    std::env::var(name).ok().and_then(|it| it.parse().ok())
+}
+
+#[tokio::test]
+async fn a_siege_breaks_no_limit_and_leaves_no_target_idle() {
+    let first = number("FIRST_SEED").unwrap_or(1) as u64;
+    for seed in (first..).take(number("SEEDS").unwrap_or(1)) {
+        play(seed).await;
+    }
+}
--- a/cowsliproad-direct/tests/entry/limits.rs
+++ b/cowsliproad-direct/tests/entry/limits.rs
@@ -11,6 +11,7 @@
 
 use std::{
     net::SocketAddr,
+    ops::Range,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -29,10 +30,10 @@
 use crate::harness::{Entry, KEY, Plant, report, until};
 
 /// The span in which requests are counted.
-const SPAN: Duration = Duration::from_secs(4);
+pub const SPAN: Duration = Duration::from_secs(4);
 
 /// How long callers wait.
-const PATIENCE: Duration = Duration::from_secs(4);
+pub const PATIENCE: Duration = Duration::from_secs(4);
 
 /// What callers heard.
 #[derive(Debug, Default)]
@@ -46,9 +47,17 @@
 
 /// The most requests that came within a span after a moment.
 pub fn most_within(target: &Target, after: Instant, span: Duration) -> usize {
-    let times = target.times();
-    let times: Vec<Instant> =
-        times.into_iter().filter(|it| *it >= after).collect();
+    most_between(target, after..Instant::now(), span)
+}
+
+/// The most requests that came within a span between two moments.
+pub fn most_between(
+    target: &Target,
+    between: Range<Instant>,
+    span: Duration,
+) -> usize {
+    let mut times = target.times();
+    times.retain(|it| between.contains(it));
     let within = |from: &Instant| {
         times.iter().filter(|it| (*from..*from + span).contains(it)).count()
     };
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod connections;
 mod harness;
+mod limit_siege;
 mod limits;
 mod news;
 mod quarantine;
--- a/cowsliproad-direct/tests/entry/siege.rs
+++ b/cowsliproad-direct/tests/entry/siege.rs
@@ -306,7 +306,7 @@
 }
 
 /// Starts an entry whose lines go to a file, if they are kept.
-fn start(settings: Settings) -> Entry {
+pub fn start(settings: Settings) -> Entry {
     let Ok(directory) = std::env::var("LOGS") else {
         return Entry::start(settings);
     };
