Failing test: on the own path an agent sends its target more than it names

10 requests a second, a target that names 2 a second: it got 41 within 4 s, where 9 may come. The product's own protocol gets a header for it, x-request-limit; the stand-ins name it.

--- a/cowsliproad-standin/src/engine.rs
+++ b/cowsliproad-standin/src/engine.rs
@@ -36,6 +36,7 @@
 
 use crate::{
     fault::{Fault, Switch},
+    limit::Limit,
     plain::set_fault,
 };
 
@@ -95,6 +96,8 @@
     reported: watch::Sender<(u32, u32)>,
     /// Its faults.
     pub switch: Switch,
+    /// How many requests a second it takes.
+    pub limit: Limit,
 }
 
 /// Requests that hold a slot or wait for one.
@@ -127,6 +130,7 @@
         runs: AtomicU64::new(0),
         reported: watch::Sender::new((0, 0)),
         switch: Switch::new(),
+        limit: Limit::default(),
     });
     let door = Door::new();
     let listener = Listener::bind(address, &door).await?;
@@ -317,11 +321,14 @@
         let path: Vec<&str> = path.iter().map(String::as_str).collect();
         match (request.method().clone(), &path[..]) {
             (Method::POST, ["v1", "chat", "completions"]) => {
-                self.complete(request).await
+                self.0.limit.came();
+                let answer = self.complete(request).await;
+                self.0.limit.name(answer)
             }
             (Method::GET, ["v1", "streams", id]) => {
                 let from = server::query_number(&request, "from").unwrap_or(0);
-                self.resume(id, from as u32)
+                self.0.limit.came();
+                self.0.limit.name(self.resume(id, from as u32))
             }
             (Method::DELETE, ["v1", "streams", id]) => self.cancel(id),
             (Method::GET, ["v1", "load"]) => {
--- a/cowsliproad-standin/src/lib.rs
+++ b/cowsliproad-standin/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod engine;
 pub mod fault;
+pub mod limit;
 pub mod link;
 pub mod log;
 pub mod mortal;
--- a/cowsliproad-standin/src/plain.rs
+++ b/cowsliproad-standin/src/plain.rs
@@ -26,7 +26,10 @@
 use tokio::{sync::Semaphore, time::sleep};
 use volo_http::{request::Request, response::Response};
 
-use crate::fault::{Fault, Switch};
+use crate::{
+    fault::{Fault, Switch},
+    limit::Limit,
+};
 
 /// How a plain service behaves when nothing is wrong.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -60,6 +63,8 @@
     calls: AtomicU64,
     /// Its faults.
     pub switch: Switch,
+    /// How many requests a second it takes.
+    pub limit: Limit,
 }
 
 /// Starts a plain service and tells where it listens.
@@ -73,6 +78,7 @@
         runs: Mutex::default(),
         calls: AtomicU64::new(0),
         switch: Switch::new(),
+        limit: Limit::default(),
     });
     let door = Door::new();
     let listener = Listener::bind(address, &door).await?;
@@ -150,7 +156,9 @@
                 set_fault(&self.switch, request).await
             }
             (Method::POST, [request_type]) => {
-                self.run(request_type, request).await
+                self.limit.came();
+                let answer = self.run(request_type, request).await;
+                self.limit.name(answer)
             }
             _ => crate::status(StatusCode::NOT_FOUND),
         }
