On the own path an agent keeps its target's limit

What targets saw: a target that named 2 requests a second got all that had a slot, 41 within 4 s of 10 a second. Ruled out: that entries would have to agree on it here; all work passes through the one agent.

The agent now reads x-request-limit in each answer, starts work no faster and tells entries a load that shows it. Resumed streams take a place too.

--- a/cowsliproad-admission/src/limit.rs
+++ b/cowsliproad-admission/src/limit.rs
@@ -58,6 +58,11 @@
         self.0
     }
 
+    /// The time from one request to the next in microseconds.
+    pub fn gap_us(self) -> u32 {
+        (self.interval(1.0) * 1_000.0) as u32
+    }
+
     /// The time from one request to the next in milliseconds, for whoever
     /// keeps a share of the rate.
     fn interval(self, share: f64) -> f64 {
@@ -199,6 +204,11 @@
         self.asked
     }
 
+    /// How long no place is free.
+    pub fn full_for(&self, now: Millis) -> Millis {
+        Millis((self.next - now.0 as f64).max(0.0).ceil() as u64)
+    }
+
     /// Asks for a place that is free within `patience`. `share` is the part
     /// of the limit that may be given out here, over 0 to 1.
     pub fn ask(
--- a/cowsliproad-admission/src/queue.rs
+++ b/cowsliproad-admission/src/queue.rs
@@ -92,6 +92,11 @@
     pub slots: u32,
     /// Mean time an item holds a slot, in microseconds.
     pub service_us: u32,
+    /// The least time from one item's start to the next one's, in
+    /// microseconds, where the target takes only so many; else 0.
+    pub gap_us: u32,
+    /// The time until the next item may start for all that, in microseconds.
+    pub next_us: u32,
 }
 
 /// What became of an arriving item.
@@ -199,6 +204,21 @@
         self.remove(rank)
     }
 
+    /// Takes out all that could not finish by their deadlines at this pace,
+    /// which is slower than the one that they came in at.
+    pub fn late(&mut self, pace: Pace, now: Millis) -> Vec<Item<T>> {
+        let mut ahead = 0;
+        let mut late = Vec::new();
+        for (rank, item) in &self.items {
+            if now + pace.wait(ahead) + pace.service() > item.deadline {
+                late.push(*rank);
+            } else {
+                ahead += 1;
+            }
+        }
+        late.into_iter().filter_map(|rank| self.remove(rank)).collect()
+    }
+
     /// Takes out the first item that matches.
     pub fn take(
         &mut self,
@@ -249,7 +269,7 @@
     }
 
     /// When the work that waits now will have been served, roughly.
-    fn back_off(&self, pace: Pace) -> Millis {
+    pub fn back_off(&self, pace: Pace) -> Millis {
         pace.wait(self.items.len() as u64).max(pace.service()).max(MIN_WAIT)
     }
 }
@@ -261,7 +281,15 @@
     /// The time until `ahead` items have got a slot.
     pub fn wait(self, ahead: u64) -> Millis {
         let slots = u64::from(self.slots.max(1));
-        Millis(ahead * u64::from(self.service_us) / slots / 1000)
+        let by_slots = ahead * u64::from(self.service_us) / slots;
+        let by_gaps = u64::from(self.next_us) + ahead * u64::from(self.gap_us);
+        Millis(by_slots.max(by_gaps) / 1000)
+    }
+
+    /// The time for which each item would hold a slot if slots alone made the
+    /// queue as slow as it is, in microseconds.
+    pub fn effective_us(self) -> u32 {
+        self.service_us.max(self.gap_us.saturating_mul(self.slots))
     }
 
     /// The mean time an item holds a slot.
--- a/cowsliproad-agent/src/adapter.rs
+++ b/cowsliproad-agent/src/adapter.rs
@@ -17,6 +17,7 @@
 use crate::{
     ends::{self, Seen},
     gate::Gate,
+    pace::Pace,
     settings::Settings,
     work::Work,
 };
@@ -46,8 +47,9 @@
 
 /// A way to speak to a target.
 pub trait Adapter: Send + Sync + 'static {
-    /// Makes the adapter of an agent.
-    fn new(settings: &Settings) -> Self;
+    /// Makes the adapter of an agent. What answers say of how much the target
+    /// takes is noted in `pace`.
+    fn new(settings: &Settings, pace: &Arc<Pace>) -> Self;
 
     /// Has the target do the work once, adding the answer's bytes to it.
     fn call(
@@ -58,7 +60,7 @@
 
 /// Starts taking work from a gate.
 pub fn start<A: Adapter>(gate: Arc<Gate>, traffic: &Handle) {
-    let adapter = Arc::new(A::new(&gate.settings));
+    let adapter = Arc::new(A::new(&gate.settings, &gate.pace));
     let handle = traffic.clone();
     traffic.spawn(async move {
         loop {
--- a/cowsliproad-agent/src/adapter/engine.rs
+++ b/cowsliproad-agent/src/adapter/engine.rs
@@ -4,7 +4,7 @@
 //! after the last token that came, so the tokens already passed on stay
 //! good. Only when that fails too does the work fail.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cowsliproad_kernel::{
@@ -22,6 +22,7 @@
 
 use super::{Adapter, Plugin, plain, start};
 use crate::{
+    pace::Pace,
     settings::Settings,
     work::{MAX_ANSWER, Repeat, Work},
 };
@@ -43,6 +44,7 @@
     client: Client,
     target: SocketAddr,
     silence: Duration,
+    pace: Arc<Pace>,
 }
 
 /// How reading a stream ended.
@@ -53,9 +55,10 @@
 }
 
 impl Adapter for Engine {
-    fn new(settings: &Settings) -> Engine {
+    fn new(settings: &Settings, pace: &Arc<Pace>) -> Engine {
         Engine {
             client: Client::new(),
+            pace: pace.clone(),
             target: settings.target,
             silence: settings.silence_ms.duration(),
         }
@@ -87,6 +90,11 @@
                 Reading::Broken => {
                     events.rest.clear();
                     let resume = self.resume(work, events.tokens)?;
+                    // It is one more request to the target.
+                    let patience = self.patience(work)?;
+                    if timeout(patience, self.pace.turn()).await.is_err() {
+                        break;
+                    }
                     let resumed = self.head(resume).await;
                     // It has begun, whatever became of the resumption.
                     response = resumed.map_err(|it| Failure {
@@ -104,9 +112,12 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failure> {
+        let sent = Millis::now();
         let head = timeout(self.silence, self.client.send(request)).await;
         let silent = Failure::new(Code::TimedOut, Ran::OutcomeUnknown);
-        head.map_err(|_| silent)?.map_err(plain::failure)
+        let head = head.map_err(|_| silent)?.map_err(plain::failure)?;
+        self.pace.answered(head.headers(), sent);
+        Ok(head)
     }
 
     async fn read(
--- a/cowsliproad-agent/src/adapter/plain.rs
+++ b/cowsliproad-agent/src/adapter/plain.rs
@@ -1,6 +1,6 @@
 //! Plain services: one POST, one JSON answer.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cowsliproad_kernel::{
@@ -15,6 +15,7 @@
 
 use super::{Adapter, Plugin, start};
 use crate::{
+    pace::Pace,
     settings::Settings,
     work::{MAX_ANSWER, Repeat, Work},
 };
@@ -36,12 +37,14 @@
     client: Client,
     target: SocketAddr,
     silence: Duration,
+    pace: Arc<Pace>,
 }
 
 impl Adapter for Plain {
-    fn new(settings: &Settings) -> Plain {
+    fn new(settings: &Settings, pace: &Arc<Pace>) -> Plain {
         Plain {
             client: Client::new(),
+            pace: pace.clone(),
             target: settings.target,
             silence: settings.silence_ms.duration(),
         }
@@ -50,6 +53,7 @@
     async fn call(&self, work: &Work) -> Result<Format, Failure> {
         let request = request(self.target, work)?;
         let patience = patience(work, self.silence);
+        let sent = Millis::now();
         let call = self.client.call(request, MAX_ANSWER, patience);
         let response = tokio::select! {
             response = call => response.map_err(failure)?,
@@ -57,6 +61,7 @@
                 return Err(Failure::new(Code::Cancelled, Ran::OutcomeUnknown));
             }
         };
+        self.pace.answered(response.headers(), sent);
         if !response.status().is_success() {
             return Err(Failure::new(Code::TargetFailed, Ran::OutcomeUnknown));
         }
--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -37,6 +37,7 @@
 
 use crate::{
     ends::Ends,
+    pace as target,
     settings::Settings,
     work::{Ending, Repeat, Wanted, Work},
 };
@@ -52,6 +53,8 @@
     incarnation: id::Incarnation,
     /// Work under which the target's process ended.
     pub ends: Ends,
+    /// How many requests a second the target takes.
+    pub pace: Arc<target::Pace>,
     inner: Mutex<Inner>,
     ready: Notify,
     log: Logger,
@@ -130,6 +133,7 @@
         Gate {
             ticket_key: settings.key.derive("cowsliproad ticket").0,
             ends: Ends::new(&settings.name, incarnation),
+            pace: Arc::new(target::Pace::new(log.clone())),
             settings,
             incarnation,
             inner: Mutex::new(inner),
@@ -205,10 +209,11 @@
     pub async fn next(&self) -> Arc<Work> {
         loop {
             let ready = self.ready.notified();
-            if let Some(work) = self.try_next() {
-                return work;
+            match self.try_next() {
+                Next::Work(work) => return work,
+                Next::Nothing => ready.await,
+                Next::After(wait) => self.pace.until(wait).await,
             }
-            ready.await;
         }
     }
 
@@ -240,7 +245,7 @@
             incarnation: self.incarnation,
             clock: Millis::now(),
             phase: inner.phase,
-            load: inner.load(self.settings.slots),
+            load: inner.load(self.speed(&inner)),
             presence: self.ends.presence(),
             holds: inner.inherited.keys().copied().collect(),
             offset,
@@ -328,15 +333,32 @@
         }
     }
 
-    fn try_next(&self) -> Option<Arc<Work>> {
+    fn try_next(&self) -> Next {
         let mut inner = self.lock();
-        inner.lapse(self.settings.slots, Millis::now());
-        if inner.running >= self.settings.slots {
-            return None;
+        let now = Millis::now();
+        let speed = self.speed(&inner);
+        inner.lapse(speed, now);
+        if inner.running >= self.settings.slots || inner.queue.is_empty() {
+            return Next::Nothing;
+        }
+        if let Err(wait) = self.pace.take(now) {
+            return Next::After(wait);
         }
-        let item = inner.queue.pop(Millis::now())?;
+        let Some(item) = inner.queue.pop(now) else { return Next::Nothing };
         inner.running += 1;
-        Some(item.work)
+        Next::Work(item.work)
+    }
+
+    /// How fast the queue empties.
+    fn speed(&self, inner: &Inner) -> Pace {
+        let (slots, service_us) =
+            (self.settings.slots, inner.service_us as u32);
+        let limit = self.pace.limit(Millis::now());
+        let (gap_us, next_us) = limit.map_or((0, 0), |(rate, next)| {
+            let next_us = u32::try_from(next.0 * 1_000);
+            (rate.gap_us(), next_us.unwrap_or(u32::MAX))
+        });
+        Pace { slots, service_us, gap_us, next_us }
     }
 
     fn count(&self, code: Code) {
@@ -348,6 +370,14 @@
     }
 }
 
+/// What the target is to do next.
+enum Next {
+    Work(Arc<Work>),
+    Nothing,
+    /// Work waits, but the target takes none for so long.
+    After(Millis),
+}
+
 /// What a stopping agent leaves to a peer.
 #[derive(Debug)]
 pub struct Estate {
@@ -374,40 +404,49 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         let mut inner = gate.lock();
-        inner.lapse(gate.settings.slots, Millis::now());
+        let speed = gate.speed(&inner);
+        inner.lapse(speed, Millis::now());
+        if gate.pace.take_tightened() {
+            inner.shed(speed, Millis::now());
+        }
         inner.evict(&gate.settings, Millis::now());
     }
 }
 
 impl Inner {
-    fn load(&self, slots: u32) -> Load {
+    fn load(&self, speed: Pace) -> Load {
         Load {
             queued: self.queue.len() as u32,
             running: self.running,
-            slots,
-            service_us: self.service_us as u32,
+            slots: speed.slots,
+            // Entries go by how fast the queue empties.
+            service_us: speed.effective_us(),
             count: self.count,
         }
     }
 
-    fn pace(&self, slots: u32) -> Pace {
-        Pace { slots, service_us: self.service_us as u32 }
-    }
-
     fn measure(&mut self, held: Duration) {
         let held = held.as_micros().min(u128::from(u32::MAX)) as u64;
         let old = self.service_us * (SMOOTHING - 1);
         self.service_us = (old + held) / SMOOTHING;
     }
 
-    fn lapse(&mut self, slots: u32, now: Millis) {
-        let pace = self.pace(slots);
+    fn lapse(&mut self, pace: Pace, now: Millis) {
         while let Some(item) = self.queue.lapsed(pace, now) {
             let failure = Failure::new(Code::DeadlinePassed, Ran::NotRun);
             self.give_up(&item.work, failure);
         }
     }
 
+    /// Gives back what a lower limit leaves no time for.
+    fn shed(&mut self, pace: Pace, now: Millis) {
+        for item in self.queue.late(pace, now) {
+            let failure = Failure::new(Code::Overloaded, Ran::NotRun);
+            let wait = self.queue.back_off(pace);
+            self.give_up(&item.work, failure.with_retry_after(wait));
+        }
+    }
+
     /// Ends work that never reached the target.
     fn give_up(&mut self, work: &Arc<Work>, failure: Failure) {
         self.register.give_up(work.request);
--- a/cowsliproad-agent/src/gate/submit.rs
+++ b/cowsliproad-agent/src/gate/submit.rs
@@ -156,7 +156,7 @@
             deadline: work.deadline,
             work: work.clone(),
         };
-        let pace = inner.pace(self.settings.slots);
+        let pace = self.speed(inner);
         // With a free slot nothing waits, so only the deadline can refuse.
         match inner.queue.push(item, pace, now) {
             Outcome::Queued => {}
--- a/cowsliproad-agent/src/lib.rs
+++ b/cowsliproad-agent/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`work`]: one request and its growing answer;
 //! * [`ends`]: work under which the target's process ended;
 //! * [`adapter`]: how the target is spoken to, one plug-in for each kind;
+//! * [`pace`]: how many requests a second the target takes;
 //! * [`links`]: entries' links and what is said on them;
 //! * [`handover`]: the graceful stop;
 //! * [`replica`]: the configuration, kept for entries that start while the
@@ -23,6 +24,7 @@
 pub mod handover;
 mod http;
 pub mod links;
+pub mod pace;
 pub mod replica;
 pub mod settings;
 pub mod work;
