--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -46,6 +46,9 @@
 /// use them, in percent. It may close them a little early.
 const IDLE_PERCENT: u64 = 60;
 
+/// The longest that an idle connection is kept, whatever the target says.
+const LONGEST_IDLE: Millis = Millis(60_000);
+
 /// How lately a connection must have been used for work that must not be
 /// repeated. Targets close idle connections after a second or more.
 const FRESH: Millis = Millis(300);
@@ -265,7 +268,10 @@
         })
         .and_then(|it| it.trim().parse::<u64>().ok());
     match stated {
-        Some(seconds) => Millis(seconds * 1_000 * IDLE_PERCENT / 100),
+        Some(seconds) => {
+            let kept = Millis(seconds.saturating_mul(10 * IDLE_PERCENT));
+            kept.min(LONGEST_IDLE)
+        }
         None => USUAL_IDLE,
     }
 }
