--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -489,6 +489,7 @@
     if let (Some(Ok(running)), Some(Ok(waiting))) =
         (numbers.next(), numbers.next())
     {
-        choice.seat.borrow_mut().record.report(running + waiting);
+        let requests = running.saturating_add(waiting);
+        choice.seat.borrow_mut().record.report(requests);
     }
 }
--- a/cowsliproad-routing/src/pick.rs
+++ b/cowsliproad-routing/src/pick.rs
@@ -22,6 +22,10 @@
 /// The weight of a new time in the average of a target's times.
 const WEIGHT: f64 = 0.2;
 
+/// The most requests that a target is believed to have. Ours have some ten
+/// slots and queue a few more.
+const MOST_REQUESTS: u32 = 10_000;
+
 /// What another availability zone adds, in milliseconds: its way there and
 /// back, and what its bytes are charged.
 const FAR_MS: f64 = 4.0;
@@ -69,8 +73,11 @@
         self.done += 1;
     }
 
-    /// Takes a load report in.
+    /// Takes a load report in, unless no target could have so many.
     pub fn report(&mut self, requests: u32) {
+        if requests > MOST_REQUESTS {
+            return;
+        }
         self.reported = requests;
         self.sent = 0;
         self.done = 0;
@@ -100,7 +107,8 @@
 
     /// Requests there, as far as this entry can tell.
     pub fn occupancy(&self) -> u32 {
-        let known = (self.reported + self.sent).saturating_sub(self.done);
+        let known = self.reported.saturating_add(self.sent);
+        let known = known.saturating_sub(self.done);
         known.max(self.in_flight)
     }
 
