A load that was told long ago fades

A target without an agent that told a load of 200 once got none of 100 requests a second six seconds later, and never again while others were idle: its load came with answers only, and it got no requests to answer. Where agents report, twice a second, nothing changes.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -334,7 +334,7 @@
         info!(entry.log, "chosen"; "request" => &*self.id,
             "work" => %self.work,
             "target" => &*choice.target.id, "route" => &*self.route.name,
-            "cost" => choice.cost as u64, "at_target" => seat.record.occupancy(),
+            "cost" => choice.cost as u64, "at_target" => seat.record.occupancy(now),
             "own" => seat.record.in_flight(), "report_age" => age,
             "limit" => choice.limit.map(|it| it.a_second()),
             "left" => self.left().0, "try" => self.tries + 1);
@@ -490,6 +490,6 @@
         (numbers.next(), numbers.next())
     {
         let requests = running.saturating_add(waiting);
-        choice.seat.borrow_mut().record.report(requests);
+        choice.seat.borrow_mut().record.report(requests, Millis::now());
     }
 }
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -484,7 +484,7 @@
     let mut seat = seat.borrow_mut();
     let stands = |it: &Group| (it.epoch, it.open, it.pace / NEWS_PERCENT);
     let before = seat.group.as_ref().map(stands);
-    seat.record.report(load.running.saturating_add(load.queued));
+    seat.record.report(load.running.saturating_add(load.queued), now);
     seat.lived = Some(now);
     seat.lost = None;
     let group = Group {
--- a/cowsliproad-routing/src/pick.rs
+++ b/cowsliproad-routing/src/pick.rs
@@ -26,6 +26,13 @@
 /// slots and queue a few more.
 const MOST_REQUESTS: u32 = 10_000;
 
+/// For so long a report of a target's load holds: agents renew theirs twice
+/// in it.
+const REPORT_TIME: Millis = Millis(1_000);
+
+/// The time in which the requests of an older report become half as many.
+const REPORT_FADING: Millis = Millis(500);
+
 /// What another availability zone adds, in milliseconds: its way there and
 /// back, and what its bytes are charged.
 const FAR_MS: f64 = 4.0;
@@ -42,6 +49,7 @@
     failures: f64,
     faded: Millis,
     reported: u32,
+    reported_at: Millis,
     sent: u32,
     done: u32,
     in_flight: u32,
@@ -55,6 +63,7 @@
             failures: 0.0,
             faded: Millis(0),
             reported: 0,
+            reported_at: Millis(0),
             sent: 0,
             done: 0,
             in_flight: 0,
@@ -74,11 +83,12 @@
     }
 
     /// Takes a load report in, unless no target could have so many.
-    pub fn report(&mut self, requests: u32) {
+    pub fn report(&mut self, requests: u32, now: Millis) {
         if requests > MOST_REQUESTS {
             return;
         }
         self.reported = requests;
+        self.reported_at = now;
         self.sent = 0;
         self.done = 0;
     }
@@ -106,12 +116,24 @@
     }
 
     /// Requests there, as far as this entry can tell.
-    pub fn occupancy(&self) -> u32 {
-        let known = self.reported.saturating_add(self.sent);
+    pub fn occupancy(&self, now: Millis) -> u32 {
+        let known = self.lasting(now).saturating_add(self.sent);
         let known = known.saturating_sub(self.done);
         known.max(self.in_flight)
     }
 
+    /// What is left of the last report. Where no agent renews it, it comes
+    /// with answers alone: a target that looked busy would get none, and so
+    /// look busy for good.
+    fn lasting(&self, now: Millis) -> u32 {
+        let age = now.since(self.reported_at);
+        if age <= REPORT_TIME {
+            return self.reported;
+        }
+        let over = (age - REPORT_TIME).0 as f64 / REPORT_FADING.0 as f64;
+        (f64::from(self.reported) * 0.5_f64.powf(over)) as u32
+    }
+
     /// Requests that this entry sent since the last report.
     pub fn unreported(&self) -> u32 {
         self.sent
@@ -244,7 +266,7 @@
     let record = candidate.record;
     let usual =
         candidate.usual_ms.max(1.0) * f64::from(candidate.pace.max(1)) / 100.0;
-    let ahead = f64::from(record.occupancy());
+    let ahead = f64::from(record.occupancy(now));
     let slots = f64::from(candidate.slots.max(1));
     // Requests in one batch slow one another down before its slots are full;
     // beyond them a request waits for one of the others to end.
--- a/tests/properties/direct.rs
+++ b/tests/properties/direct.rs
@@ -133,14 +133,27 @@
 #[test]
 fn own_sends_since_a_report_count() {
     let mut record = known();
-    record.report(3);
+    let now = Millis(5_000);
+    record.report(3, now);
     record.start();
     record.start();
-    assert_eq!(record.occupancy(), 5);
+    assert_eq!(record.occupancy(now), 5);
     record.end();
-    assert_eq!(record.occupancy(), 4);
-    record.report(9);
-    assert_eq!(record.occupancy(), 9);
+    assert_eq!(record.occupancy(now), 4);
+    record.report(9, now);
+    assert_eq!(record.occupancy(now), 9);
+}
+
+#[test]
+fn an_old_report_fades_and_own_requests_do_not() {
+    let mut record = known();
+    record.report(200, Millis(5_000));
+    record.start();
+    assert_eq!(record.occupancy(Millis(6_000)), 201);
+    assert_eq!(record.occupancy(Millis(6_500)), 101);
+    assert_eq!(record.occupancy(Millis(20_000)), 1);
+    record.report(u32::MAX, Millis(20_000));
+    assert_eq!(record.occupancy(Millis(20_000)), 1);
 }
 
 proptest! {
