Entries' connections to a target stay within what it takes, one each at the least

Each entry had two connections to a target at the least, however few it takes: four entries had eight at one that takes four. Each now has one at the least, one that idled too long for work that must not be repeated ends before a new one is made, and a request that finds none free waits for one. Test: 8 of 4 before, 4 now, all of 48 requests served. Entries beyond the number of connections still have one each; open.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -188,6 +188,8 @@
     pub seat: Rc<RefCell<Seat>>,
     /// Its cost when it was chosen, in milliseconds.
     pub cost: f64,
+    /// Connections to it that this entry may have.
+    pub connections: usize,
     /// The limit that it names.
     pub limit: Option<Rate>,
     /// The place there that the request holds.
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -137,7 +137,14 @@
             drop(held);
             let target = target.clone();
             let slots = target.slots;
-            let choice = Choice { target, seat, cost, limit, place: None };
+            let choice = Choice {
+                target,
+                seat,
+                cost,
+                connections: most,
+                limit,
+                place: None,
+            };
             seen.push(Seen { choice, slots, free });
         }
         (seen, View { usual, unseen, part })
@@ -195,5 +202,5 @@
 const UNSEEN_TIME: Millis = Millis(800);
 
 /// Connections to a target that an entry may have however many entries there
-/// are: one that is busy and one for the next request.
-const LEAST_CONNECTIONS: usize = 2;
+/// are.
+const LEAST_CONNECTIONS: usize = 1;
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -22,7 +22,10 @@
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout, timeout_at},
+};
 
 use crate::{
     entry::{Choice, Seat},
@@ -157,7 +160,10 @@
         let was_kept = kept.is_some();
         let mut sender = match kept {
             Some(sender) => sender,
-            None => connect(choice).await?,
+            None => {
+                make_room(choice).await?;
+                connect(choice).await?
+            }
         };
         // The limit may have changed while a connection was made.
         if !choice.may_send(Millis::now()) {
@@ -186,6 +192,30 @@
     }
 }
 
+/// Sees to it that one more connection is within this entry's share: ends one
+/// that has idled too long for this request, or waits for one to end.
+async fn make_room(choice: &Choice) -> Result<(), Failure> {
+    let freed = choice.seat.borrow().freed.clone();
+    let until = Instant::now() + CONNECT_TIME.duration();
+    loop {
+        let mut changed = std::pin::pin!(freed.notified());
+        changed.as_mut().enable();
+        {
+            let mut seat = choice.seat.borrow_mut();
+            if seat.open < choice.connections {
+                return Ok(());
+            }
+            let idle = &mut seat.pool.idle;
+            if !idle.is_empty() {
+                idle.remove(0);
+            }
+        }
+        if timeout_at(until, changed).await.is_err() {
+            return Err(Failure::Unsent("no connection is free"));
+        }
+    }
+}
+
 fn reason(error: &hyper::Error) -> &'static str {
     if error.is_parse() {
         "no answer in the protocol"
@@ -201,7 +231,7 @@
 ) -> Result<SendRequest<Full<Bytes>>, Failure> {
     let open = Open::new(&choice.seat);
     let opening = TcpStream::connect(choice.target.address);
-    let stream = tokio::time::timeout(CONNECT_TIME.duration(), opening)
+    let stream = timeout(CONNECT_TIME.duration(), opening)
         .await
         .map_err(|_| Failure::Unsent("no connection in time"))?
         .map_err(|_| Failure::Unsent("no connection"))?;
--- a/cowsliproad-direct/tests/entry/connections.rs
+++ b/cowsliproad-direct/tests/entry/connections.rs
@@ -9,7 +9,10 @@
 use http_body_util::BodyExt;
 use tokio::{io::AsyncReadExt, net::TcpListener, time::sleep};
 
-use crate::harness::{Entry, KEY, Plant, numbers, until};
+use crate::{
+    harness::{Entry, KEY, Plant, numbers, until},
+    limits::entries,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_one_after_the_other_share_a_connection() {
@@ -24,10 +27,10 @@
 }
 
 /// Sends requests at once and counts the good answers.
-async fn at_once(entries: &[&Entry], count: usize) -> usize {
+async fn at_once(entries: &[&Entry], path: &str, count: usize) -> usize {
     let asked = (0..count).map(|it| {
         let entry = entries[it % entries.len()];
-        let request = entry.request("/many/a", KEY, "");
+        let request = entry.request(path, KEY, "");
         tokio::spawn(async move {
             let patience = Duration::from_secs(10);
             Client::new().call(request, 1 << 20, patience).await
@@ -42,6 +45,28 @@
     good
 }
 
+/// As many entries as a target has connections: each was given two at least.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_entries_together_keep_to_a_targets_connections() {
+    const MOST: u64 = 4;
+    let mut plant = Plant::start().await;
+    plant.catalog = plant.catalog.clone().with_connections("plain", MOST);
+    plant.catalog.publish(&plant.log);
+    let config =
+        Config::new("i-1", "plain", "a").with_pause(Duration::from_millis(60));
+    let target = plant.target_with(config).await;
+    let entries = entries(&mut plant, MOST as usize).await;
+    let entries: Vec<&Entry> = entries.iter().collect();
+    for path in ["/many/a", "/once/a"] {
+        let good = at_once(&entries, path, 48).await;
+        let connections = target.connections();
+        assert!(connections.most <= MOST as usize, "{path}: {connections:?}");
+        assert_eq!(good, 48, "{path}");
+        // What must not be repeated takes no connection that idled for long.
+        sleep(Duration::from_millis(400)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_entries_together_keep_to_a_targets_connections() {
     const MOST: u64 = 8;
@@ -61,7 +86,7 @@
         metrics == [Some(1.0), Some(1.0)]
     })
     .await;
-    let good = at_once(&[&first, &second], 48).await;
+    let good = at_once(&[&first, &second], "/many/a", 48).await;
     let connections = target.connections();
     assert!(connections.most <= MOST as usize, "{connections:?}");
     // Whoever found no connection free waited for one.
@@ -109,7 +134,8 @@
         let entry = Entry::start(plant.settings(&[&first]));
         entry.until_ready().await;
         entries.push(entry);
-        let good = at_once(&entries.iter().collect::<Vec<_>>(), 12).await;
+        let good =
+            at_once(&entries.iter().collect::<Vec<_>>(), "/many/a", 12).await;
         assert_eq!(good, 12);
     }
     // One goes without a word, and another VM takes its place elsewhere.
@@ -119,7 +145,8 @@
     new.until_ready().await;
     entries.push(new);
     target.announce(&plant.log, "ready");
-    let good = at_once(&entries.iter().collect::<Vec<_>>(), 12).await;
+    let good =
+        at_once(&entries.iter().collect::<Vec<_>>(), "/many/a", 12).await;
     assert_eq!(good, 12);
     until("all know of all that live", async || {
         for entry in &entries {
