--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -331,12 +331,15 @@
         let seat = choice.seat.borrow();
         let group = seat.group.as_ref();
         let age = group.map_or(-1, |it| now.since(it.heard).0 as i64);
+        let word = seat.limit.word(now);
         info!(entry.log, "chosen"; "request" => &*self.id,
             "work" => %self.work,
             "target" => &*choice.target.id, "route" => &*self.route.name,
             "cost" => choice.cost as u64, "at_target" => seat.record.occupancy(now),
             "own" => seat.record.in_flight(), "report_age" => age,
             "limit" => choice.limit.map(|it| it.a_second()),
+            "limit_age" => word.map(|it| it.age.0),
+            "denied" => self.turned_away,
             "left" => self.left().0, "try" => self.tries + 1);
     }
 
