Who stands in for a keeper goes on with the pace; seeds that are gone don't count for good

Found by reading. An entry that stood in for the keeper of a target that takes less than one a second began anew at each question, as a second had gone by, and gave no place (test of is_stale). Stale seeds counted among the entries that are not reached for as long as a process ran, so small fleets gave out a part of each limit only; they now count until a new entry would have forgotten them. A question that was passed on may mute one entry, not two, as whoever asked waits no longer; the number of times it may be passed on is bounded by the receiver.

--- a/cowsliproad-admission/src/limit.rs
+++ b/cowsliproad-admission/src/limit.rs
@@ -26,6 +26,11 @@
 /// asked for when a request comes, some time after it is free.
 const LATENESS_MS: f64 = 250.0;
 
+/// After so long, and so many times from one place to the next, without a
+/// question somebody else may have kept the pace.
+const RESUMED_TIME: Millis = Millis(1_000);
+const ASKED_INTERVALS: f64 = 2.0;
+
 /// The longest text that is taken for a number.
 const MOST_DIGITS: usize = 24;
 
@@ -208,9 +213,11 @@
         Keeper { rate, next, asked: now }
     }
 
-    /// When a place was last asked for.
-    pub fn asked(&self) -> Millis {
-        self.asked
+    /// Whether nobody has asked here for so long that others may have kept the
+    /// pace meanwhile. Where few requests are taken, few are asked for.
+    pub fn is_stale(&self, share: f64, now: Millis) -> bool {
+        let asks = ASKED_INTERVALS * self.rate.interval(share);
+        now.since(self.asked) > RESUMED_TIME + Millis(asks as u64)
     }
 
     /// How long no place is free.
--- a/cowsliproad-bench/src/experiment/limits.rs
+++ b/cowsliproad-bench/src/experiment/limits.rs
@@ -65,7 +65,6 @@
 const MOST_ASKED: usize = 2;
 const RELAYS: u8 = 2;
 const AGAIN_MS: u64 = 250;
-const RESUMED_MS: u64 = 1_000;
 
 /// Requests for each that the target takes, and the share of them that comes
 /// to one zone.
@@ -362,8 +361,9 @@
     }
 
     fn decide(&mut self, entry: usize, relays: u8) -> Verdict {
-        for _ in 0..MOST_ASKED {
+        for asked in 0..MOST_ASKED {
             let other = match self.keeper(entry) {
+                Keeper::Other(_) if asked > 0 && relays < RELAYS => break,
                 Keeper::Other(other) if relays > 0 => other,
                 keeper => {
                     let substitute = keeper == Keeper::Substitute;
@@ -417,7 +417,7 @@
         };
         let new = limit::Keeper::new(rate, now);
         let pace = entry.pace.get_or_insert(new);
-        if substitute && now.since(pace.asked()) > Millis(RESUMED_MS) {
+        if substitute && pace.is_stale(share, now) {
             *pace = new;
         }
         pace.ask(rate, share, Millis(0), now)
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -59,9 +59,6 @@
 /// How long a place is held for its request to get a connection.
 const HOLD_TIME: Millis = Millis(400);
 
-/// After so long somebody else may have kept the pace.
-const RESUMED_TIME: Millis = Millis(1_000);
-
 /// How long a limit that has changed, or is over, is told with each digest.
 const NEWS_TIME: Millis = Millis(8_000);
 
@@ -229,11 +226,13 @@
     patience: Millis,
     relays: u8,
 ) -> Verdict {
-    for _ in 0..MOST_ASKED {
+    for asked in 0..MOST_ASKED {
         let now = Millis::now();
         let zone = entry.settings().zone.clone();
         let keeper = entry.peers.borrow().keeper(target, &zone, now);
         let other = match keeper {
+            // Whoever asked waits for one question more, not for two.
+            Keeper::Other(_) if asked > 0 && relays < RELAYS => break,
             Keeper::Other(other) if relays > 0 => other,
             Keeper::Other(_) | Keeper::Own => {
                 return entry.give(target, false, patience, now);
@@ -280,13 +279,14 @@
 pub fn answer(entry: &Rc<Entry>, ask: Ask, from: SocketAddr) {
     entry.hear_limit(&ask.limit, Millis::now());
     let entry = entry.clone();
+    let relays = ask.relays.min(RELAYS - 1);
     tokio::task::spawn_local(async move {
         let target = entry.fleet.borrow().get(&ask.limit.target).cloned();
         let same = target.filter(|it| it.start.0 == ask.limit.start);
         let (verdict, limit) = match same {
             Some(target) => {
                 let verdict =
-                    decide(&entry, &target, ask.patience, ask.relays).await;
+                    decide(&entry, &target, ask.patience, relays).await;
                 (verdict, entry.limit_told(&target, Millis::now()))
             }
             // Its announcement has not come here yet.
@@ -427,8 +427,8 @@
         let new = (target.start, limit::Keeper::new(rate, now));
         let mut limits = self.limits.borrow_mut();
         let kept = limits.keepers.entry(target.id.clone()).or_insert(new);
-        let resumed = now.since(kept.1.asked()) > RESUMED_TIME;
-        if kept.0 != target.start || substitute && resumed {
+        let stale = substitute && kept.1.is_stale(share, now);
+        if kept.0 != target.start || stale {
             *kept = new;
         }
         kept.1.ask(rate, share, patience, now)
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -181,12 +181,20 @@
         }
     }
 
-    /// The part of all entries that are heard from, this one included.
+    /// The part of all entries that are heard from, this one included. Seeds
+    /// that a new entry hasn't met yet are among them, until it would have
+    /// forgotten them.
     pub fn reached(&self, now: Millis) -> f64 {
         let silence = self.silence();
         let known = self.known.values();
         let heard = known.filter(|it| now.since(it.heard) < silence);
-        (heard.count() + 1) as f64 / self.entries() as f64
+        let unmet = |it: &&SocketAddr| !self.known.contains_key(*it);
+        let unmet = match now < FORGET_TIME {
+            true => self.seeds.iter().filter(unmet).count(),
+            false => 0,
+        };
+        let all = self.known.len() + unmet + 1;
+        (heard.count() + 1) as f64 / all as f64
     }
 
     fn silence(&self) -> Millis {
--- a/tests/properties/limits.rs
+++ b/tests/properties/limits.rs
@@ -81,6 +81,17 @@
     assert!(!place.holds(rate(5.0), Millis(21)));
 }
 
+/// An entry that stands in for the keeper of a target that takes few, and is
+/// asked as seldom, would begin anew each time and give no place.
+#[test]
+fn who_is_asked_as_seldom_as_places_come_goes_on_with_the_pace() {
+    let rate = rate(0.5);
+    let keeper = Keeper::new(rate, Millis(1_000));
+    assert!(!keeper.is_stale(1.0, Millis(4_000)));
+    assert!(!keeper.is_stale(0.5, Millis(8_000)));
+    assert!(keeper.is_stale(1.0, Millis(7_000)));
+}
+
 proptest! {
     #![proptest_config(super::config(256))]
 
