A limit that is told before its target is known counts once it is; places go back

What is told early is now kept until the target is announced.

A request that got a place and then no retry or no connection kept the place from others: once second tries left a target that takes 2 a second with fewer than 9 requests in 6 s. It gives the place back.

Requests that no limited target has a place for wait, as before limits, while another target may become usable: with one connection to each, 10 of 11 were turned away, now none (test failed before).

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -34,7 +34,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    entry::{Choice, Entry, Source, choose::Wish},
+    entry::{
+        Choice, Entry, Source,
+        choose::{Shortage, Wish},
+    },
     limits,
     receive::{USUAL_TIME, drop_hop_by_hop, work_of},
     reply::Body,
@@ -256,6 +259,7 @@
                 if self.next == Draws::Budget
                     && !entry.spend_retry(&self.service, now)
                 {
+                    choice.give_back();
                     return Err(self.give_up(entry, "no retry is left"));
                 }
                 self.log_choice(entry, &choice, now);
@@ -263,17 +267,23 @@
                 return Ok(choice);
             }
             let patience = wait.since(now);
-            if let Some(free) = self.full_until(entry, now) {
-                let after = free.since(now);
+            let full = self.full(entry, now);
+            let free = full.map(|it| it.until.since(now));
+            if let Some(after) = free
+                && (full.is_some_and(|it| it.by_limits_alone)
+                    || patience.0 == 0)
+            {
                 return Err(self.turn_away(entry, after));
             }
             if patience.0 == 0 {
                 return Err(self.give_up(entry, "no target can be used"));
             }
+            // A place that is free now was asked for in vain.
+            let free = free.filter(|it| it.0 > 0).unwrap_or(patience);
             tokio::select! {
                 () = news => {}
                 () = freed => {}
-                () = sleep(patience.duration()) => {}
+                () = sleep(free.min(patience).duration()) => {}
             }
         }
     }
@@ -320,9 +330,8 @@
         entry.choose(wish, |it| !is_new(&it.id))
     }
 
-    /// When a target may take the request that is only kept from it by its
-    /// limit, if there is one and none that it may be sent to.
-    fn full_until(&self, entry: &Entry, now: Millis) -> Option<Millis> {
+    /// How long limits keep targets from it, if they do.
+    fn full(&self, entry: &Entry, now: Millis) -> Option<Shortage> {
         let is_new = |id: &Name| !self.sent.contains(id);
         let more = self.sent.len() < self.route.attempts as usize;
         entry.full_until(&self.service, now, |it| more == is_new(&it.id))
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -325,6 +325,8 @@
                     "address" => %target.address, "source" => ?source);
                 self.joined.set(self.joined.get() + 1);
                 self.rumour.notify_one();
+                drop(fleet);
+                self.recall_limit(id, Millis::now());
             }
             Change::Left => {
                 self.note_change(source);
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -24,6 +24,15 @@
     pub asks: bool,
 }
 
+/// How long targets that name limits have no place.
+#[derive(Clone, Copy, Debug)]
+pub struct Shortage {
+    /// When one may have.
+    pub until: Millis,
+    /// Whether there is no other target that may be usable before.
+    pub by_limits_alone: bool,
+}
+
 /// A target that a request could go to, or could but for its limit.
 struct Seen {
     choice: Choice,
@@ -67,15 +76,19 @@
     }
 
     /// When a place may be free at a target that a request could go to but
-    /// for its limit.
+    /// for its limit, and whether limits are all that keeps it from targets.
     pub fn full_until(
         &self,
         service: &str,
         now: Millis,
         fits: impl Fn(&Target) -> bool,
-    ) -> Option<Millis> {
-        let (seen, _) = self.look_at(service, now, fits);
-        seen.iter().filter_map(|it| it.free).min()
+    ) -> Option<Shortage> {
+        let (seen, _) = self.look_at(service, now, &fits);
+        let until = seen.iter().filter_map(|it| it.free).min()?;
+        let fleet = self.fleet.borrow();
+        let own = fleet.ready().filter(|it| &*it.service == service);
+        let all = own.filter(|it| fits(it)).count();
+        Some(Shortage { until, by_limits_alone: seen.len() == all })
     }
 
     /// The targets of a service that work and that `fits` lets through.
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -62,6 +62,10 @@
 /// How long a limit that has changed, or is over, is told with each digest.
 const NEWS_TIME: Millis = Millis(8_000);
 
+/// How long what is told of an unknown target is kept: it is announced by
+/// then.
+const EARLY_TIME: Millis = Millis(10_000);
+
 /// Limits that others are told of at a time, some 40 bytes each.
 const MOST_TOLD: usize = 256;
 
@@ -84,6 +88,8 @@
     socket: Option<Rc<UdpSocket>>,
     keepers: HashMap<Name, (Start, limit::Keeper)>,
     open: HashMap<u64, oneshot::Sender<Reply>>,
+    /// Limits of targets that are not known yet, and when they were heard.
+    early: HashMap<Name, (Limit, Millis)>,
     told: Millis,
 }
 
@@ -103,6 +109,16 @@
         self.socket = Some(socket);
     }
 
+    /// Keeps what was told of a target that isn't known yet.
+    fn keep_early(&mut self, limit: &Limit, now: Millis) {
+        if self.early.len() >= MOST_TOLD {
+            self.early.retain(|_, it| now.since(it.1) < EARLY_TIME);
+        }
+        if self.early.len() < MOST_TOLD {
+            self.early.insert(limit.target.clone(), (limit.clone(), now));
+        }
+    }
+
     /// Forgets the pace of a target that left.
     pub fn forget(&mut self, target: &str) {
         self.keepers.remove(target);
@@ -119,8 +135,16 @@
 }
 
 impl Choice {
+    /// Gives back the place of a request that wasn't sent.
+    pub fn give_back(&self) {
+        self.seat.borrow_mut().places.extend(self.place);
+    }
+
     /// Notes that a request got no answer there.
     pub fn missed(&self, miss: &Miss) {
+        if matches!(miss, Miss::Unsent(_)) {
+            self.give_back();
+        }
         // A limit that came in between is no fault of the target.
         if *miss != Miss::Limited {
             self.seat.borrow_mut().record.failure(Millis::now());
@@ -335,12 +359,11 @@
     }
 
     fn hear_limit(&self, limit: &Limit, now: Millis) {
-        let fleet = self.fleet.borrow();
-        let target = fleet.get(&limit.target);
-        if target.is_none_or(|it| it.start.0 != limit.start) {
+        let start = self.fleet.borrow().get(&limit.target).map(|it| it.start);
+        if start != Some(Start(limit.start)) {
+            self.limits.borrow_mut().keep_early(limit, now);
             return;
         }
-        drop(fleet);
         let rate = limit.rate.and_then(Rate::new);
         if rate.is_none() != limit.rate.is_none() {
             return;
@@ -351,6 +374,15 @@
         self.limit_changed(&limit.target, change, Source::Peer);
     }
 
+    /// Takes in what was told of a target before it was known here.
+    pub fn recall_limit(&self, target: &str, now: Millis) {
+        let early = self.limits.borrow_mut().early.remove(target);
+        if let Some((limit, heard)) = early {
+            let age = limit.age + now.since(heard);
+            self.hear_limit(&Limit { age, ..limit }, now);
+        }
+    }
+
     fn limit_changed(&self, target: &Name, change: Change, source: Source) {
         if change == Change::None {
             return;
--- a/cowsliproad-direct/tests/entry/limits.rs
+++ b/cowsliproad-direct/tests/entry/limits.rs
@@ -268,6 +268,29 @@
     assert!(heard.refused_after < most, "{heard:?}");
 }
 
+/// Another target that has no connection free just now.
+#[tokio::test(flavor = "multi_thread")]
+async fn who_can_go_elsewhere_in_time_is_not_turned_away() {
+    let mut plant = Plant::start().await;
+    plant.catalog = plant.catalog.clone().with_connections("plain", 1);
+    plant.catalog.publish(&plant.log);
+    let limited = plant.target("i-1", "plain").await;
+    let pause = Duration::from_millis(100);
+    let config = Config::new("i-2", "plain", "a").with_pause(pause);
+    plant.target_with(config).await;
+    let entry = plant.entry().await;
+    limited.set_limit(Some("0"));
+    until("the limit is known", async || {
+        entry.ask("/many/a").await.expect("an answer");
+        entry.metric("limits").await == Some(1.0)
+    })
+    .await;
+    let pause = Duration::from_millis(5);
+    let time = Duration::from_millis(50);
+    let heard = load(&[&entry], "/many/a", pause, time).await;
+    assert_eq!((heard.refused, heard.other), (0, 0), "{heard:?}");
+}
+
 /// Each place went to whoever asked first.
 #[tokio::test(flavor = "multi_thread")]
 async fn urgent_requests_get_what_limited_targets_take() {
