--- a/cowsliproad-bench/src/experiment/limits.rs
+++ b/cowsliproad-bench/src/experiment/limits.rs
@@ -461,8 +461,7 @@
     }
 }
 
-/// A question and its answer, and a limit in a digest, as they are encoded;
-/// checked by [`encoded`].
+/// A question with its answer, and a limit in a digest; see [`encoded`].
 const QUESTION_BYTES: u64 = 110;
 const LIMIT_BYTES: u64 = 35;
 
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -132,9 +132,7 @@
         let Some(rate) = rate else { return true };
         self.place.is_some_and(|it| it.holds(rate, now))
     }
-}
 
-impl Choice {
     /// Gives back the place of a request that wasn't sent.
     pub fn give_back(&self) {
         self.seat.borrow_mut().places.extend(self.place);
@@ -258,12 +256,7 @@
             // Whoever asked waits for one question more, not for two.
             Keeper::Other(_) if asked > 0 && relays < RELAYS => break,
             Keeper::Other(other) if relays > 0 => other,
-            Keeper::Other(_) | Keeper::Own => {
-                return entry.give(target, false, patience, now);
-            }
-            Keeper::Substitute => {
-                return entry.give(target, true, patience, now);
-            }
+            _ => return entry.give(target, keeper, patience, now),
         };
         match ask(entry, other, target, patience, relays - 1).await {
             Some(reply) if reply.given => return Verdict::Place(reply.after),
@@ -447,7 +440,7 @@
     fn give(
         &self,
         target: &Target,
-        substitute: bool,
+        keeper: Keeper<SocketAddr>,
         patience: Millis,
         now: Millis,
     ) -> Verdict {
@@ -459,7 +452,8 @@
         let new = (target.start, limit::Keeper::new(rate, now));
         let mut limits = self.limits.borrow_mut();
         let kept = limits.keepers.entry(target.id.clone()).or_insert(new);
-        let stale = substitute && kept.1.is_stale(share, now);
+        let stands_in = keeper == Keeper::Substitute;
+        let stale = stands_in && kept.1.is_stale(share, now);
         if kept.0 != target.start || stale {
             *kept = new;
         }
