--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -209,10 +209,15 @@
     pub async fn next(&self) -> Arc<Work> {
         loop {
             let ready = self.ready.notified();
+            // A limit that changes from here on is not missed.
+            let changed = self.pace.changes();
             match self.try_next() {
                 Next::Work(work) => return work,
                 Next::Nothing => ready.await,
-                Next::After(wait) => self.pace.until(wait).await,
+                Next::After(wait) => tokio::select! {
+                    () = changed => {}
+                    () = tokio::time::sleep(wait.duration()) => {}
+                },
             }
         }
     }
--- a/cowsliproad-agent/src/pace.rs
+++ b/cowsliproad-agent/src/pace.rs
@@ -10,7 +10,10 @@
 use cowsliproad_kernel::{clock::Millis, sync::lock};
 use http::{HeaderMap, HeaderName};
 use slog::{Logger, info, warn};
-use tokio::{sync::Notify, time::sleep};
+use tokio::{
+    sync::{Notify, futures::Notified},
+    time::sleep,
+};
 
 /// Names the requests a second that a target takes, a decimal number, for as
 /// long as its answers carry it.
@@ -94,17 +97,19 @@
 
     /// Waits for a place.
     pub async fn turn(&self) {
-        while let Err(after) = self.take(Millis::now()) {
-            self.until(after).await;
+        loop {
+            let changed = self.changes();
+            let Err(after) = self.take(Millis::now()) else { return };
+            tokio::select! {
+                () = changed => {}
+                () = sleep(after.duration()) => {}
+            }
         }
     }
 
-    /// Waits for a time, or until the limit changes.
-    pub async fn until(&self, after: Millis) {
-        tokio::select! {
-            () = self.changed.notified() => {}
-            () = sleep(after.duration()) => {}
-        }
+    /// Waits for the next change of the limit from now on.
+    pub fn changes(&self) -> Notified<'_> {
+        self.changed.notified()
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -98,7 +98,7 @@
     /// Targets that it was sent to.
     sent: Vec<Name>,
     tries: usize,
-    /// Places that it asked for in vain.
+    /// Places that it asked for in vain since its last try.
     turned_away: usize,
     /// Tries that may have run.
     runs: usize,
@@ -264,6 +264,7 @@
                 }
                 self.log_choice(entry, &choice, now);
                 self.tries += 1;
+                self.turned_away = 0;
                 return Ok(choice);
             }
             let patience = wait.since(now);
