Keepers that follow one another ask a target that takes few in time

How: it named 0, then 3 a second; while entries were killed each new keeper waited a whole interval, ten seconds, before its first place, so none asked it. The lines of all four entries show the limit of 0 until an answer of another second. Cause: a new keeper knew nothing of how long ago the target had last answered. It now waits for what is left of the interval since the last answer that is known, four seconds at the least, as digests tell that no later. The test (one keeper after the other, five seconds each) never saw it asked before.

--- a/cowsliproad-admission/src/limit.rs
+++ b/cowsliproad-admission/src/limit.rs
@@ -31,6 +31,10 @@
 const RESUMED_TIME: Millis = Millis(1_000);
 const ASKED_INTERVALS: f64 = 2.0;
 
+/// What is known of the last answer of a target is no older than this where
+/// entries reach one another.
+const NEWS_MS: f64 = 4_000.0;
+
 /// The longest text that is taken for a number.
 const MOST_DIGITS: usize = 24;
 
@@ -207,9 +211,14 @@
 
 impl Keeper {
     /// A pace that is kept from now on. Whoever kept it before may have given
-    /// a place just now.
-    pub fn new(rate: Rate, now: Millis) -> Keeper {
-        let next = now.0 as f64 + rate.interval(1.0);
+    /// a place just now. `idle` is for how long nobody is known to have heard
+    /// from the target: of one that takes few, a new keeper that waited for a
+    /// whole interval would never give a place where keepers change often.
+    pub fn new(rate: Rate, idle: Millis, now: Millis) -> Keeper {
+        let interval = rate.interval(1.0);
+        let least = interval.min(NEWS_MS);
+        let wait = (interval - idle.0 as f64).clamp(least, interval);
+        let next = now.0 as f64 + wait;
         Keeper { rate, next, asked: now }
     }
 
--- a/cowsliproad-agent/src/pace.rs
+++ b/cowsliproad-agent/src/pace.rs
@@ -38,7 +38,7 @@
 
 impl Inner {
     fn keeper(&mut self, rate: Rate, now: Millis) -> &mut Keeper {
-        self.keeper.get_or_insert(Keeper::new(rate, now))
+        self.keeper.get_or_insert(Keeper::new(rate, Millis(0), now))
     }
 }
 
--- a/cowsliproad-bench/src/experiment/limits.rs
+++ b/cowsliproad-bench/src/experiment/limits.rs
@@ -355,7 +355,7 @@
 
     fn own(&mut self, entry: usize, rate: Rate, share: f64) -> bool {
         let now = Millis(self.now);
-        let new = limit::Keeper::new(rate, now);
+        let new = limit::Keeper::new(rate, Millis(0), now);
         let pace = self.entries[entry].pace.get_or_insert(new);
         pace.ask(rate, share, Millis(0), now) == Verdict::Place(Millis(0))
     }
@@ -412,10 +412,11 @@
         let heard = known.values().filter(|it| self.now - it.0 < silence);
         let share = (heard.count() + 1) as f64 / (known.len() + 1) as f64;
         let entry = &mut self.entries[entry];
-        let Some(rate) = entry.limit.rate() else {
+        let Some(Word { rate: Some(rate), age }) = entry.limit.word(now)
+        else {
             return Verdict::Place(Millis(0));
         };
-        let new = limit::Keeper::new(rate, now);
+        let new = limit::Keeper::new(rate, age, now);
         let pace = entry.pace.get_or_insert(new);
         if substitute && pace.is_stale(share, now) {
             *pace = new;
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -444,12 +444,12 @@
         patience: Millis,
         now: Millis,
     ) -> Verdict {
-        let rate = self.seat(&target.id).borrow().limit.rate();
-        let Some(rate) = rate else {
+        let word = self.seat(&target.id).borrow().limit.word(now);
+        let Some(Word { rate: Some(rate), age }) = word else {
             return Verdict::Place(Millis(0));
         };
         let share = self.peers.borrow().reached(now);
-        let new = (target.start, limit::Keeper::new(rate, now));
+        let new = (target.start, limit::Keeper::new(rate, age, now));
         let mut limits = self.limits.borrow_mut();
         let kept = limits.keepers.entry(target.id.clone()).or_insert(new);
         let stands_in = keeper == Keeper::Substitute;
--- a/tests/properties/limits.rs
+++ b/tests/properties/limits.rs
@@ -86,12 +86,36 @@
 #[test]
 fn who_is_asked_as_seldom_as_places_come_goes_on_with_the_pace() {
     let rate = rate(0.5);
-    let keeper = Keeper::new(rate, Millis(1_000));
+    let keeper = Keeper::new(rate, Millis(0), Millis(1_000));
     assert!(!keeper.is_stale(1.0, Millis(4_000)));
     assert!(!keeper.is_stale(0.5, Millis(8_000)));
     assert!(keeper.is_stale(1.0, Millis(7_000)));
 }
 
+/// Seen: a target that had taken nothing named 3 a second, and while entries
+/// were killed none of the keepers that followed one another asked it.
+#[test]
+fn keepers_that_follow_one_another_ask_a_target_that_takes_nothing() {
+    let rate = rate(0.0);
+    let mut places = 0;
+    for change in 0..6 {
+        // Each keeps the pace for five seconds and knows how long nobody has
+        // heard from the target.
+        let begun = Millis(change * 5_000);
+        let mut keeper = Keeper::new(rate, begun, begun);
+        for step in 0..50 {
+            let now = begun + Millis(step * 100);
+            let verdict = keeper.ask(rate, 1.0, Millis(0), now);
+            places += u32::from(verdict == Verdict::Place(Millis(0)));
+        }
+        if places > 0 {
+            assert!(begun >= Millis(5_000), "{begun}: too early");
+            return;
+        }
+    }
+    panic!("it is never asked");
+}
+
 proptest! {
     #![proptest_config(super::config(256))]
 
@@ -105,7 +129,7 @@
         span in 500..8_000_u64,
     ) {
         let rate = rate(a_second);
-        let mut keeper = Keeper::new(rate, Millis(0));
+        let mut keeper = Keeper::new(rate, Millis(0), Millis(0));
         let mut now = 0;
         let mut places = Vec::new();
         for (pause, patience) in questions {
