One reading of what an answer says of a limit, for agents and entries

Cause: agents and entries each took the header apart, decided whether it was no number, and whether that was news, in the same four steps; Keeper::ask worked out again what full_for says. Change: Known::read takes the header's bytes and tells what changed and what can't be read; ask uses full_for; the gate names the module of its pace as it is called. Ruled out: a type for headers in the pure crate.

--- a/cowsliproad-admission/src/limit.rs
+++ b/cowsliproad-admission/src/limit.rs
@@ -50,8 +50,8 @@
     }
 
     /// Reads a decimal number: digits, and maybe a point and more of them.
-    pub fn parse(text: &str) -> Option<Rate> {
-        let text = text.trim();
+    pub fn read(text: &[u8]) -> Option<Rate> {
+        let text = std::str::from_utf8(text).ok()?.trim();
         let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
         let digits = |it: &str| {
             !it.is_empty() && it.bytes().all(|it| it.is_ascii_digit())
@@ -117,6 +117,15 @@
     Loosened,
 }
 
+/// What an answer brought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct News {
+    /// What it changed.
+    pub change: Change,
+    /// Whether the target names what is no number, and didn't before.
+    pub unreadable: bool,
+}
+
 impl Known {
     /// The limit in force.
     pub fn rate(&self) -> Option<Rate> {
@@ -136,11 +145,19 @@
         self.changed
     }
 
-    /// Whether it is news that a target names what is no number. It then names
-    /// no limit.
-    pub fn is_news_unreadable(&mut self, unreadable: bool) -> bool {
+    /// Takes in an answer to a request that was sent at `sent`, as it came.
+    /// What is no number names no limit.
+    pub fn read(
+        &mut self,
+        named: Option<&[u8]>,
+        sent: Millis,
+        now: Millis,
+    ) -> News {
+        let rate = named.and_then(Rate::read);
+        let unreadable = named.is_some() && rate.is_none();
         let before = std::mem::replace(&mut self.unreadable, unreadable);
-        unreadable && !before
+        let change = self.answered(rate, sent, now);
+        News { change, unreadable: unreadable && !before }
     }
 
     /// Takes in an answer to a request that was sent at `sent`.
@@ -253,13 +270,12 @@
         }
         self.rate = rate;
         self.asked = now;
-        let place = self.next.max(now_ms - LATENESS_MS);
-        let wait = (place - now_ms).max(0.0).ceil();
-        if wait > patience.0 as f64 {
-            return Verdict::Later(Millis(wait as u64));
+        let wait = self.full_for(now);
+        if wait > patience {
+            return Verdict::Later(wait);
         }
-        self.next = place + interval;
-        Verdict::Place(Millis(wait as u64))
+        self.next = self.next.max(now_ms - LATENESS_MS) + interval;
+        Verdict::Place(wait)
     }
 }
 
--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -37,7 +37,7 @@
 
 use crate::{
     ends::Ends,
-    pace as target,
+    pace,
     settings::Settings,
     work::{Ending, Repeat, Wanted, Work},
 };
@@ -54,7 +54,7 @@
     /// Work under which the target's process ended.
     pub ends: Ends,
     /// How many requests a second the target takes.
-    pub pace: Arc<target::Pace>,
+    pub pace: Arc<pace::Pace>,
     inner: Mutex<Inner>,
     ready: Notify,
     log: Logger,
@@ -133,7 +133,7 @@
         Gate {
             ticket_key: settings.key.derive("cowsliproad ticket").0,
             ends: Ends::new(&settings.name, incarnation),
-            pace: Arc::new(target::Pace::new(log.clone())),
+            pace: Arc::new(pace::Pace::new(log.clone())),
             settings,
             incarnation,
             inner: Mutex::new(inner),
--- a/cowsliproad-agent/src/pace.rs
+++ b/cowsliproad-agent/src/pace.rs
@@ -8,7 +8,7 @@
 
 use cowsliproad_admission::limit::{Change, Keeper, Known, Rate, Verdict};
 use cowsliproad_kernel::{clock::Millis, sync::lock};
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, HeaderValue};
 use slog::{Logger, info, warn};
 use tokio::{
     sync::{Notify, futures::Notified},
@@ -51,16 +51,15 @@
     /// Takes in an answer to a request that was sent at `sent`.
     pub fn answered(&self, headers: &HeaderMap, sent: Millis) {
         let named = headers.get(&HEADER);
-        let text = named.and_then(|it| it.to_str().ok());
-        let rate = text.and_then(Rate::parse);
         let mut inner = self.lock();
-        let unreadable = named.is_some() && rate.is_none();
-        if inner.known.is_news_unreadable(unreadable) {
-            warn!(self.log, "limit_refused"; "limit" => ?named);
-        }
-        let change = inner.known.answered(rate, sent, Millis::now());
+        let bytes = named.map(HeaderValue::as_bytes);
+        let news = inner.known.read(bytes, sent, Millis::now());
+        let (change, rate) = (news.change, inner.known.rate());
         inner.tightened |= change == Change::Tightened;
         drop(inner);
+        if news.unreadable {
+            warn!(self.log, "limit_refused"; "limit" => ?named);
+        }
         if change != Change::None {
             info!(self.log, "limit"; "a_second" => rate.map(Rate::a_second),
                 "change" => ?change);
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -326,22 +326,18 @@
         stay: &Stay,
         headers: &HeaderMap,
     ) {
-        let mut seat = choice.seat.borrow_mut();
         let named = headers.get(&header::LIMIT);
-        let unreadable = named.is_some_and(|it| read(it).is_none());
-        if seat.limit.is_news_unreadable(unreadable) {
-            warn!(self.log, "limit_refused"; "target" => &*choice.target.id,
-                "limit" => ?named);
-        }
-        if named.is_none() && seat.limit.word(Millis(0)).is_none() {
-            return;
-        }
-        let rate = named.and_then(read);
         let now = Millis::now();
         let sent = stay.sent_at().unwrap_or(now);
-        let change = seat.limit.answered(rate, sent, now);
+        let bytes = named.map(HeaderValue::as_bytes);
+        let mut seat = choice.seat.borrow_mut();
+        let news = seat.limit.read(bytes, sent, now);
         drop(seat);
-        self.limit_changed(&choice.target.id, change, Source::Own);
+        if news.unreadable {
+            warn!(self.log, "limit_refused"; "target" => &*choice.target.id,
+                "limit" => ?named);
+        }
+        self.limit_changed(&choice.target.id, news.change, Source::Own);
     }
 
     /// Takes in what another entry tells of limits.
@@ -481,10 +477,6 @@
     }
 }
 
-fn read(value: &HeaderValue) -> Option<Rate> {
-    Rate::parse(value.to_str().ok()?)
-}
-
 fn limit_of(target: &Target, word: Word) -> Limit {
     Limit {
         target: target.id.clone(),
--- a/tests/properties/limits.rs
+++ b/tests/properties/limits.rs
@@ -31,10 +31,10 @@
 fn numbers_are_read_and_nothing_else() {
     for (text, read) in [("1", 1.0), ("1.2", 1.2), (" 0 ", 0.0), ("007", 7.0)]
     {
-        assert_eq!(Rate::parse(text), Some(rate(read)), "{text:?}");
+        assert_eq!(Rate::read(text.as_bytes()), Some(rate(read)), "{text:?}");
     }
     for text in ["", " ", ".", "1.", ".5", "-1", "+1", "1e3", "nan", "inf"] {
-        assert_eq!(Rate::parse(text), None, "{text:?}");
+        assert_eq!(Rate::read(text.as_bytes()), None, "{text:?}");
     }
 }
 
