Targets are looked at once for each look-out, not three times

Cause: a request that found no usable target looked at all targets of its service up to five times at one moment: new ones and those asked before, the same for a place further ahead, and once more for how long limits keep it away. Requests that wait for a standing group do so at each piece of news, and no limit need be known. What a target would get by its part was worked out for each choice too. Change: Entry::look gives a Sight, which is asked for a target now, for one ahead and for the shortage: two looks at most, as before limits. The part is worked out where a limit is known. A target's slots are not kept beside the target.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -17,10 +17,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use cowsliproad_admission::{
-    patience::{Asked, Start, Visit},
-    quarantine::{Standing, Work},
-};
+use cowsliproad_admission::{patience::Visit, quarantine::Work};
 use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_platform::header;
 use cowsliproad_routing::catalog::Route;
@@ -30,21 +27,17 @@
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use slog::info;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use crate::{
-    entry::{
-        Choice, Entry, Source,
-        choose::{Shortage, Wish},
-    },
-    limits,
+    entry::{Choice, Entry, Source},
     receive::{USUAL_TIME, drop_hop_by_hop, work_of},
     reply::Body,
     stay::Stay,
     upstream::{self, Failure, Lease, Reuse},
 };
 
+mod choose;
 pub mod failure;
 
 /// The largest answer that is read whole before it is passed on.
@@ -58,20 +51,12 @@
 /// the usual work.
 const LEAST_TRY: Millis = Millis(40);
 
-/// Places that a request asks for in vain before it goes where no limit is,
-/// or is refused: a few of 3 ms each.
-const MOST_TURNED_AWAY: usize = 3;
-
 /// Ranks that a request falls back in a target's queue once it is late.
 const LATE_RANKS: u16 = 2;
 
 /// The last rank of a target's queue.
 const LAST_RANK: u16 = 9;
 
-/// What is left of a caller's patience for the answer's way: 3 ms there, and
-/// a VM that has used up its share of a tenth of a second.
-const ANSWER_TIME: Millis = Millis(100);
-
 /// A request on its way.
 #[derive(Debug)]
 pub struct Call {
@@ -226,134 +211,6 @@
         Instant::now() + self.left().duration()
     }
 
-    /// Chooses the next target, and waits for one if there is none.
-    pub async fn next_target(
-        &mut self,
-        entry: &Rc<Entry>,
-    ) -> Result<Choice, Response<Body>> {
-        let wait = self.until.min(self.waits_since + self.wait(entry));
-        loop {
-            let (news, freed) =
-                (entry.news.notified(), entry.freed.notified());
-            let now = Millis::now();
-            let standing = entry.quarantine.borrow_mut().admit(self.work, now);
-            if let Standing::Refused(after) = standing {
-                return Err(self.refuse(entry, after));
-            }
-            let choice = self.choose(entry, Millis(0));
-            let ahead = match choice {
-                Some(_) => Millis(0),
-                // A place that is free in time is better than none.
-                None => self.share_of(wait.since(now)),
-            };
-            let choice = choice.or_else(|| self.choose(entry, ahead));
-            if let Some(mut choice) = choice {
-                if let Start::Later(after) = self.start(entry, now) {
-                    return Err(self.put_off(entry, after));
-                }
-                if !limits::place(entry, &mut choice, ahead).await {
-                    self.turned_away += 1;
-                    continue;
-                }
-                let now = Millis::now();
-                if self.next == Draws::Budget
-                    && !entry.spend_retry(&self.service, now)
-                {
-                    choice.give_back();
-                    return Err(self.give_up(entry, "no retry is left"));
-                }
-                self.log_choice(entry, &choice, now);
-                self.tries += 1;
-                self.turned_away = 0;
-                return Ok(choice);
-            }
-            let patience = wait.since(now);
-            let full = self.full(entry, now);
-            let free = full.map(|it| it.until.since(now));
-            if let Some(after) = free
-                && (full.is_some_and(|it| it.by_limits_alone)
-                    || patience.0 == 0)
-            {
-                return Err(self.turn_away(entry, after));
-            }
-            if patience.0 == 0 {
-                return Err(self.give_up(entry, "no target can be used"));
-            }
-            // A place that is free now was asked for in vain.
-            let free = free.filter(|it| it.0 > 0).unwrap_or(patience);
-            tokio::select! {
-                () = news => {}
-                () = freed => {}
-                () = sleep(free.min(patience).duration()) => {}
-            }
-        }
-    }
-
-    /// Whether a stream that nothing has run of is still worth its start.
-    fn start(&self, entry: &Entry, now: Millis) -> Start {
-        let (Some(silence), Some(aim)) = (self.route.silence, self.route.aim)
-        else {
-            return Start::Now;
-        };
-        if self.certainty == Certainty::Unknown {
-            return Start::Now;
-        }
-        let Call { arrived, visit, .. } = *self;
-        let left = self.left();
-        let asked = Asked { arrived, silence, aim, left, visit };
-        asked.start(now, entry.draw())
-    }
-
-    /// How long the request may wait for a target to be usable. A caller of a
-    /// stream that hears nothing for longer leaves and is lost; one that is
-    /// answered just before comes back when it was told to.
-    fn wait(&self, entry: &Entry) -> Millis {
-        let silence = self.route.silence.map(|it| it - ANSWER_TIME);
-        silence.unwrap_or(entry.settings().wait_ms)
-    }
-
-    /// The best target that the request may still be sent to: a new one while
-    /// its route allows more, else one that was asked before.
-    fn choose(&self, entry: &Entry, patience: Millis) -> Option<Choice> {
-        let is_new = |id: &Name| !self.sent.contains(id);
-        let wish = Wish {
-            service: &self.service,
-            now: Millis::now(),
-            patience,
-            asks: self.turned_away < MOST_TURNED_AWAY,
-        };
-        if self.sent.len() < self.route.attempts as usize {
-            let new = entry.choose(wish, |it| is_new(&it.id));
-            if new.is_some() {
-                return new;
-            }
-        }
-        entry.choose(wish, |it| !is_new(&it.id))
-    }
-
-    /// How long limits keep targets from it, if they do.
-    fn full(&self, entry: &Entry, now: Millis) -> Option<Shortage> {
-        let is_new = |id: &Name| !self.sent.contains(id);
-        let more = self.sent.len() < self.route.attempts as usize;
-        entry.full_until(&self.service, now, |it| more == is_new(&it.id))
-    }
-
-    fn log_choice(&self, entry: &Entry, choice: &Choice, now: Millis) {
-        let seat = choice.seat.borrow();
-        let group = seat.group.as_ref();
-        let age = group.map_or(-1, |it| now.since(it.heard).0 as i64);
-        let word = seat.limit.word(now);
-        info!(entry.log, "chosen"; "request" => &*self.id,
-            "work" => %self.work,
-            "target" => &*choice.target.id, "route" => &*self.route.name,
-            "cost" => choice.cost as u64, "at_target" => seat.record.occupancy(now),
-            "own" => seat.record.in_flight(), "report_age" => age,
-            "limit" => choice.limit.map(|it| it.a_second()),
-            "limit_age" => word.map(|it| it.age.0),
-            "denied" => self.turned_away,
-            "left" => self.left().0, "try" => self.tries + 1);
-    }
-
     /// Sends the request and waits for the head of an answer of its own.
     pub async fn open(
         &mut self,
@@ -460,14 +317,6 @@
         rank.min(LAST_RANK)
     }
 
-    /// How far ahead a place may lie that it takes. Less urgent requests leave
-    /// those that lie further ahead to more urgent ones.
-    fn share_of(&self, patience: Millis) -> Millis {
-        let ranks = u64::from(LAST_RANK) + 1;
-        let rank = u64::from(self.urgency());
-        Millis(patience.0 * (ranks - rank) / ranks)
-    }
-
     /// How long the next try may take.
     pub fn patience(&self) -> Millis {
         let left = self.left();
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -10,18 +10,24 @@
 
 use super::{Choice, Entry, Group, Seat, groups::SILENT_TIME};
 
-/// What a request wishes of a target.
-#[derive(Clone, Copy, Debug)]
-pub struct Wish<'a> {
-    /// The service.
-    pub service: &'a str,
-    /// When it is chosen.
-    pub now: Millis,
-    /// How long the request can wait for a place at a target that names a
-    /// limit; 0 if it goes elsewhere then.
-    pub patience: Millis,
-    /// Whether it may ask for such a place.
-    pub asks: bool,
+/// The targets of a service that work, as an entry sees them at a moment.
+pub struct Sight {
+    seen: Vec<Seen>,
+    at: Millis,
+    usual: Usual,
+    /// Requests of others that no report shows.
+    unseen: f64,
+    /// Requests a second that a target would get if all were sent as many.
+    part: f64,
+    /// Targets that fit, also those that don't work.
+    fitting: usize,
+}
+
+/// A target that a request could go to, or could but for its limit.
+struct Seen {
+    choice: Choice,
+    /// When a place there may be asked for, if one has to be.
+    free: Option<Millis>,
 }
 
 /// How long targets that name limits have no place.
@@ -33,71 +39,63 @@
     pub by_limits_alone: bool,
 }
 
-/// A target that a request could go to, or could but for its limit.
-struct Seen {
-    choice: Choice,
-    slots: u32,
-    /// When a place there may be asked for, if one has to be.
-    free: Option<Millis>,
+/// Whether a request may ask for places at targets that name limits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Asks {
+    /// For one that is free now; it goes elsewhere if there is none.
+    Now,
+    /// For one that is free within this time.
+    Ahead(Millis),
+    /// It may not.
+    Never,
 }
 
-impl Entry {
-    /// A target among those of a service that `fits` lets through: the one
-    /// with the least cost, or, where agents report, one of those with little
-    /// cost; see [`pick::spread`]. One that takes fewer requests than its part
-    /// is chosen whenever it costs no more, so that it gets what it takes.
-    pub fn choose(
-        &self,
-        wish: Wish,
-        fits: impl Fn(&Target) -> bool,
-    ) -> Option<Choice> {
-        let Wish { service, now, patience, asks } = wish;
-        let (mut seen, view) = self.look_at(service, now, fits);
-        seen.retain(|it| {
-            let seat = it.choice.seat.borrow();
-            it.free.is_none_or(|free| {
-                let idle = patience > Millis(0) || !seat.asking;
-                asks && idle && free <= now + patience
-            })
-        });
-        let costs: Vec<f64> = seen.iter().map(|it| it.choice.cost).collect();
-        let slots = seen.iter().map(|it| it.slots).max().unwrap_or(1);
-        let step = view.usual.in_step() / f64::from(slots);
-        let place = pick::spread(&costs, step, view.unseen, self.draw())?;
+impl Sight {
+    /// The target with the least cost, or, where agents report, one of those
+    /// with little cost; see [`pick::spread`]. One that takes fewer requests
+    /// than its part is chosen whenever it costs no more, so that it gets what
+    /// it takes. `draw` is a random number from 0 to 1.
+    pub fn choose(&self, asks: Asks, draw: f64) -> Option<Choice> {
+        let usable = self.seen.iter().filter(|it| self.is_usable(it, asks));
+        let usable: Vec<&Choice> = usable.map(|it| &it.choice).collect();
+        let costs: Vec<f64> = usable.iter().map(|it| it.cost).collect();
+        let slots = usable.iter().map(|it| it.target.slots).max()?;
+        let step = self.usual.in_step() / f64::from(slots);
+        let place = pick::spread(&costs, step, self.unseen, draw)?;
         let binds =
-            |it: &Choice| it.limit.is_some_and(|it| it.a_second() < view.part);
-        let scarce = seen.iter().map(|it| &it.choice);
-        let scarce = scarce
-            .enumerate()
-            .filter(|(_, it)| binds(it) && it.cost <= costs[place])
-            .min_by(|(_, a), (_, b)| a.cost.total_cmp(&b.cost))
-            .map(|it| it.0);
-        Some(seen.swap_remove(scarce.unwrap_or(place)).choice)
+            |it: &Choice| it.limit.is_some_and(|it| it.a_second() < self.part);
+        let scarce =
+            usable.iter().filter(|it| binds(it) && it.cost <= costs[place]);
+        let scarce = scarce.min_by(|a, b| a.cost.total_cmp(&b.cost));
+        Some((*scarce.unwrap_or(&usable[place])).clone())
     }
 
-    /// When a place may be free at a target that a request could go to but
-    /// for its limit, and whether limits are all that keeps it from targets.
-    pub fn full_until(
-        &self,
-        service: &str,
-        now: Millis,
-        fits: impl Fn(&Target) -> bool,
-    ) -> Option<Shortage> {
-        let (seen, _) = self.look_at(service, now, &fits);
-        let until = seen.iter().filter_map(|it| it.free).min()?;
-        let fleet = self.fleet.borrow();
-        let own = fleet.ready().filter(|it| &*it.service == service);
-        let all = own.filter(|it| fits(it)).count();
-        Some(Shortage { until, by_limits_alone: seen.len() == all })
+    /// How long targets that a request could go to but for their limits have
+    /// no place, if there are any.
+    pub fn shortage(&self) -> Option<Shortage> {
+        let until = self.seen.iter().filter_map(|it| it.free).min()?;
+        let by_limits_alone = self.seen.len() == self.fitting;
+        Some(Shortage { until, by_limits_alone })
     }
 
-    /// The targets of a service that work and that `fits` lets through.
-    fn look_at(
+    fn is_usable(&self, seen: &Seen, asks: Asks) -> bool {
+        let Some(free) = seen.free else { return true };
+        match asks {
+            Asks::Now => free <= self.at && !seen.choice.seat.borrow().asking,
+            Asks::Ahead(patience) => free <= self.at + patience,
+            Asks::Never => false,
+        }
+    }
+}
+
+impl Entry {
+    /// Looks at the targets of a service that `fits` lets through.
+    pub fn look(
         &self,
         service: &str,
         now: Millis,
         fits: impl Fn(&Target) -> bool,
-    ) -> (Vec<Seen>, View) {
+    ) -> Sight {
         let fleet = self.fleet.borrow();
         let most = self.connections(service);
         let zone = &self.settings().zone;
@@ -117,16 +115,20 @@
         let usual = Usual::new(records.iter());
         let unseen =
             if reported { self.unseen(service, &records, now) } else { 0.0 };
-        let part = self.part(service, seated.len(), now);
+        let targets = seated.len();
+        let mut fitting = 0;
         let mut seen: Vec<Seen> = Vec::new();
         for (target, seat) in seated {
+            if !fits(target) {
+                continue;
+            }
+            fitting += 1;
             let held = seat.borrow();
             let group = held.group.as_ref();
             let closed = group.is_some_and(|it| !self.is_open(it));
             if closed
                 || reported && !known(&held.group)
                 || held.open >= most && held.pool.is_empty()
-                || !fits(target)
             {
                 continue;
             }
@@ -148,19 +150,20 @@
             let needs = limit.filter(|it| !held.has_place(*it, now));
             let free = needs.map(|_| held.full_until);
             drop(held);
-            let target = target.clone();
-            let slots = target.slots;
             let choice = Choice {
-                target,
+                target: target.clone(),
                 seat,
                 cost,
                 connections: most,
                 limit,
                 place: None,
             };
-            seen.push(Seen { choice, slots, free });
+            seen.push(Seen { choice, free });
         }
-        (seen, View { usual, unseen, part })
+        let limited = seen.iter().any(|it| it.choice.limit.is_some());
+        let part =
+            if limited { self.part(service, targets, now) } else { 0.0 };
+        Sight { seen, at: now, usual, unseen, part, fitting }
     }
 
     /// Requests a second that a target of a service would get if all were
@@ -197,15 +200,6 @@
     }
 }
 
-/// What an entry sees of a service.
-struct View {
-    usual: Usual,
-    /// Requests of others that no report shows.
-    unseen: f64,
-    /// Requests a second that a target would get if all were sent as many.
-    part: f64,
-}
-
 const SECOND: Millis = Millis(1_000);
 
 /// The time for which requests of others are allowed for: two reports of an
