The longest return of a caller is worked out in one place

Cause: turned-away requests had a copy of the third of the time left that callers wait for at most. Change: both use longest_return.

--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -128,11 +128,15 @@
         }
     }
 
-    /// When the caller should come back: callers wait for a third of what
-    /// they have left at most.
+    /// When the caller should come back.
     fn come_back(&self) -> Millis {
-        let third = Millis(self.left().0 / 3);
-        if self.route.streams() { third } else { third.min(FULL_TIME) }
+        let longest = self.longest_return();
+        if self.route.streams() { longest } else { longest.min(FULL_TIME) }
+    }
+
+    /// Callers wait for a third of what they have left at most.
+    fn longest_return(&self) -> Millis {
+        Millis(self.left().0 / 3)
     }
 
     /// The answer to a caller that is best off coming back.
@@ -160,8 +164,7 @@
         entry.measure.limited("refused");
         match self.certainty {
             Certainty::NotRun => {
-                // Callers wait no longer than for a third of what they have.
-                let most = Millis(self.left().0 / 3);
+                let most = self.longest_return();
                 let after = after.clamp(LEAST_RETURN.min(most), most);
                 reply::not_run("not run: targets take no more\n", after)
             }
