Tests of entries share their set-ups

Change: Plant::entries, narrow, siege::seeds and size, told, and a load that takes entries or references.

--- a/cowsliproad-direct/tests/entry/connections.rs
+++ b/cowsliproad-direct/tests/entry/connections.rs
@@ -1,18 +1,15 @@
 //! Connections to targets and to callers: kept, shared, and bounded.
 
-use std::{io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use cowsliproad_net::client::Client;
 use cowsliproad_platform::{header, log::TARGETS};
-use cowsliproad_platform_standin::target::{Announcement, Config};
+use cowsliproad_platform_standin::target::{Announcement, Config, Target};
 use http::{HeaderValue, StatusCode};
 use http_body_util::BodyExt;
 use tokio::{io::AsyncReadExt, net::TcpListener, time::sleep};
 
-use crate::{
-    harness::{Entry, KEY, Plant, numbers, until},
-    limits::entries,
-};
+use crate::harness::{Entry, KEY, Plant, numbers, until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_one_after_the_other_share_a_connection() {
@@ -26,10 +23,21 @@
     assert_eq!(target.connections().opened, 1);
 }
 
+/// A target that takes so many connections from all entries together.
+async fn narrow(most: u64) -> (Plant, Arc<Target>) {
+    let mut plant = Plant::start().await;
+    plant.catalog = plant.catalog.clone().with_connections("plain", most);
+    plant.catalog.publish(&plant.log);
+    let config =
+        Config::new("i-1", "plain", "a").with_pause(Duration::from_millis(60));
+    let target = plant.target_with(config).await;
+    (plant, target)
+}
+
 /// Sends requests at once and counts the good answers.
-async fn at_once(entries: &[&Entry], path: &str, count: usize) -> usize {
+async fn at_once(entries: &[Entry], path: &str, count: usize) -> usize {
     let asked = (0..count).map(|it| {
-        let entry = entries[it % entries.len()];
+        let entry = &entries[it % entries.len()];
         let request = entry.request(path, KEY, "");
         tokio::spawn(async move {
             let patience = Duration::from_secs(10);
@@ -49,14 +57,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn many_entries_together_keep_to_a_targets_connections() {
     const MOST: u64 = 4;
-    let mut plant = Plant::start().await;
-    plant.catalog = plant.catalog.clone().with_connections("plain", MOST);
-    plant.catalog.publish(&plant.log);
-    let config =
-        Config::new("i-1", "plain", "a").with_pause(Duration::from_millis(60));
-    let target = plant.target_with(config).await;
-    let entries = entries(&mut plant, MOST as usize).await;
-    let entries: Vec<&Entry> = entries.iter().collect();
+    let (mut plant, target) = narrow(MOST).await;
+    let entries = plant.entries(MOST as usize).await;
     for path in ["/many/a", "/once/a"] {
         let good = at_once(&entries, path, 48).await;
         let connections = target.connections();
@@ -71,23 +73,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn all_entries_together_keep_to_a_targets_connections() {
     const MOST: u64 = 8;
-    let mut plant = Plant::start().await;
-    plant.catalog = plant.catalog.clone().with_connections("plain", MOST);
-    plant.catalog.publish(&plant.log);
-    let config =
-        Config::new("i-1", "plain", "a").with_pause(Duration::from_millis(60));
-    let target = plant.target_with(config).await;
-    let first = plant.entry().await;
-    let second = Entry::start(plant.settings(&[&first]));
-    second.until_ready().await;
+    let (mut plant, target) = narrow(MOST).await;
     // Each has to know of the other before it knows its share.
-    until("they have met", async || {
-        let metrics =
-            [first.metric("peers").await, second.metric("peers").await];
-        metrics == [Some(1.0), Some(1.0)]
-    })
-    .await;
-    let good = at_once(&[&first, &second], "/many/a", 48).await;
+    let entries = plant.entries(2).await;
+    let good = at_once(&entries, "/many/a", 48).await;
     let connections = target.connections();
     assert!(connections.most <= MOST as usize, "{connections:?}");
     // Whoever found no connection free waited for one.
@@ -135,8 +124,7 @@
         let entry = Entry::start(plant.settings(&[&first]));
         entry.until_ready().await;
         entries.push(entry);
-        let good =
-            at_once(&entries.iter().collect::<Vec<_>>(), "/many/a", 12).await;
+        let good = at_once(&entries, "/many/a", 12).await;
         assert_eq!(good, 12);
     }
     // One goes without a word, and another VM takes its place elsewhere.
@@ -146,8 +134,7 @@
     new.until_ready().await;
     entries.push(new);
     target.announce(&plant.log, "ready");
-    let good =
-        at_once(&entries.iter().collect::<Vec<_>>(), "/many/a", 12).await;
+    let good = at_once(&entries, "/many/a", 12).await;
     assert_eq!(good, 12);
     until("all know of all that live", async || {
         for entry in &entries {
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -127,6 +127,26 @@
         }
     }
 
+    /// Entries that know one another.
+    pub async fn entries(&mut self, count: usize) -> Vec<Entry> {
+        let mut entries: Vec<Entry> = Vec::new();
+        for _ in 0..count {
+            let seeds: Vec<&Entry> = entries.iter().take(3).collect();
+            let settings = self.settings(&seeds);
+            entries.push(Entry::start(settings));
+        }
+        for entry in &entries {
+            entry.until_ready().await;
+        }
+        for entry in &entries {
+            until("they have met", async || {
+                entry.metric("peers").await == Some((count - 1) as f64)
+            })
+            .await;
+        }
+        entries
+    }
+
     /// One more entry, ready.
     pub async fn entry(&mut self) -> Entry {
         let settings = self.settings(&[]);
--- a/cowsliproad-direct/tests/entry/limit_siege.rs
+++ b/cowsliproad-direct/tests/entry/limit_siege.rs
@@ -141,7 +141,7 @@
             }
         }
         let mut entries: Vec<Entry> = Vec::new();
-        for _ in 0..number("ENTRIES").unwrap_or(ENTRIES) {
+        for _ in 0..siege::size(ENTRIES) {
             let seeds: Vec<&Entry> = entries.iter().take(3).collect();
             let settings = plant.settings(&seeds);
             entries.push(siege::start(settings));
@@ -329,15 +329,9 @@
     assert!(most <= 1.15, "seed {seed}: {most} of the limit");
 }
 
-/// A number that the environment gives.
-fn number(name: &str) -> Option<usize> {
-    std::env::var(name).ok().and_then(|it| it.parse().ok())
-}
-
 #[tokio::test]
 async fn a_siege_breaks_no_limit_and_leaves_no_target_idle() {
-    let first = number("FIRST_SEED").unwrap_or(1) as u64;
-    for seed in (first..).take(number("SEEDS").unwrap_or(1)) {
+    for seed in siege::seeds() {
         play(seed).await;
     }
 }
--- a/cowsliproad-direct/tests/entry/limits.rs
+++ b/cowsliproad-direct/tests/entry/limits.rs
@@ -10,6 +10,7 @@
 //! second got 49 requests within 4 s from four entries.
 
 use std::{
+    borrow::Borrow,
     net::SocketAddr,
     ops::Range,
     sync::Arc,
@@ -66,7 +67,7 @@
 
 /// Sends requests a pause apart, to one entry after the other.
 pub async fn load(
-    entries: &[&Entry],
+    entries: &[impl Borrow<Entry>],
     path: &str,
     pause: Duration,
     time: Duration,
@@ -78,7 +79,7 @@
     while Instant::now() < end {
         due.tick().await;
         let Some(entry) = turn.next() else { break };
-        let request = entry.request(path, KEY, "");
+        let request = entry.borrow().request(path, KEY, "");
         asked.spawn(async move {
             let begun = Instant::now();
             let answer = Client::new().call(request, 1 << 20, PATIENCE).await;
@@ -99,26 +100,6 @@
     heard
 }
 
-/// Entries that know one another.
-pub async fn entries(plant: &mut Plant, count: usize) -> Vec<Entry> {
-    let mut entries: Vec<Entry> = Vec::new();
-    for _ in 0..count {
-        let seeds: Vec<&Entry> = entries.iter().take(3).collect();
-        let settings = plant.settings(&seeds);
-        entries.push(Entry::start(settings));
-    }
-    for entry in &entries {
-        entry.until_ready().await;
-    }
-    for entry in &entries {
-        until("they have met", async || {
-            entry.metric("peers").await == Some((count - 1) as f64)
-        })
-        .await;
-    }
-    entries
-}
-
 /// The limited target and two slower ones, so that it would get most requests
 /// if it named none.
 async fn targets(plant: &mut Plant) -> Vec<Arc<Target>> {
@@ -131,21 +112,24 @@
     targets
 }
 
+/// When all are told of a limit that is named now.
+fn told() -> Instant {
+    Instant::now() + Duration::from_millis(500)
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_entries_together_keep_a_targets_limit() {
     const RATE: usize = 2;
     const TIME: Duration = Duration::from_secs(10);
     let mut plant = Plant::start().await;
     let targets = targets(&mut plant).await;
-    let entries = entries(&mut plant, 4).await;
-    let entries: Vec<&Entry> = entries.iter().collect();
+    let entries = plant.entries(4).await;
     targets[0].set_limit(Some("2"));
-    let begun = Instant::now();
+    let told = told();
     let heard =
         load(&entries, "/many/a", Duration::from_millis(20), TIME).await;
     assert_eq!((heard.refused, heard.other), (0, 0), "{heard:?}");
     // Those under way when it was first told, and one more.
-    let told = begun + Duration::from_millis(500);
     let most = most_within(&targets[0], told, SPAN);
     assert!(most <= RATE * SPAN.as_secs() as usize + 1, "{most} in 4 s");
     let times = targets[0].times();
@@ -158,16 +142,14 @@
 async fn a_limit_holds_for_as_long_as_it_is_named() {
     let mut plant = Plant::start().await;
     let targets = targets(&mut plant).await;
-    let entries = entries(&mut plant, 3).await;
-    let entries: Vec<&Entry> = entries.iter().collect();
+    let entries = plant.entries(3).await;
     let pause = Duration::from_millis(20);
     let stage = async |limit: Option<&str>, time: u64| {
-        let begun = Instant::now();
         targets[0].set_limit(limit);
+        let told = told();
         let time = Duration::from_secs(time);
         let heard = load(&entries, "/many/a", pause, time).await;
         assert_eq!((heard.refused, heard.other), (0, 0), "{heard:?}");
-        let told = begun + Duration::from_millis(500);
         let times = targets[0].times();
         times.iter().filter(|it| **it >= told).count()
     };
@@ -186,8 +168,7 @@
 async fn what_is_no_number_is_no_limit() {
     let mut plant = Plant::start().await;
     let targets = targets(&mut plant).await;
-    let entries = entries(&mut plant, 2).await;
-    let entries: Vec<&Entry> = entries.iter().collect();
+    let entries = plant.entries(2).await;
     let bad = [
         "",
         "none",
@@ -223,13 +204,11 @@
 async fn a_target_that_takes_nothing_is_asked_whether_that_is_so() {
     let mut plant = Plant::start().await;
     let targets = targets(&mut plant).await;
-    let entries = entries(&mut plant, 2).await;
-    let entries: Vec<&Entry> = entries.iter().collect();
+    let entries = plant.entries(2).await;
     let pause = Duration::from_millis(20);
     targets[0].set_limit(Some("0"));
-    let begun = Instant::now();
+    let told = told();
     load(&entries, "/many/a", pause, Duration::from_secs(6)).await;
-    let told = begun + Duration::from_millis(500);
     let most = most_within(&targets[0], told, SPAN);
     assert!(most <= 1, "{most} in 4 s");
     targets[0].set_limit(None);
@@ -246,16 +225,14 @@
     const TIME: Duration = Duration::from_secs(8);
     let mut plant = Plant::start().await;
     let targets = targets(&mut plant).await;
-    let entries = entries(&mut plant, 3).await;
-    let entries: Vec<&Entry> = entries.iter().collect();
+    let entries = plant.entries(3).await;
     for target in &targets {
         target.set_limit(Some("2"));
     }
-    let begun = Instant::now();
+    let told = told();
     let pause = Duration::from_millis(25);
     let heard = load(&entries, "/once/a", pause, TIME).await;
     assert_eq!(heard.other, 0, "{heard:?}");
-    let told = begun + Duration::from_millis(500);
     for target in &targets {
         let most = most_within(target, told, SPAN);
         assert!(most <= 9, "{most} in 4 s");
@@ -300,8 +277,7 @@
     plant.catalog = plant.catalog.clone().with_priority("/once/", 4);
     plant.catalog.publish(&plant.log);
     let targets = targets(&mut plant).await;
-    let entries = entries(&mut plant, 3).await;
-    let entries: Vec<&Entry> = entries.iter().collect();
+    let entries = plant.entries(3).await;
     for target in &targets {
         target.set_limit(Some("2"));
     }
@@ -322,16 +298,14 @@
 async fn second_tries_keep_a_limit() {
     let mut plant = Plant::start().await;
     let targets = targets(&mut plant).await;
-    let entries = entries(&mut plant, 3).await;
-    let entries: Vec<&Entry> = entries.iter().collect();
+    let entries = plant.entries(3).await;
     for failing in &targets[1..] {
         failing.set(Fault::Failing);
     }
     targets[0].set_limit(Some("2"));
-    let begun = Instant::now();
+    let told = told();
     let pause = Duration::from_millis(25);
     load(&entries, "/many/a", pause, Duration::from_secs(6)).await;
-    let told = begun + Duration::from_millis(500);
     let most = most_within(&targets[0], told, SPAN);
     assert!(most <= 9, "{most} in 4 s");
     assert!(targets[0].arrivals() >= 9, "it is left idle");
@@ -346,12 +320,11 @@
             .with_events(4, Duration::from_millis(10));
         ranks.push(plant.target_with(config).await);
     }
-    let entries = entries(&mut plant, 3).await;
+    let entries = plant.entries(3).await;
     let agents = entries.iter().map(|it| it.settings.peer_address());
     let reports = tokio::spawn(report_all(ranks.clone(), agents.collect()));
-    let entries: Vec<&Entry> = entries.iter().collect();
     ranks[0].set_limit(Some("2"));
-    let begun = Instant::now();
+    let told = told();
     let cuts = tokio::spawn(cut(ranks.clone()));
     let pause = Duration::from_millis(25);
     let time = Duration::from_secs(8);
@@ -359,7 +332,6 @@
     cuts.abort();
     reports.abort();
     assert_eq!((heard.refused, heard.other), (0, 0), "{heard:?}");
-    let told = begun + Duration::from_millis(500);
     let most = most_within(&ranks[0], told, SPAN);
     assert!(most <= 9, "{most} in 4 s");
     let got = ranks[0].times().iter().filter(|it| **it >= told).count();
@@ -394,13 +366,13 @@
 async fn an_entry_that_joins_keeps_a_limit_from_the_start() {
     let mut plant = Plant::start().await;
     let targets = targets(&mut plant).await;
-    let first = entries(&mut plant, 3).await;
-    let before: Vec<&Entry> = first.iter().collect();
+    let first = plant.entries(3).await;
     targets[0].set_limit(Some("1"));
     let pause = Duration::from_millis(20);
-    load(&before, "/many/a", pause, Duration::from_secs(2)).await;
+    load(&first, "/many/a", pause, Duration::from_secs(2)).await;
     let begun = Instant::now();
-    let joins = Entry::start(plant.settings(&before));
+    let joins =
+        Entry::start(plant.settings(&first.iter().collect::<Vec<_>>()));
     joins.until_ready().await;
     load(&[&joins], "/many/a", pause, Duration::from_secs(5)).await;
     let most = most_within(&targets[0], begun, SPAN);
@@ -412,11 +384,11 @@
 async fn the_pace_is_kept_when_its_keeper_is_gone_or_stands_still() {
     let mut plant = Plant::start().await;
     let targets = targets(&mut plant).await;
-    let mut entries = entries(&mut plant, 4).await;
+    let mut entries = plant.entries(4).await;
     targets[0].set_limit(Some("2"));
     let pause = Duration::from_millis(20);
     let time = Duration::from_millis(3_000);
-    let begun = Instant::now();
+    let told = told();
     // Whichever keeps the pace, it is among those that stop for a while.
     for turn in 0..3 {
         entries[turn].signal(Signal::STOP);
@@ -429,13 +401,11 @@
     }
     for _ in 0..3 {
         entries.remove(0);
-        let others: Vec<&Entry> = entries.iter().collect();
         let before = targets[0].arrivals();
-        load(&others, "/many/a", pause, time).await;
+        load(&entries, "/many/a", pause, time).await;
         let got = targets[0].arrivals() - before;
         assert!(got >= 1, "it is left idle: {got} in 3 s");
     }
-    let told = begun + Duration::from_millis(500);
     let most = most_within(&targets[0], told, SPAN);
     // One place more where somebody else begins to keep the pace.
     assert!(most <= 11, "{most} in 4 s");
--- a/cowsliproad-direct/tests/entry/numbers.rs
+++ b/cowsliproad-direct/tests/entry/numbers.rs
@@ -9,12 +9,9 @@
 
 use std::time::Duration;
 
-use cowsliproad_platform_standin::target::Config;
+use cowsliproad_platform_standin::target::{Config, Target};
 
-use crate::{
-    harness::Plant,
-    limits::{entries, load},
-};
+use crate::{harness::Plant, limits::load};
 
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -22,7 +19,7 @@
 /// is sent in a second, some time after it told what it usually does.
 async fn sent_after(
     told: &str,
-    tell: impl Fn(&cowsliproad_platform_standin::target::Target, Option<&str>),
+    tell: impl Fn(&Target, Option<&str>),
     time: Duration,
 ) -> usize {
     let mut plant = Plant::start().await;
@@ -30,8 +27,7 @@
     let slow =
         Config::new("i-2", "plain", "a").with_pause(Duration::from_millis(15));
     plant.target_with(slow).await;
-    let entries = entries(&mut plant, 2).await;
-    let entries: Vec<_> = entries.iter().collect();
+    let entries = plant.entries(2).await;
     tell(&target, Some(told));
     let heard =
         load(&entries, "/many/a", PAUSE, Duration::from_millis(300)).await;
--- a/cowsliproad-direct/tests/entry/siege.rs
+++ b/cowsliproad-direct/tests/entry/siege.rs
@@ -99,7 +99,7 @@
             places.push(Place { target, starts });
         }
         let mut entries: Vec<Entry> = Vec::new();
-        for _ in 0..number("ENTRIES").unwrap_or(ENTRIES) {
+        for _ in 0..size(ENTRIES) {
             let seeds: Vec<&Entry> = entries.iter().take(2).collect();
             let settings = plant.settings(&seeds);
             entries.push(start(settings));
@@ -353,14 +353,24 @@
     assert!(answered * 20 > sent * 19, "seed {seed}: {answered} of {sent}");
 }
 
+/// The seeds to play: the first alone, if the environment doesn't say more.
+pub fn seeds() -> impl Iterator<Item = u64> {
+    let first = number("FIRST_SEED").unwrap_or(1) as u64;
+    (first..).take(number("SEEDS").unwrap_or(1))
+}
+
+/// The number of entries, if the environment doesn't say another.
+pub fn size(usual: usize) -> usize {
+    number("ENTRIES").unwrap_or(usual)
+}
+
 /// A number that the environment gives.
 fn number(name: &str) -> Option<usize> {
     std::env::var(name).ok().and_then(|it| it.parse().ok())
 }
 
 async fn play(shape: Shape) {
-    let first = number("FIRST_SEED").unwrap_or(1) as u64;
-    for seed in (first..).take(number("SEEDS").unwrap_or(1)) {
+    for seed in seeds() {
         siege(seed, shape).await;
     }
 }
