The bench of limits counts the bytes that are encoded

Cause: the size of a question with its answer stood as a constant, 110 B, which had been reckoned and not measured: an answer has 58 B, not 52.

--- a/cowsliproad-bench/src/experiment/limits.rs
+++ b/cowsliproad-bench/src/experiment/limits.rs
@@ -16,7 +16,7 @@
 use cowsliproad_kernel::{
     Name,
     clock::Millis,
-    gossip::{self, Ask, Datagram, Limit},
+    gossip::{self, Ask, Datagram, Limit, Reply},
     plugin::inventory,
 };
 use cowsliproad_routing::{
@@ -145,6 +145,7 @@
     arrived: Vec<u64>,
     asked: u64,
     bytes: u64,
+    sizes: Sizes,
 }
 
 /// Plays a policy.
@@ -173,6 +174,7 @@
         arrived: Vec::new(),
         asked: 0,
         bytes: 0,
+        sizes: Sizes::new(),
     };
     while fleet.now < PLAYED_MS {
         fleet.step();
@@ -264,7 +266,7 @@
         let told_now = word.is_some();
         for other in told {
             if told_now {
-                self.bytes += LIMIT_BYTES;
+                self.bytes += self.sizes.told as u64;
             }
             if self.reaches(entry, other) {
                 let heard = self.entries[other].known.insert(entry, (now, 0));
@@ -371,7 +373,7 @@
                 }
             };
             self.asked += 1;
-            self.bytes += QUESTION_BYTES;
+            self.bytes += (self.sizes.question + self.sizes.reply) as u64;
             if self.reaches(entry, other) {
                 let now = Millis(self.now);
                 let word = self.entries[entry].limit.word(now);
@@ -462,22 +464,41 @@
     }
 }
 
-/// A question with its answer, and a limit in a digest; see [`encoded`].
-const QUESTION_BYTES: u64 = 110;
-const LIMIT_BYTES: u64 = 35;
-
-/// The sizes of a question and of a limit in a digest, in bytes.
-pub fn encoded() -> (usize, usize) {
-    let limit = Limit {
-        target: "i-abaeb6c096".into(),
-        start: 0,
-        rate: Some(1.2),
-        age: Millis(1_234),
-    };
-    let told = gossip::encode(&limit).len();
-    let ask =
-        Ask { number: u64::MAX, limit, patience: Millis(0), relays: RELAYS };
-    (gossip::encode(&Datagram::Ask(ask)).len(), told)
+/// Bytes of what entries tell one another, as it is encoded.
+#[derive(Clone, Copy, Debug)]
+struct Sizes {
+    /// A question for a place.
+    question: usize,
+    /// The answer to it.
+    reply: usize,
+    /// A limit in a digest.
+    told: usize,
+}
+
+impl Sizes {
+    fn new() -> Sizes {
+        let limit = Limit {
+            target: "i-abaeb6c096".into(),
+            start: 0,
+            rate: Some(1.2),
+            age: Millis(1_234),
+        };
+        let number = u64::MAX;
+        let none = Millis(0);
+        let ask = Ask {
+            number,
+            limit: limit.clone(),
+            patience: none,
+            relays: RELAYS,
+        };
+        let reply =
+            Reply { number, limit: limit.clone(), given: true, after: none };
+        Sizes {
+            question: gossip::encode(&Datagram::Ask(ask)).len(),
+            reply: gossip::encode(&Datagram::Reply(reply)).len(),
+            told: gossip::encode(&limit).len(),
+        }
+    }
 }
 
 fn run(options: Options) -> Outcome {
@@ -487,11 +508,16 @@
         ("shares", Policy::Shares),
         ("kept", Policy::Kept),
     ];
-    let (question, told) = encoded();
-    let mut figures =
-        json!({ "question_bytes": question, "told_bytes": told });
-    let mut table =
-        format!("a question has {question} bytes, a limit told {told}\n");
+    let Sizes { question, reply, told } = Sizes::new();
+    let mut figures = json!({
+        "question_bytes": question,
+        "reply_bytes": reply,
+        "told_bytes": told,
+    });
+    let mut table = format!(
+        "a question has {question} bytes, its answer {reply}, a limit told \
+         {told}\n",
+    );
     for size in options.extent.sizes(&SIZES) {
         let name = format!("{}x{}", size.entries, size.rate);
         for (policy_name, policy) in policies {
