entry: log Retry-After and Server-Leaving of answers

No line told what a refusal said beside its status, so the incident's hypotheses could not be told apart.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -27,6 +27,7 @@
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use slog::info;
 use tokio::time::Instant;
 
 use crate::{
@@ -233,6 +234,7 @@
                 Failure::Unknown(why) => Miss::Broken(why),
             })?;
         let (head, body) = answer.into_parts();
+        self.log_stated(entry, choice, &head);
         note_load(choice, &head.headers);
         let echoed = head.headers.get(&header::REQUEST_ID);
         let own = self.head.headers.get(&header::REQUEST_ID);
@@ -268,6 +270,23 @@
         Ok(Opened { head, body, lease })
     }
 
+    /// Tells what a target states of when it takes requests.
+    fn log_stated(
+        &self,
+        entry: &Entry,
+        choice: &Choice,
+        head: &response::Parts,
+    ) {
+        let retry_after = head.headers.get(standard::RETRY_AFTER);
+        let leaving = head.headers.get(&header::LEAVING);
+        if retry_after.is_some() || leaving.is_some() {
+            info!(entry.log, "target_stated"; "request" => &*self.id,
+                "target" => &*choice.target.id,
+                "status" => head.status.as_u16(),
+                "retry_after" => ?retry_after, "leaving" => ?leaving);
+        }
+    }
+
     /// A whole answer.
     pub async fn get(
         &mut self,
--- a/cowsliproad-direct/tests/entry/connections.rs
+++ b/cowsliproad-direct/tests/entry/connections.rs
@@ -162,6 +162,7 @@
         zone: "a",
         state: "ready",
         sequence: 1,
+        start: None,
     };
     plant.log.put(TARGETS, "i-1", Some(announced.text().as_bytes()));
     let entry = plant.entry().await;
--- a/cowsliproad-direct/tests/entry/news.rs
+++ b/cowsliproad-direct/tests/entry/news.rs
@@ -134,6 +134,7 @@
         zone: "a",
         state: "ready",
         sequence: 9,
+        start: None,
     };
     plant.log.put(TARGETS, "i-gone", Some(entry_of_old.text().as_bytes()));
     until("the old incarnation is met and found gone", async || {
--- a/cowsliproad-direct/tests/entry/quarantine.rs
+++ b/cowsliproad-direct/tests/entry/quarantine.rs
@@ -617,6 +617,7 @@
             zone: "a",
             state: "ready",
             sequence: 1,
+            start: None,
         };
         plant.log.put(TARGETS, id, Some(said.text().as_bytes()));
         Full { address, _listener: listener, _waiting: waiting }
