--- /dev/null
+++ b/cowsliproad-direct/tests/entry/leaving.rs
@@ -0,0 +1,131 @@
+//! Targets that say in an answer that they are leaving get nothing new, from
+//! any entry.
+
+use std::{sync::Arc, time::Duration};
+
+use cowsliproad_platform_standin::target::{Config, Fault, Target};
+use http::StatusCode;
+use tokio::time::sleep;
+
+use crate::{
+    harness::{Entry, KEY, Plant, numbers, until},
+    limits::load,
+};
+
+const PAUSE: Duration = Duration::from_millis(10);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// In which all entries have to know.
+const TOLD: Duration = Duration::from_millis(600);
+
+async fn targets(plant: &mut Plant, service: &str) -> Vec<Arc<Target>> {
+    let mut targets = Vec::new();
+    for (id, pause) in [("i-1", 2), ("i-2", 20), ("i-3", 20)] {
+        let pause = Duration::from_millis(pause);
+        let events = if service == "model" { 8 } else { 0 };
+        let config = Config::new(id, service, "a").with_start(1);
+        let config = config.with_events(events, pause);
+        targets.push(plant.target_with(config).await);
+    }
+    targets
+}
+
+/// Has a target answer one request of an entry.
+async fn answer_once(entry: &Entry, target: &Target, path: &str) {
+    let before = target.arrivals();
+    until("the target answers a request", async || {
+        entry.ask(path).await.expect("an answer");
+        target.arrivals() > before
+    })
+    .await;
+}
+
+/// Guards against requests to a target whose answers say that it is leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_says_so_gets_nothing_new() {
+    let cases = [
+        ("/many/a", "plain", Fault::None),
+        ("/once/a", "plain", Fault::None),
+        ("/many/a", "plain", Fault::Refuse),
+        ("/many/a", "plain", Fault::Failing),
+        ("/stream/a", "model", Fault::None),
+        ("/stream/a", "model", Fault::Broken),
+    ];
+    for (path, service, fault) in cases {
+        let mut plant = Plant::start().await;
+        let targets = targets(&mut plant, service).await;
+        let entries = plant.entries(2).await;
+        targets[0].set_leaving(Some("1"));
+        targets[0].set(fault);
+        answer_once(&entries[0], &targets[0], path).await;
+        let before = targets[0].arrivals();
+        let heard = load(&entries[..1], path, PAUSE, SECOND / 2).await;
+        assert_eq!((heard.refused, heard.other), (0, 0), "{path}: {heard:?}");
+        assert_eq!(targets[0].arrivals(), before, "{path} {fault:?}");
+        // The other entry was told, though no request of its own was answered.
+        sleep(TOLD).await;
+        load(&entries, path, PAUSE, SECOND).await;
+        assert_eq!(targets[0].arrivals(), before, "{path} {fault:?}");
+    }
+}
+
+/// Guards against an answer under way that is cut off as its target leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_a_leaving_target_is_whole() {
+    let mut plant = Plant::start().await;
+    let config = Config::new("i-1", "model", "a")
+        .with_events(20, Duration::from_millis(30));
+    let target = plant.target_with(config).await;
+    let entry = plant.entry().await;
+    target.set_leaving(Some("1"));
+    let answer = entry.ask("/stream/a").await.expect("a stream");
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(numbers(answer.body()), (1..=20).collect::<Vec<_>>());
+    assert_eq!(target.arrivals(), 1);
+}
+
+/// Guards against values other than 1 that take a target out of use.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_values_are_no_leaving() {
+    let mut plant = Plant::start().await;
+    let target = plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    for value in ["0", "", "no", "false", "-1", "maybe", "11"] {
+        target.set_leaving(Some(value));
+        for _ in 0..3 {
+            let answer = entry.ask("/many/a").await.expect("an answer");
+            assert_eq!(answer.status(), StatusCode::OK, "{value:?}");
+        }
+    }
+}
+
+/// Guards against a successor under the name of a target that left, which is
+/// held to its predecessor's words, also where those come late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_is_not_leaving() {
+    let mut plant = Plant::start().await;
+    let config = |start| Config::new("i-1", "plain", "a").with_start(start);
+    let first = plant.target_with(config(1)).await;
+    let entry = plant.entry().await;
+    first.set(Fault::Slow(SECOND));
+    first.set_leaving(Some("1"));
+    let request = entry.request("/once/a", KEY, "body");
+    let asked = tokio::spawn(async move {
+        let client = cowsliproad_net::client::Client::new();
+        client.call(request, 1 << 20, 4 * SECOND).await
+    });
+    until("it is under way", async || first.arrivals() > 0).await;
+    let next = plant.target_with(config(2)).await;
+    until("the successor serves", async || {
+        entry.ask("/many/a").await.expect("an answer");
+        next.arrivals() > 0
+    })
+    .await;
+    let answer = asked.await.expect("no panic").expect("an answer");
+    assert_eq!(answer.status(), StatusCode::OK);
+    for _ in 0..5 {
+        let answer = entry.ask("/many/a").await.expect("an answer");
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    assert!(next.arrivals() >= 6);
+}
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -3,7 +3,9 @@
 mod answers;
 mod callers;
 mod connections;
+mod cooldowns;
 mod harness;
+mod leaving;
 mod limit_siege;
 mod limits;
 mod news;
