entry: honor Retry-After of a target

Callers saw requests refused, and a target that had answered 503 with Retry-After: 3 got 5 requests from the same entry within that time.

Cause: no source named the header of an answer. A refusal counted as one failure in the target's cost, which fades in seconds, and a request that may go to one target only was repeated there every 60 ms. The class: words of an answer that are not read, so that a guess of our own stands in their place.

Now each entry keeps, for each start of a target, when the target takes requests again (routing::cooldown). Choices leave such a target out, and it is looked at once more right before a request is written, so that one that was chosen before, holds a permit or waited for a connection doesn't go there. It stands apart from the other state of targets, which is dropped when an entry lapses in the log, so only the end of the time or a later start ends it.

What no target takes within the time of a request is refused at once, with when one does; callers' returns are spread over a quarter of that time. Requests that can wait are sent within 0.2 s after the end, not at once. A caller whose request may not go to another target is sent back to the others. A first stated refusal is no failure in the target's cost; one that follows the end of a cooldown at once is, since it draws on the retry budget.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -22,12 +22,11 @@
 use cowsliproad_platform::header;
 use cowsliproad_routing::catalog::Route;
 use http::{
-    HeaderMap, HeaderValue, Request, Response, StatusCode, Uri,
-    header as standard, request, response,
+    HeaderValue, Request, Response, StatusCode, Uri, header as standard,
+    request, response,
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use slog::info;
 use tokio::time::Instant;
 
 use crate::{
@@ -41,6 +40,8 @@
 mod choose;
 pub mod failure;
 
+pub use self::choose::STAGGER_TIME;
+
 /// The largest answer that is read whole before it is passed on.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
 
@@ -86,6 +87,8 @@
     tries: usize,
     /// Places that it asked for in vain since its last try.
     turned_away: usize,
+    /// How long after the end of a cooldown that it waited for it goes.
+    stagger: Millis,
     /// Tries that may have run.
     runs: usize,
     /// What the next try draws on.
@@ -119,8 +122,8 @@
     Refused(&'static str),
     /// It was not sent.
     Unsent(&'static str),
-    /// It was not sent, as its target names a limit.
-    Limited,
+    /// It was not sent, as its target has asked for less since it was chosen.
+    Withheld(&'static str),
     /// It may have run, and was given up here.
     Unknown(&'static str),
     /// It may have run, and its connection broke.
@@ -185,6 +188,7 @@
             sent: Vec::new(),
             tries: 0,
             turned_away: 0,
+            stagger: Millis(0),
             runs: 0,
             next: Draws::Nothing,
             certainty: Certainty::NotRun,
@@ -230,23 +234,22 @@
             .await
             .map_err(|failure| match failure {
                 Failure::Unsent(why) => Miss::Unsent(why),
-                Failure::Limited => Miss::Limited,
+                Failure::Withheld(why) => Miss::Withheld(why),
                 Failure::Unknown(why) => Miss::Broken(why),
             })?;
         let (head, body) = answer.into_parts();
-        self.log_stated(entry, choice, &head);
-        note_load(choice, &head.headers);
-        let echoed = head.headers.get(&header::REQUEST_ID);
-        let own = self.head.headers.get(&header::REQUEST_ID);
-        if echoed.is_some() && echoed != own {
-            return Err(Miss::Unknown("another request's answer"));
-        }
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             let id = &choice.target.id;
             let change = entry.fleet.borrow_mut().leave(id, Millis::now());
             entry.changed(id, change, Source::Own);
             return Err(Miss::Refused("another incarnation"));
         }
+        entry.note_stated(choice, &self.id, &head);
+        let echoed = head.headers.get(&header::REQUEST_ID);
+        let own = self.head.headers.get(&header::REQUEST_ID);
+        if echoed.is_some() && echoed != own {
+            return Err(Miss::Unknown("another request's answer"));
+        }
         if echoed.is_some() || head.headers.contains_key(&header::NOT_RUN) {
             entry.note_limit(choice, stay, &head.headers);
         }
@@ -270,23 +273,6 @@
         Ok(Opened { head, body, lease })
     }
 
-    /// Tells what a target states of when it takes requests.
-    fn log_stated(
-        &self,
-        entry: &Entry,
-        choice: &Choice,
-        head: &response::Parts,
-    ) {
-        let retry_after = head.headers.get(standard::RETRY_AFTER);
-        let leaving = head.headers.get(&header::LEAVING);
-        if retry_after.is_some() || leaving.is_some() {
-            info!(entry.log, "target_stated"; "request" => &*self.id,
-                "target" => &*choice.target.id,
-                "status" => head.status.as_u16(),
-                "retry_after" => ?retry_after, "leaving" => ?leaving);
-        }
-    }
-
     /// A whole answer.
     pub async fn get(
         &mut self,
@@ -370,16 +356,3 @@
     let body = Body::Whole(Full::new(body.to_bytes()));
     Ok(Response::from_parts(head, body))
 }
-
-/// Takes in the load that a target states with its answers.
-fn note_load(choice: &Choice, headers: &HeaderMap) {
-    let text = headers.get(&header::LOAD).and_then(|it| it.to_str().ok());
-    let Some(text) = text else { return };
-    let mut numbers = text.split(',').map(|it| it.trim().parse::<u32>());
-    if let (Some(Ok(running)), Some(Ok(waiting))) =
-        (numbers.next(), numbers.next())
-    {
-        let requests = running.saturating_add(waiting);
-        choice.seat.borrow_mut().record.report(requests, Millis::now());
-    }
-}
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use cowsliproad_admission::{
-    patience::{Asked, Start},
+    patience::{Asked, Start, Visit},
     quarantine::Standing,
 };
 use cowsliproad_kernel::clock::Millis;
@@ -31,6 +31,10 @@
 /// a VM that has used up its share of a tenth of a second.
 const ANSWER_TIME: Millis = Millis(100);
 
+/// Requests that wait for the end of one cooldown are sent within this time,
+/// not all at once.
+pub const STAGGER_TIME: Millis = Millis(200);
+
 impl Call {
     /// Chooses the next target, and waits for one if there is none.
     pub async fn next_target(
@@ -57,26 +61,90 @@
                 Err(shortage) => shortage,
             };
             let patience = wait.since(now);
-            let is_final =
-                |it: &Shortage| it.by_limits_alone || patience.0 == 0;
-            if let Some(shortage) = shortage.filter(is_final) {
-                let after = shortage.until.since(now);
+            if let Some(shortage) = shortage
+                && (patience.0 == 0
+                    || self.is_futile(entry, &shortage, wait, now))
+            {
+                let after = self.free_after(entry, &shortage, now);
                 return Err(self.turn_away(entry, after));
             }
             if patience.0 == 0 {
                 return Err(self.give_up(entry, "no target can be used"));
             }
+            let cooldown_end = shortage.and_then(|it| it.cooldown_end);
+            if let Some(end) = cooldown_end {
+                self.spread_out(entry, wait.since(end));
+            }
             // A place that is free now was asked for in vain.
-            let free = shortage.map(|it| it.until.since(now));
-            let free = free.filter(|it| it.0 > 0).unwrap_or(patience);
+            let limit_end = shortage.and_then(|it| it.limit_end);
+            let ends = limit_end.into_iter().filter(|it| *it > now);
+            let ends = ends.chain(cooldown_end);
+            let pause = ends.min().map_or(patience, |it| it.since(now));
             tokio::select! {
                 () = news => {}
                 () = freed => {}
-                () = sleep(free.min(patience).duration()) => {}
+                () = sleep(pause.min(patience).duration()) => {}
             }
         }
     }
 
+    /// Whether it waits in vain for the targets that it may be sent to.
+    fn is_futile(
+        &self,
+        entry: &Entry,
+        shortage: &Shortage,
+        wait: Millis,
+        now: Millis,
+    ) -> bool {
+        let in_time =
+            |end: Millis| end <= wait && end + ANSWER_TIME <= self.until;
+        let ends_in_time = shortage.cooldown_end.is_some_and(in_time);
+        // A caller that may come back gets to another target sooner.
+        let returns = self.visit == Visit::First
+            && self.certainty == Certainty::NotRun
+            && !self.may_go_elsewhere()
+            && self.has_others(entry, now);
+        shortage.is_complete && (!ends_in_time || returns)
+    }
+
+    /// Whether its route allows it to be sent to one more target.
+    fn may_go_elsewhere(&self) -> bool {
+        self.sent.len() < self.route.attempts as usize
+    }
+
+    /// Whether its caller's next try could be sent to a target now that this
+    /// one may not be sent to.
+    fn has_others(&self, entry: &Entry, now: Millis) -> bool {
+        let others = |it: &Target| !self.sent.contains(&it.id);
+        let others = entry.look(&self.service, now, Millis(0), others);
+        others.choose(Asks::Now, 0.0).is_some()
+    }
+
+    /// How long no target takes its caller's next try.
+    fn free_after(
+        &self,
+        entry: &Entry,
+        shortage: &Shortage,
+        now: Millis,
+    ) -> Millis {
+        let all = entry.look(&self.service, now, Millis(0), |_| true);
+        if all.choose(Asks::Now, 0.0).is_some() {
+            return Millis(0);
+        }
+        let all = Shortage::new([&all].into_iter());
+        let end = all.and_then(|it| it.end()).or(shortage.end());
+        end.map_or(Millis(0), |it| it.since(now))
+    }
+
+    /// Draws how long after the end of a cooldown it goes, once, within the
+    /// time that it can wait.
+    fn spread_out(&mut self, entry: &Entry, most: Millis) {
+        if self.stagger.0 == 0 {
+            let most = STAGGER_TIME.min(most).0 as f64;
+            self.stagger = Millis((most * entry.draw()) as u64);
+        }
+    }
+
     /// Takes a target that was chosen, with a place there if it names a limit;
     /// none if it has no place within `patience`.
     async fn take(
@@ -139,11 +207,11 @@
     ) -> Result<(Choice, Millis), Option<Shortage>> {
         let look = |new: bool| {
             let fits = |it: &Target| self.sent.contains(&it.id) != new;
-            entry.look(&self.service, now, fits)
+            entry.look(&self.service, now, self.stagger, fits)
         };
         let may_ask = self.turned_away < MOST_TURNED_AWAY;
         let asks = if may_ask { Asks::Now } else { Asks::Never };
-        let more = self.sent.len() < self.route.attempts as usize;
+        let more = self.may_go_elsewhere();
         let first = look(more);
         if let Some(choice) = first.choose(asks, entry.draw()) {
             return Ok((choice, Millis(0)));
@@ -154,13 +222,14 @@
         if let Some(choice) = chosen {
             return Ok((choice, Millis(0)));
         }
+        let sights = || [Some(&first), before].into_iter().flatten();
         if !may_ask || ahead == Millis(0) {
-            return Err(first.shortage());
+            return Err(Shortage::new(sights()));
         }
         let asks = Asks::Ahead(ahead);
-        let mut sights = [Some(&first), before].into_iter().flatten();
-        let chosen = sights.find_map(|it| it.choose(asks, entry.draw()));
-        chosen.map(|it| (it, ahead)).ok_or_else(|| first.shortage())
+        let chosen = sights().find_map(|it| it.choose(asks, entry.draw()));
+        let chosen = chosen.map(|it| (it, ahead));
+        chosen.ok_or_else(|| Shortage::new(sights()))
     }
 
     fn log_choice(&self, entry: &Entry, choice: &Choice, now: Millis) {
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -20,6 +20,14 @@
 /// their way there and back takes longer than the place stays free.
 const LEAST_RETURN: Millis = Millis(50);
 
+/// They look for new targets after this at the latest.
+const MAX_RETURN: Millis = Millis(600_000);
+
+/// Callers that are told of one moment return within one part in so many of
+/// the time until then, and within [`LEAST_SPREAD`] at the least.
+const RETURN_SPREAD: u64 = 4;
+const LEAST_SPREAD: Millis = Millis(100);
+
 /// Tries beyond the targets that a route allows, at targets that were asked
 /// before and said that they did not run the request.
 const SPARE_TRIES: usize = 4;
@@ -65,13 +73,15 @@
                 }
                 why
             }
-            Miss::Limited => {
-                entry.measure.tried("limited");
+            Miss::Withheld(why) => {
+                entry.measure.tried("withheld");
                 self.sent.retain(|it| *it != choice.target.id);
                 if self.left().0 > 0 && self.tries < MOST_TRIES {
+                    info!(entry.log, "withheld"; "request" => &*self.id,
+                        "target" => &*choice.target.id, "why" => why);
                     return None;
                 }
-                "a limit was named meanwhile"
+                why
             }
             Miss::Unknown(why) | Miss::Broken(why) => {
                 entry.measure.tried("unknown");
@@ -86,7 +96,9 @@
             sleep(BREAK_TIME.duration()).await;
         }
         let again = self.sent.len() >= self.route.attempts as usize;
-        if again && matches!(miss, Miss::Refused(_)) {
+        let now = Millis::now();
+        let cools = entry.cooldown_end(&choice.target, now).is_some();
+        if again && !cools && matches!(miss, Miss::Refused(_)) {
             sleep(AGAIN_TIME.duration()).await;
         }
         None
@@ -158,14 +170,15 @@
         entry: &Entry,
         after: Millis,
     ) -> Response<Body> {
+        let after = after.clamp(LEAST_RETURN, MAX_RETURN);
+        let spread = Millis(after.0 / RETURN_SPREAD).max(LEAST_SPREAD);
+        let after = after + Millis((spread.0 as f64 * entry.draw()) as u64);
         info!(entry.log, "turned_away"; "request" => &*self.id,
             "certainty" => ?self.certainty, "after" => after.0,
             "left" => self.left().0);
         entry.measure.limited("refused");
         match self.certainty {
             Certainty::NotRun => {
-                let most = self.longest_return();
-                let after = after.clamp(LEAST_RETURN.min(most), most);
                 reply::not_run("not run: targets take no more\n", after)
             }
             Certainty::Unknown => reply::unknown("no whole answer\n"),
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -20,6 +20,7 @@
 use cowsliproad_kernel::{Name, clock::Millis, settings};
 use cowsliproad_routing::{
     catalog::Catalog,
+    cooldown::Cooldowns,
     fleet::{self, Change, Fleet, Target},
     pick::Record,
     readings::{Found, Readings},
@@ -97,6 +98,10 @@
     pub full_until: Millis,
     /// Whether a place there is being asked for.
     pub asking: bool,
+    /// Whether its last refusal stated a time that is none.
+    pub unreadable: bool,
+    /// Whether it has asked to be left alone since its last good answer.
+    pub has_cooled: bool,
 }
 
 /// The group of a target.
@@ -145,6 +150,9 @@
     zones: RefCell<HashMap<Name, Millis>>,
     /// The pace of requests to targets that name a limit.
     pub limits: RefCell<Limits>,
+    /// Targets that asked to be left alone. They stand apart from what is
+    /// kept of targets, which goes when one drops out of the log.
+    pub cooldowns: RefCell<Cooldowns>,
     /// Other entries.
     pub peers: RefCell<Peers>,
     /// Wakes requests that wait for a target.
@@ -216,6 +224,7 @@
             quarantine: RefCell::new(Quarantine::default()),
             zones: RefCell::new(HashMap::new()),
             limits: RefCell::new(Limits::default()),
+            cooldowns: RefCell::new(Cooldowns::new()),
             peers: RefCell::new(peers),
             news: Notify::new(),
             freed: Rc::default(),
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -21,6 +21,10 @@
     part: f64,
     /// Targets that fit, also those that don't work.
     fitting: usize,
+    /// Those of them that work and asked to be left alone.
+    cooling: usize,
+    /// When the first of these takes requests again.
+    cooldown_end: Option<Millis>,
 }
 
 /// A target that a request could go to, or could but for its limit.
@@ -30,13 +34,44 @@
     free: Option<Millis>,
 }
 
-/// How long targets that name limits have no place.
+/// When targets take a request again that take none now by their own word.
 #[derive(Clone, Copy, Debug)]
 pub struct Shortage {
-    /// When one may have.
-    pub until: Millis,
+    /// When one that names a limit may have a place.
+    pub limit_end: Option<Millis>,
+    /// When one that asked to be left alone takes requests again.
+    pub cooldown_end: Option<Millis>,
     /// Whether there is no other target that may be usable before.
-    pub by_limits_alone: bool,
+    pub is_complete: bool,
+}
+
+impl Shortage {
+    /// What the targets lack that were seen at a moment; nothing where none
+    /// is kept from use by its own word.
+    pub fn new<'a>(
+        sights: impl Iterator<Item = &'a Sight>,
+    ) -> Option<Shortage> {
+        let mut shortage = Shortage {
+            limit_end: None,
+            cooldown_end: None,
+            is_complete: true,
+        };
+        for sight in sights {
+            let limited = sight.seen.iter().filter_map(|it| it.free);
+            let limit_end = shortage.limit_end.into_iter().chain(limited);
+            shortage.limit_end = limit_end.min();
+            let ends = shortage.cooldown_end.into_iter();
+            shortage.cooldown_end = ends.chain(sight.cooldown_end).min();
+            let kept = sight.seen.len() + sight.cooling;
+            shortage.is_complete &= kept == sight.fitting;
+        }
+        shortage.end().map(|_| shortage)
+    }
+
+    /// When the first target may take a request.
+    pub fn end(&self) -> Option<Millis> {
+        self.limit_end.into_iter().chain(self.cooldown_end).min()
+    }
 }
 
 /// Whether a request may ask for places at targets that name limits.
@@ -70,14 +105,6 @@
         Some((*scarce.unwrap_or(&usable[place])).clone())
     }
 
-    /// How long targets that a request could go to but for their limits have
-    /// no place, if there are any.
-    pub fn shortage(&self) -> Option<Shortage> {
-        let until = self.seen.iter().filter_map(|it| it.free).min()?;
-        let by_limits_alone = self.seen.len() == self.fitting;
-        Some(Shortage { until, by_limits_alone })
-    }
-
     fn is_usable(&self, seen: &Seen, asks: Asks) -> bool {
         let Some(free) = seen.free else { return true };
         match asks {
@@ -89,11 +116,13 @@
 }
 
 impl Entry {
-    /// Looks at the targets of a service that `fits` lets through.
+    /// Looks at the targets of a service that `fits` lets through. Cooldowns
+    /// count as longer by `stagger`.
     pub fn look(
         &self,
         service: &str,
         now: Millis,
+        stagger: Millis,
         fits: impl Fn(&Target) -> bool,
     ) -> Sight {
         let fleet = self.fleet.borrow();
@@ -117,6 +146,7 @@
             if reported { self.unseen(service, &records, now) } else { 0.0 };
         let targets = seated.len();
         let mut fitting = 0;
+        let (mut cooling, mut cooldown_end) = (0, None);
         let mut seen: Vec<Seen> = Vec::new();
         for (target, seat) in seated {
             if !fits(target) {
@@ -126,10 +156,16 @@
             let held = seat.borrow();
             let group = held.group.as_ref();
             let closed = group.is_some_and(|it| !self.is_open(it));
-            if closed
-                || reported && !known(&held.group)
-                || held.open >= most && held.pool.is_empty()
-            {
+            if closed || reported && !known(&held.group) {
+                continue;
+            }
+            if let Some(end) = self.cooldown_end(target, now - stagger) {
+                cooling += 1;
+                let end = end + stagger;
+                cooldown_end = cooldown_end.into_iter().chain([end]).min();
+                continue;
+            }
+            if held.open >= most && held.pool.is_empty() {
                 continue;
             }
             let near = target.zone == *zone;
@@ -163,7 +199,16 @@
         let limited = seen.iter().any(|it| it.choice.limit.is_some());
         let part =
             if limited { self.part(service, targets, now) } else { 0.0 };
-        Sight { seen, at: now, usual, unseen, part, fitting }
+        Sight {
+            seen,
+            at: now,
+            usual,
+            unseen,
+            part,
+            fitting,
+            cooling,
+            cooldown_end,
+        }
     }
 
     /// Requests a second that a target of a service would get if all were
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`forward`]: from a request to its answer;
 //! * [`call`]: tries at targets, and what may follow each;
 //! * [`stream`]: answers that are streams of events, resumed elsewhere;
+//! * [`stated`]: what targets state with their answers;
 //! * [`stay`]: a request's stay at a target;
 //! * [`upstream`]: connections to targets;
 //! * [`ends`]: whether a target ended under its requests;
@@ -50,6 +51,7 @@
 pub mod receive;
 pub mod reply;
 pub mod settings;
+pub mod stated;
 pub mod stay;
 pub mod stream;
 pub mod upstream;
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -139,13 +139,21 @@
     }
 
     /// Notes that a request got no answer there.
-    pub fn missed(&self, miss: &Miss) {
-        if matches!(miss, Miss::Unsent(_)) {
+    pub fn missed(&self, entry: &Entry, miss: &Miss) {
+        if matches!(miss, Miss::Unsent(_) | Miss::Withheld(_)) {
             self.give_back();
         }
-        // A limit that came in between is no fault of the target.
-        if *miss != Miss::Limited {
-            self.seat.borrow_mut().record.failure(Millis::now());
+        let now = Millis::now();
+        // A target that says when it takes requests again needs no guess.
+        let is_failure = match miss {
+            Miss::Withheld(_) => false,
+            Miss::Refused(_) => {
+                entry.cooldown_end(&self.target, now).is_none()
+            }
+            Miss::Unsent(_) | Miss::Unknown(_) | Miss::Broken(_) => true,
+        };
+        if is_failure {
+            self.seat.borrow_mut().record.failure(now);
         }
     }
 }
@@ -190,7 +198,10 @@
         return false;
     };
     let mut held = Held { seat: choice.seat.clone(), place: Some(place) };
-    sleep(place.from.since(Millis::now()).duration()).await;
+    tokio::select! {
+        () = sleep(place.from.since(Millis::now()).duration()) => {}
+        () = entry.until_cooldown(&choice.target) => return false,
+    }
     choice.place = held.place.take();
     entry.measure.limited("place");
     true
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -19,6 +19,8 @@
     quarantined: Counter<u64>,
     limited: Counter<u64>,
     limits: Gauge<u64>,
+    cooldowns: Counter<u64>,
+    cooling: Gauge<u64>,
     peers: Gauge<u64>,
     targets: Gauge<u64>,
 }
@@ -36,6 +38,8 @@
             quarantined: meter.u64_counter("quarantined").build(),
             limited: meter.u64_counter("limited").build(),
             limits: meter.u64_gauge("limits").build(),
+            cooldowns: meter.u64_counter("cooldowns").build(),
+            cooling: meter.u64_gauge("cooling_targets").build(),
             doubts: meter.u64_counter("doubts").build(),
             peers: meter.u64_gauge("peers").build(),
             targets: meter.u64_gauge("targets").build(),
@@ -82,6 +86,16 @@
         self.limits.record(targets as u64, &[]);
     }
 
+    /// Notes that a target asked to be left alone, or for longer.
+    pub fn cooled_down(&self) {
+        self.cooldowns.add(1, &[]);
+    }
+
+    /// Notes how many targets are left alone.
+    pub fn knows_cooling(&self, targets: usize) {
+        self.cooling.record(targets as u64, &[]);
+    }
+
     /// Notes how many other entries and targets it knows.
     pub fn knows(&self, peers: usize, targets: usize) {
         self.peers.record(peers as u64, &[]);
--- /dev/null
+++ b/cowsliproad-direct/src/stated.rs
@@ -0,0 +1,107 @@
+//! What targets state of themselves in the headers of their answers.
+//!
+//! It concerns the process that answers, whichever request the answer is to.
+//! The answer of another process at a target's address says nothing of the
+//! target and never comes here.
+
+use std::time::SystemTime;
+
+use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::retry_after::{self, RetryAfter};
+use cowsliproad_platform::header;
+use cowsliproad_routing::fleet::Target;
+use http::{HeaderMap, header::RETRY_AFTER, response};
+use slog::{info, warn};
+
+use crate::entry::{Choice, Entry};
+
+impl Entry {
+    /// Takes in what a target states with its answer to a request.
+    pub fn note_stated(
+        &self,
+        choice: &Choice,
+        request: &str,
+        head: &response::Parts,
+    ) {
+        note_load(choice, &head.headers);
+        self.note_retry_after(choice, request, head);
+    }
+
+    fn note_retry_after(
+        &self,
+        choice: &Choice,
+        request: &str,
+        head: &response::Parts,
+    ) {
+        let stated = head.headers.get(RETRY_AFTER);
+        let read =
+            retry_after::read(head.status, &head.headers, SystemTime::now());
+        let target = &choice.target;
+        let wait = match read {
+            RetryAfter::None => return,
+            RetryAfter::Unreadable => {
+                let mut seat = choice.seat.borrow_mut();
+                if !std::mem::replace(&mut seat.unreadable, true) {
+                    warn!(self.log, "retry_after_refused";
+                        "request" => request, "target" => &*target.id,
+                        "stated" => ?stated);
+                }
+                return;
+            }
+            RetryAfter::Wait(wait) => wait,
+        };
+        let now = Millis::now();
+        let before = self.cooldown_end(target, now);
+        if !self.cooldowns.borrow_mut().extend(target, wait, now) {
+            return;
+        }
+        let mut seat = choice.seat.borrow_mut();
+        seat.unreadable = false;
+        // Refusals one after the other, each with a short time, would draw on
+        // the retry budget for as long as they go on.
+        if std::mem::replace(&mut seat.has_cooled, true) && before.is_none() {
+            seat.record.failure(now);
+        }
+        drop(seat);
+        info!(self.log, "cooldown"; "request" => request,
+            "target" => &*target.id, "status" => head.status.as_u16(),
+            "stated" => ?stated, "wait" => wait.0,
+            "left_before" => before.map(|it| it.since(now).0));
+        self.measure.cooled_down();
+        // Requests that wait for this target go elsewhere.
+        self.tell_news();
+        self.freed.notify_waiters();
+    }
+
+    /// When a target takes requests again that asked to be left alone.
+    pub fn cooldown_end(
+        &self,
+        target: &Target,
+        now: Millis,
+    ) -> Option<Millis> {
+        self.cooldowns.borrow().end(target, now)
+    }
+
+    /// Waits until a target asks to be left alone.
+    pub async fn until_cooldown(&self, target: &Target) {
+        loop {
+            let news = self.news.notified();
+            if self.cooldown_end(target, Millis::now()).is_some() {
+                return;
+            }
+            news.await;
+        }
+    }
+}
+
+fn note_load(choice: &Choice, headers: &HeaderMap) {
+    let text = headers.get(&header::LOAD).and_then(|it| it.to_str().ok());
+    let Some(text) = text else { return };
+    let mut numbers = text.split(',').map(|it| it.trim().parse::<u32>());
+    if let (Some(Ok(running)), Some(Ok(waiting))) =
+        (numbers.next(), numbers.next())
+    {
+        let requests = running.saturating_add(waiting);
+        choice.seat.borrow_mut().record.report(requests, Millis::now());
+    }
+}
--- a/cowsliproad-direct/src/stay.rs
+++ b/cowsliproad-direct/src/stay.rs
@@ -42,6 +42,18 @@
         }
     }
 
+    /// Whether it may be written now. What its target asks for may have
+    /// changed since it was chosen.
+    pub fn may_send(&self, now: Millis) -> Result<(), &'static str> {
+        if self.entry.cooldown_end(&self.choice.target, now).is_some() {
+            return Err("its target asked to be left alone");
+        }
+        if !self.choice.may_send(now) {
+            return Err("its target named a limit");
+        }
+        Ok(())
+    }
+
     /// Notes that it is written to a connection. As long as none is made, what
     /// becomes of the target says nothing of the request.
     pub fn sent(&self) {
@@ -74,7 +86,10 @@
     pub fn success(&self) {
         let now = Millis::now();
         let took = now.since(self.began);
-        self.choice.seat.borrow_mut().record.success(took, now);
+        let mut seat = self.choice.seat.borrow_mut();
+        seat.record.success(took, now);
+        seat.has_cooled = false;
+        drop(seat);
         self.outlived();
         self.entry.note_outlived(self.call.1, now);
     }
@@ -92,14 +107,14 @@
 
     /// Notes that there was no answer.
     pub fn missed(&self, miss: &Miss) {
-        self.choice.missed(miss);
+        self.choice.missed(&self.entry, miss);
         self.left(miss);
     }
 
     /// Asks what became of the target, if it may have begun it.
     pub fn left(&self, miss: &Miss) {
         match miss {
-            Miss::Refused(_) | Miss::Unsent(_) | Miss::Limited => {
+            Miss::Refused(_) | Miss::Unsent(_) | Miss::Withheld(_) => {
                 self.outlived();
             }
             Miss::Broken(_) => self.doubt(Doubt::broken),
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -81,7 +81,7 @@
             Ok(Begun::Stream(head, run, first)) => break (head, run, first),
             Ok(Begun::Whole(answer)) => return answer,
             Err(miss) => {
-                choice.missed(&miss);
+                choice.missed(entry, &miss);
                 if let Some(answer) = call.missed(entry, &choice, miss).await {
                     return answer;
                 }
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -64,8 +64,8 @@
 pub enum Failure {
     /// It was not sent.
     Unsent(&'static str),
-    /// It was not sent, as its target has named a limit since it was chosen.
-    Limited,
+    /// It was not sent, as its target has asked for less since it was chosen.
+    Withheld(&'static str),
     /// It was sent and may have run.
     Unknown(&'static str),
 }
@@ -161,14 +161,14 @@
         let mut sender = match kept {
             Some(sender) => sender,
             None => {
-                make_room(choice).await?;
+                make_room(stay, choice).await?;
                 connect(choice).await?
             }
         };
-        // The limit may have changed while a connection was made.
-        if !choice.may_send(Millis::now()) {
+        // The target may have said something else while a connection was made.
+        if let Err(why) = stay.may_send(Millis::now()) {
             keep(&choice.seat, sender, USUAL_IDLE, Millis::now());
-            return Err(Failure::Limited);
+            return Err(Failure::Withheld(why));
         }
         stay.sent();
         match sender.try_send_request(request).await {
@@ -194,12 +194,13 @@
 
 /// Sees to it that one more connection is within this entry's share: ends one
 /// that has idled too long for this request, or waits for one to end.
-async fn make_room(choice: &Choice) -> Result<(), Failure> {
+async fn make_room(stay: &Stay, choice: &Choice) -> Result<(), Failure> {
     let freed = choice.seat.borrow().freed.clone();
     let until = Instant::now() + CONNECT_TIME.duration();
     loop {
         let mut changed = std::pin::pin!(freed.notified());
         changed.as_mut().enable();
+        stay.may_send(Millis::now()).map_err(Failure::Withheld)?;
         {
             let mut seat = choice.seat.borrow_mut();
             if seat.open < choice.connections {
--- a/cowsliproad-net/src/lib.rs
+++ b/cowsliproad-net/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod program;
 pub mod reply;
+pub mod retry_after;
 pub mod server;
 pub mod single;
 pub mod threads;
--- a/cowsliproad-routing/src/lib.rs
+++ b/cowsliproad-routing/src/lib.rs
@@ -7,7 +7,8 @@
 //! * [`pick`]: the target with the least expected time;
 //! * [`score`]: the predicted time to the first token at a target;
 //! * [`choice`]: the best of a few sampled targets;
-//! * [`health`]: which targets are left out for a while.
+//! * [`health`]: which targets are left out for a while;
+//! * [`cooldown`]: which asked to be left alone.
 //!
 //! Cost doesn't depend on the number of targets, except when most of them
 //! are left out. All is pure: time and randomness are arguments.
@@ -16,6 +17,7 @@
 
 pub mod catalog;
 pub mod choice;
+pub mod cooldown;
 pub mod fleet;
 pub mod health;
 pub mod keeper;
