entry: make no connection to a target that is left alone

A target that may have ended under a request is asked by a connection after 0.15 s, also where it had just asked to be left alone: two connections became three in a_target_is_not_probed_within_its_retry_after, which failed before. Now that waits for the end of the cooldown, for 10 s at the most; signs of life and the word of its agent count as before.

--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -139,7 +139,11 @@
     let mut asked = 0;
     loop {
         let Some(due) = settle_by_signs(&entry, &choice) else { return };
-        let wait = due.since(Millis::now());
+        let now = Millis::now();
+        let cooldown_end = entry.cooldown_end(&choice.target, now);
+        let due = cooldown_end
+            .map_or(due, |end| due.max(end.min(due + LONGEST_LINGER)));
+        let wait = due.since(now);
         if wait > Millis(0) {
             tokio::select! {
                 () = sleep(wait.duration()) => {}
@@ -149,7 +153,11 @@
             continue;
         }
         let asked_at = Millis::now();
-        let fate = ask(&entry, &choice).await;
+        let fate = match cooldown_end {
+            // Not even a connection is made to a target that wants none.
+            Some(_) => Fate::Unknown,
+            None => ask(&entry, &choice).await,
+        };
         asked += 1;
         if fate == Fate::Unknown && asked < MOST_ASKED {
             sleep(PAUSE.duration()).await;
--- a/cowsliproad-direct/tests/entry/cooldowns.rs
+++ b/cowsliproad-direct/tests/entry/cooldowns.rs
@@ -555,3 +555,25 @@
         assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
     }
 }
+/// Guards against connections that are made to a target within its
+/// Retry-After to find out whether it ended under a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_is_not_probed_within_its_retry_after() {
+    let mut plant = Plant::start().await;
+    let scripted = Scripted::start(&mut plant, "i-1").await;
+    let entry = plant.entry().await;
+    let asked = at_once(&entry, "/once/a", 2);
+    let (answers, ()) = tokio::join!(asked, async {
+        until("both are there", async || scripted.arrivals() == 2).await;
+        let headers =
+            format!("{}: 1\r\nretry-after: 2.5\r\n", header::NOT_RUN);
+        scripted.answer("503 Service Unavailable", &headers).await;
+        sleep(Duration::from_millis(50)).await;
+        scripted.reset();
+    });
+    assert_eq!(answers.len(), 2);
+    let before = scripted.connections();
+    sleep(2 * SECOND).await;
+    assert_eq!(scripted.connections(), before);
+    until("it is asked then", async || scripted.connections() > before).await;
+}
