entry: take out targets that answer Server-Leaving

Cause: no source named the header; the same class as Retry-After. Now it counts for the start of the target that answered, at once, and other entries are told as they are of leaving that the log tells. What was chosen before is looked at again as it is written. Values other than 1 say nothing.

Also: an answer of another process at a target's address took the newest start under its name out of use, also one that began after the request was sent. It names the start that the request was for (no test through the program; the property a_start_that_leaves_takes_no_later_one_with_it).

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -30,7 +30,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    entry::{Choice, Entry, Source},
+    entry::{Choice, Entry},
     receive::{USUAL_TIME, drop_hop_by_hop, work_of},
     reply::Body,
     stay::Stay,
@@ -239,9 +239,8 @@
             })?;
         let (head, body) = answer.into_parts();
         if head.status == StatusCode::MISDIRECTED_REQUEST {
-            let id = &choice.target.id;
-            let change = entry.fleet.borrow_mut().leave(id, Millis::now());
-            entry.changed(id, change, Source::Own);
+            // Another process answers: this one is no more.
+            entry.note_left(&choice.target);
             return Err(Miss::Refused("another incarnation"));
         }
         entry.note_stated(choice, &self.id, &head);
--- a/cowsliproad-direct/src/stated.rs
+++ b/cowsliproad-direct/src/stated.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, header::RETRY_AFTER, response};
 use slog::{info, warn};
 
-use crate::entry::{Choice, Entry};
+use crate::entry::{Choice, Entry, Source};
 
 impl Entry {
     /// Takes in what a target states with its answer to a request.
@@ -25,6 +25,38 @@
     ) {
         note_load(choice, &head.headers);
         self.note_retry_after(choice, request, head);
+        self.note_leaving(choice, request, head);
+    }
+
+    fn note_leaving(
+        &self,
+        choice: &Choice,
+        request: &str,
+        head: &response::Parts,
+    ) {
+        let stated = head.headers.get(&header::LEAVING);
+        let leaves =
+            stated.is_some_and(|it| it.as_bytes().trim_ascii() == b"1");
+        if leaves && self.is_ready_target(&choice.target) {
+            info!(self.log, "target_leaving"; "request" => request,
+                "target" => &*choice.target.id,
+                "status" => head.status.as_u16());
+            self.note_left(&choice.target);
+        }
+    }
+
+    /// Notes that a target takes nothing new, and tells other entries.
+    pub fn note_left(&self, target: &Target) {
+        let (id, start) = (&target.id, target.start);
+        let now = Millis::now();
+        let change = self.fleet.borrow_mut().leave(id, start, now);
+        self.changed(id, change, Source::Own);
+    }
+
+    /// Whether this start of a target takes new requests.
+    pub fn is_ready_target(&self, target: &Target) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.get(&target.id).is_some_and(|it| it.start == target.start)
     }
 
     fn note_retry_after(
--- a/cowsliproad-direct/src/stay.rs
+++ b/cowsliproad-direct/src/stay.rs
@@ -45,6 +45,9 @@
     /// Whether it may be written now. What its target asks for may have
     /// changed since it was chosen.
     pub fn may_send(&self, now: Millis) -> Result<(), &'static str> {
+        if !self.entry.is_ready_target(&self.choice.target) {
+            return Err("its target left");
+        }
         if self.entry.cooldown_end(&self.choice.target, now).is_some() {
             return Err("its target asked to be left alone");
         }
--- a/cowsliproad-routing/src/fleet.rs
+++ b/cowsliproad-routing/src/fleet.rs
@@ -190,9 +190,9 @@
         change
     }
 
-    /// Notes that a target leaves, as this start of it is known to.
-    pub fn leave(&mut self, id: &str, now: Millis) -> Change {
-        self.depart(id, self.start_of(id), 0, now, Way::Announced)
+    /// Notes that a start of a target leaves for good, as it said itself.
+    pub fn leave(&mut self, id: &str, start: Start, now: Millis) -> Change {
+        self.hear_parting(id, Parting::ForGood(start), now)
     }
 
     /// Takes a withdrawal from the log in.
--- a/tests/properties/fleet.rs
+++ b/tests/properties/fleet.rs
@@ -116,7 +116,7 @@
                     fleet.withdraw("i-1", now);
                 }
                 News::FromPeer => {
-                    fleet.leave("i-1", now);
+                    fleet.leave("i-1", START, now);
                     left = true;
                 }
                 News::Regained => fleet.regained(now),
@@ -190,3 +190,15 @@
     let old = fleet.announce(target(9, State::Ready), Millis(30));
     assert_eq!(old, Change::None);
 }
+
+/// An answer of an earlier start that comes once the next one is known.
+#[test]
+fn a_start_that_leaves_takes_no_later_one_with_it() {
+    let mut fleet = fleet();
+    let later = Target { start: LATER, ..target(1, State::Ready) };
+    assert_eq!(fleet.announce(later, Millis(10)), Change::Restarted);
+    assert_eq!(fleet.leave("i-1", START, Millis(20)), Change::None);
+    assert!(fleet.is_ready("i-1"));
+    assert_eq!(fleet.leave("i-1", LATER, Millis(30)), Change::Left);
+    assert!(!fleet.is_ready("i-1"));
+}
