--- a/cowsliproad-standin/src/engine.rs
+++ b/cowsliproad-standin/src/engine.rs
@@ -322,12 +322,18 @@
         match (request.method().clone(), &path[..]) {
             (Method::POST, ["v1", "chat", "completions"]) => {
                 self.0.limit.came();
+                if let Some(rejection) = self.0.limit.rejection() {
+                    return rejection;
+                }
                 let answer = self.complete(request).await;
                 self.0.limit.name(answer)
             }
             (Method::GET, ["v1", "streams", id]) => {
                 let from = server::query_number(&request, "from").unwrap_or(0);
                 self.0.limit.came();
+                if let Some(rejection) = self.0.limit.rejection() {
+                    return rejection;
+                }
                 self.0.limit.name(self.resume(id, from as u32))
             }
             (Method::DELETE, ["v1", "streams", id]) => self.cancel(id),
--- a/cowsliproad-standin/src/limit.rs
+++ b/cowsliproad-standin/src/limit.rs
@@ -1,9 +1,9 @@
-//! What a stand-in says of how many requests a second it takes.
+//! What a stand-in says of how many requests it takes.
 
 use std::{sync::Mutex, time::Instant};
 
 use cowsliproad_kernel::sync::lock;
-use http::HeaderValue;
+use http::{HeaderValue, StatusCode, header::RETRY_AFTER};
 use volo_http::response::Response;
 
 /// The header that names it.
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct Limit {
     named: Mutex<Option<String>>,
+    /// Requests that are turned away from now on, and with what `Retry-After`.
+    rejected: Mutex<(usize, String)>,
     times: Mutex<Vec<Instant>>,
 }
 
@@ -22,6 +24,22 @@
         *lock(&self.named) = limit.map(str::to_string);
     }
 
+    /// Turns so many requests away, with a `Retry-After`.
+    pub fn reject(&self, count: usize, retry_after: &str) {
+        *lock(&self.rejected) = (count, retry_after.to_string());
+    }
+
+    /// The answer to a request that is turned away.
+    pub(crate) fn rejection(&self) -> Option<Response> {
+        let mut rejected = lock(&self.rejected);
+        rejected.0 = rejected.0.checked_sub(1)?;
+        let mut answer = crate::status(StatusCode::SERVICE_UNAVAILABLE);
+        if let Ok(value) = HeaderValue::from_str(&rejected.1) {
+            answer.headers_mut().insert(RETRY_AFTER, value);
+        }
+        Some(answer)
+    }
+
     /// When requests came.
     pub fn times(&self) -> Vec<Instant> {
         lock(&self.times).clone()
--- a/cowsliproad-standin/src/plain.rs
+++ b/cowsliproad-standin/src/plain.rs
@@ -157,6 +157,9 @@
             }
             (Method::POST, [request_type]) => {
                 self.limit.came();
+                if let Some(rejection) = self.limit.rejection() {
+                    return rejection;
+                }
                 let answer = self.run(request_type, request).await;
                 self.limit.name(answer)
             }
