agent: honor Retry-After of a target on the own path

A target that turned one request away with Retry-After got 26 more within 1.7 s, since its agent read nothing of the answer and entries took it for idle; what no target takes in time was told no time.

Cause: the same as at entries that send straight to targets. routing::health claimed to keep a stated time, and its test passed, but nothing called it, and a success of an earlier attempt would have ended it.

Now the agent keeps the time: it starts nothing, refuses at once what its queue leaves no time for, and says in its heartbeats how long that lasts. Entries send work to others; where all targets ask for it work waits at the agent that may start it first, or is refused with when. Tickets are made likewise. routing::health keeps what heartbeats state apart from its own guesses, which may be doubted. A target that starts again asked for nothing: an idle connection tells the agent of its process's end, also of an earlier limit. Callers' returns are spread, by the rule that entries use.

--- a/cowsliproad-admission/src/patience.rs
+++ b/cowsliproad-admission/src/patience.rs
@@ -76,6 +76,16 @@
     }
 }
 
+/// When a caller comes back that is told of a moment, as others are. Their
+/// returns are spread over a quarter of the time until then.
+pub fn spread_return(wait: Millis, draw: f64) -> Millis {
+    let spread = Millis(wait.0 / RETURN_SPREAD).max(MIN_SPREAD);
+    wait + Millis((spread.0 as f64 * draw) as u64)
+}
+
+const RETURN_SPREAD: u64 = 4;
+const MIN_SPREAD: Millis = Millis(100);
+
 /// The soonest return, after those that can still start have been sent.
 const SOONEST: Millis = Millis(100);
 
--- a/cowsliproad-agent/src/adapter/engine.rs
+++ b/cowsliproad-agent/src/adapter/engine.rs
@@ -116,7 +116,7 @@
         let head = timeout(self.silence, self.client.send(request)).await;
         let silent = Failure::new(Code::TimedOut, Ran::OutcomeUnknown);
         let head = head.map_err(|_| silent)?.map_err(plain::failure)?;
-        self.pace.answered(head.headers(), sent);
+        self.pace.answered(head.status(), head.headers(), sent);
         Ok(head)
     }
 
@@ -189,6 +189,9 @@
     }
 
     async fn cancel(&self, work: &Work) {
+        if self.pace.cooldown(Millis::now()).0 > 0 {
+            return;
+        }
         let id = work.request;
         let uri = format!("http://{}/v1/streams/{id}", self.target);
         let Ok(request) = Request::delete(uri).body(Full::default()) else {
--- a/cowsliproad-agent/src/adapter/plain.rs
+++ b/cowsliproad-agent/src/adapter/plain.rs
@@ -61,7 +61,7 @@
                 return Err(Failure::new(Code::Cancelled, Ran::OutcomeUnknown));
             }
         };
-        self.pace.answered(response.headers(), sent);
+        self.pace.answered(response.status(), response.headers(), sent);
         if !response.status().is_success() {
             return Err(Failure::new(Code::TargetFailed, Ran::OutcomeUnknown));
         }
--- a/cowsliproad-agent/src/ends.rs
+++ b/cowsliproad-agent/src/ends.rs
@@ -29,6 +29,7 @@
 };
 use slog::info;
 use tokio::{
+    io::AsyncReadExt,
     net::TcpStream,
     sync::Notify,
     time::{sleep, timeout},
@@ -54,6 +55,9 @@
 /// is nearer. Ten times the usual work.
 const LINGER_TIME: Millis = Millis(1_000);
 
+/// The longest pause between idle connections to a target that closes them.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
 /// Work that was given up and is remembered, 16 bytes a piece: all that waits
 /// at a target.
 const MOST_LEFT: usize = 256;
@@ -248,6 +252,48 @@
     }
 }
 
+/// Sees whether the process ends that asked to be left alone, for as long as
+/// the agent runs. Tells entries: the one that follows it asked for nothing.
+pub async fn watch_cooldown(gate: Arc<Gate>, links: Arc<Links>) {
+    loop {
+        let changed = gate.pace.changes();
+        let left = gate.pace.cooldown(Millis::now());
+        if left.0 == 0 {
+            changed.await;
+            continue;
+        }
+        tokio::select! {
+            () = changed => {}
+            () = sleep(left.duration()) => {}
+            () = until_ended(&gate) => {
+                note_presence(&gate, Presence::Gone);
+                links.tell_news();
+            }
+        }
+    }
+}
+
+/// Waits until the target's process is gone. An idle connection tells, which
+/// asks nothing of the process.
+async fn until_ended(gate: &Gate) {
+    let mut pause = CLOSE_TIME;
+    loop {
+        match TcpStream::connect(gate.settings.target).await {
+            Ok(mut stream) => {
+                let mut bytes = [0; 64];
+                while matches!(stream.read(&mut bytes).await, Ok(1..)) {}
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return;
+            }
+            Err(_) => {}
+        }
+        // The listener of a process that ends may go after its connections.
+        sleep(pause).await;
+        pause = MAX_PAUSE.min(2 * pause);
+    }
+}
+
 /// Notes that the target ended under work that had been given up.
 fn note_left(gate: &Gate) {
     for kind in gate.ends.take_left() {
@@ -267,6 +313,9 @@
 }
 
 fn note_presence(gate: &Gate, presence: Presence) {
+    if presence == Presence::Gone {
+        gate.pace.forget();
+    }
     if gate.ends.note(presence) {
         info!(gate.log(), "target_presence";
             "target" => %gate.settings.target, "is" => ?presence);
--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -16,6 +16,7 @@
 };
 
 use cowsliproad_admission::{
+    limit::Rate,
     queue::{self, Pace, Queue},
     register::Register,
     ticket,
@@ -252,6 +253,7 @@
             phase: inner.phase,
             load: inner.load(self.speed(&inner)),
             presence: self.ends.presence(),
+            cooldown: self.pace.cooldown(Millis::now()),
             holds: inner.inherited.keys().copied().collect(),
             offset,
         }
@@ -358,11 +360,10 @@
     fn speed(&self, inner: &Inner) -> Pace {
         let (slots, service_us) =
             (self.settings.slots, inner.service_us as u32);
-        let limit = self.pace.limit(Millis::now());
-        let (gap_us, next_us) = limit.map_or((0, 0), |(rate, next)| {
-            let next_us = u32::try_from(next.0 * 1_000);
-            (rate.gap_us(), next_us.unwrap_or(u32::MAX))
-        });
+        let (rate, next) = self.pace.limit(Millis::now());
+        let gap_us = rate.map_or(0, Rate::gap_us);
+        let next_us = u32::try_from(next.0.saturating_mul(1_000));
+        let next_us = next_us.unwrap_or(u32::MAX);
         Pace { slots, service_us, gap_us, next_us }
     }
 
--- a/cowsliproad-agent/src/lib.rs
+++ b/cowsliproad-agent/src/lib.rs
@@ -82,6 +82,8 @@
     threads.control.spawn(links::beat(links.clone()));
     threads.control.spawn(gate::sweep(gate.clone()));
     threads.control.spawn(ends::follow(gate.clone(), links.clone()));
+    let watch = ends::watch_cooldown(gate.clone(), links.clone());
+    threads.control.spawn(watch);
     let door = Door::new();
     let http = http::start(&settings, &gate, &metrics, &door).await?;
     info!(log, "start";
--- a/cowsliproad-agent/src/links.rs
+++ b/cowsliproad-agent/src/links.rs
@@ -72,13 +72,14 @@
     pub fn tell_news(&self) {
         // Under the lock, so that whoever took the news has passed it on.
         let open = self.lock();
-        if self.gate.ends.has_news() {
+        if self.gate.ends.has_news() || self.gate.pace.has_news() {
             self.beat_on(open);
         }
     }
 
     fn beat_on(&self, mut open: MutexGuard<'_, Vec<Sender>>) {
         let news = self.gate.ends.take_news();
+        self.gate.pace.take_news();
         let beat = Frame::Beat(self.gate.beat(self.replica.next()));
         open.retain(|link| !link.is_gone());
         for link in open.iter() {
--- a/cowsliproad-agent/src/pace.rs
+++ b/cowsliproad-agent/src/pace.rs
@@ -1,14 +1,22 @@
-//! How many requests a second the target takes.
+//! When the target takes requests, and how many a second.
 //!
 //! All work for a target passes through its agent, so the agent keeps the
 //! limit alone. What holds and who may go next is decided in
-//! [`cowsliproad_admission::limit`].
+//! [`cowsliproad_admission::limit`]. A target that turns a request away may
+//! also ask to be left alone; see [`cowsliproad_routing::cooldown`].
 
-use std::sync::{Mutex, MutexGuard};
+use std::{
+    sync::{Mutex, MutexGuard},
+    time::SystemTime,
+};
 
 use cowsliproad_admission::limit::{Change, Keeper, Known, Rate, Verdict};
 use cowsliproad_kernel::{clock::Millis, sync::lock};
-use http::{HeaderMap, HeaderName, HeaderValue};
+use cowsliproad_net::retry_after::{self, RetryAfter};
+use cowsliproad_routing::cooldown::Cooldown;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER,
+};
 use slog::{Logger, info, warn};
 use tokio::{
     sync::{Notify, futures::Notified},
@@ -31,6 +39,9 @@
 #[derive(Debug, Default)]
 struct Inner {
     known: Known,
+    cooldown: Cooldown,
+    /// Whether entries are to be told of that.
+    has_news: bool,
     /// Whether less is taken than when the waiting work came in.
     tightened: bool,
     keeper: Option<Keeper>,
@@ -49,7 +60,13 @@
     }
 
     /// Takes in an answer to a request that was sent at `sent`.
-    pub fn answered(&self, headers: &HeaderMap, sent: Millis) {
+    pub fn answered(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        sent: Millis,
+    ) {
+        self.note_retry_after(status, headers);
         let named = headers.get(&HEADER);
         let mut inner = self.lock();
         let bytes = named.map(HeaderValue::as_bytes);
@@ -67,23 +84,80 @@
         }
     }
 
+    fn note_retry_after(&self, status: StatusCode, headers: &HeaderMap) {
+        let wait = match retry_after::read(status, headers, SystemTime::now())
+        {
+            RetryAfter::None => return,
+            RetryAfter::Unreadable => {
+                warn!(self.log, "retry_after_refused";
+                    "stated" => ?headers.get(RETRY_AFTER));
+                return;
+            }
+            RetryAfter::Wait(wait) => wait,
+        };
+        let mut inner = self.lock();
+        let extends = inner.cooldown.extend(wait, Millis::now());
+        inner.tightened |= extends;
+        inner.has_news |= extends;
+        drop(inner);
+        if extends {
+            info!(self.log, "cooldown"; "status" => status.as_u16(),
+                "stated" => ?headers.get(RETRY_AFTER), "wait" => wait.0);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// How long the target is left alone.
+    pub fn cooldown(&self, now: Millis) -> Millis {
+        let end = self.lock().cooldown.end(now);
+        end.map_or(Millis(0), |it| it.since(now))
+    }
+
+    /// Whether entries haven't been told yet of a change of that.
+    pub fn has_news(&self) -> bool {
+        self.lock().has_news
+    }
+
+    /// Notes that entries are told.
+    pub fn take_news(&self) {
+        self.lock().has_news = false;
+    }
+
+    /// Forgets what a process asked for that is gone.
+    pub fn forget(&self) {
+        let mut inner = self.lock();
+        let asked = inner.cooldown != Cooldown::default()
+            || inner.known.rate().is_some();
+        *inner = Inner { has_news: asked, ..Inner::default() };
+        drop(inner);
+        if asked {
+            info!(self.log, "pace_forgotten");
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Whether less is taken than when this was last asked.
     pub fn take_tightened(&self) -> bool {
         std::mem::take(&mut self.lock().tightened)
     }
 
     /// The limit in force, and how long no request may go.
-    pub fn limit(&self, now: Millis) -> Option<(Rate, Millis)> {
+    pub fn limit(&self, now: Millis) -> (Option<Rate>, Millis) {
         let mut inner = self.lock();
-        let rate = inner.known.rate()?;
-        let keeper = inner.keeper(rate, now);
-        Some((rate, keeper.full_for(now)))
+        let end = inner.cooldown.end(now);
+        let wait = end.map_or(Millis(0), |it| it.since(now));
+        let Some(rate) = inner.known.rate() else { return (None, wait) };
+        let full_for = inner.keeper(rate, now).full_for(now);
+        (Some(rate), wait.max(full_for))
     }
 
     /// Takes a place for a request that goes now. Otherwise says how long
     /// none is free.
     pub fn take(&self, now: Millis) -> Result<(), Millis> {
         let mut inner = self.lock();
+        if let Some(end) = inner.cooldown.end(now) {
+            return Err(end.since(now));
+        }
         let Some(rate) = inner.known.rate() else {
             inner.keeper = None;
             return Ok(());
--- a/cowsliproad-bench/src/experiment/slopes.rs
+++ b/cowsliproad-bench/src/experiment/slopes.rs
@@ -273,6 +273,7 @@
                 service_us: 81_234,
                 count: 1_234_567,
             },
+            cooldown: Millis(0),
             presence: Presence::Here,
             holds: (0..holds).map(|_| id::Incarnation::random()).collect(),
             offset: 123_456,
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use cowsliproad_admission::patience;
 use cowsliproad_kernel::clock::Millis;
 use http::Response;
 use slog::info;
@@ -23,11 +24,6 @@
 /// They look for new targets after this at the latest.
 const MAX_RETURN: Millis = Millis(600_000);
 
-/// Callers that are told of one moment return within one part in so many of
-/// the time until then, and within [`LEAST_SPREAD`] at the least.
-const RETURN_SPREAD: u64 = 4;
-const LEAST_SPREAD: Millis = Millis(100);
-
 /// Tries beyond the targets that a route allows, at targets that were asked
 /// before and said that they did not run the request.
 const SPARE_TRIES: usize = 4;
@@ -171,8 +167,7 @@
         after: Millis,
     ) -> Response<Body> {
         let after = after.clamp(LEAST_RETURN, MAX_RETURN);
-        let spread = Millis(after.0 / RETURN_SPREAD).max(LEAST_SPREAD);
-        let after = after + Millis((spread.0 as f64 * entry.draw()) as u64);
+        let after = patience::spread_return(after, entry.draw());
         info!(entry.log, "turned_away"; "request" => &*self.id,
             "certainty" => ?self.certainty, "after" => after.0,
             "left" => self.left().0);
--- a/cowsliproad-entry/src/callers.rs
+++ b/cowsliproad-entry/src/callers.rs
@@ -9,6 +9,7 @@
 };
 
 use cowsliproad_admission::{
+    patience,
     register::LIFETIME,
     ticket::{self, Purpose, Ticket},
 };
@@ -39,7 +40,7 @@
     choose,
     forward::{Forward, Item, Order, needs_ticket},
     quarantine,
-    target::Event,
+    target::{Event, Target},
     view::{InFlight, Organisation, Service},
 };
 
@@ -303,9 +304,9 @@
         }
         let count = server::query_number(request, "count").unwrap_or(1);
         let count = count.clamp(1, MAX_TICKETS);
-        let tickets: Option<Vec<String>> =
+        let tickets: Result<Vec<String>, Refused> =
             (0..count).map(|_| self.mint(&checked)).collect();
-        let tickets = tickets.ok_or_else(no_target)?;
+        let tickets = tickets?;
         let body = json!({
             "tickets": tickets,
             "valid_ms": LIFETIME.0,
@@ -314,10 +315,14 @@
     }
 
     /// Makes a ticket for the target that suits best now.
-    fn mint(&self, checked: &Checked) -> Option<String> {
-        let found = choose::best(&self.shared, &checked.service, &[])?;
-        let target = &checked.service.targets[found.chosen];
-        let (beat, at) = target.beat()?;
+    fn mint(&self, checked: &Checked) -> Result<String, Refused> {
+        let service = &checked.service;
+        let found = choose::best(&self.shared, service, &[]);
+        let target = match found {
+            Some(found) => service.targets[found.chosen].clone(),
+            None => self.first_to_return(checked)?,
+        };
+        let (beat, at) = target.beat().ok_or_else(no_target)?;
         let ticket = Ticket {
             purpose: Purpose::Ticket,
             organisation: checked.organisation.declared.name.clone(),
@@ -332,8 +337,26 @@
             "request" => %ticket.request,
             "type" => %ticket.request_type,
             "target" => %ticket.target,
-            "score_us" => found.score_us);
-        Some(ticket::seal(&ticket, &self.shared.ticket_key))
+            "score_us" => found.map_or(0, |it| it.score_us));
+        Ok(ticket::seal(&ticket, &self.shared.ticket_key))
+    }
+
+    /// The target that takes work again first where all of them asked to be
+    /// left alone, if that is in time.
+    fn first_to_return(
+        &self,
+        checked: &Checked,
+    ) -> Result<Arc<Target>, Refused> {
+        let now = Millis::now();
+        let first = choose::first_to_return(&checked.service, &[], now);
+        let (target, end) = first.ok_or_else(no_target)?;
+        let wait = end.since(now);
+        if wait < checked.request_type.deadline_ms {
+            return Ok(target);
+        }
+        let after = patience::spread_return(wait, rand::random());
+        let failure = Failure::new(Code::Overloaded, Ran::NotRun);
+        Err(Refused::new(failure.with_retry_after(after)))
     }
 
     fn check(
@@ -413,11 +436,11 @@
     /// Nothing ran, and here is a ticket to send again with.
     fn ask_for_ticket(&self, checked: &Checked) -> Refused {
         match self.mint(checked) {
-            Some(ticket) => {
+            Ok(ticket) => {
                 let failure = Failure::new(Code::TicketNeeded, Ran::NotRun);
                 Refused { ticket: Some(ticket), ..Refused::new(failure) }
             }
-            None => no_target(),
+            Err(refused) => refused,
         }
     }
 
--- a/cowsliproad-entry/src/choose.rs
+++ b/cowsliproad-entry/src/choose.rs
@@ -18,8 +18,9 @@
     tried: &[Name],
 ) -> Option<Arc<Target>> {
     let targets = &order.service.targets;
+    let now = Millis::now();
     if let Some(key) = &order.key {
-        let open = targets.iter().filter(|it| is_usable(it, tried));
+        let open = targets.iter().filter(|it| is_usable(it, tried, now));
         let steered =
             open.max_by_key(|it| steer(&order.organisation, key, &it.name));
         log(shared, order, steered, "idempotency_key", None);
@@ -44,7 +45,7 @@
     let believe = !service.ejections_doubted.load(Ordering::Relaxed);
     let score = |index: usize| {
         let target = &targets[index];
-        if !is_usable(target, tried) || (believe && is_out(target)) {
+        if !is_usable(target, tried, now) || (believe && is_out(target)) {
             return None;
         }
         let near = target.zone == shared.settings.zone;
@@ -54,10 +55,27 @@
     choice::choose(targets.len(), &mut rand::rng(), score)
 }
 
-fn is_usable(target: &Target, tried: &[Name]) -> bool {
+fn is_usable(target: &Target, tried: &[Name], now: Millis) -> bool {
+    is_open(target, tried) && target.cooldown_end(now).is_none()
+}
+
+fn is_open(target: &Target, tried: &[Name]) -> bool {
     target.is_open() && !tried.contains(&target.name)
 }
 
+/// Of the targets that asked to be left alone the one that takes work again
+/// first, and when.
+pub fn first_to_return(
+    service: &Service,
+    tried: &[Name],
+    now: Millis,
+) -> Option<(Arc<Target>, Millis)> {
+    let open = service.targets.iter().filter(|it| is_open(it, tried));
+    let ends = open.filter_map(|it| Some((it, it.cooldown_end(now)?)));
+    let first = ends.min_by_key(|it| it.1)?;
+    Some((first.0.clone(), first.1))
+}
+
 /// The weight of a target for an idempotency key: resends of one request go
 /// to the same target through any entry.
 fn steer(organisation: &str, key: &str, target: &str) -> [u8; 32] {
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -263,14 +263,34 @@
     async fn start_plain(&mut self) {
         let Task::Work(order) = &self.task else { return };
         let chosen = choose::target(&self.shared, order, &self.tried);
-        let Some(target) = chosen else {
-            let wait = COME_BACK;
-            let failure = Failure::new(Code::NoTarget, self.ran());
-            return self.fail(failure.with_retry_after(wait));
+        let target = match chosen {
+            Some(target) => target,
+            None => match self.wait_for_return(order) {
+                Ok(target) => target,
+                Err(failure) => return self.fail(failure),
+            },
         };
         self.submit(target).await;
     }
 
+    /// The target at whose agent work waits that no target takes now, if one
+    /// takes it in time.
+    fn wait_for_return(&self, order: &Order) -> Result<Arc<Target>, Failure> {
+        let now = Millis::now();
+        let first = choose::first_to_return(&order.service, &self.tried, now);
+        match first {
+            Some((target, end)) if end < self.deadline => Ok(target),
+            Some((_, end)) => {
+                let failure = Failure::new(Code::Overloaded, self.ran());
+                Err(failure.with_retry_after(end.since(now)))
+            }
+            None => {
+                let failure = Failure::new(Code::NoTarget, self.ran());
+                Err(failure.with_retry_after(COME_BACK))
+            }
+        }
+    }
+
     async fn submit(&mut self, target: Arc<Target>) {
         let Task::Work(order) = &self.task else { return };
         let permit = match quarantine::standing(&self.shared, order) {
--- a/cowsliproad-entry/src/forward/failure.rs
+++ b/cowsliproad-entry/src/forward/failure.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use cowsliproad_admission::quarantine::Standing;
+use cowsliproad_admission::{patience, quarantine::Standing};
 use cowsliproad_kernel::{
     clock::Millis,
     code::{Code, Ran},
@@ -136,7 +136,11 @@
         }
     }
 
-    pub(super) fn fail(&mut self, failure: Failure) {
+    pub(super) fn fail(&mut self, mut failure: Failure) {
+        if failure.code == Code::Overloaded {
+            let spread = |it| patience::spread_return(it, rand::random());
+            failure.retry_after = failure.retry_after.map(spread);
+        }
         self.finished = true;
         self.ready.push_back(Item::Failed(failure));
     }
--- a/cowsliproad-entry/src/links.rs
+++ b/cowsliproad-entry/src/links.rs
@@ -257,6 +257,7 @@
         clock: Millis::now(),
         phase: shared.phase(),
         load: Load::default(),
+        cooldown: Millis(0),
         presence: Presence::Here,
         holds: Vec::new(),
         offset: shared.published.load().state.next(),
--- a/cowsliproad-entry/src/target.rs
+++ b/cowsliproad-entry/src/target.rs
@@ -152,6 +152,7 @@
     /// Takes a heartbeat in.
     pub fn take_beat(&self, beat: Beat, now: Millis) {
         let mut stats = lock(&self.stats);
+        stats.health.stated(now, beat.cooldown);
         stats.beat = Some(beat);
         stats.beat_at = now;
         stats.sent_since = 0;
@@ -190,6 +191,11 @@
             && !self.vm_leaving.load(Ordering::Relaxed)
     }
 
+    /// When the time ends for which the target asked to be left alone.
+    pub fn cooldown_end(&self, now: Millis) -> Option<Millis> {
+        lock(&self.stats).health.cooldown_end(now)
+    }
+
     /// Whether health admits an attempt now.
     pub fn admits(&self, now: Millis) -> Admit {
         lock(&self.stats).health.peek(now)
--- a/cowsliproad-entry/src/view.rs
+++ b/cowsliproad-entry/src/view.rs
@@ -124,8 +124,11 @@
         let config = health::Config::new();
         for service in self.services.values() {
             let targets = &service.targets;
-            let out = targets.iter().filter(|it| it.admits(now) == Admit::No);
-            let doubted = config.is_too_many(out.count(), targets.len());
+            // What targets asked for themselves is not doubted.
+            let guessed = targets.iter().filter(|it| {
+                it.admits(now) == Admit::No && it.cooldown_end(now).is_none()
+            });
+            let doubted = config.is_too_many(guessed.count(), targets.len());
             service.ejections_doubted.store(doubted, Ordering::Relaxed);
         }
     }
--- a/cowsliproad-kernel/src/wire.rs
+++ b/cowsliproad-kernel/src/wire.rs
@@ -166,6 +166,9 @@
     /// Whether the target's process is there.
     #[serde(rename = "x", default, skip_serializing_if = "Presence::is_here")]
     pub presence: Presence,
+    /// How long the target asked to be left alone from now on.
+    #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
+    pub cooldown: Millis,
     /// Earlier incarnations whose tickets it answers for.
     #[serde(rename = "h")]
     pub holds: Vec<id::Incarnation>,
@@ -174,6 +177,10 @@
     pub offset: u64,
 }
 
+fn is_zero(time: &Millis) -> bool {
+    time.0 == 0
+}
+
 /// What an agent knows of its own load.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Load {
--- a/cowsliproad-routing/src/health.rs
+++ b/cowsliproad-routing/src/health.rs
@@ -2,16 +2,19 @@
 //!
 //! A target that fails [`Config::failures`] times in a row is ejected. The
 //! back-off doubles with each ejection up to a bound and carries jitter, so
-//! that entries don't return at the same moment. A stated retry-after is
-//! taken as it stands and is not probed early (the paper's provenance of
-//! cool-downs); our own guess is probed with one request from half of its
-//! time on. The first success ends the ejection.
+//! that entries don't return at the same moment. Our own guess is probed with
+//! one request from half of its time on, and the first success ends it. A
+//! stated retry-after is taken as it stands: it is not probed early (the
+//! paper's provenance of cool-downs), and neither a success nor a failure of
+//! an earlier attempt changes it.
 //!
 //! A target can look attractive because it fails fast and so is always
 //! idle. Counting failures in a row, whatever their speed, takes it out.
 
 use cowsliproad_kernel::clock::Millis;
 
+use crate::cooldown::Cooldown;
+
 /// Limits of ejection.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -76,6 +79,7 @@
     failures: u32,
     round: u32,
     ejection: Option<Ejection>,
+    cooldown: Cooldown,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +99,9 @@
 
     /// Whether an attempt may go there; a probe is counted as taken.
     pub fn admit(&mut self, now: Millis) -> Admit {
+        if self.cooldown_end(now).is_some() {
+            return Admit::No;
+        }
         let Some(ejection) = &mut self.ejection else {
             return Admit::Yes;
         };
@@ -108,6 +115,7 @@
     /// What [`Health::admit`] would say, without taking a probe.
     pub fn peek(&self, now: Millis) -> Admit {
         match &self.ejection {
+            _ if self.cooldown_end(now).is_some() => Admit::No,
             None => Admit::Yes,
             Some(ejection) if now < ejection.probe_at => Admit::No,
             Some(_) => Admit::Probe,
@@ -116,7 +124,7 @@
 
     /// Notes a whole answer.
     pub fn success(&mut self) {
-        *self = Health::default();
+        *self = Health { cooldown: self.cooldown, ..Health::default() };
     }
 
     /// Notes a failure; `jitter` is drawn from 0 to 99.
@@ -136,10 +144,23 @@
         });
     }
 
-    /// Notes a refusal that stated when to come back.
+    /// Notes for how long the target last asked to be left alone; zero for not
+    /// at all.
     pub fn stated(&mut self, now: Millis, wait: Millis) {
-        let until = now + wait;
-        self.ejection = Some(Ejection { until, probe_at: until });
+        let was_stated = self.cooldown != Cooldown::default();
+        self.cooldown = Cooldown::default();
+        if self.cooldown.extend(wait, now) {
+            let until = now + wait;
+            self.ejection = Some(Ejection { until, probe_at: until });
+        } else if was_stated {
+            // A target that started again asked for nothing.
+            self.ejection = None;
+        }
+    }
+
+    /// When the time ends for which the target asked to be left alone.
+    pub fn cooldown_end(&self, now: Millis) -> Option<Millis> {
+        self.cooldown.end(now)
     }
 
     /// Whether the target is left out.
--- a/tests/properties/decoders.rs
+++ b/tests/properties/decoders.rs
@@ -59,6 +59,7 @@
                 service_us: load[3],
                 count: 1,
             },
+            cooldown: Millis(u64::from(load[0])),
             presence: Presence::Gone,
             holds: vec![id::Incarnation(1)],
             offset: 3,
