rank: honor Retry-After and Server-Leaving of engines

An agent called an engine that had turned a call away with Retry-After: 2.5 again 53 times within 2 s, and read nothing of Server-Leaving, which an engine may tell its agent before any entry.

Cause: the same as at entries; the agent's client of engines kept nothing of an answer but its status and body. Now no call or order goes out within the time, to the own engine or another's. Its rank is then silent, so entries send to others, and a coordinator that is refused itself sees to a held group through other agents as before. The end of the engine's process shows in the connection that is kept and ends the cooldown; what another's engine asked for ends with the formation that it is of.

Reports to entries tell that the engine is leaving, for that start of it.

--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -471,6 +471,11 @@
     };
     entry.heard_from(&target.zone, now);
     entry.note_report(&target, Start(load.start), now);
+    if load.leaving && target.start == Start(load.start) {
+        info!(entry.log, "target_leaving"; "target" => &*target.id,
+            "source" => ?Source::Peer);
+        return entry.note_left(&target);
+    }
     let id = target.id;
     let seat = entry.seat(&id);
     let mut seat = seat.borrow_mut();
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -304,6 +304,7 @@
         open: true,
         list: 0,
         start: 0,
+        leaving: false,
     }
 }
 
--- a/cowsliproad-direct/tests/entry/leaving.rs
+++ b/cowsliproad-direct/tests/entry/leaving.rs
@@ -3,12 +3,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use cowsliproad_kernel::gossip::{self, Datagram, Load};
 use cowsliproad_platform_standin::target::{Config, Fault, Target};
 use http::StatusCode;
-use tokio::time::sleep;
+use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
-    harness::{Entry, KEY, Plant, numbers, until},
+    harness::{Entry, KEY, Plant, numbers, report, until},
     limits::load,
 };
 
@@ -129,3 +130,29 @@
     }
     assert!(next.arrivals() >= 6);
 }
+
+/// Guards against an agent's word of its engine's leaving that is not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agents_word_that_its_engine_is_leaving_counts() {
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant, "model").await;
+    let entry = plant.entry().await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let tell = async |start: u64| {
+        let load = Load { leaving: true, start, ..report(&targets[0]) };
+        let bytes = gossip::encode(&Datagram::Load(load));
+        let to = entry.settings.peer_address();
+        socket.send_to(&bytes, to).await.expect("it is sent");
+        sleep(Duration::from_millis(100)).await;
+    };
+    let knows = async || entry.metric("targets").await;
+    // What another start at that address says is none of this one's business.
+    tell(9).await;
+    sleep(TOLD).await;
+    assert_eq!(knows().await, Some(3.0));
+    tell(1).await;
+    until("it is out of use", async || knows().await == Some(2.0)).await;
+    let before = targets[0].arrivals();
+    load(&[&entry], "/stream/a", PAUSE, SECOND / 2).await;
+    assert_eq!(targets[0].arrivals(), before);
+}
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -245,6 +245,13 @@
     /// When the engine started, as a Unix millisecond; 0 where it doesn't say.
     #[serde(rename = "b", default)]
     pub start: u64,
+    /// Whether it is leaving, by its last answer to the agent.
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    pub leaving: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// Many pieces of work that targets ended under. Mostly one target ended
--- a/cowsliproad-net/src/single.rs
+++ b/cowsliproad-net/src/single.rs
@@ -28,6 +28,21 @@
         Single { address, open: None }
     }
 
+    /// Whether no connection is open.
+    pub fn is_closed(&self) -> bool {
+        self.open.as_ref().is_none_or(SendRequest::is_closed)
+    }
+
+    /// Opens the connection without a call.
+    pub async fn open(&mut self, patience: Duration) -> Result<(), Error> {
+        let opening = connect(self.address);
+        match tokio::time::timeout(patience, opening).await {
+            Ok(opened) => self.open = Some(opened?),
+            Err(_) => return Err(Error::Timeout),
+        }
+        Ok(())
+    }
+
     /// Sends a request and returns the whole answer of at most `limit`
     /// bytes, all within `patience`. Repeats nothing.
     pub async fn call(
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -19,6 +19,7 @@
     self, Aim, Directive, Epoch, Report, Standing,
 };
 use cowsliproad_platform::engine::State;
+use cowsliproad_routing::cooldown::Cooldown;
 use slog::{Logger, info, warn};
 use tokio::{
     net::UdpSocket,
@@ -84,6 +85,8 @@
     start: Option<u64>,
     /// Whether the engine's process is known to be gone.
     engine_ended: Ended,
+    /// What engines of others asked for in a formation of the group.
+    distant: BTreeMap<SocketAddr, (Epoch, Cooldown)>,
     /// The group that the engine last named.
     group: Option<Name>,
     /// Engines of the service that are of other groups.
@@ -168,6 +171,7 @@
             state: None,
             start: None,
             engine_ended: Ended::No,
+            distant: BTreeMap::new(),
             group: None,
             strangers: BTreeSet::new(),
             experts: None,
--- a/cowsliproad-rank/src/agent/orders.rs
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -5,8 +5,9 @@
 
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_mapswitch::order::{
-    self, Aim, Arms, Directive, FARTHEST, Report, Seal, Verdict,
+    self, Aim, Arms, Directive, Epoch, FARTHEST, Report, Seal, Verdict,
 };
+use cowsliproad_routing::cooldown::Cooldown;
 use slog::info;
 
 use super::{Agent, Unanswered};
@@ -95,8 +96,11 @@
         };
         self.last.reached += 1;
         self.last.reach = now;
-        let mut engine = Engine::new(*target);
-        let state = match engine.state().await {
+        let (target, epoch) = (*target, lead.directive().epoch);
+        let mut engine = self.distant(target, epoch);
+        let state = engine.state().await;
+        self.note_distant(target, epoch, &engine);
+        let state = match state {
             Ok(state) => state,
             Err(error) => {
                 info!(self.log, "engine_out_of_reach"; "target" => %target,
@@ -107,10 +111,11 @@
         // An order of this group would give another's rank a map that no other
         // rank of it has.
         if state.group.as_ref() != self.group() {
-            self.strangers.insert(*target);
+            self.strangers.insert(target);
             return;
         }
         let Some(report) = state.report else { return };
+        let Some(lead) = &self.lead else { return };
         let word = lead.directive();
         let plan = lead.plan().filter(|it| it.epoch == word.epoch);
         let plan = plan.map(|it| (it.version, &it.experts));
@@ -128,7 +133,6 @@
         let due = order::due(&word, &report, plan).or(again);
         let mut fence = 0;
         if let Some(due) = due {
-            let target = *target;
             match self.order_from_afar(&mut engine, target, &due, word).await {
                 Some(Verdict::Fenced) => return,
                 Some(Verdict::Taken) => fence = word.fence,
@@ -209,10 +213,32 @@
         }
         self.last.hold = Some(word);
         self.last.held = now;
-        let mut engine = Engine::new(target);
+        let mut engine = self.distant(target, word.epoch);
         self.order_from_afar(&mut engine, target, &due, word).await;
     }
 
+    /// A client of another's engine, with what that asked for in this
+    /// formation. One that starts again takes part in a later one.
+    fn distant(&self, target: SocketAddr, epoch: Epoch) -> Engine {
+        let known = self.distant.get(&target);
+        let known = known.filter(|it| it.0 == epoch);
+        let cooldown = known.map_or(Cooldown::default(), |it| it.1);
+        Engine::new(target).with_cooldown(cooldown)
+    }
+
+    fn note_distant(
+        &mut self,
+        target: SocketAddr,
+        epoch: Epoch,
+        engine: &Engine,
+    ) {
+        let now = Millis::now();
+        self.distant.retain(|_, it| it.1.end(now).is_some());
+        if engine.cooldown().end(now).is_some() {
+            self.distant.insert(target, (epoch, engine.cooldown()));
+        }
+    }
+
     /// Gives an order to another's engine, and steps down if a higher number
     /// was seen there. Without an answer nobody knows.
     async fn order_from_afar(
@@ -223,6 +249,7 @@
         word: Directive,
     ) -> Option<Verdict> {
         let given = engine.order(due, word.epoch, word.fence).await.ok();
+        self.note_distant(target, word.epoch, engine);
         info!(self.log, "order_from_afar"; "order" => name(due),
             "aim" => ?word.aim, "target" => %target, "outcome" => ?given);
         if given == Some(Verdict::Fenced) {
--- a/cowsliproad-rank/src/agent/readings.rs
+++ b/cowsliproad-rank/src/agent/readings.rs
@@ -28,7 +28,9 @@
             }
             Err(error) => {
                 if self.state.take().is_some() {
-                    info!(self.log, "engine_lost"; "error" => %error);
+                    let end = self.engine.cooldown().end(Millis::now());
+                    info!(self.log, "engine_lost"; "error" => %error,
+                        "cooldown_end" => end.map(|it| it.0));
                 }
                 self.note_loss(&error);
                 return;
--- a/cowsliproad-rank/src/agent/words.rs
+++ b/cowsliproad-rank/src/agent/words.rs
@@ -42,6 +42,7 @@
             open: report.is_none_or(|it| it.standing == Standing::Open),
             list: self.list(),
             start: state.start,
+            leaving: self.engine.is_leaving(),
         });
         self.say_to_entries(&load).await;
     }
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -379,3 +379,67 @@
     until("the others report", || reports_of(engines[1]) > others + 1).await;
     assert_eq!(reports_of(engines[2]), before);
 }
+
+/// Guards against an agent that goes on calling its engine, or another's, or
+/// orders something of it, within the Retry-After of a refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_calls_no_engine_within_its_retry_after() {
+    let plant = Plant::balanced().await;
+    for rank in 0..usize::from(RANKS) {
+        let before = plant.group.calls(rank);
+        plant.group.reject(rank, Some("2.5"));
+        // The group has a change of the map to see to.
+        plant.group.like_from(4 * (rank + 1) % EXPERTS);
+        sleep(Duration::from_millis(2_000)).await;
+        let calls = plant.group.calls(rank) - before;
+        // Each agent may be turned away once. One call was under way.
+        let most = u64::from(RANKS) + 1;
+        assert!((1..=most).contains(&calls), "rank {rank}: {calls} calls");
+        plant.group.reject(rank, None);
+        let before = plant.group.calls(rank);
+        until("it is called again", || plant.group.calls(rank) > before + 10)
+            .await;
+    }
+    assert_eq!(plant.group.tally().mixed, 0);
+}
+
+/// Guards against a cooldown that outlives the process that asked for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engines_end_is_seen_within_its_retry_after() {
+    let (plant, engines) = Plant::prepare().await;
+    plant.ask(engines.clone()).await;
+    let lost = || {
+        let losts = plant.losts.lock().expect("no panic");
+        losts.iter().any(|it| it.target == engines[2])
+    };
+    until("every agent reports", || {
+        let loads = plant.loads.lock().expect("no panic");
+        engines.iter().all(|it| loads.iter().any(|load| load.target == *it))
+    })
+    .await;
+    plant.group.reject(2, Some("1000000000"));
+    let before = plant.group.calls(2);
+    until("it is turned away", || plant.group.calls(2) > before).await;
+    sleep(Duration::from_millis(200)).await;
+    assert!(!lost());
+    plant.group.end(2);
+    plant.group.reject(2, None);
+    until("its end is told", lost).await;
+    let before = plant.group.calls(2);
+    plant.group.restart(2, engines[2]).await;
+    until("it is called", || plant.group.calls(2) > before + 3).await;
+}
+
+/// Guards against a leaving that only the engine's agent was told of.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_says_that_its_engine_is_leaving() {
+    let (plant, engines) = Plant::prepare().await;
+    plant.ask(engines.clone()).await;
+    plant.group.leave(1);
+    let leaving = |engine: SocketAddr| {
+        let loads = plant.loads.lock().expect("no panic");
+        loads.iter().any(|it| it.target == engine && it.leaving)
+    };
+    until("it is said", || leaving(engines[1])).await;
+    assert!(!leaving(engines[0]));
+}
