tests: add a soak of Retry-After and Server-Leaving

Targets state times of all forms, end, start again, lapse and leave, while entries are frozen, killed, stopped and replaced and the log refuses calls. What each target's answers asked of each entry process is compared with what it then got from that process.

--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod connections;
+mod cooldown_siege;
 mod cooldowns;
 mod harness;
 mod leaving;
