--- a/cowsliproad-admission/src/limit.rs
+++ b/cowsliproad-admission/src/limit.rs
@@ -20,7 +20,7 @@
 
 /// A target that takes less than this is asked all the same, once in ten
 /// seconds by all together: only its answer tells that the limit is over.
-const LEAST_RATE: f64 = 0.1;
+const MIN_RATE: f64 = 0.1;
 
 /// How far back a place may count that nobody asked for in time. A place is
 /// asked for when a request comes, some time after it is free.
@@ -36,7 +36,7 @@
 const NEWS_MS: f64 = 4_000.0;
 
 /// The longest text that is taken for a number.
-const MOST_DIGITS: usize = 24;
+const MAX_DIGITS: usize = 24;
 
 /// Requests a second.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -56,7 +56,7 @@
         let digits = |it: &str| {
             !it.is_empty() && it.bytes().all(|it| it.is_ascii_digit())
         };
-        if text.len() > MOST_DIGITS || !digits(whole) || !digits(part) {
+        if text.len() > MAX_DIGITS || !digits(whole) || !digits(part) {
             return None;
         }
         Rate::new(text.parse().ok()?)
@@ -75,7 +75,7 @@
     /// The time from one request to the next in milliseconds, for whoever
     /// keeps a share of the rate.
     fn interval(self, share: f64) -> f64 {
-        1_000.0 / (self.0.max(LEAST_RATE) * share)
+        1_000.0 / (self.0.max(MIN_RATE) * share)
     }
 }
 
--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -135,27 +135,27 @@
 
 /// Pieces of work that are told of at a time, 8 to 35 bytes each: a third of
 /// the largest datagram.
-const MOST_TOLD: usize = 512;
+const MAX_TOLD: usize = 512;
 
 /// Pieces of work that are suspected, 350 bytes each. What a target ran and
 /// had waiting at its end is some 50.
-const MOST_CASES: usize = 4_096;
+const MAX_CASES: usize = 4_096;
 
 /// Ends that are held against one piece of work, and those that it is excused
 /// of.
-const MOST_ENDS: usize = 8;
-const MOST_EXCUSED: usize = 16;
+const MAX_ENDS: usize = 8;
+const MAX_EXCUSED: usize = 16;
 
 /// Ends that were none. Those of a whole availability zone that was cut off.
-const MOST_LIVES: usize = 1_024;
+const MAX_LIVES: usize = 1_024;
 
 /// Ends of one start of a target that may be taken back. One that is cut off
 /// more often in an hour is no longer believed to have ended.
-const MOST_RETURNS: usize = 16;
+const MAX_RETURNS: usize = 16;
 
 /// Outlived work that is remembered twice over, 9 bytes each: that of the
 /// last five to ten minutes at 14 answers a second.
-const MOST_OUTLIVED: usize = 4_096;
+const MAX_OUTLIVED: usize = 4_096;
 const OUTLIVED_TIME: Millis = Millis(5 * 60 * 1_000);
 
 /// What a word may take on its way, and be older than it says. Each telling
@@ -339,7 +339,7 @@
                 *heard = now;
             } else if case.excused.contains(&end) {
                 misses = true;
-            } else if case.ends.len() < MOST_ENDS {
+            } else if case.ends.len() < MAX_ENDS {
                 case.ends.insert(end);
             }
         }
@@ -367,7 +367,7 @@
             return Vec::new();
         }
         self.lives.insert(end, now);
-        if self.lives.len() > MOST_LIVES {
+        if self.lives.len() > MAX_LIVES {
             let oldest = self.lives.iter().min_by_key(|it| it.1);
             if let Some(oldest) = oldest.map(|it| *it.0) {
                 self.lives.remove(&oldest);
@@ -386,7 +386,7 @@
     /// the first that was not taken back.
     pub fn end_of(&self, target: &str, start: u64) -> End {
         let mut end = End::new(target, start);
-        for _ in 0..MOST_RETURNS {
+        for _ in 0..MAX_RETURNS {
             if !self.took_back(end) {
                 break;
             }
@@ -436,7 +436,7 @@
             let ends = Reverse(case.ends.len());
             (case.since.is_none(), ends, Reverse(case.told_until))
         });
-        told.truncate(MOST_TOLD);
+        told.truncate(MAX_TOLD);
         told.into_iter().map(|it| it.1.told(*it.0, now)).collect()
     }
 
@@ -447,7 +447,7 @@
         let mut kept: Vec<Suspect> =
             kept.map(|it| it.1.told(*it.0, now)).collect();
         kept.sort_by_key(|it| (Reverse(it.ends.len()), it.idle));
-        kept.truncate(MOST_TOLD);
+        kept.truncate(MAX_TOLD);
         kept
     }
 
@@ -456,7 +456,7 @@
         let now = now + BEFORE;
         let news = |at: Millis| now.since(at) < TELL_TIME;
         let told = self.lives.iter().filter(|it| news(*it.1));
-        told.take(MOST_TOLD).map(|it| it.0.0).collect()
+        told.take(MAX_TOLD).map(|it| it.0.0).collect()
     }
 
     /// Forgets what is over, and says which work that was.
@@ -479,7 +479,7 @@
     /// Drops what is least worth keeping: not refused, the fewest ends, the
     /// longest unseen.
     fn make_room(&mut self) {
-        if self.cases.len() < MOST_CASES {
+        if self.cases.len() < MAX_CASES {
             return;
         }
         let worth = |it: &Case| (it.since.is_some(), it.ends.len(), it.seen);
@@ -497,7 +497,7 @@
         if !self.excused.contains(&end) {
             self.excused.push(end);
         }
-        if self.excused.len() > MOST_EXCUSED {
+        if self.excused.len() > MAX_EXCUSED {
             self.excused.remove(0);
         }
     }
@@ -543,7 +543,7 @@
 impl Outlived {
     fn note(&mut self, work: Work, now: Millis) {
         let is_old = now.since(self.since) >= OUTLIVED_TIME;
-        if is_old || self.newer.len() >= MOST_OUTLIVED {
+        if is_old || self.newer.len() >= MAX_OUTLIVED {
             self.older = std::mem::take(&mut self.newer);
             self.since = now;
         }
--- a/cowsliproad-agent/src/ends.rs
+++ b/cowsliproad-agent/src/ends.rs
@@ -60,7 +60,7 @@
 
 /// Work that was given up and is remembered, 16 bytes a piece: all that waits
 /// at a target.
-const MOST_LEFT: usize = 256;
+const MAX_LEFT: usize = 256;
 
 /// What ended the target, and whether it is there.
 #[derive(Debug)]
@@ -171,7 +171,7 @@
     /// Notes that work was given up, which the target may go on with.
     fn leave(&self, work: quarantine::Work, until: Millis) {
         let mut inner = lock(&self.inner);
-        if inner.left.len() >= MOST_LEFT {
+        if inner.left.len() >= MAX_LEFT {
             inner.left.pop_front();
         }
         inner.left.push_back((work, until));
--- a/cowsliproad-bench/src/experiment/limits.rs
+++ b/cowsliproad-bench/src/experiment/limits.rs
@@ -57,12 +57,12 @@
 /// As in the entry: how often others are told, how many of them, how long
 /// they are remembered, and what unanswered questions lead to.
 const TELL_MS: u64 = 500;
-const MOST_TOLD: usize = 16;
+const MAX_TOLD: usize = 16;
 const NEWS_MS: u64 = 8_000;
 const LIMITS_EVERY: u64 = 8;
 const FORGET_MS: u64 = 12_000;
 const MUTE_MS: u64 = 2_000;
-const MOST_ASKED: usize = 2;
+const MAX_ASKED: usize = 2;
 const RELAYS: u8 = 2;
 const AGAIN_MS: u64 = 250;
 
@@ -256,7 +256,7 @@
         // Those that are known, and the seeds.
         let known = self.entries[entry].known.keys().copied();
         let others = known.chain((0..3).filter(|it| *it != entry));
-        let told = others.choose_multiple(&mut self.random, MOST_TOLD);
+        let told = others.choose_multiple(&mut self.random, MAX_TOLD);
         let word = self.entries[entry].limit.word(Millis(now));
         let changed = self.entries[entry].limit.changed();
         let is_news = Millis(now).since(changed) < Millis(NEWS_MS);
@@ -363,7 +363,7 @@
     }
 
     fn decide(&mut self, entry: usize, relays: u8) -> Verdict {
-        for asked in 0..MOST_ASKED {
+        for asked in 0..MAX_ASKED {
             let other = match self.keeper(entry) {
                 Keeper::Other(_) if asked > 0 && relays < RELAYS => break,
                 Keeper::Other(other) if relays > 0 => other,
@@ -397,7 +397,7 @@
             presence,
         };
         let known = &self.entries[entry].known;
-        let silence = keeper::silence(known.len(), MOST_TOLD).0;
+        let silence = keeper::silence(known.len(), MAX_TOLD).0;
         let others = known.iter().map(|(other, (heard, mute))| {
             let silent = self.now - heard >= silence || *mute > self.now;
             let presence =
@@ -410,7 +410,7 @@
     fn give(&mut self, entry: usize, substitute: bool) -> Verdict {
         let now = Millis(self.now);
         let known = &self.entries[entry].known;
-        let silence = keeper::silence(known.len(), MOST_TOLD).0;
+        let silence = keeper::silence(known.len(), MAX_TOLD).0;
         let heard = known.values().filter(|it| self.now - it.0 < silence);
         let share = (heard.count() + 1) as f64 / (known.len() + 1) as f64;
         let entry = &mut self.entries[entry];
--- a/cowsliproad-bench/src/experiment/quarantine.rs
+++ b/cowsliproad-bench/src/experiment/quarantine.rs
@@ -55,7 +55,7 @@
 /// A word's way, and how often entries speak; as in the entry.
 const WAY_MS: u64 = 3;
 const TELL_MS: u64 = 500;
-const MOST_TOLD: usize = 16;
+const MAX_TOLD: usize = 16;
 
 /// Ends from which on work is written to the log; as in the entry.
 const WRITTEN_ENDS: usize = 2;
@@ -424,7 +424,7 @@
         }
         let bytes = gossip::encode(&Suspects::pack(told.clone())).len();
         let others = (0..self.size.entries).filter(|it| *it != entry);
-        let others = others.choose_multiple(&mut self.random, MOST_TOLD);
+        let others = others.choose_multiple(&mut self.random, MAX_TOLD);
         for other in others {
             self.score.bytes += bytes as u64;
             let lost = self.random.random_bool(self.size.loss);
--- a/cowsliproad-direct/src/stay.rs
+++ b/cowsliproad-direct/src/attempt.rs
@@ -1,4 +1,4 @@
-//! A request's stay at a target, from its sending to its end.
+//! One attempt at a target, from its start to its end.
 
 use std::{cell::Cell, rc::Rc};
 
@@ -6,15 +6,15 @@
 use cowsliproad_kernel::{Name, clock::Millis};
 
 use crate::{
-    call::{Call, Miss},
+    call::{AttemptError, Call},
     ends::{self, Doubt},
     entry::{Choice, Entry},
 };
 
-/// A request's stay at a target. However it is left, by its caller too, it is
+/// One attempt at a target. However it ends, by its caller too, it is
 /// asked whether the target ended under it, unless it is known not to have.
 #[derive(Debug)]
-pub struct Stay {
+pub struct Attempt {
     entry: Rc<Entry>,
     choice: Choice,
     call: (Name, Work),
@@ -27,11 +27,11 @@
     settled: Cell<bool>,
 }
 
-impl Stay {
+impl Attempt {
     /// Counts a request in.
-    pub fn new(entry: &Rc<Entry>, call: &Call, choice: &Choice) -> Stay {
-        choice.seat.borrow_mut().record.start();
-        Stay {
+    pub fn new(entry: &Rc<Entry>, call: &Call, choice: &Choice) -> Attempt {
+        choice.endpoint.borrow_mut().record.start();
+        Attempt {
             entry: entry.clone(),
             choice: choice.clone(),
             call: (call.id.clone(), call.work),
@@ -78,9 +78,9 @@
     pub fn answered(&self) {
         let Some(sent) = self.sent.get() else { return };
         let target = &self.choice.target;
-        let mut seat = self.choice.seat.borrow_mut();
-        seat.lived = seat.lived.max(Some(sent));
-        drop(seat);
+        let mut endpoint = self.choice.endpoint.borrow_mut();
+        endpoint.lived = endpoint.lived.max(Some(sent));
+        drop(endpoint);
         self.entry.heard_from(&target.zone, sent);
         self.entry.note_answer(target, sent, Millis::now());
     }
@@ -89,14 +89,14 @@
     pub fn success(&self) {
         let now = Millis::now();
         let took = now.since(self.began);
-        self.choice.seat.borrow_mut().record.success(took, now);
+        self.choice.endpoint.borrow_mut().record.success(took, now);
         self.outlived();
         self.entry.note_outlived(self.call.1, now);
     }
 
     /// Notes an answer that tells of a failure.
     pub fn failed(&self) {
-        self.choice.seat.borrow_mut().record.failure(Millis::now());
+        self.choice.endpoint.borrow_mut().record.failure(Millis::now());
         self.outlived();
     }
 
@@ -106,19 +106,21 @@
     }
 
     /// Notes that there was no answer.
-    pub fn missed(&self, miss: &Miss) {
-        self.choice.missed(&self.entry, miss);
-        self.left(miss);
+    pub fn on_attempt_failed(&self, error: &AttemptError) {
+        self.choice.on_attempt_failed(&self.entry, error);
+        self.left(error);
     }
 
     /// Asks what became of the target, if it may have begun it.
-    pub fn left(&self, miss: &Miss) {
-        match miss {
-            Miss::Refused(_) | Miss::Unsent(_) | Miss::Withheld(_) => {
+    pub fn left(&self, error: &AttemptError) {
+        match error {
+            AttemptError::Refused(_)
+            | AttemptError::Unsent(_)
+            | AttemptError::Withheld(_) => {
                 self.outlived();
             }
-            Miss::Broken(_) => self.doubt(Doubt::broken),
-            Miss::Unknown(_) => self.give_up(),
+            AttemptError::Broken(_) => self.doubt(Doubt::broken),
+            AttemptError::Unknown(_) => self.give_up(),
         }
     }
 
@@ -135,9 +137,9 @@
     }
 }
 
-impl Drop for Stay {
+impl Drop for Attempt {
     fn drop(&mut self) {
-        self.choice.seat.borrow_mut().record.end();
+        self.choice.endpoint.borrow_mut().record.end();
         self.give_up();
     }
 }
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -30,10 +30,10 @@
 use tokio::time::Instant;
 
 use crate::{
+    attempt::Attempt,
     entry::{Choice, Entry},
     receive::{USUAL_TIME, drop_hop_by_hop, work_of},
     reply::Body,
-    stay::Stay,
     upstream::{self, Failure, Lease, Reuse},
 };
 
@@ -43,7 +43,7 @@
 pub use self::choose::STAGGER_TIME;
 
 /// The largest answer that is read whole before it is passed on.
-const MOST_ANSWER_BYTES: usize = 8 << 20;
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// A first answer may take this part of the time it is wanted in, in
 /// percent, before another target is asked: what is left is enough for it.
@@ -51,7 +51,7 @@
 
 /// The least time for a first try, three times the way there and back and
 /// the usual work.
-const LEAST_TRY: Millis = Millis(40);
+const MIN_TRY: Millis = Millis(40);
 
 /// Ranks that a request falls back in a target's queue once it is late.
 const LATE_RANKS: u16 = 2;
@@ -117,7 +117,7 @@
 
 /// How a try ended without an answer to pass on.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Miss {
+pub enum AttemptError {
     /// The target did not run it and never will.
     Refused(&'static str),
     /// It was not sent.
@@ -221,53 +221,53 @@
         &mut self,
         entry: &Rc<Entry>,
         choice: &Choice,
-        stay: &Stay,
+        attempt: &Attempt,
         resume: Option<u64>,
-    ) -> Result<Opened, Miss> {
+    ) -> Result<Opened, AttemptError> {
         let reuse =
             if self.route.repeats() { Reuse::Any } else { Reuse::Fresh };
         if !self.sent.contains(&choice.target.id) {
             self.sent.push(choice.target.id.clone());
         }
         let request = self.request(choice, resume);
-        let (answer, lease) = upstream::send(stay, choice, request, reuse)
+        let (answer, lease) = upstream::send(attempt, choice, request, reuse)
             .await
             .map_err(|failure| match failure {
-                Failure::Unsent(why) => Miss::Unsent(why),
-                Failure::Withheld(why) => Miss::Withheld(why),
-                Failure::Unknown(why) => Miss::Broken(why),
+                Failure::Unsent(why) => AttemptError::Unsent(why),
+                Failure::Withheld(why) => AttemptError::Withheld(why),
+                Failure::Unknown(why) => AttemptError::Broken(why),
             })?;
         let (head, body) = answer.into_parts();
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             // Another process answers: this one is no more.
             entry.note_left(&choice.target);
-            return Err(Miss::Refused("another incarnation"));
+            return Err(AttemptError::Refused("another incarnation"));
         }
         entry.note_stated(choice, &self.id, &head);
         let echoed = head.headers.get(&header::REQUEST_ID);
         let own = self.head.headers.get(&header::REQUEST_ID);
         if echoed.is_some() && echoed != own {
-            return Err(Miss::Unknown("another request's answer"));
+            return Err(AttemptError::Unknown("another request's answer"));
         }
         if echoed.is_some() || head.headers.contains_key(&header::NOT_RUN) {
-            entry.note_limit(choice, stay, &head.headers);
+            entry.note_limit(choice, attempt, &head.headers);
         }
-        stay.answered();
+        attempt.answered();
         if head.headers.contains_key(&header::NOT_RUN) {
             let at_fault = head.headers.contains_key(&header::AT_FAULT);
             drop(body);
             if at_fault {
                 entry.note_broken(choice);
-                return Err(Miss::Refused("its group is broken"));
+                return Err(AttemptError::Refused("its group is broken"));
             }
-            return Err(Miss::Refused("refused by the target"));
+            return Err(AttemptError::Refused("refused by the target"));
         }
         if echoed.is_none()
             || head.headers.contains_key(standard::CONTENT_ENCODING)
             || head.status.is_success()
                 && !head.headers.contains_key(&header::SIGNATURE)
         {
-            return Err(Miss::Unknown("not an answer of the target"));
+            return Err(AttemptError::Unknown("not an answer of the target"));
         }
         Ok(Opened { head, body, lease })
     }
@@ -277,9 +277,9 @@
         &mut self,
         entry: &Rc<Entry>,
         choice: &Choice,
-        stay: &Stay,
-    ) -> Result<Response<Body>, Miss> {
-        let opened = self.open(entry, choice, stay, None).await?;
+        attempt: &Attempt,
+    ) -> Result<Response<Body>, AttemptError> {
+        let opened = self.open(entry, choice, attempt, None).await?;
         read_whole(opened).await
     }
 
@@ -330,15 +330,17 @@
             return left;
         }
         let first = Millis(aim.0 * FIRST_TRY_PERCENT / 100);
-        first.max(LEAST_TRY).min(left)
+        first.max(MIN_TRY).min(left)
     }
 }
 
 /// Reads the body of an answer and keeps its connection.
-pub async fn read_whole(opened: Opened) -> Result<Response<Body>, Miss> {
+pub async fn read_whole(
+    opened: Opened,
+) -> Result<Response<Body>, AttemptError> {
     let Opened { mut head, body, lease } = opened;
-    let body = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|_| Miss::Broken("the answer was cut"))?;
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|_| AttemptError::Broken("the answer was cut"))?;
     lease.keep(Millis::now());
     let promises = matches!(
         head.status,
@@ -348,7 +350,7 @@
     );
     if promises {
         // It doesn't say that it did not run the request, so we can't.
-        return Err(Miss::Unknown("a refusal without a promise"));
+        return Err(AttemptError::Unknown("a refusal without a promise"));
     }
     drop_hop_by_hop(&mut head.headers);
     head.headers.remove(standard::CONTENT_LENGTH);
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -25,7 +25,7 @@
 
 /// Places that a request asks for in vain before it goes where no limit is,
 /// or is refused: a few of 3 ms each.
-const MOST_TURNED_AWAY: usize = 3;
+const MAX_TURNED_AWAY: usize = 3;
 
 /// What is left of a caller's patience for the answer's way: 3 ms there, and
 /// a VM that has used up its share of a tenth of a second.
@@ -167,7 +167,7 @@
             return Err(self.give_up(entry, "no retry is left"));
         }
         self.log_choice(entry, &choice, now);
-        choice.seat.borrow_mut().probe(now);
+        choice.endpoint.borrow_mut().probe(now);
         self.tries += 1;
         self.turned_away = 0;
         Ok(Some(choice))
@@ -210,7 +210,7 @@
             let fits = |it: &Target| self.sent.contains(&it.id) != new;
             entry.look(&self.service, now, self.stagger, fits)
         };
-        let may_ask = self.turned_away < MOST_TURNED_AWAY;
+        let may_ask = self.turned_away < MAX_TURNED_AWAY;
         let asks = if may_ask { Asks::Now } else { Asks::Never };
         let more = self.may_go_elsewhere();
         let first = look(more);
@@ -234,15 +234,15 @@
     }
 
     fn log_choice(&self, entry: &Entry, choice: &Choice, now: Millis) {
-        let seat = choice.seat.borrow();
-        let group = seat.group.as_ref();
+        let endpoint = choice.endpoint.borrow();
+        let group = endpoint.group.as_ref();
         let age = group.map_or(-1, |it| now.since(it.heard).0 as i64);
-        let word = seat.limit.word(now);
+        let word = endpoint.limit.word(now);
         info!(entry.log, "chosen"; "request" => &*self.id,
             "work" => %self.work,
             "target" => &*choice.target.id, "route" => &*self.route.name,
-            "cost" => choice.cost as u64, "at_target" => seat.record.occupancy(now),
-            "own" => seat.record.in_flight(), "report_age" => age,
+            "cost" => choice.cost as u64, "at_target" => endpoint.record.occupancy(now),
+            "own" => endpoint.record.in_flight(), "report_age" => age,
             "limit" => choice.limit.map(|it| it.a_second()),
             "limit_age" => word.map(|it| it.age.0),
             "denied" => self.turned_away,
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -8,7 +8,7 @@
 use slog::info;
 use tokio::time::sleep;
 
-use super::{Call, Certainty, Draws, Miss};
+use super::{AttemptError, Call, Certainty, Draws};
 use crate::{
     entry::{Choice, Entry},
     reply::{self, Body},
@@ -19,7 +19,7 @@
 
 /// Callers that are told of a free place come back after this at the least:
 /// their way there and back takes longer than the place stays free.
-const LEAST_RETURN: Millis = Millis(50);
+const MIN_RETURN: Millis = Millis(50);
 
 /// They look for new targets after this at the latest.
 const MAX_RETURN: Millis = Millis(600_000);
@@ -30,7 +30,7 @@
 
 /// Tries of one request of any kind. Those that can't connect end at once or
 /// after a quarter of a second each.
-const MOST_TRIES: usize = 12;
+const MAX_TRIES: usize = 12;
 
 /// What a caller hears whose work ends its targets.
 const DEADLY: &str = "targets ended each time they ran this\n";
@@ -46,40 +46,40 @@
 const AGAIN_TIME: Millis = Millis(60);
 
 impl Call {
-    /// Takes a miss in. Returns the final answer if nothing may follow.
-    pub async fn missed(
+    /// Takes a error in. Returns the final answer if nothing may follow.
+    pub async fn on_attempt_failed(
         &mut self,
         entry: &Rc<Entry>,
         choice: &Choice,
-        miss: Miss,
+        error: AttemptError,
     ) -> Option<Response<Body>> {
-        let why = match miss {
-            Miss::Refused(why) => {
+        let why = match error {
+            AttemptError::Refused(why) => {
                 entry.measure.tried("refused");
                 why
             }
-            Miss::Unsent(why) => {
+            AttemptError::Unsent(why) => {
                 entry.measure.tried("unsent");
                 self.sent.retain(|it| *it != choice.target.id);
                 // What never arrived is no repeat.
-                if self.left().0 > 0 && self.tries < MOST_TRIES {
+                if self.left().0 > 0 && self.tries < MAX_TRIES {
                     info!(entry.log, "unsent"; "request" => &*self.id,
                         "target" => &*choice.target.id, "why" => why);
                     return None;
                 }
                 why
             }
-            Miss::Withheld(why) => {
+            AttemptError::Withheld(why) => {
                 entry.measure.tried("withheld");
                 self.sent.retain(|it| *it != choice.target.id);
-                if self.left().0 > 0 && self.tries < MOST_TRIES {
+                if self.left().0 > 0 && self.tries < MAX_TRIES {
                     info!(entry.log, "withheld"; "request" => &*self.id,
                         "target" => &*choice.target.id, "why" => why);
                     return None;
                 }
                 why
             }
-            Miss::Unknown(why) | Miss::Broken(why) => {
+            AttemptError::Unknown(why) | AttemptError::Broken(why) => {
                 entry.measure.tried("unknown");
                 self.ran();
                 why
@@ -88,13 +88,13 @@
         if !self.may_try_again(entry, choice, why) {
             return Some(self.give_up(entry, why));
         }
-        if matches!(miss, Miss::Broken(_)) {
+        if matches!(error, AttemptError::Broken(_)) {
             sleep(BREAK_TIME.duration()).await;
         }
         let again = self.sent.len() >= self.route.attempts as usize;
         let now = Millis::now();
         let cools = entry.cooldown_end(&choice.target, now).is_some();
-        if again && !cools && matches!(miss, Miss::Refused(_)) {
+        if again && !cools && matches!(error, AttemptError::Refused(_)) {
             sleep(AGAIN_TIME.duration()).await;
         }
         None
@@ -166,7 +166,7 @@
         entry: &Entry,
         after: Millis,
     ) -> Response<Body> {
-        let after = after.clamp(LEAST_RETURN, MAX_RETURN);
+        let after = after.clamp(MIN_RETURN, MAX_RETURN);
         let after = patience::spread_return(after, entry.draw());
         info!(entry.log, "turned_away"; "request" => &*self.id,
             "certainty" => ?self.certainty, "after" => after.0,
--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -53,7 +53,7 @@
 const IDLE_GRACE: Millis = Millis(2_000);
 
 /// Heads shorter than this are always read; the library asks for so much.
-const LEAST_HEAD_BYTES: usize = 8_192;
+const MIN_HEAD_BYTES: usize = 8_192;
 
 /// Serves callers until the process was told to stop and all requests are
 /// answered, or the grace time is over.
@@ -151,7 +151,7 @@
             return;
         }
     };
-    let head = limits(&entry).header_bytes.max(LEAST_HEAD_BYTES);
+    let head = limits(&entry).header_bytes.max(MIN_HEAD_BYTES);
     let mut serving = std::pin::pin!(
         http1::Builder::new()
             .max_buf_size(head)
@@ -165,7 +165,7 @@
             () = entry.closing.notified() => {}
         }
         match verdict(&entry, &activity) {
-            Verdict::Stay => {}
+            Verdict::Attempt => {}
             // A request under way is answered first.
             Verdict::End => serving.as_mut().graceful_shutdown(),
             // The library waits for the rest of a head for ever.
@@ -176,7 +176,7 @@
 
 /// What is to become of a connection.
 enum Verdict {
-    Stay,
+    Attempt,
     End,
     Drop,
 }
@@ -210,7 +210,7 @@
     if spent || entry.phase.get() == Phase::Closing {
         return Verdict::End;
     }
-    Verdict::Stay
+    Verdict::Attempt
 }
 
 fn limits(entry: &Entry) -> Limits {
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -24,7 +24,7 @@
 use slog::info;
 use tokio::{net::TcpStream, time::sleep};
 
-use crate::entry::{Choice, Entry, Seat};
+use crate::entry::{Choice, Endpoint, Entry};
 
 /// What a report or answer may have taken on its way: one that came sooner
 /// after a break may be from before it. Some 5 ms each, and more where a VM
@@ -46,13 +46,13 @@
 const ASK_TIME: Millis = Millis(250);
 
 /// How often is asked when there is no answer, and the pause between.
-const MOST_ASKED: u32 = 3;
+const MAX_ASKED: u32 = 3;
 const PAUSE: Millis = Millis(300);
 
 /// Requests that are asked about at once, some 70 bytes each: all that a
 /// target runs and has waiting from one entry. Those that were given up give
 /// way to others, the oldest first.
-const MOST_DOUBTS: usize = 64;
+const MAX_DOUBTS: usize = 64;
 
 /// A request under which its target may have ended.
 #[derive(Clone, Debug)]
@@ -121,15 +121,15 @@
 
 /// Asks whether a target ended under a request.
 pub fn doubt(entry: &Rc<Entry>, choice: &Choice, doubt: Doubt) {
-    let mut seat = choice.seat.borrow_mut();
-    if seat.doubts.len() >= MOST_DOUBTS {
+    let mut endpoint = choice.endpoint.borrow_mut();
+    if endpoint.doubts.len() >= MAX_DOUBTS {
         entry.measure.doubted(1, "untold");
-        let oldest = seat.doubts.iter().position(Doubt::is_given_up);
+        let oldest = endpoint.doubts.iter().position(Doubt::is_given_up);
         let Some(oldest) = oldest else { return };
-        seat.doubts.remove(oldest);
+        endpoint.doubts.remove(oldest);
     }
-    seat.doubts.push(doubt);
-    if seat.doubts.len() == 1 {
+    endpoint.doubts.push(doubt);
+    if endpoint.doubts.len() == 1 {
         tokio::task::spawn_local(look(entry.clone(), choice.clone()));
     }
 }
@@ -159,7 +159,7 @@
             None => ask(&entry, &choice).await,
         };
         asked += 1;
-        if fate == Fate::Unknown && asked < MOST_ASKED {
+        if fate == Fate::Unknown && asked < MAX_ASKED {
             sleep(PAUSE.duration()).await;
             continue;
         }
@@ -172,20 +172,20 @@
 /// rest.
 fn settle_by_signs(entry: &Entry, choice: &Choice) -> Option<Millis> {
     let (lived, lost) = {
-        let seat = choice.seat.borrow();
-        (seat.lived, seat.lost)
+        let endpoint = choice.endpoint.borrow();
+        (endpoint.lived, endpoint.lost)
     };
     let outlived = |it: &Doubt| lived.is_some_and(|at| it.counts_from() <= at);
     settle(entry, choice, Fate::Lives, outlived);
     let ended = |it: &Doubt| lost.is_some_and(|at| it.at <= at + WAY_TIME);
     settle(entry, choice, Fate::Ended, ended);
-    let seat = choice.seat.borrow();
-    let due = |it: &Doubt| it.at + it.lingers + patience(&seat, it.at);
-    seat.doubts.iter().map(due).min()
+    let endpoint = choice.endpoint.borrow();
+    let due = |it: &Doubt| it.at + it.lingers + patience(&endpoint, it.at);
+    endpoint.doubts.iter().map(due).min()
 }
 
-fn patience(seat: &Seat, since: Millis) -> Millis {
-    let heard = seat.group.as_ref().map(|it| since.since(it.heard));
+fn patience(endpoint: &Endpoint, since: Millis) -> Millis {
+    let heard = endpoint.group.as_ref().map(|it| since.since(it.heard));
     match heard {
         Some(age) if age < MUTE_TIME => AGENT_TIME,
         _ => PLAIN_TIME,
@@ -193,7 +193,7 @@
 }
 
 async fn ask(entry: &Entry, choice: &Choice) -> Fate {
-    let newest = choice.seat.borrow().doubts.last().map(|it| it.at);
+    let newest = choice.endpoint.borrow().doubts.last().map(|it| it.at);
     let since = newest.unwrap_or_default() + WAY_TIME;
     let opening = TcpStream::connect(choice.target.address);
     match tokio::time::timeout(ASK_TIME.duration(), opening).await {
@@ -216,7 +216,7 @@
 ) {
     let now = Millis::now();
     let mut settled = Vec::new();
-    choice.seat.borrow_mut().doubts.retain_mut(|it| {
+    choice.endpoint.borrow_mut().doubts.retain_mut(|it| {
         if !is_settled(it) {
             return true;
         }
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -39,14 +39,14 @@
 
 /// Routes whose callers' patience is remembered, some 60 bytes each: more
 /// than operators have had.
-const MOST_ROUTES: usize = 10_000;
+const MAX_ROUTES: usize = 10_000;
 
 /// Availability zones that are kept track of, twice those of the largest
 /// fleet to come.
-const MOST_ZONES: usize = 64;
+const MAX_ZONES: usize = 64;
 
 /// Entries of other writers that are told of.
-const MOST_REFUSED: usize = 1_000;
+const MAX_REFUSED: usize = 1_000;
 
 /// Where new facts came from, for logs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -72,7 +72,7 @@
 
 /// What an entry keeps of one target beside what the log says.
 #[derive(Debug, Default)]
-pub struct Seat {
+pub struct Endpoint {
     /// How it fared.
     pub record: Record,
     /// Idle connections.
@@ -153,7 +153,7 @@
     refused: RefCell<HashSet<String>>,
     /// Announcements as they came, for entries that start without the log.
     pub announced: RefCell<HashMap<Name, Bytes>>,
-    seats: RefCell<HashMap<Name, Rc<RefCell<Seat>>>>,
+    endpoints: RefCell<HashMap<Name, Rc<RefCell<Endpoint>>>>,
     budgets: RefCell<HashMap<Name, Window>>,
     /// What was last said of each group, by any of its ranks.
     formations: RefCell<HashMap<Name, Formation>>,
@@ -206,7 +206,7 @@
     /// The target.
     pub target: Target,
     /// What the entry keeps of it.
-    pub seat: Rc<RefCell<Seat>>,
+    pub endpoint: Rc<RefCell<Endpoint>>,
     /// Its cost when it was chosen, in milliseconds.
     pub cost: f64,
     /// Connections to it that this entry may have.
@@ -231,7 +231,7 @@
             patience: RefCell::new(HashMap::new()),
             refused: RefCell::new(HashSet::new()),
             announced: RefCell::new(HashMap::new()),
-            seats: RefCell::new(HashMap::new()),
+            endpoints: RefCell::new(HashMap::new()),
             budgets: RefCell::new(HashMap::new()),
             formations: RefCell::new(HashMap::new()),
             quarantine: RefCell::new(Quarantine::default()),
@@ -320,7 +320,7 @@
     /// Notes an entry that is no target's.
     pub fn refuse_target(&self, key: &str, error: &serde_json::Error) {
         let mut refused = self.refused.borrow_mut();
-        if refused.len() < MOST_REFUSED && refused.insert(key.into()) {
+        if refused.len() < MAX_REFUSED && refused.insert(key.into()) {
             warn!(self.log, "target_refused"; "target" => key,
                 "error" => %error);
         }
@@ -337,7 +337,7 @@
                         "source" => ?source);
                     // Requests there, connections and what its agent said
                     // were of the start before.
-                    self.seats.borrow_mut().remove(id);
+                    self.endpoints.borrow_mut().remove(id);
                     self.limits.borrow_mut().forget(id);
                 }
                 let fleet = self.fleet.borrow();
@@ -354,7 +354,7 @@
                 self.note_change(source);
                 info!(self.log, "target_left"; "target" => id,
                     "source" => ?source);
-                self.seats.borrow_mut().remove(id);
+                self.endpoints.borrow_mut().remove(id);
                 self.limits.borrow_mut().forget(id);
                 let addresses: HashSet<SocketAddr> =
                     self.fleet.borrow().ready().map(|it| it.address).collect();
@@ -397,18 +397,18 @@
     }
 
     /// What is kept of a target, if anything is.
-    pub fn known_seat(&self, id: &str) -> Option<Rc<RefCell<Seat>>> {
-        self.seats.borrow().get(id).cloned()
+    pub fn known_endpoint(&self, id: &str) -> Option<Rc<RefCell<Endpoint>>> {
+        self.endpoints.borrow().get(id).cloned()
     }
 
     /// What is kept of a target.
-    pub fn seat(&self, id: &Name) -> Rc<RefCell<Seat>> {
+    pub fn endpoint(&self, id: &Name) -> Rc<RefCell<Endpoint>> {
         let new = || {
             let freed = self.freed.clone();
-            Rc::new(RefCell::new(Seat { freed, ..Seat::default() }))
+            Rc::new(RefCell::new(Endpoint { freed, ..Endpoint::default() }))
         };
-        let mut seats = self.seats.borrow_mut();
-        seats.entry(id.clone()).or_insert_with(new).clone()
+        let mut endpoints = self.endpoints.borrow_mut();
+        endpoints.entry(id.clone()).or_insert_with(new).clone()
     }
 
     /// Whether the entry can serve: it knows routes and targets.
@@ -422,7 +422,7 @@
     /// callers do on their first try.
     pub fn patience_of(&self, route: &Name, left: Millis) -> Millis {
         let mut patience = self.patience.borrow_mut();
-        if patience.len() > MOST_ROUTES {
+        if patience.len() > MAX_ROUTES {
             patience.clear();
         }
         let longest = patience.entry(route.clone()).or_default();
@@ -435,7 +435,7 @@
         let mut zones = self.zones.borrow_mut();
         if let Some(heard) = zones.get_mut(zone) {
             *heard = at.max(*heard);
-        } else if zones.len() < MOST_ZONES {
+        } else if zones.len() < MAX_ZONES {
             zones.insert(zone.clone(), at);
         }
     }
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -8,7 +8,7 @@
     pick::{self, Candidate, Distance, Record, Usual},
 };
 
-use super::{Choice, Entry, Group, Recovery, Seat, groups::SILENT_TIME};
+use super::{Choice, Endpoint, Entry, Group, Recovery, groups::SILENT_TIME};
 
 /// The targets of a service that work, as an entry sees them at a moment.
 pub struct Sight {
@@ -109,14 +109,16 @@
     fn is_usable(&self, seen: &Seen, asks: Asks) -> bool {
         let Some(free) = seen.free else { return true };
         match asks {
-            Asks::Now => free <= self.at && !seen.choice.seat.borrow().asking,
+            Asks::Now => {
+                free <= self.at && !seen.choice.endpoint.borrow().asking
+            }
             Asks::Ahead(patience) => free <= self.at + patience,
             Asks::Never => false,
         }
     }
 }
 
-impl Seat {
+impl Endpoint {
     /// Until when only one request is under way there, if that is so.
     fn probe_end(&self, now: Millis) -> Option<Millis> {
         match self.recovery {
@@ -148,31 +150,32 @@
         let most = self.connections(service);
         let zone = &self.settings().zone;
         let own = fleet.ready().filter(|it| &*it.service == service);
-        let seated: Vec<(&Target, Rc<RefCell<Seat>>)> =
-            own.map(|it| (it, self.seat(&it.id))).collect();
+        let with_endpoints: Vec<(&Target, Rc<RefCell<Endpoint>>)> =
+            own.map(|it| (it, self.endpoint(&it.id))).collect();
         // Where most agents report, a target whose agent is silent is not
         // idle but unknown: its VM may be frozen, or it may be the slow one.
         let known = |group: &Option<Group>| {
             let heard = group.as_ref().map(|it| now.since(it.heard));
             heard.is_some_and(|age| age < SILENT_TIME)
         };
-        let heard = seated.iter().filter(|it| known(&it.1.borrow().group));
-        let reported = heard.count() * 2 > seated.len();
+        let heard =
+            with_endpoints.iter().filter(|it| known(&it.1.borrow().group));
+        let reported = heard.count() * 2 > with_endpoints.len();
         let records: Vec<Record> =
-            seated.iter().map(|it| it.1.borrow().record).collect();
+            with_endpoints.iter().map(|it| it.1.borrow().record).collect();
         let usual = Usual::new(records.iter());
         let unseen =
             if reported { self.unseen(service, &records, now) } else { 0.0 };
-        let targets = seated.len();
+        let targets = with_endpoints.len();
         let mut fitting = 0;
         let (mut cooling, mut cooldown_end) = (0, None);
         let mut seen: Vec<Seen> = Vec::new();
-        for (target, seat) in seated {
+        for (target, endpoint) in with_endpoints {
             if !fits(target) {
                 continue;
             }
             fitting += 1;
-            let held = seat.borrow();
+            let held = endpoint.borrow();
             let group = held.group.as_ref();
             let closed = group.is_some_and(|it| !self.is_open(it));
             if closed || reported && !known(&held.group) {
@@ -211,7 +214,7 @@
             drop(held);
             let choice = Choice {
                 target: target.clone(),
-                seat,
+                endpoint,
                 cost,
                 connections: most,
                 limit,
@@ -264,7 +267,7 @@
             return usize::MAX;
         };
         let entries = self.peers.borrow().entries();
-        (most as usize / entries).max(LEAST_CONNECTIONS)
+        (most as usize / entries).max(MIN_CONNECTIONS)
     }
 }
 
@@ -282,4 +285,4 @@
 
 /// Connections to a target that an entry may have however many entries there
 /// are.
-const LEAST_CONNECTIONS: usize = 1;
+const MIN_CONNECTIONS: usize = 1;
--- a/cowsliproad-direct/src/entry/groups.rs
+++ b/cowsliproad-direct/src/entry/groups.rs
@@ -11,8 +11,8 @@
     /// them before an agent reports one. Each would refuse a request that
     /// can wait here, and draw on the retry budget.
     pub fn note_broken(&self, choice: &Choice) {
-        let seat = choice.seat.borrow();
-        let Some(group) = &seat.group else { return };
+        let endpoint = choice.endpoint.borrow();
+        let Some(group) = &endpoint.group else { return };
         self.note_formation(&group.name, group.epoch, false);
     }
 
@@ -41,8 +41,8 @@
     /// Whether the agent beside a target spoke lately.
     pub fn hears_of(&self, choice: &Choice) -> bool {
         let now = Millis::now();
-        let seat = choice.seat.borrow();
-        let group = seat.group.as_ref();
+        let endpoint = choice.endpoint.borrow();
+        let group = endpoint.group.as_ref();
         group.is_some_and(|it| now.since(it.heard) < SILENT_TIME)
     }
 
@@ -62,10 +62,11 @@
         service: &str,
         mut look: impl FnMut(Option<&Group>),
     ) {
-        let (fleet, seats) = (self.fleet.borrow(), self.seats.borrow());
+        let (fleet, endpoints) =
+            (self.fleet.borrow(), self.endpoints.borrow());
         for target in fleet.ready().filter(|it| &*it.service == service) {
-            match seats.get(&target.id) {
-                Some(seat) => look(seat.borrow().group.as_ref()),
+            match endpoints.get(&target.id) {
+                Some(endpoint) => look(endpoint.borrow().group.as_ref()),
                 None => look(None),
             }
         }
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -34,7 +34,7 @@
 
 /// The least time between two calls for one topic, so that a storm of new
 /// versions costs no more than 20 calls a second; only the newest counts.
-const LEAST_PAUSE: Millis = Millis(50);
+const MIN_PAUSE: Millis = Millis(50);
 
 /// The part of the time for a leaving target in which the targets are read
 /// once at the latest by some entry, in percent. Two readings may be late or
@@ -92,7 +92,7 @@
     let mut next = None;
     let mut called = Millis(0);
     loop {
-        let pause = (called + LEAST_PAUSE).since(Millis::now());
+        let pause = (called + MIN_PAUSE).since(Millis::now());
         sleep(pause.duration()).await;
         called = Millis::now();
         let read = match next {
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -10,12 +10,12 @@
 use tokio::time::timeout;
 
 use crate::{
-    call::{Call, Miss},
+    attempt::Attempt,
+    call::{AttemptError, Call},
     callers::Busy,
     entry::Entry,
     receive::receive,
     reply::{self, Body},
-    stay::Stay,
     stream,
 };
 
@@ -70,13 +70,13 @@
             Ok(choice) => choice,
             Err(answer) => return kept.unwrap_or(answer),
         };
-        let stay = Stay::new(entry, call, &choice);
+        let attempt = Attempt::new(entry, call, &choice);
         let patience = call.patience();
         let tried =
-            timeout(patience.duration(), call.get(entry, &choice, &stay));
-        let miss = match tried.await {
+            timeout(patience.duration(), call.get(entry, &choice, &attempt));
+        let error = match tried.await {
             Ok(Ok(answer)) if answer.status().is_server_error() => {
-                stay.failed();
+                attempt.failed();
                 entry.measure.tried("failed");
                 call.ran();
                 if !call.may_try_again(entry, &choice, "failed") {
@@ -86,16 +86,18 @@
                 continue;
             }
             Ok(Ok(answer)) => {
-                stay.success();
+                attempt.success();
                 entry.measure.tried("answered");
                 return answer;
             }
-            Ok(Err(miss)) => miss,
-            Err(_) => Miss::Unknown("no answer in time"),
+            Ok(Err(error)) => error,
+            Err(_) => AttemptError::Unknown("no answer in time"),
         };
-        stay.missed(&miss);
-        drop(stay);
-        if let Some(answer) = call.missed(entry, &choice, miss).await {
+        attempt.on_attempt_failed(&error);
+        drop(attempt);
+        if let Some(answer) =
+            call.on_attempt_failed(entry, &choice, error).await
+        {
             return kept.unwrap_or(answer);
         }
     }
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -13,7 +13,7 @@
 //! * [`call`]: tries at targets, and what may follow each;
 //! * [`stream`]: answers that are streams of events, resumed elsewhere;
 //! * [`stated`]: what targets state with their answers;
-//! * [`stay`]: a request's stay at a target;
+//! * [`attempt`]: one attempt at a target;
 //! * [`upstream`]: connections to targets;
 //! * [`ends`]: whether a target ended under its requests;
 //! * [`limits`]: targets that name how much they take from all entries;
@@ -37,6 +37,7 @@
 
 use crate::{entry::Entry, settings::Settings};
 
+pub mod attempt;
 pub mod call;
 pub mod callers;
 pub mod ends;
@@ -52,7 +53,6 @@
 pub mod reply;
 pub mod settings;
 pub mod stated;
-pub mod stay;
 pub mod stream;
 pub mod upstream;
 
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -31,9 +31,9 @@
 };
 
 use crate::{
-    call::Miss,
-    entry::{Choice, Entry, Recovery, Seat, Source},
-    stay::Stay,
+    attempt::Attempt,
+    call::AttemptError,
+    entry::{Choice, Endpoint, Entry, Recovery, Source},
 };
 
 /// How often a question for a place may be passed on: to the entry that is
@@ -51,7 +51,7 @@
 const MUTE_TIME: Millis = Millis(2_000);
 
 /// Entries that are asked for one place. Each may be gone.
-const MOST_ASKED: usize = 2;
+const MAX_ASKED: usize = 2;
 
 /// When a place is asked for again if nobody knows when one is free.
 const AGAIN_TIME: Millis = Millis(250);
@@ -67,7 +67,7 @@
 const EARLY_TIME: Millis = Millis(10_000);
 
 /// Limits that others are told of at a time, some 40 bytes each.
-const MOST_TOLD: usize = 256;
+const MAX_TOLD: usize = 256;
 
 /// Changes of limits are told at once no more often than this, however often
 /// targets change them.
@@ -111,10 +111,10 @@
 
     /// Keeps what was told of a target that isn't known yet.
     fn keep_early(&mut self, limit: &Limit, now: Millis) {
-        if self.early.len() >= MOST_TOLD {
+        if self.early.len() >= MAX_TOLD {
             self.early.retain(|_, it| now.since(it.1) < EARLY_TIME);
         }
-        if self.early.len() < MOST_TOLD {
+        if self.early.len() < MAX_TOLD {
             self.early.insert(limit.target.clone(), (limit.clone(), now));
         }
     }
@@ -128,41 +128,44 @@
 impl Choice {
     /// Whether a request may be sent there now.
     pub fn may_send(&self, now: Millis) -> bool {
-        let rate = self.seat.borrow().limit.rate();
+        let rate = self.endpoint.borrow().limit.rate();
         let Some(rate) = rate else { return true };
         self.place.is_some_and(|it| it.holds(rate, now))
     }
 
     /// Gives back the place of a request that wasn't sent.
     pub fn give_back(&self) {
-        self.seat.borrow_mut().places.extend(self.place);
+        self.endpoint.borrow_mut().places.extend(self.place);
     }
 
     /// Notes that a request got no answer there.
-    pub fn missed(&self, entry: &Entry, miss: &Miss) {
-        if matches!(miss, Miss::Unsent(_) | Miss::Withheld(_)) {
+    pub fn on_attempt_failed(&self, entry: &Entry, error: &AttemptError) {
+        if matches!(error, AttemptError::Unsent(_) | AttemptError::Withheld(_))
+        {
             self.give_back();
-            let mut seat = self.seat.borrow_mut();
-            if matches!(seat.recovery, Recovery::Probed(_)) {
-                seat.recovery = Recovery::Pending;
+            let mut endpoint = self.endpoint.borrow_mut();
+            if matches!(endpoint.recovery, Recovery::Probed(_)) {
+                endpoint.recovery = Recovery::Pending;
             }
         }
         let now = Millis::now();
         // A target that says when it takes requests again needs no guess.
-        let is_failure = match miss {
-            Miss::Withheld(_) => false,
-            Miss::Refused(_) => {
+        let is_failure = match error {
+            AttemptError::Withheld(_) => false,
+            AttemptError::Refused(_) => {
                 entry.cooldown_end(&self.target, now).is_none()
             }
-            Miss::Unsent(_) | Miss::Unknown(_) | Miss::Broken(_) => true,
+            AttemptError::Unsent(_)
+            | AttemptError::Unknown(_)
+            | AttemptError::Broken(_) => true,
         };
         if is_failure {
-            self.seat.borrow_mut().record.failure(now);
+            self.endpoint.borrow_mut().record.failure(now);
         }
     }
 }
 
-impl Seat {
+impl Endpoint {
     /// A place that came too late for the request that asked for it.
     pub fn has_place(&self, rate: Rate, now: Millis) -> bool {
         self.places.iter().any(|it| it.holds(rate, now))
@@ -184,12 +187,12 @@
 ) -> bool {
     let Some(rate) = choice.limit else { return true };
     let now = Millis::now();
-    let kept = choice.seat.borrow_mut().take_place(rate, now);
+    let kept = choice.endpoint.borrow_mut().take_place(rate, now);
     if kept.is_some() {
         choice.place = kept;
         return true;
     }
-    choice.seat.borrow_mut().asking = true;
+    choice.endpoint.borrow_mut().asking = true;
     let (sender, given) = oneshot::channel();
     let asking = get(entry.clone(), choice.clone(), patience, sender);
     tokio::task::spawn_local(asking);
@@ -201,7 +204,8 @@
         entry.measure.limited("none");
         return false;
     };
-    let mut held = Held { seat: choice.seat.clone(), place: Some(place) };
+    let mut held =
+        Held { endpoint: choice.endpoint.clone(), place: Some(place) };
     tokio::select! {
         () = sleep(place.from.since(Millis::now()).duration()) => {}
         () = entry.until_cooldown(&choice.target) => return false,
@@ -214,13 +218,13 @@
 /// A place whose time has not come. If its request is gone by then another
 /// one may have it.
 struct Held {
-    seat: Rc<RefCell<Seat>>,
+    endpoint: Rc<RefCell<Endpoint>>,
     place: Option<Place>,
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.seat.borrow_mut().places.extend(self.place.take());
+        self.endpoint.borrow_mut().places.extend(self.place.take());
     }
 }
 
@@ -233,25 +237,25 @@
 ) {
     let verdict = decide(&entry, &choice.target, patience, RELAYS).await;
     let now = Millis::now();
-    let mut seat = choice.seat.borrow_mut();
-    seat.asking = false;
+    let mut endpoint = choice.endpoint.borrow_mut();
+    endpoint.asking = false;
     match verdict {
         Verdict::Place(after) => {
             let from = now + after;
-            let rate = seat.limit.rate().or(choice.limit);
+            let rate = endpoint.limit.rate().or(choice.limit);
             let Some(rate) = rate else { return };
             let place = Place { rate, from, until: from + HOLD_TIME };
             if given.send(Some(place)).is_err() {
-                seat.places.push(place);
+                endpoint.places.push(place);
             }
         }
         Verdict::Later(after) => {
-            seat.full_until = now + after;
+            endpoint.full_until = now + after;
             // Whoever asked may have gone elsewhere.
             let _ = given.send(None);
         }
     }
-    drop(seat);
+    drop(endpoint);
     debug!(entry.log, "place"; "target" => &*choice.target.id,
         "verdict" => ?verdict, "patience" => patience.0);
 }
@@ -263,7 +267,7 @@
     patience: Millis,
     relays: u8,
 ) -> Verdict {
-    for asked in 0..MOST_ASKED {
+    for asked in 0..MAX_ASKED {
         let now = Millis::now();
         let zone = entry.settings().zone.clone();
         let keeper = entry.peers.borrow().keeper(target, &zone, now);
@@ -338,16 +342,16 @@
     pub fn note_limit(
         &self,
         choice: &Choice,
-        stay: &Stay,
+        attempt: &Attempt,
         headers: &HeaderMap,
     ) {
         let named = headers.get(&header::LIMIT);
         let now = Millis::now();
-        let sent = stay.sent_at().unwrap_or(now);
+        let sent = attempt.sent_at().unwrap_or(now);
         let bytes = named.map(HeaderValue::as_bytes);
-        let mut seat = choice.seat.borrow_mut();
-        let news = seat.limit.read(bytes, sent, now);
-        drop(seat);
+        let mut endpoint = choice.endpoint.borrow_mut();
+        let news = endpoint.limit.read(bytes, sent, now);
+        drop(endpoint);
         if news.unreadable {
             warn!(self.log, "limit_refused"; "target" => &*choice.target.id,
                 "limit" => ?named);
@@ -373,8 +377,8 @@
             return;
         }
         let word = Word { rate, age: limit.age };
-        let seat = self.seat(&limit.target);
-        let change = seat.borrow_mut().limit.hear(word, now);
+        let endpoint = self.endpoint(&limit.target);
+        let change = endpoint.borrow_mut().limit.hear(word, now);
         self.limit_changed(&limit.target, change, Source::Peer);
     }
 
@@ -391,13 +395,13 @@
         if change == Change::None {
             return;
         }
-        let Some(seat) = self.known_seat(target) else { return };
-        let mut seat = seat.borrow_mut();
-        let rate = seat.limit.rate();
+        let Some(endpoint) = self.known_endpoint(target) else { return };
+        let mut endpoint = endpoint.borrow_mut();
+        let rate = endpoint.limit.rate();
         if change == Change::Loosened {
-            seat.full_until = Millis(0);
+            endpoint.full_until = Millis(0);
         }
-        drop(seat);
+        drop(endpoint);
         info!(self.log, "limit"; "target" => &**target,
             "a_second" => rate.map(Rate::a_second), "change" => ?change,
             "source" => ?source);
@@ -417,8 +421,8 @@
     pub fn limits_told(&self, which: Told, now: Millis) -> Vec<Limit> {
         let fleet = self.fleet.borrow();
         let told = |target: &Target| {
-            let seat = self.known_seat(&target.id)?;
-            let limit = seat.borrow().limit;
+            let endpoint = self.known_endpoint(&target.id)?;
+            let limit = endpoint.borrow().limit;
             let word = limit.word(now)?;
             let is_news = now.since(limit.changed()) < NEWS_TIME;
             let is_told = match which {
@@ -427,22 +431,22 @@
             };
             is_told.then(|| limit_of(target, word))
         };
-        fleet.ready().filter_map(told).take(MOST_TOLD).collect()
+        fleet.ready().filter_map(told).take(MAX_TOLD).collect()
     }
 
     /// Targets that name a limit.
     pub fn limits_known(&self) -> usize {
         let fleet = self.fleet.borrow();
         let limited = |target: &&Target| {
-            let seat = self.known_seat(&target.id);
-            seat.is_some_and(|it| it.borrow().limit.rate().is_some())
+            let endpoint = self.known_endpoint(&target.id);
+            endpoint.is_some_and(|it| it.borrow().limit.rate().is_some())
         };
         fleet.ready().filter(limited).count()
     }
 
     /// What is known of a target's limit.
     fn limit_told(&self, target: &Target, now: Millis) -> Limit {
-        let word = self.seat(&target.id).borrow().limit.word(now);
+        let word = self.endpoint(&target.id).borrow().limit.word(now);
         let never = Word { rate: None, age: Millis(u64::MAX) };
         limit_of(target, word.unwrap_or(never))
     }
@@ -455,7 +459,7 @@
         patience: Millis,
         now: Millis,
     ) -> Verdict {
-        let word = self.seat(&target.id).borrow().limit.word(now);
+        let word = self.endpoint(&target.id).borrow().limit.word(now);
         let Some(Word { rate: Some(rate), age }) = word else {
             return Verdict::Place(Millis(0));
         };
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -55,7 +55,7 @@
 const LIMITS_EVERY: u32 = 8;
 
 /// Entries told at a time. With more of them news travels on by digests.
-const MOST_TOLD: usize = 16;
+const MAX_TOLD: usize = 16;
 
 /// Without a word for so long an entry is no longer told to others.
 const FORGET_TIME: Millis = Millis(12_000);
@@ -70,7 +70,7 @@
 const FETCH_TIME: Millis = Millis(1_000);
 
 /// The largest state that is fetched.
-const MOST_STATE_BYTES: usize = 16 << 20;
+const MAX_STATE_BYTES: usize = 16 << 20;
 
 /// Steps of a target's pace that are news to requests under way, in percent.
 const NEWS_PERCENT: u32 = 100;
@@ -199,7 +199,7 @@
     }
 
     fn silence(&self) -> Millis {
-        keeper::silence(self.known.len(), MOST_TOLD)
+        keeper::silence(self.known.len(), MAX_TOLD)
     }
 
     /// Notes entries that others speak of.
@@ -213,7 +213,7 @@
     fn told(&mut self, now: Millis) -> Vec<SocketAddr> {
         self.known.retain(|_, it| now.since(it.heard) < FORGET_TIME);
         let known = self.known.keys().copied();
-        let mut told = known.choose_multiple(&mut rand::rng(), MOST_TOLD);
+        let mut told = known.choose_multiple(&mut rand::rng(), MAX_TOLD);
         let unmet = |it: &&SocketAddr| !self.known.contains_key(*it);
         told.extend(self.seeds.iter().filter(unmet));
         told
@@ -347,7 +347,7 @@
 
 /// Takes datagrams for ever.
 pub async fn listen(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; gossip::MOST_BYTES];
+    let mut buffer = vec![0; gossip::MAX_BYTES];
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // An unreachable peer shows here; the next datagram may be good.
@@ -426,7 +426,7 @@
         return;
     };
     let client = Client::new();
-    let call = client.call(request, MOST_STATE_BYTES, FETCH_TIME.duration());
+    let call = client.call(request, MAX_STATE_BYTES, FETCH_TIME.duration());
     let body = match call.await {
         Ok(answer) => answer.into_body(),
         Err(error) => {
@@ -477,13 +477,13 @@
         return entry.note_left(&target);
     }
     let id = target.id;
-    let seat = entry.seat(&id);
-    let mut seat = seat.borrow_mut();
+    let endpoint = entry.endpoint(&id);
+    let mut endpoint = endpoint.borrow_mut();
     let stands = |it: &Group| (it.epoch, it.open, it.pace / NEWS_PERCENT);
-    let before = seat.group.as_ref().map(stands);
-    seat.record.report(load.running.saturating_add(load.queued), now);
-    seat.lived = Some(now);
-    seat.lost = None;
+    let before = endpoint.group.as_ref().map(stands);
+    endpoint.record.report(load.running.saturating_add(load.queued), now);
+    endpoint.lived = Some(now);
+    endpoint.lost = None;
     let group = Group {
         name: load.group.clone(),
         epoch: load.epoch,
@@ -494,8 +494,8 @@
     };
     let after = stands(&group);
     entry.note_formation(&group.name, group.epoch, group.open);
-    seat.group = Some(group);
-    drop(seat);
+    endpoint.group = Some(group);
+    drop(endpoint);
     if before != Some(after) {
         info!(entry.log, "group"; "target" => &*id, "epoch" => load.epoch,
             "open" => load.open, "step" => load.step, "pace" => load.pace);
@@ -510,8 +510,8 @@
         return;
     };
     entry.heard_from(&target.zone, now);
-    let seat = entry.seat(&target.id);
-    let before = seat.borrow_mut().lost.replace(now);
+    let endpoint = entry.endpoint(&target.id);
+    let before = endpoint.borrow_mut().lost.replace(now);
     if before.is_none() {
         info!(entry.log, "target_lost"; "target" => &*target.id);
         entry.tell_news();
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -39,7 +39,7 @@
 const HOLD_TIME: Millis = Millis(30_000);
 
 /// The least time between two reads of which the first brought nothing.
-const LEAST_TIME: Millis = Millis(15_000);
+const MIN_TIME: Millis = Millis(15_000);
 
 /// A target that answers so soon after its end did not end: none has started
 /// again by then.
@@ -55,7 +55,7 @@
 const SWEEP_TIME: Millis = Millis(10_000);
 
 /// Ended targets whose signs of life are looked for, 100 bytes each.
-const MOST_ENDED: usize = 1_024;
+const MAX_ENDED: usize = 1_024;
 
 /// What the entry knows and has to do.
 #[derive(Debug, Default)]
@@ -140,7 +140,7 @@
     }
 
     fn watch(&mut self, end: End, now: Millis) {
-        if self.ended.len() < MOST_ENDED {
+        if self.ended.len() < MAX_ENDED {
             let new = Ended { at: now, announced: None };
             self.ended.entry(end).or_insert(new);
         }
@@ -319,7 +319,7 @@
                     take(&entry, record);
                 }
                 // A log that doesn't hold reads is not asked all the time.
-                let rest = (called + LEAST_TIME).since(Millis::now());
+                let rest = (called + MIN_TIME).since(Millis::now());
                 if !first && page.records.is_empty() {
                     sleep(rest.duration()).await;
                 }
--- a/cowsliproad-direct/src/settings.rs
+++ b/cowsliproad-direct/src/settings.rs
@@ -99,12 +99,12 @@
         if self.heartbeat_ms.0 == 0 {
             return Err(("heartbeat_ms", "at least 1 is needed".into()));
         }
-        if self.drain_ms.0 < LEAST_DRAIN.0 {
-            let least = format!("at least {LEAST_DRAIN} is needed");
+        if self.drain_ms.0 < MIN_DRAIN.0 {
+            let least = format!("at least {MIN_DRAIN} is needed");
             return Err(("drain_ms", least));
         }
-        if self.grace_ms.0 < LEAST_GRACE.0 {
-            let least = format!("at least {LEAST_GRACE} is needed");
+        if self.grace_ms.0 < MIN_GRACE.0 {
+            let least = format!("at least {MIN_GRACE} is needed");
             return Err(("grace_ms", least));
         }
         let share = 0.0..=1.0;
@@ -114,8 +114,8 @@
         if self.retries.slack.is_nan() || self.retries.slack < 0.0 {
             return Err(("retries.slack", "0 or more is needed".into()));
         }
-        if self.retries.span_ms.0 < LEAST_SPAN.0 {
-            let least = format!("at least {LEAST_SPAN} is needed");
+        if self.retries.span_ms.0 < MIN_SPAN.0 {
+            let least = format!("at least {MIN_SPAN} is needed");
             return Err(("retries.span_ms", least));
         }
         Ok(())
@@ -123,10 +123,10 @@
 }
 
 /// Targets are read twice in this time, and a reading may be lost.
-const LEAST_DRAIN: Millis = Millis(200);
+const MIN_DRAIN: Millis = Millis(200);
 
 /// The balancer needs up to three seconds to notice that we aren't ready.
-const LEAST_GRACE: Millis = Millis(4_000);
+const MIN_GRACE: Millis = Millis(4_000);
 
 /// Two steps in which the budget's span slides.
-const LEAST_SPAN: Millis = Millis(1_000);
+const MIN_SPAN: Millis = Millis(1_000);
--- a/cowsliproad-direct/src/stated.rs
+++ b/cowsliproad-direct/src/stated.rs
@@ -74,13 +74,13 @@
                 return self.note_recovered(choice);
             }
             RetryAfter::Unreadable => {
-                let mut seat = choice.seat.borrow_mut();
-                if !std::mem::replace(&mut seat.unreadable, true) {
+                let mut endpoint = choice.endpoint.borrow_mut();
+                if !std::mem::replace(&mut endpoint.unreadable, true) {
                     warn!(self.log, "retry_after_refused";
                         "request" => request, "target" => &*target.id,
                         "stated" => ?stated);
                 }
-                drop(seat);
+                drop(endpoint);
                 return self.note_recovered(choice);
             }
         };
@@ -89,10 +89,10 @@
         if !self.cooldowns.borrow_mut().extend(target, wait, now) {
             return;
         }
-        let mut seat = choice.seat.borrow_mut();
-        seat.unreadable = false;
-        seat.recovery = Recovery::Pending;
-        drop(seat);
+        let mut endpoint = choice.endpoint.borrow_mut();
+        endpoint.unreadable = false;
+        endpoint.recovery = Recovery::Pending;
+        drop(endpoint);
         info!(self.log, "cooldown"; "request" => request,
             "target" => &*target.id, "status" => head.status.as_u16(),
             "stated" => ?stated, "wait" => wait.0,
@@ -107,10 +107,10 @@
     fn note_recovered(&self, choice: &Choice) {
         let now = Millis::now();
         let cools = self.cooldown_end(&choice.target, now).is_some();
-        let mut seat = choice.seat.borrow_mut();
-        if !cools && seat.recovery != Recovery::Done {
-            seat.recovery = Recovery::Done;
-            drop(seat);
+        let mut endpoint = choice.endpoint.borrow_mut();
+        if !cools && endpoint.recovery != Recovery::Done {
+            endpoint.recovery = Recovery::Done;
+            drop(endpoint);
             self.freed.notify_waiters();
         }
     }
@@ -144,6 +144,6 @@
         (numbers.next(), numbers.next())
     {
         let requests = running.saturating_add(waiting);
-        choice.seat.borrow_mut().record.report(requests, Millis::now());
+        choice.endpoint.borrow_mut().record.report(requests, Millis::now());
     }
 }
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -21,12 +21,12 @@
 };
 
 use crate::{
-    call::{Call, Miss, Opened, read_whole},
+    attempt::Attempt,
+    call::{AttemptError, Call, Opened, read_whole},
     callers::Busy,
     entry::{Choice, Entry, Group},
     receive::drop_hop_by_hop,
     reply::{Body, Piece},
-    stay::Stay,
     upstream::Lease,
 };
 
@@ -50,7 +50,7 @@
 /// One target's part of a stream.
 struct Run {
     choice: Choice,
-    stay: Stay,
+    attempt: Attempt,
     body: Incoming,
     lease: Option<Lease>,
     splitter: Splitter,
@@ -63,7 +63,7 @@
 enum Next {
     Event(Event),
     End,
-    Miss(Miss),
+    Failed(AttemptError),
 }
 
 /// Answers with a stream.
@@ -80,9 +80,11 @@
         match begin(entry, &mut call, &choice).await {
             Ok(Begun::Stream(head, run, first)) => break (head, run, first),
             Ok(Begun::Whole(answer)) => return answer,
-            Err(miss) => {
-                choice.missed(entry, &miss);
-                if let Some(answer) = call.missed(entry, &choice, miss).await {
+            Err(error) => {
+                choice.on_attempt_failed(entry, &error);
+                if let Some(answer) =
+                    call.on_attempt_failed(entry, &choice, error).await
+                {
                     return answer;
                 }
             }
@@ -114,7 +116,7 @@
     entry: &Rc<Entry>,
     call: &mut Call,
     choice: &Choice,
-) -> Result<Begun, Miss> {
+) -> Result<Begun, AttemptError> {
     let mut run = match open(entry, call, choice, None).await? {
         Ok(opened) => opened,
         Err(opened) => {
@@ -126,9 +128,9 @@
     let first = match run_ref.next(entry, end).await {
         Next::Event(event) => Some(event),
         Next::End => None,
-        Next::Miss(miss) => {
-            run_ref.stay.left(&miss);
-            return Err(miss);
+        Next::Failed(error) => {
+            run_ref.attempt.left(&error);
+            return Err(error);
         }
     };
     drop_hop_by_hop(&mut head.headers);
@@ -142,16 +144,16 @@
     call: &mut Call,
     choice: &Choice,
     resume: Option<u64>,
-) -> Result<Result<(response::Parts, Run), Opened>, Miss> {
-    let stay = Stay::new(entry, call, choice);
-    let opened = answer(entry, call, choice, &stay, resume).await?;
+) -> Result<Result<(response::Parts, Run), Opened>, AttemptError> {
+    let attempt = Attempt::new(entry, call, choice);
+    let opened = answer(entry, call, choice, &attempt, resume).await?;
     if !opened.head.status.is_success() {
-        stay.outlived();
+        attempt.outlived();
         return Ok(Err(opened));
     }
     let run = Run {
         choice: choice.clone(),
-        stay,
+        attempt,
         body: opened.body,
         lease: Some(opened.lease),
         splitter: Splitter::new(),
@@ -166,35 +168,36 @@
     entry: &Rc<Entry>,
     call: &mut Call,
     choice: &Choice,
-    stay: &Stay,
+    attempt: &Attempt,
     resume: Option<u64>,
-) -> Result<Opened, Miss> {
+) -> Result<Opened, AttemptError> {
     let (end, work) = (call.end(), call.work);
     let since = Moment::new(entry, choice);
-    let mut opening = std::pin::pin!(call.open(entry, choice, stay, resume));
+    let mut opening =
+        std::pin::pin!(call.open(entry, choice, attempt, resume));
     loop {
         let look = Instant::now() + LOOK_TIME.duration();
         tokio::select! {
             opened = &mut opening => {
-                return opened.inspect_err(|miss| stay.left(miss));
+                return opened.inspect_err(|error| attempt.left(error));
             }
             () = entry.news.notified() => {}
             () = sleep_until(end.min(look)) => {}
         }
         if Instant::now() >= end {
-            return Err(Miss::Unknown("no answer in time"));
+            return Err(AttemptError::Unknown("no answer in time"));
         }
         if slows_others(entry, choice) {
-            return Err(Miss::Unknown("slow"));
+            return Err(AttemptError::Unknown("slow"));
         }
         // It may still wait its turn there; left alone it ends one more.
         if entry.quarantine.borrow().refuses(work, Millis::now()) {
-            return Err(Miss::Unknown("it ends its targets"));
+            return Err(AttemptError::Unknown("it ends its targets"));
         }
         // A request may wait its turn at a target that is well.
         let alone = is_left_behind(entry, choice, since);
         if alone && !entry.hears_of(choice) {
-            return Err(Miss::Unknown("silent"));
+            return Err(AttemptError::Unknown("silent"));
         }
     }
 }
@@ -207,14 +210,16 @@
                 return Next::Event(event);
             }
             if self.splitter.is_over_long() {
-                return Next::Miss(Miss::Unknown("an event without an end"));
+                return Next::Failed(AttemptError::Unknown(
+                    "an event without an end",
+                ));
             }
             // News may have come while an event was passed on.
             let told = entry.news_told.get();
             if self.news != told {
                 self.news = told;
                 if slows_others(entry, &self.choice) {
-                    return Next::Miss(Miss::Unknown("slow"));
+                    return Next::Failed(AttemptError::Unknown("slow"));
                 }
             }
             let look = Instant::now() + LOOK_TIME.duration();
@@ -223,12 +228,12 @@
                 () = entry.news.notified() => continue,
                 () = sleep_until(end.min(look)) => {
                     if Instant::now() >= end {
-                        return Next::Miss(Miss::Unknown("no time left"));
+                        return Next::Failed(AttemptError::Unknown("no time left"));
                     }
                     if is_left_behind(entry, &self.choice, self.last_bytes) {
                         info!(entry.log, "silent";
                             "target" => &*self.choice.target.id);
-                        return Next::Miss(Miss::Unknown("silent"));
+                        return Next::Failed(AttemptError::Unknown("silent"));
                     }
                     continue;
                 }
@@ -240,10 +245,14 @@
                     self.last_bytes = Moment::new(entry, &self.choice);
                 }
                 Some(Err(_)) => {
-                    return Next::Miss(Miss::Broken("the stream was cut"));
+                    return Next::Failed(AttemptError::Broken(
+                        "the stream was cut",
+                    ));
                 }
                 None if self.splitter.is_inside() => {
-                    return Next::Miss(Miss::Broken("cut inside an event"));
+                    return Next::Failed(AttemptError::Broken(
+                        "cut inside an event",
+                    ));
                 }
                 None => return Next::End,
             }
@@ -268,8 +277,8 @@
 /// Whether a target has sent nothing for long while its group went on.
 fn is_left_behind(entry: &Entry, choice: &Choice, since: Moment) -> bool {
     let now = Millis::now();
-    let seat = choice.seat.borrow();
-    let Some(group) = &seat.group else { return false };
+    let endpoint = choice.endpoint.borrow();
+    let Some(group) = &endpoint.group else { return false };
     let goes_on = entry.step_of(&choice.target.service) >= since.step + PASSES;
     now.since(since.at) > SILENT_TIME && group.open && goes_on
 }
@@ -280,7 +289,7 @@
 /// pace back.
 fn slows_others(entry: &Entry, choice: &Choice) -> bool {
     let pace = |group: Option<&Group>| group.map_or(100, |it| it.pace);
-    let own = pace(choice.seat.borrow().group.as_ref());
+    let own = pace(choice.endpoint.borrow().group.as_ref());
     if own < SLOW_PERCENT {
         return false;
     }
@@ -341,7 +350,7 @@
                     }
                 }
                 Next::End => {
-                    run.stay.success();
+                    run.attempt.success();
                     if let Some(lease) = run.lease.take() {
                         lease.keep(Millis::now());
                     }
@@ -349,10 +358,10 @@
                     let _ = self.pieces.send(Piece::End).await;
                     return "complete";
                 }
-                Next::Miss(miss) => {
-                    run.stay.missed(&miss);
+                Next::Failed(error) => {
+                    run.attempt.on_attempt_failed(&error);
                     let resumed = tokio::select! {
-                        resumed = self.resume(run, miss) => resumed,
+                        resumed = self.resume(run, error) => resumed,
                         () = pieces.closed() => return "caller left",
                     };
                     match resumed {
@@ -365,21 +374,21 @@
     }
 
     /// Goes on at another target, if that is allowed and one can be had.
-    async fn resume(&mut self, run: &Run, miss: Miss) -> Option<Run> {
-        let mut miss = miss;
+    async fn resume(&mut self, run: &Run, error: AttemptError) -> Option<Run> {
+        let mut error = error;
         let mut choice = run.choice.clone();
         self.call.waits_anew();
         loop {
             self.call
-                .missed(&self.entry, &choice, miss)
+                .on_attempt_failed(&self.entry, &choice, error)
                 .await
                 .is_none()
                 .then_some(())?;
             choice = self.call.next_target(&self.entry).await.ok()?;
             match open(&self.entry, &mut self.call, &choice, self.last).await {
                 Ok(Ok((_, next))) => return Some(next),
-                Ok(Err(_)) => miss = Miss::Unknown("a failure"),
-                Err(other) => miss = other,
+                Ok(Err(_)) => error = AttemptError::Unknown("a failure"),
+                Err(other) => error = other,
             }
         }
     }
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -28,8 +28,8 @@
 };
 
 use crate::{
-    entry::{Choice, Seat},
-    stay::Stay,
+    attempt::Attempt,
+    entry::{Choice, Endpoint},
 };
 
 /// A dropped opening packet is sent again after a second or more; another
@@ -57,7 +57,7 @@
 const FRESH: Millis = Millis(300);
 
 /// Idle connections kept to one target.
-const MOST_IDLE: usize = 16;
+const MAX_IDLE: usize = 16;
 
 /// What may be done when a request was not answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -96,7 +96,7 @@
 #[derive(Debug)]
 pub struct Lease {
     sender: SendRequest<Full<Bytes>>,
-    seat: Rc<RefCell<Seat>>,
+    endpoint: Rc<RefCell<Endpoint>>,
     keep: Millis,
 }
 
@@ -124,12 +124,12 @@
 impl Lease {
     /// Keeps the connection for the next request, after a whole answer.
     pub fn keep(self, now: Millis) {
-        keep(&self.seat, self.sender, self.keep, now);
+        keep(&self.endpoint, self.sender, self.keep, now);
     }
 }
 
 fn keep(
-    seat: &RefCell<Seat>,
+    endpoint: &RefCell<Endpoint>,
     sender: SendRequest<Full<Bytes>>,
     time: Millis,
     now: Millis,
@@ -137,50 +137,50 @@
     if time.0 == 0 || sender.is_closed() {
         return;
     }
-    let mut seat = seat.borrow_mut();
-    let idle = &mut seat.pool.idle;
-    if idle.len() < MOST_IDLE {
+    let mut endpoint = endpoint.borrow_mut();
+    let idle = &mut endpoint.pool.idle;
+    if idle.len() < MAX_IDLE {
         idle.push(Idle { sender, until: now + time, used: now });
-        seat.freed.notify_waiters();
+        endpoint.freed.notify_waiters();
     }
 }
 
 /// Sends a request and waits for the head of its answer.
 pub async fn send(
-    stay: &Stay,
+    attempt: &Attempt,
     choice: &Choice,
     mut request: Request<Full<Bytes>>,
     reuse: Reuse,
 ) -> Result<(Response<Incoming>, Lease), Failure> {
     loop {
         let kept = {
-            let mut seat = choice.seat.borrow_mut();
-            seat.pool.take(reuse, Millis::now())
+            let mut endpoint = choice.endpoint.borrow_mut();
+            endpoint.pool.take(reuse, Millis::now())
         };
         let was_kept = kept.is_some();
         let mut sender = match kept {
             Some(sender) => sender,
             None => {
-                make_room(stay, choice).await?;
+                make_room(attempt, choice).await?;
                 connect(choice).await?
             }
         };
         // The target may have said something else while a connection was made.
-        if let Err(why) = stay.may_send(Millis::now()) {
-            keep(&choice.seat, sender, USUAL_IDLE, Millis::now());
+        if let Err(why) = attempt.may_send(Millis::now()) {
+            keep(&choice.endpoint, sender, USUAL_IDLE, Millis::now());
             return Err(Failure::Withheld(why));
         }
-        stay.sent();
+        attempt.sent();
         match sender.try_send_request(request).await {
             Ok(answer) => {
                 let keep = idle_time(answer.headers());
-                let seat = choice.seat.clone();
-                return Ok((answer, Lease { sender, seat, keep }));
+                let endpoint = choice.endpoint.clone();
+                return Ok((answer, Lease { sender, endpoint, keep }));
             }
             Err(mut error) => match error.take_message() {
                 // The connection had ended before a byte was written.
                 Some(unsent) => {
-                    stay.unsent();
+                    attempt.unsent();
                     if !was_kept {
                         return Err(Failure::Unsent("closed at once"));
                     }
@@ -194,19 +194,19 @@
 
 /// Sees to it that one more connection is within this entry's share: ends one
 /// that has idled too long for this request, or waits for one to end.
-async fn make_room(stay: &Stay, choice: &Choice) -> Result<(), Failure> {
-    let freed = choice.seat.borrow().freed.clone();
+async fn make_room(attempt: &Attempt, choice: &Choice) -> Result<(), Failure> {
+    let freed = choice.endpoint.borrow().freed.clone();
     let until = Instant::now() + CONNECT_TIME.duration();
     loop {
         let mut changed = std::pin::pin!(freed.notified());
         changed.as_mut().enable();
-        stay.may_send(Millis::now()).map_err(Failure::Withheld)?;
+        attempt.may_send(Millis::now()).map_err(Failure::Withheld)?;
         {
-            let mut seat = choice.seat.borrow_mut();
-            if seat.open < choice.connections {
+            let mut endpoint = choice.endpoint.borrow_mut();
+            if endpoint.open < choice.connections {
                 return Ok(());
             }
-            let idle = &mut seat.pool.idle;
+            let idle = &mut endpoint.pool.idle;
             if !idle.is_empty() {
                 idle.remove(0);
             }
@@ -230,7 +230,7 @@
 async fn connect(
     choice: &Choice,
 ) -> Result<SendRequest<Full<Bytes>>, Failure> {
-    let open = Open::new(&choice.seat);
+    let open = Open::new(&choice.endpoint);
     let opening = TcpStream::connect(choice.target.address);
     let stream = timeout(CONNECT_TIME.duration(), opening)
         .await
@@ -253,21 +253,21 @@
 /// A connection that counts among those to its target, from before it is
 /// made: many requests at once would each find room for one otherwise.
 struct Open {
-    seat: Rc<RefCell<Seat>>,
+    endpoint: Rc<RefCell<Endpoint>>,
 }
 
 impl Open {
-    fn new(seat: &Rc<RefCell<Seat>>) -> Open {
-        seat.borrow_mut().open += 1;
-        Open { seat: seat.clone() }
+    fn new(endpoint: &Rc<RefCell<Endpoint>>) -> Open {
+        endpoint.borrow_mut().open += 1;
+        Open { endpoint: endpoint.clone() }
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        let mut seat = self.seat.borrow_mut();
-        seat.open -= 1;
-        seat.freed.notify_waiters();
+        let mut endpoint = self.endpoint.borrow_mut();
+        endpoint.open -= 1;
+        endpoint.freed.notify_waiters();
     }
 }
 
--- a/cowsliproad-direct/tests/entry/siege.rs
+++ b/cowsliproad-direct/tests/entry/siege.rs
@@ -45,11 +45,11 @@
 /// Ends that are borne: three that prove it, and one more for each of three
 /// that may be seen by an entry that is killed or stopped just then, with the
 /// second target that each may be sent to.
-const MOST_ENDS: usize = 9;
+const MAX_ENDS: usize = 9;
 
 /// The same where targets take a while to end and callers don't wait: one more
 /// a second is on its way at the time.
-const MOST_SLOW_ENDS: usize = 12;
+const MAX_SLOW_ENDS: usize = 12;
 
 /// How long targets take to end that go on without their caller, and how long
 /// callers wait who leave.
@@ -344,8 +344,8 @@
     );
     assert_eq!(late, 0, "seed {seed}: it still reaches targets");
     let most = match shape {
-        Shape::Patient => MOST_ENDS,
-        Shape::Impatient => MOST_SLOW_ENDS,
+        Shape::Patient => MAX_ENDS,
+        Shape::Impatient => MAX_SLOW_ENDS,
     };
     assert!(reached <= most, "seed {seed}: {reached}");
     assert_eq!(siege.refused.get(), 0, "seed {seed}: innocents are refused");
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -39,7 +39,7 @@
 }
 
 /// The largest datagram that is read.
-pub const MOST_BYTES: usize = 60_000;
+pub const MAX_BYTES: usize = 60_000;
 
 /// What entries take.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/cowsliproad-mapswitch/src/order/coordinator.rs
+++ b/cowsliproad-mapswitch/src/order/coordinator.rs
@@ -42,7 +42,7 @@
 
 /// Hold, arm and go take 30 to 60 ms together when each order is answered,
 /// and what is known of the group's pass is up to 30 ms old.
-const LEAST_ARMING: Millis = Millis(90);
+const MIN_ARMING: Millis = Millis(90);
 
 /// The time for copies before a plan is given up: seven of the longest seen,
 /// 0.4 s each.
@@ -146,7 +146,7 @@
     /// Passes in which arming is likely done. The next pass may begin at any
     /// moment, so it doesn't count.
     fn passes(&self) -> u64 {
-        let time = (self.arming.0 + self.arming.0 / 4).max(LEAST_ARMING.0);
+        let time = (self.arming.0 + self.arming.0 / 4).max(MIN_ARMING.0);
         time / self.pass.0 + 2
     }
 }
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -198,8 +198,8 @@
         stop: impl Future<Output = ()>,
     ) -> io::Result<()> {
         let mut stop = std::pin::pin!(stop);
-        let mut from_entries = vec![0; gossip::MOST_BYTES];
-        let mut from_agents = vec![0; gossip::MOST_BYTES];
+        let mut from_entries = vec![0; gossip::MAX_BYTES];
+        let mut from_agents = vec![0; gossip::MAX_BYTES];
         let mut next = Instant::now();
         loop {
             // Words of others go first: one that was frozen learns that it
--- a/cowsliproad-rank/src/engine.rs
+++ b/cowsliproad-rank/src/engine.rs
@@ -31,7 +31,7 @@
 const ORDER_TIME: Millis = Millis(40);
 
 /// The largest answer that is taken: counts of some hundred thousand experts.
-const MOST_BYTES: usize = 4 << 20;
+const MAX_BYTES: usize = 4 << 20;
 
 /// How often a connection is made to an engine that is left alone and has
 /// closed the last one, to learn whether its process is there.
@@ -117,7 +117,7 @@
     ) -> io::Result<(StatusCode, Bytes)> {
         self.keep_cooldown().await?;
         let time = time.duration();
-        let call = self.connection.call(request, MOST_BYTES, time).await;
+        let call = self.connection.call(request, MAX_BYTES, time).await;
         let answer = call.map_err(|error| match error {
             Error::Refused(_) => {
                 io::Error::new(io::ErrorKind::ConnectionRefused, error)
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -376,8 +376,8 @@
 
 /// How fast a rank works, beside the usual.
 fn speed(rank: &(Status, Millis)) -> f64 {
-    1.0 / f64::from(rank.0.pace).max(LEAST_PACE)
+    1.0 / f64::from(rank.0.pace).max(MIN_PACE)
 }
 
 /// An engine isn't taken to be faster than this.
-const LEAST_PACE: f64 = 0.5;
+const MIN_PACE: f64 = 0.5;
--- a/cowsliproad-relay/src/events.rs
+++ b/cowsliproad-relay/src/events.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// The most bytes that wait for the end of their event.
-pub const MOST_BYTES: usize = 1 << 20;
+pub const MAX_BYTES: usize = 1 << 20;
 
 /// A whole event.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -56,7 +56,7 @@
 
     /// Whether an event is longer than any may be.
     pub fn is_over_long(&self) -> bool {
-        self.rest.len() > MOST_BYTES
+        self.rest.len() > MAX_BYTES
     }
 }
 
--- a/cowsliproad-routing/src/pick.rs
+++ b/cowsliproad-routing/src/pick.rs
@@ -24,7 +24,7 @@
 
 /// The most requests that a target is believed to have. Ours have some ten
 /// slots and queue a few more.
-const MOST_REQUESTS: u32 = 10_000;
+const MAX_REQUESTS: u32 = 10_000;
 
 /// For so long a report of a target's load holds: agents renew theirs twice
 /// in it.
@@ -84,7 +84,7 @@
 
     /// Takes a load report in, unless no target could have so many.
     pub fn report(&mut self, requests: u32, now: Millis) {
-        if requests > MOST_REQUESTS {
+        if requests > MAX_REQUESTS {
             return;
         }
         self.reported = requests;
--- a/tests/mapswitch/main.rs
+++ b/tests/mapswitch/main.rs
@@ -16,7 +16,7 @@
 const LAST_STEP: u64 = 2;
 
 /// More worlds than a scope has; a larger one would take too long.
-const MOST_WORLDS: usize = 600_000;
+const MAX_WORLDS: usize = 600_000;
 
 const OLD: Version = Version(0);
 const FIRST: Generation = Generation(1);
@@ -164,7 +164,7 @@
     let mut seen = HashSet::from([World::new(scope)]);
     let mut open = VecDeque::from([World::new(scope)]);
     while let Some(world) = open.pop_front() {
-        assert!(seen.len() < MOST_WORLDS, "the scope is too large");
+        assert!(seen.len() < MAX_WORLDS, "the scope is too large");
         for next in world.successors(scope) {
             if seen.insert(next.clone()) {
                 open.push_back(next);
--- a/tests/order/main.rs
+++ b/tests/order/main.rs
@@ -32,7 +32,7 @@
 const FIRST_MAP: u64 = VERSIONS;
 
 /// Worlds that a scope may have; a larger one would take too long.
-const MOST_WORLDS: usize = 600_000;
+const MAX_WORLDS: usize = 600_000;
 
 /// What may happen.
 #[derive(Clone, Copy)]
@@ -561,7 +561,7 @@
             let count = numbers.len() as u32;
             let known = *numbers.entry(hash(&next)).or_insert(count);
             if known == count {
-                assert!(numbers.len() < MOST_WORLDS, "too large a scope");
+                assert!(numbers.len() < MAX_WORLDS, "too large a scope");
                 comes_from.push(Vec::new());
                 free.push(next.is_free());
                 queue.push_back((next, count));
--- a/tests/properties/quarantine.rs
+++ b/tests/properties/quarantine.rs
@@ -277,7 +277,7 @@
     let told = ledger.told(NOW);
     assert!(told.len() <= 512, "{}", told.len());
     let bytes = gossip::encode(&Suspects::pack(told.clone())).len();
-    assert!(bytes < gossip::MOST_BYTES / 3, "{bytes}");
+    assert!(bytes < gossip::MAX_BYTES / 3, "{bytes}");
     assert_eq!(told[0].work, deadly.0);
     assert!(ledger.cases() <= 4_096, "{}", ledger.cases());
     assert!(is_refused(&ledger, deadly, NOW));
