style: use the field's names for limits and permits

Renames alone: Place to Permit, Word to Report, Known to CurrentLimit, Keeper to Limiter (who gives permits out) and Owner (which entry does).

--- a/cowsliproad-admission/src/limit.rs
+++ b/cowsliproad-admission/src/limit.rs
@@ -3,16 +3,16 @@
 //! A target says so in its answers, for as long as it holds. Two questions
 //! are decided here:
 //!
-//! * *What holds now* ([`Known`]). Answers overtake one another, wait at VMs
+//! * *What holds now* ([`CurrentLimit`]). Answers overtake one another, wait at VMs
 //!   that stand still, and are told on by others. What allows less counts
 //!   from when it was read. What allows more, or lifts the limit, counts only
 //!   from when its request was sent: an answer that was on its way when the
 //!   target began to name a limit says nothing against it.
-//! * *Who may send* ([`Keeper`]). Shares of a limit don't work: of one request
+//! * *Who may send* ([`Limiter`]). Shares of a limit don't work: of one request
 //!   a second, a hundred entries would each have one in a hundred seconds, and
 //!   the target would be idle before the one that has callers. So for each
-//!   target one entry keeps the pace, and the others ask it for a place each
-//!   time. Whoever keeps the pace anew begins as if a place had just been
+//!   target one entry keeps the pace, and the others ask it for a permit each
+//!   time. Whoever keeps the pace anew begins as if a permit had just been
 //!   given, and gives out no larger part of the limit than the part of all
 //!   entries that it reaches, so the parts that a cut leaves make up one limit.
 
@@ -22,11 +22,11 @@
 /// seconds by all together: only its answer tells that the limit is over.
 const MIN_RATE: f64 = 0.1;
 
-/// How far back a place may count that nobody asked for in time. A place is
+/// How far back a permit may count that nobody asked for in time. A permit is
 /// asked for when a request comes, some time after it is free.
 const LATENESS_MS: f64 = 250.0;
 
-/// After so long, and so many times from one place to the next, without a
+/// After so long, and so many times from one permit to the next, without a
 /// question somebody else may have kept the pace.
 const RESUMED_TIME: Millis = Millis(1_000);
 const ASKED_INTERVALS: f64 = 2.0;
@@ -81,7 +81,7 @@
 
 /// What was last said of a target's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Word {
+pub struct Report {
     /// The limit; `None` once the target names none any more.
     pub rate: Option<Rate>,
     /// For how long this has counted.
@@ -90,7 +90,7 @@
 
 /// What is known of a target's limit.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Known {
+pub struct CurrentLimit {
     word: Option<Held>,
     /// When it last became another limit.
     changed: Millis,
@@ -119,14 +119,14 @@
 
 /// What an answer brought.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct News {
+pub struct Update {
     /// What it changed.
     pub change: Change,
     /// Whether the target names what is no number, and didn't before.
     pub unreadable: bool,
 }
 
-impl Known {
+impl CurrentLimit {
     /// The limit in force.
     pub fn rate(&self) -> Option<Rate> {
         self.word?.rate
@@ -134,10 +134,10 @@
 
     /// What was last said, for others. A target that never named a limit has
     /// no word.
-    pub fn word(&self, now: Millis) -> Option<Word> {
+    pub fn word(&self, now: Millis) -> Option<Report> {
         let Held { rate, since } = self.word?;
         let age = Millis((now.0 as i64 - since).max(0) as u64);
-        Some(Word { rate, age })
+        Some(Report { rate, age })
     }
 
     /// When the limit last became another one.
@@ -152,12 +152,12 @@
         named: Option<&[u8]>,
         sent: Millis,
         now: Millis,
-    ) -> News {
+    ) -> Update {
         let rate = named.and_then(Rate::read);
         let unreadable = named.is_some() && rate.is_none();
         let before = std::mem::replace(&mut self.unreadable, unreadable);
         let change = self.answered(rate, sent, now);
-        News { change, unreadable: unreadable && !before }
+        Update { change, unreadable: unreadable && !before }
     }
 
     /// Takes in an answer to a request that was sent at `sent`.
@@ -169,12 +169,12 @@
     ) -> Change {
         let loosens = loosens(self.rate(), rate);
         let age = if loosens { now.since(sent) } else { Millis(0) };
-        self.hear(Word { rate, age }, now)
+        self.hear(Report { rate, age }, now)
     }
 
     /// Takes in what another entry was told.
-    pub fn hear(&mut self, word: Word, now: Millis) -> Change {
-        let Word { rate, age } = word;
+    pub fn hear(&mut self, word: Report, now: Millis) -> Change {
+        let Report { rate, age } = word;
         let since = now.0 as i64 - age.0.min(i64::MAX as u64 / 2) as i64;
         let Some(known) = self.word else {
             if rate.is_none() {
@@ -208,35 +208,35 @@
     }
 }
 
-/// What whoever asks for a place is told.
+/// What whoever asks for a permit is told.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
     /// A request may be sent after this time.
-    Place(Millis),
+    Permit(Millis),
     /// None is free before this time is over.
     Later(Millis),
 }
 
 /// The pace of requests to a target that names a limit.
 #[derive(Clone, Copy, Debug)]
-pub struct Keeper {
+pub struct Limiter {
     rate: Rate,
-    /// When the next place is free, in milliseconds.
+    /// When the next permit is free, in milliseconds.
     next: f64,
     asked: Millis,
 }
 
-impl Keeper {
+impl Limiter {
     /// A pace that is kept from now on. Whoever kept it before may have given
-    /// a place just now. `idle` is for how long nobody is known to have heard
-    /// from the target: of one that takes few, a new keeper that waited for a
-    /// whole interval would never give a place where keepers change often.
-    pub fn new(rate: Rate, idle: Millis, now: Millis) -> Keeper {
+    /// a permit just now. `idle` is for how long nobody is known to have heard
+    /// from the target: of one that takes few, a new limiter that waited for a
+    /// whole interval would never give a permit where limiters change often.
+    pub fn new(rate: Rate, idle: Millis, now: Millis) -> Limiter {
         let interval = rate.interval(1.0);
         let least = interval.min(NEWS_MS);
         let wait = (interval - idle.0 as f64).clamp(least, interval);
         let next = now.0 as f64 + wait;
-        Keeper { rate, next, asked: now }
+        Limiter { rate, next, asked: now }
     }
 
     /// Whether nobody has asked here for so long that others may have kept the
@@ -246,12 +246,12 @@
         now.since(self.asked) > RESUMED_TIME + Millis(asks as u64)
     }
 
-    /// How long no place is free.
+    /// How long no permit is free.
     pub fn full_for(&self, now: Millis) -> Millis {
         Millis((self.next - now.0 as f64).max(0.0).ceil() as u64)
     }
 
-    /// Asks for a place that is free within `patience`. `share` is the part
+    /// Asks for a permit that is free within `patience`. `share` is the part
     /// of the limit that may be given out here, over 0 to 1.
     pub fn ask(
         &mut self,
@@ -262,7 +262,7 @@
     ) -> Verdict {
         let interval = rate.interval(share);
         let now_ms = now.0 as f64;
-        // Places that were promised under another limit don't bind this one.
+        // Permits that were promised under another limit don't bind this one.
         if rate > self.rate {
             self.next = self.next.min(now_ms + interval);
         } else if rate < self.rate {
@@ -275,13 +275,13 @@
             return Verdict::Later(wait);
         }
         self.next = self.next.max(now_ms - LATENESS_MS) + interval;
-        Verdict::Place(wait)
+        Verdict::Permit(wait)
     }
 }
 
-/// A place at a target, as whoever asked for it holds it.
+/// A permit at a target, as whoever asked for it holds it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Place {
+pub struct Permit {
     /// The limit that it was given under.
     pub rate: Rate,
     /// When it may be used.
@@ -290,7 +290,7 @@
     pub until: Millis,
 }
 
-impl Place {
+impl Permit {
     /// Whether a request may still be sent for it under the limit in force.
     pub fn holds(&self, rate: Rate, now: Millis) -> bool {
         self.from <= now && now <= self.until && self.rate <= rate
--- a/cowsliproad-agent/src/pace.rs
+++ b/cowsliproad-agent/src/pace.rs
@@ -10,7 +10,9 @@
     time::SystemTime,
 };
 
-use cowsliproad_admission::limit::{Change, Keeper, Known, Rate, Verdict};
+use cowsliproad_admission::limit::{
+    Change, CurrentLimit, Limiter, Rate, Verdict,
+};
 use cowsliproad_kernel::{clock::Millis, sync::lock};
 use cowsliproad_net::retry_after::{self, RetryAfter};
 use cowsliproad_routing::cooldown::Cooldown;
@@ -38,18 +40,18 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    known: Known,
+    known: CurrentLimit,
     cooldown: Cooldown,
     /// Whether entries are to be told of that.
     has_news: bool,
     /// Whether less is taken than when the waiting work came in.
     tightened: bool,
-    keeper: Option<Keeper>,
+    limiter: Option<Limiter>,
 }
 
 impl Inner {
-    fn keeper(&mut self, rate: Rate, now: Millis) -> &mut Keeper {
-        self.keeper.get_or_insert(Keeper::new(rate, Millis(0), now))
+    fn limiter(&mut self, rate: Rate, now: Millis) -> &mut Limiter {
+        self.limiter.get_or_insert(Limiter::new(rate, Millis(0), now))
     }
 }
 
@@ -147,11 +149,11 @@
         let end = inner.cooldown.end(now);
         let wait = end.map_or(Millis(0), |it| it.since(now));
         let Some(rate) = inner.known.rate() else { return (None, wait) };
-        let full_for = inner.keeper(rate, now).full_for(now);
+        let full_for = inner.limiter(rate, now).full_for(now);
         (Some(rate), wait.max(full_for))
     }
 
-    /// Takes a place for a request that goes now. Otherwise says how long
+    /// Takes a permit for a request that goes now. Otherwise says how long
     /// none is free.
     pub fn take(&self, now: Millis) -> Result<(), Millis> {
         let mut inner = self.lock();
@@ -159,16 +161,16 @@
             return Err(end.since(now));
         }
         let Some(rate) = inner.known.rate() else {
-            inner.keeper = None;
+            inner.limiter = None;
             return Ok(());
         };
-        match inner.keeper(rate, now).ask(rate, 1.0, Millis(0), now) {
-            Verdict::Place(_) => Ok(()),
+        match inner.limiter(rate, now).ask(rate, 1.0, Millis(0), now) {
+            Verdict::Permit(_) => Ok(()),
             Verdict::Later(after) => Err(after),
         }
     }
 
-    /// Waits for a place.
+    /// Waits for a permit.
     pub async fn turn(&self) {
         loop {
             let changed = self.changes();
--- a/cowsliproad-bench/src/experiment/limits.rs
+++ b/cowsliproad-bench/src/experiment/limits.rs
@@ -7,12 +7,14 @@
 //! not from the target, which is worse than what was seen: there the target is
 //! in one of the parts. For a while the limit is half as high.
 //!
-//! Played are the decisions themselves ([`Known`], [`limit::Keeper`],
-//! [`keeper`]); the model leaves out how long questions are on their way.
+//! Played are the decisions themselves ([`CurrentLimit`], [`limit::Limiter`],
+//! [`owner`]); the model leaves out how long questions are on their way.
 
 use std::collections::{BTreeMap, HashMap};
 
-use cowsliproad_admission::limit::{self, Known, Rate, Verdict, Word};
+use cowsliproad_admission::limit::{
+    self, CurrentLimit, Rate, Report, Verdict,
+};
 use cowsliproad_kernel::{
     Name,
     clock::Millis,
@@ -21,7 +23,7 @@
 };
 use cowsliproad_routing::{
     fleet::{Start, State, Target},
-    keeper::{self, Keeper, Member, Presence},
+    owner::{self, Member, Owner, Presence},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use serde_json::{Value, json};
@@ -113,7 +115,7 @@
     pub worst: f64,
     /// What it got, by what it takes.
     pub used: f64,
-    /// Questions for places a second, answers not counted.
+    /// Questions for permits a second, answers not counted.
     pub asked: f64,
     /// Bytes a second of questions and answers, and of what digests tell.
     pub bytes: f64,
@@ -125,8 +127,8 @@
     frozen_until: u64,
     /// When others were heard from, and until when each is passed over.
     known: BTreeMap<usize, (u64, u64)>,
-    limit: Known,
-    pace: Option<limit::Keeper>,
+    limit: CurrentLimit,
+    pace: Option<limit::Limiter>,
     full_until: u64,
     told: Option<Rate>,
 }
@@ -296,7 +298,7 @@
         }
     }
 
-    fn hear(&mut self, entry: usize, word: Word) {
+    fn hear(&mut self, entry: usize, word: Report) {
         let now = Millis(self.now);
         self.entries[entry].limit.hear(word, now);
         self.news(entry);
@@ -339,7 +341,7 @@
                     return;
                 }
                 match self.decide(entry, RELAYS) {
-                    Verdict::Place(_) => true,
+                    Verdict::Permit(_) => true,
                     Verdict::Later(after) => {
                         self.entries[entry].full_until = (now + after).0;
                         false
@@ -357,18 +359,18 @@
 
     fn own(&mut self, entry: usize, rate: Rate, share: f64) -> bool {
         let now = Millis(self.now);
-        let new = limit::Keeper::new(rate, Millis(0), now);
+        let new = limit::Limiter::new(rate, Millis(0), now);
         let pace = self.entries[entry].pace.get_or_insert(new);
-        pace.ask(rate, share, Millis(0), now) == Verdict::Place(Millis(0))
+        pace.ask(rate, share, Millis(0), now) == Verdict::Permit(Millis(0))
     }
 
     fn decide(&mut self, entry: usize, relays: u8) -> Verdict {
         for asked in 0..MAX_ASKED {
-            let other = match self.keeper(entry) {
-                Keeper::Other(_) if asked > 0 && relays < RELAYS => break,
-                Keeper::Other(other) if relays > 0 => other,
-                keeper => {
-                    let substitute = keeper == Keeper::Substitute;
+            let other = match self.owner(entry) {
+                Owner::Other(_) if asked > 0 && relays < RELAYS => break,
+                Owner::Other(other) if relays > 0 => other,
+                owner => {
+                    let substitute = owner == Owner::Substitute;
                     return self.give(entry, substitute);
                 }
             };
@@ -390,35 +392,35 @@
         Verdict::Later(Millis(AGAIN_MS))
     }
 
-    fn keeper(&self, entry: usize) -> Keeper<usize> {
+    fn owner(&self, entry: usize) -> Owner<usize> {
         let member = |address: usize, presence| Member {
             address,
             zone: &self.zones[address % ZONES],
             presence,
         };
         let known = &self.entries[entry].known;
-        let silence = keeper::silence(known.len(), MAX_TOLD).0;
+        let silence = owner::silence(known.len(), MAX_TOLD).0;
         let others = known.iter().map(|(other, (heard, mute))| {
             let silent = self.now - heard >= silence || *mute > self.now;
             let presence =
                 if silent { Presence::Silent } else { Presence::Heard };
             member(*other, presence)
         });
-        keeper::keeper(&self.target, member(entry, Presence::Heard), others)
+        owner::owner(&self.target, member(entry, Presence::Heard), others)
     }
 
     fn give(&mut self, entry: usize, substitute: bool) -> Verdict {
         let now = Millis(self.now);
         let known = &self.entries[entry].known;
-        let silence = keeper::silence(known.len(), MAX_TOLD).0;
+        let silence = owner::silence(known.len(), MAX_TOLD).0;
         let heard = known.values().filter(|it| self.now - it.0 < silence);
         let share = (heard.count() + 1) as f64 / (known.len() + 1) as f64;
         let entry = &mut self.entries[entry];
-        let Some(Word { rate: Some(rate), age }) = entry.limit.word(now)
+        let Some(Report { rate: Some(rate), age }) = entry.limit.word(now)
         else {
-            return Verdict::Place(Millis(0));
+            return Verdict::Permit(Millis(0));
         };
-        let new = limit::Keeper::new(rate, age, now);
+        let new = limit::Limiter::new(rate, age, now);
         let pace = entry.pace.get_or_insert(new);
         if substitute && pace.is_stale(share, now) {
             *pace = new;
@@ -467,7 +469,7 @@
 /// Bytes of what entries tell one another, as it is encoded.
 #[derive(Clone, Copy, Debug)]
 struct Sizes {
-    /// A question for a place.
+    /// A question for a permit.
     question: usize,
     /// The answer to it.
     reply: usize,
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -23,7 +23,7 @@
     reply::Body,
 };
 
-/// Places that a request asks for in vain before it goes where no limit is,
+/// Permits that a request asks for in vain before it goes where no limit is,
 /// or is refused: a few of 3 ms each.
 const MAX_TURNED_AWAY: usize = 3;
 
@@ -75,7 +75,7 @@
             if let Some(end) = cooldown_end {
                 self.spread_out(entry, wait.since(end));
             }
-            // A place that is free now was asked for in vain.
+            // A permit that is free now was asked for in vain.
             let limit_end = shortage.and_then(|it| it.limit_end);
             let ends = limit_end.into_iter().filter(|it| *it > now);
             let ends = ends.chain(cooldown_end);
@@ -145,8 +145,8 @@
         }
     }
 
-    /// Takes a target that was chosen, with a place there if it names a limit;
-    /// none if it has no place within `patience`.
+    /// Takes a target that was chosen, with a permit there if it names a limit;
+    /// none if it has no permit within `patience`.
     async fn take(
         &mut self,
         entry: &Rc<Entry>,
@@ -156,7 +156,7 @@
         if let Start::Later(after) = self.start(entry, Millis::now()) {
             return Err(self.put_off(entry, after));
         }
-        if !limits::place(entry, &mut choice, patience).await {
+        if !limits::permit(entry, &mut choice, patience).await {
             self.turned_away += 1;
             return Ok(None);
         }
@@ -197,7 +197,7 @@
     }
 
     /// The best target that the request may still be sent to, and how long it
-    /// may wait for a place there: a new one while its route allows more, else
+    /// may wait for a permit there: a new one while its route allows more, else
     /// one that was asked before; one that takes it now, else one that does so
     /// within `ahead`. Without one, what limits have to do with that.
     fn choose(
@@ -249,7 +249,7 @@
             "left" => self.left().0, "try" => self.tries + 1);
     }
 
-    /// How far ahead a place may lie that it takes. Less urgent requests leave
+    /// How far ahead a permit may lie that it takes. Less urgent requests leave
     /// those that lie further ahead to more urgent ones.
     fn share_of(&self, patience: Millis) -> Millis {
         let ranks = u64::from(LAST_RANK) + 1;
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use cowsliproad_admission::{
-    limit::{Known, Place, Rate},
+    limit::{CurrentLimit, Permit, Rate},
     window::{self, Window},
 };
 use cowsliproad_kernel::{Name, clock::Millis, settings};
@@ -91,12 +91,12 @@
     /// Requests under which it may have ended.
     pub doubts: Vec<Doubt>,
     /// How many requests a second it takes.
-    pub limit: Known,
-    /// Places there that came too late for the requests that asked.
-    pub places: Vec<Place>,
-    /// When a place there is to be asked for at the earliest.
+    pub limit: CurrentLimit,
+    /// Permits there that came too late for the requests that asked.
+    pub permits: Vec<Permit>,
+    /// When a permit there is to be asked for at the earliest.
     pub full_until: Millis,
-    /// Whether a place there is being asked for.
+    /// Whether a permit there is being asked for.
     pub asking: bool,
     /// Whether its last refusal stated a time that is none.
     pub unreadable: bool,
@@ -213,8 +213,8 @@
     pub connections: usize,
     /// The limit that it names.
     pub limit: Option<Rate>,
-    /// The place there that the request holds.
-    pub place: Option<Place>,
+    /// The permit that the request holds there.
+    pub permit: Option<Permit>,
 }
 
 impl Entry {
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -31,14 +31,14 @@
 /// A target that a request could go to, or could but for its limit.
 struct Seen {
     choice: Choice,
-    /// When a place there may be asked for, if one has to be.
+    /// When a permit there may be asked for, if one has to be.
     free: Option<Millis>,
 }
 
 /// When targets take a request again that take none now by their own word.
 #[derive(Clone, Copy, Debug)]
 pub struct Shortage {
-    /// When one that names a limit may have a place.
+    /// When one that names a limit may have a permit.
     pub limit_end: Option<Millis>,
     /// When one that asked to be left alone takes requests again.
     pub cooldown_end: Option<Millis>,
@@ -75,7 +75,7 @@
     }
 }
 
-/// Whether a request may ask for places at targets that name limits.
+/// Whether a request may ask for permits at targets that name limits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Asks {
     /// For one that is free now; it goes elsewhere if there is none.
@@ -209,7 +209,7 @@
             };
             let cost = pick::cost(&candidate, now);
             let limit = held.limit.rate();
-            let needs = limit.filter(|it| !held.has_place(*it, now));
+            let needs = limit.filter(|it| !held.has_permit(*it, now));
             let free = needs.map(|_| held.full_until);
             drop(held);
             let choice = Choice {
@@ -218,7 +218,7 @@
                 cost,
                 connections: most,
                 limit,
-                place: None,
+                permit: None,
             };
             seen.push(Seen { choice, free });
         }
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -3,15 +3,17 @@
 //! What is decided stands in [`cowsliproad_admission::limit`]; here is who
 //! tells and asks whom. What a target says is told to the other entries at
 //! once and then by digests. A request that is to go to such a target first
-//! gets a place: from this entry, if it keeps the target's pace, else by one
+//! gets a permit: from this entry, if it keeps the target's pace, else by one
 //! datagram there and one back. An entry that is asked and knows of a better
-//! keeper passes the question on, so that entries that know different ones of
-//! the others still keep one pace; one that gets no answer from the keeper
+//! owner passes the question on, so that entries that know different ones of
+//! the others still keep one pace; one that gets no answer from the owner
 //! takes its place, and begins anew.
 
 use std::{cell::RefCell, collections::HashMap, fmt, net::SocketAddr, rc::Rc};
 
-use cowsliproad_admission::limit::{self, Change, Place, Rate, Verdict, Word};
+use cowsliproad_admission::limit::{
+    self, Change, Permit, Rate, Report, Verdict,
+};
 use cowsliproad_kernel::{
     Name,
     clock::Millis,
@@ -20,7 +22,7 @@
 use cowsliproad_platform::header;
 use cowsliproad_routing::{
     fleet::{Start, Target},
-    keeper::Keeper,
+    owner::Owner,
 };
 use http::{HeaderMap, HeaderValue};
 use slog::{debug, info, warn};
@@ -36,8 +38,8 @@
     entry::{Choice, Endpoint, Entry, Recovery, Source},
 };
 
-/// How often a question for a place may be passed on: to the entry that is
-/// taken for the keeper, and from there to the one that it takes for it.
+/// How often a question for a permit may be passed on: to the entry that is
+/// taken for the owner, and from there to the one that it takes for it.
 const RELAYS: u8 = 2;
 
 /// The time for an answer from an entry that asks nobody else: the way there
@@ -50,13 +52,13 @@
 /// How long an entry that didn't answer is passed over.
 const MUTE_TIME: Millis = Millis(2_000);
 
-/// Entries that are asked for one place. Each may be gone.
+/// Entries that are asked for one permit. Each may be gone.
 const MAX_ASKED: usize = 2;
 
-/// When a place is asked for again if nobody knows when one is free.
+/// When a permit is asked for again if nobody knows when one is free.
 const AGAIN_TIME: Millis = Millis(250);
 
-/// How long a place is held for its request to get a connection.
+/// How long a permit is held for its request to get a connection.
 const HOLD_TIME: Millis = Millis(400);
 
 /// How long a limit that has changed, or is over, is told with each digest.
@@ -86,7 +88,7 @@
 #[derive(Default)]
 pub struct Limits {
     socket: Option<Rc<UdpSocket>>,
-    keepers: HashMap<Name, (Start, limit::Keeper)>,
+    limiters: HashMap<Name, (Start, limit::Limiter)>,
     open: HashMap<u64, oneshot::Sender<Reply>>,
     /// Limits of targets that are not known yet, and when they were heard.
     early: HashMap<Name, (Limit, Millis)>,
@@ -97,7 +99,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
             .debug_struct("Limits")
-            .field("keepers", &self.keepers)
+            .field("limiters", &self.limiters)
             .field("open", &self.open.len())
             .finish_non_exhaustive()
     }
@@ -121,7 +123,7 @@
 
     /// Forgets the pace of a target that left.
     pub fn forget(&mut self, target: &str) {
-        self.keepers.remove(target);
+        self.limiters.remove(target);
     }
 }
 
@@ -130,12 +132,12 @@
     pub fn may_send(&self, now: Millis) -> bool {
         let rate = self.endpoint.borrow().limit.rate();
         let Some(rate) = rate else { return true };
-        self.place.is_some_and(|it| it.holds(rate, now))
+        self.permit.is_some_and(|it| it.holds(rate, now))
     }
 
-    /// Gives back the place of a request that wasn't sent.
+    /// Gives back the permit of a request that wasn't sent.
     pub fn give_back(&self) {
-        self.endpoint.borrow_mut().places.extend(self.place);
+        self.endpoint.borrow_mut().permits.extend(self.permit);
     }
 
     /// Notes that a request got no answer there.
@@ -166,30 +168,30 @@
 }
 
 impl Endpoint {
-    /// A place that came too late for the request that asked for it.
-    pub fn has_place(&self, rate: Rate, now: Millis) -> bool {
-        self.places.iter().any(|it| it.holds(rate, now))
+    /// A permit that came too late for the request that asked for it.
+    pub fn has_permit(&self, rate: Rate, now: Millis) -> bool {
+        self.permits.iter().any(|it| it.holds(rate, now))
     }
 
-    fn take_place(&mut self, rate: Rate, now: Millis) -> Option<Place> {
-        self.places.retain(|it| it.until >= now && it.rate <= rate);
-        let at = self.places.iter().position(|it| it.holds(rate, now))?;
-        Some(self.places.swap_remove(at))
+    fn take_permit(&mut self, rate: Rate, now: Millis) -> Option<Permit> {
+        self.permits.retain(|it| it.until >= now && it.rate <= rate);
+        let at = self.permits.iter().position(|it| it.holds(rate, now))?;
+        Some(self.permits.swap_remove(at))
     }
 }
 
-/// Gets a place at the target that was chosen, if it names a limit. One that
+/// Gets a permit at the target that was chosen, if it names a limit. One that
 /// is free within `patience` is waited for.
-pub async fn place(
+pub async fn permit(
     entry: &Rc<Entry>,
     choice: &mut Choice,
     patience: Millis,
 ) -> bool {
     let Some(rate) = choice.limit else { return true };
     let now = Millis::now();
-    let kept = choice.endpoint.borrow_mut().take_place(rate, now);
+    let kept = choice.endpoint.borrow_mut().take_permit(rate, now);
     if kept.is_some() {
-        choice.place = kept;
+        choice.permit = kept;
         return true;
     }
     choice.endpoint.borrow_mut().asking = true;
@@ -200,53 +202,53 @@
         Millis(0) => PATIENCE,
         _ => Millis(ANSWER_TIME.0 * u64::from(RELAYS + 1)),
     };
-    let Ok(Ok(Some(place))) = timeout(wait.duration(), given).await else {
+    let Ok(Ok(Some(permit))) = timeout(wait.duration(), given).await else {
         entry.measure.limited("none");
         return false;
     };
     let mut held =
-        Held { endpoint: choice.endpoint.clone(), place: Some(place) };
+        Held { endpoint: choice.endpoint.clone(), permit: Some(permit) };
     tokio::select! {
-        () = sleep(place.from.since(Millis::now()).duration()) => {}
+        () = sleep(permit.from.since(Millis::now()).duration()) => {}
         () = entry.until_cooldown(&choice.target) => return false,
     }
-    choice.place = held.place.take();
-    entry.measure.limited("place");
+    choice.permit = held.permit.take();
+    entry.measure.limited("permit");
     true
 }
 
-/// A place whose time has not come. If its request is gone by then another
+/// A permit whose time has not come. If its request is gone by then another
 /// one may have it.
 struct Held {
     endpoint: Rc<RefCell<Endpoint>>,
-    place: Option<Place>,
+    permit: Option<Permit>,
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.endpoint.borrow_mut().places.extend(self.place.take());
+        self.endpoint.borrow_mut().permits.extend(self.permit.take());
     }
 }
 
-/// Asks for a place, and keeps one that comes too late for the next request.
+/// Asks for a permit, and keeps one that comes too late for the next request.
 async fn get(
     entry: Rc<Entry>,
     choice: Choice,
     patience: Millis,
-    given: oneshot::Sender<Option<Place>>,
+    given: oneshot::Sender<Option<Permit>>,
 ) {
     let verdict = decide(&entry, &choice.target, patience, RELAYS).await;
     let now = Millis::now();
     let mut endpoint = choice.endpoint.borrow_mut();
     endpoint.asking = false;
     match verdict {
-        Verdict::Place(after) => {
+        Verdict::Permit(after) => {
             let from = now + after;
             let rate = endpoint.limit.rate().or(choice.limit);
             let Some(rate) = rate else { return };
-            let place = Place { rate, from, until: from + HOLD_TIME };
-            if given.send(Some(place)).is_err() {
-                endpoint.places.push(place);
+            let permit = Permit { rate, from, until: from + HOLD_TIME };
+            if given.send(Some(permit)).is_err() {
+                endpoint.permits.push(permit);
             }
         }
         Verdict::Later(after) => {
@@ -256,11 +258,11 @@
         }
     }
     drop(endpoint);
-    debug!(entry.log, "place"; "target" => &*choice.target.id,
+    debug!(entry.log, "permit"; "target" => &*choice.target.id,
         "verdict" => ?verdict, "patience" => patience.0);
 }
 
-/// Decides on a place, here or where the target's pace is kept.
+/// Decides on a permit, here or where the target's pace is kept.
 async fn decide(
     entry: &Rc<Entry>,
     target: &Target,
@@ -270,15 +272,15 @@
     for asked in 0..MAX_ASKED {
         let now = Millis::now();
         let zone = entry.settings().zone.clone();
-        let keeper = entry.peers.borrow().keeper(target, &zone, now);
-        let other = match keeper {
+        let owner = entry.peers.borrow().owner(target, &zone, now);
+        let other = match owner {
             // Whoever asked waits for one question more, not for two.
-            Keeper::Other(_) if asked > 0 && relays < RELAYS => break,
-            Keeper::Other(other) if relays > 0 => other,
-            _ => return entry.give(target, keeper, patience, now),
+            Owner::Other(_) if asked > 0 && relays < RELAYS => break,
+            Owner::Other(other) if relays > 0 => other,
+            _ => return entry.give(target, owner, patience, now),
         };
         match ask(entry, other, target, patience, relays - 1).await {
-            Some(reply) if reply.given => return Verdict::Place(reply.after),
+            Some(reply) if reply.given => return Verdict::Permit(reply.after),
             Some(reply) => return Verdict::Later(reply.after),
             None => {
                 let until = Millis::now() + MUTE_TIME;
@@ -291,7 +293,7 @@
     Verdict::Later(AGAIN_TIME)
 }
 
-/// Asks another entry for a place.
+/// Asks another entry for a permit.
 async fn ask(
     entry: &Entry,
     other: SocketAddr,
@@ -329,7 +331,7 @@
             None => (Verdict::Later(AGAIN_TIME), ask.limit),
         };
         let (given, after) = match verdict {
-            Verdict::Place(after) => (true, after),
+            Verdict::Permit(after) => (true, after),
             Verdict::Later(after) => (false, after),
         };
         let reply = Reply { number: ask.number, limit, given, after };
@@ -376,7 +378,7 @@
         if rate.is_none() != limit.rate.is_none() {
             return;
         }
-        let word = Word { rate, age: limit.age };
+        let word = Report { rate, age: limit.age };
         let endpoint = self.endpoint(&limit.target);
         let change = endpoint.borrow_mut().limit.hear(word, now);
         self.limit_changed(&limit.target, change, Source::Peer);
@@ -447,27 +449,27 @@
     /// What is known of a target's limit.
     fn limit_told(&self, target: &Target, now: Millis) -> Limit {
         let word = self.endpoint(&target.id).borrow().limit.word(now);
-        let never = Word { rate: None, age: Millis(u64::MAX) };
+        let never = Report { rate: None, age: Millis(u64::MAX) };
         limit_of(target, word.unwrap_or(never))
     }
 
-    /// Decides on a place as the one that keeps the target's pace.
+    /// Decides on a permit as the one that keeps the target's pace.
     fn give(
         &self,
         target: &Target,
-        keeper: Keeper<SocketAddr>,
+        owner: Owner<SocketAddr>,
         patience: Millis,
         now: Millis,
     ) -> Verdict {
         let word = self.endpoint(&target.id).borrow().limit.word(now);
-        let Some(Word { rate: Some(rate), age }) = word else {
-            return Verdict::Place(Millis(0));
+        let Some(Report { rate: Some(rate), age }) = word else {
+            return Verdict::Permit(Millis(0));
         };
         let share = self.peers.borrow().reached(now);
-        let new = (target.start, limit::Keeper::new(rate, age, now));
+        let new = (target.start, limit::Limiter::new(rate, age, now));
         let mut limits = self.limits.borrow_mut();
-        let kept = limits.keepers.entry(target.id.clone()).or_insert(new);
-        let stands_in = keeper == Keeper::Substitute;
+        let kept = limits.limiters.entry(target.id.clone()).or_insert(new);
+        let stands_in = owner == Owner::Substitute;
         let stale = stands_in && kept.1.is_stale(share, now);
         if kept.0 != target.start || stale {
             *kept = new;
@@ -496,7 +498,7 @@
     }
 }
 
-fn limit_of(target: &Target, word: Word) -> Limit {
+fn limit_of(target: &Target, word: Report) -> Limit {
     Limit {
         target: target.id.clone(),
         start: target.start.0,
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -22,7 +22,7 @@
 use cowsliproad_routing::{
     catalog::{Engine, Service},
     fleet::{Parting, Start, Target},
-    keeper::{self, Keeper, Member, Presence},
+    owner::{self, Member, Owner, Presence},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -152,12 +152,12 @@
     }
 
     /// The entry that keeps the pace of a target, this one too.
-    pub fn keeper(
+    pub fn owner(
         &self,
         target: &Target,
         own_zone: &Name,
         now: Millis,
-    ) -> Keeper<SocketAddr> {
+    ) -> Owner<SocketAddr> {
         let silence = self.silence();
         let own = Member {
             address: self.own,
@@ -172,7 +172,7 @@
             };
             Member { address: *address, zone: &peer.zone, presence }
         });
-        keeper::keeper(target, own, others)
+        owner::owner(target, own, others)
     }
 
     /// Notes that an entry doesn't answer questions.
@@ -199,7 +199,7 @@
     }
 
     fn silence(&self) -> Millis {
-        keeper::silence(self.known.len(), MAX_TOLD)
+        owner::silence(self.known.len(), MAX_TOLD)
     }
 
     /// Notes entries that others speak of.
--- a/cowsliproad-routing/src/lib.rs
+++ b/cowsliproad-routing/src/lib.rs
@@ -3,7 +3,7 @@
 //! * [`catalog`]: routes, services and organisations in force;
 //! * [`fleet`]: which targets there are;
 //! * [`readings`]: when an entry reads them in the platform's log;
-//! * [`keeper`]: which entry keeps the pace of a target with a limit;
+//! * [`owner`]: which entry keeps the pace of a target with a limit;
 //! * [`pick`]: the target with the least expected time;
 //! * [`score`]: the predicted time to the first token at a target;
 //! * [`choice`]: the best of a few sampled targets;
@@ -20,7 +20,7 @@
 pub mod cooldown;
 pub mod fleet;
 pub mod health;
-pub mod keeper;
+pub mod owner;
 pub mod pick;
 pub mod readings;
 pub mod score;
--- a/cowsliproad-routing/src/keeper.rs
+++ b/cowsliproad-routing/src/owner.rs
@@ -3,8 +3,8 @@
 //! All entries choose by the same ranks, so they need no word about it.
 //! Entries of the target's availability zone go first: whoever is cut off from
 //! them mostly doesn't reach the target either. Among these each target has
-//! another keeper. Where entries know different ones of the others they may
-//! choose different keepers; a question for a place is passed on by whoever
+//! another owner. Where entries know different ones of the others they may
+//! choose different owners; a question for a place is passed on by whoever
 //! knows of a better one.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -15,7 +15,7 @@
 
 /// Which entry keeps the pace of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Keeper<A> {
+pub enum Owner<A> {
     /// This one.
     Own,
     /// This one, in place of one that isn't heard from.
@@ -45,13 +45,13 @@
 }
 
 /// Chooses the entry that keeps the pace of a target, as one of them sees it.
-pub fn keeper<'a, A: Copy + Eq + Hash>(
+pub fn owner<'a, A: Copy + Eq + Hash>(
     target: &Target,
     own: Member<A>,
     others: impl Iterator<Item = Member<'a, A>>,
-) -> Keeper<A> {
+) -> Owner<A> {
     let own = rank(target, own.address, own.zone);
-    let mut found = Keeper::Own;
+    let mut found = Owner::Own;
     let mut best = own;
     for other in others {
         let rank = rank(target, other.address, other.zone);
@@ -59,12 +59,12 @@
             continue;
         }
         if other.presence == Presence::Silent {
-            if found == Keeper::Own {
-                found = Keeper::Substitute;
+            if found == Owner::Own {
+                found = Owner::Substitute;
             }
         } else if rank > best {
             best = rank;
-            found = Keeper::Other(other.address);
+            found = Owner::Other(other.address);
         }
     }
     found
--- a/tests/properties/limits.rs
+++ b/tests/properties/limits.rs
@@ -5,7 +5,9 @@
 //! three seconds and one stands still.
 
 use cowsliproad::{
-    admission::limit::{Change, Keeper, Known, Place, Rate, Verdict, Word},
+    admission::limit::{
+        Change, CurrentLimit, Limiter, Permit, Rate, Report, Verdict,
+    },
     kernel::clock::Millis,
 };
 use cowsliproad_bench::experiment::limits::{Policy, SIZES, play};
@@ -40,7 +42,7 @@
 
 #[test]
 fn an_answer_that_was_on_its_way_lifts_no_limit() {
-    let mut known = Known::default();
+    let mut known = CurrentLimit::default();
     let named = Some(rate(1.0));
     let (sent, later) = (Millis(900), Millis(1_100));
     assert_eq!(known.answered(named, sent, Millis(1_000)), Change::Tightened);
@@ -59,56 +61,57 @@
 
 #[test]
 fn who_heard_of_a_limit_before_this_process_began_is_believed_by_age() {
-    let mut known = Known::default();
+    let mut known = CurrentLimit::default();
     let now = Millis(1_000);
-    let old = Word { rate: Some(rate(1.0)), age: Millis(60_000) };
-    let over = Word { rate: None, age: Millis(30_000) };
+    let old = Report { rate: Some(rate(1.0)), age: Millis(60_000) };
+    let over = Report { rate: None, age: Millis(30_000) };
     assert_eq!(known.hear(old, now), Change::Tightened);
     assert_eq!(known.hear(over, now), Change::Loosened);
     assert_eq!(known.hear(old, now), Change::None);
     assert_eq!(known.rate(), None);
-    let never = Word { rate: None, age: Millis(u64::MAX) };
+    let never = Report { rate: None, age: Millis(u64::MAX) };
     assert_eq!(known.hear(never, now), Change::None);
 }
 
 #[test]
 fn a_place_holds_under_the_limit_that_it_was_given_under() {
-    let place = Place { rate: rate(5.0), from: Millis(10), until: Millis(20) };
-    assert!(place.holds(rate(5.0), Millis(15)));
-    assert!(place.holds(rate(8.0), Millis(15)));
-    assert!(!place.holds(rate(1.0), Millis(15)));
-    assert!(!place.holds(rate(5.0), Millis(9)));
-    assert!(!place.holds(rate(5.0), Millis(21)));
+    let permit =
+        Permit { rate: rate(5.0), from: Millis(10), until: Millis(20) };
+    assert!(permit.holds(rate(5.0), Millis(15)));
+    assert!(permit.holds(rate(8.0), Millis(15)));
+    assert!(!permit.holds(rate(1.0), Millis(15)));
+    assert!(!permit.holds(rate(5.0), Millis(9)));
+    assert!(!permit.holds(rate(5.0), Millis(21)));
 }
 
-/// An entry that stands in for the keeper of a target that takes few, and is
-/// asked as seldom, would begin anew each time and give no place.
+/// An entry that stands in for the limiter of a target that takes few, and is
+/// asked as seldom, would begin anew each time and give no permit.
 #[test]
 fn who_is_asked_as_seldom_as_places_come_goes_on_with_the_pace() {
     let rate = rate(0.5);
-    let keeper = Keeper::new(rate, Millis(0), Millis(1_000));
-    assert!(!keeper.is_stale(1.0, Millis(4_000)));
-    assert!(!keeper.is_stale(0.5, Millis(8_000)));
-    assert!(keeper.is_stale(1.0, Millis(7_000)));
+    let limiter = Limiter::new(rate, Millis(0), Millis(1_000));
+    assert!(!limiter.is_stale(1.0, Millis(4_000)));
+    assert!(!limiter.is_stale(0.5, Millis(8_000)));
+    assert!(limiter.is_stale(1.0, Millis(7_000)));
 }
 
 /// Seen: a target that had taken nothing named 3 a second, and while entries
-/// were killed none of the keepers that followed one another asked it.
+/// were killed none of the limiters that followed one another asked it.
 #[test]
 fn keepers_that_follow_one_another_ask_a_target_that_takes_nothing() {
     let rate = rate(0.0);
-    let mut places = 0;
+    let mut permits = 0;
     for change in 0..6 {
         // Each keeps the pace for five seconds and knows how long nobody has
         // heard from the target.
         let begun = Millis(change * 5_000);
-        let mut keeper = Keeper::new(rate, begun, begun);
+        let mut limiter = Limiter::new(rate, begun, begun);
         for step in 0..50 {
             let now = begun + Millis(step * 100);
-            let verdict = keeper.ask(rate, 1.0, Millis(0), now);
-            places += u32::from(verdict == Verdict::Place(Millis(0)));
+            let verdict = limiter.ask(rate, 1.0, Millis(0), now);
+            permits += u32::from(verdict == Verdict::Permit(Millis(0)));
         }
-        if places > 0 {
+        if permits > 0 {
             assert!(begun >= Millis(5_000), "{begun}: too early");
             return;
         }
@@ -119,7 +122,7 @@
 proptest! {
     #![proptest_config(super::config(256))]
 
-    /// However questions fall, no span has more places than the limit allows,
+    /// However questions fall, no span has more permits than the limit allows,
     /// one at its end and what may be made up for.
     #[test]
     fn no_span_has_more_places_than_the_limit(
@@ -129,26 +132,26 @@
         span in 500..8_000_u64,
     ) {
         let rate = rate(a_second);
-        let mut keeper = Keeper::new(rate, Millis(0), Millis(0));
+        let mut limiter = Limiter::new(rate, Millis(0), Millis(0));
         let mut now = 0;
-        let mut places = Vec::new();
+        let mut permits = Vec::new();
         for (pause, patience) in questions {
             now += pause;
             let verdict =
-                keeper.ask(rate, share, Millis(patience), Millis(now));
+                limiter.ask(rate, share, Millis(patience), Millis(now));
             match verdict {
-                Verdict::Place(after) => {
+                Verdict::Permit(after) => {
                     prop_assert!(after <= Millis(patience));
-                    places.push(now + after.0);
+                    permits.push(now + after.0);
                 }
                 Verdict::Later(after) => {
                     prop_assert!(after > Millis(patience));
                 }
             }
         }
-        for (first, from) in places.iter().enumerate() {
+        for (first, from) in permits.iter().enumerate() {
             let within =
-                places[first..].iter().filter(|it| **it < from + span).count();
+                permits[first..].iter().filter(|it| **it < from + span).count();
             let seconds = (span + 250) as f64 / 1_000.0;
             let most = a_second * share * seconds + 2.0;
             prop_assert!(within as f64 <= most, "{within} of {most}");
@@ -174,7 +177,7 @@
         let last = named.last().and_then(|it| it.0).map(rate);
         answers.push((sent + 2_000, sent + 1_500, last));
         answers.sort_by_key(|it| it.0);
-        let mut known = Known::default();
+        let mut known = CurrentLimit::default();
         for (come, sent, limit) in answers {
             known.answered(limit, Millis(sent), Millis(come));
         }
