entry: reject requests by one function with a typed reason

give_up, turn_away, put_off and refuse built and logged answers each by itself. Now reject_with does, with a Reason; its line is rejected. Returns of callers that no attempt may follow for are spread over 0.1 s, as those of targets that take no more are; streams are told as before. With it, renames alone: Visit to CallerTry, Draws to RetryCost, Start to Admission, Doubt to Suspicion, Sight to Candidates.

--- a/cowsliproad-admission/src/patience.rs
+++ b/cowsliproad-admission/src/patience.rs
@@ -14,21 +14,21 @@
 
 /// Which of a caller's tries a request is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Visit {
+pub enum CallerTry {
     /// The first.
     First,
     /// A later one.
     Return,
 }
 
-impl Visit {
+impl CallerTry {
     /// By what callers have left here and what they have at most: one that
     /// has much less has been somewhere before.
-    pub fn new(left: Millis, most: Millis) -> Visit {
+    pub fn new(left: Millis, most: Millis) -> CallerTry {
         if most.since(left) > ON_THE_WAY {
-            Visit::Return
+            CallerTry::Return
         } else {
-            Visit::First
+            CallerTry::First
         }
     }
 }
@@ -50,12 +50,12 @@
     /// What the caller has left in all.
     pub left: Millis,
     /// Which of its tries this is.
-    pub visit: Visit,
+    pub caller_try: CallerTry,
 }
 
 /// What is best for its caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Start {
+pub enum Admission {
     /// It starts.
     Now,
     /// The caller comes back after this time.
@@ -64,15 +64,15 @@
 
 impl Asked {
     /// Whether it should start now. `draw` is a random number from 0 to 1.
-    pub fn start(&self, now: Millis, draw: f64) -> Start {
+    pub fn start(&self, now: Millis, draw: f64) -> Admission {
         let stays = (self.arrived + self.silence).since(now);
         let third = Millis(self.left.0 / 3);
-        let hopeless = stays < self.aim && self.visit == Visit::First;
+        let hopeless = stays < self.aim && self.caller_try == CallerTry::First;
         if !hopeless || third < SOONEST {
-            return Start::Now;
+            return Admission::Now;
         }
         let spread = third.min(LATEST).since(SOONEST);
-        Start::Later(SOONEST + Millis((spread.0 as f64 * draw) as u64))
+        Admission::Later(SOONEST + Millis((spread.0 as f64 * draw) as u64))
     }
 }
 
--- a/cowsliproad-direct/src/attempt.rs
+++ b/cowsliproad-direct/src/attempt.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     call::{AttemptError, Call},
-    ends::{self, Doubt},
+    ends::{self, Suspicion},
     entry::{Choice, Entry},
 };
 
@@ -119,20 +119,22 @@
             | AttemptError::Withheld(_) => {
                 self.outlived();
             }
-            AttemptError::Broken(_) => self.doubt(Doubt::broken),
+            AttemptError::Broken(_) => self.suspect(Suspicion::broken),
             AttemptError::Unknown(_) => self.give_up(),
         }
     }
 
     fn give_up(&self) {
         let until = self.until;
-        self.doubt(|request, work| Doubt::given_up(request, work, until));
+        self.suspect(|request, work| {
+            Suspicion::given_up(request, work, until)
+        });
     }
 
-    fn doubt(&self, new: impl FnOnce(Name, Work) -> Doubt) {
+    fn suspect(&self, new: impl FnOnce(Name, Work) -> Suspicion) {
         if !self.settled.replace(true) && self.sent.get().is_some() {
             let (request, work) = self.call.clone();
-            ends::doubt(&self.entry, &self.choice, new(request, work));
+            ends::suspect(&self.entry, &self.choice, new(request, work));
         }
     }
 }
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -17,7 +17,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use cowsliproad_admission::{patience::Visit, quarantine::Work};
+use cowsliproad_admission::{patience::CallerTry, quarantine::Work};
 use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_platform::header;
 use cowsliproad_routing::catalog::Route;
@@ -75,7 +75,7 @@
     /// When its caller gives up or its route ends it.
     pub until: Millis,
     /// Which of its caller's tries it is.
-    visit: Visit,
+    caller_try: CallerTry,
     /// Its rank among others, 0 first.
     priority: u8,
     head: request::Parts,
@@ -86,20 +86,20 @@
     sent: Vec<Name>,
     tries: usize,
     /// Places that it asked for in vain since its last try.
-    turned_away: usize,
+    denied: usize,
     /// How long after the end of a cooldown that it waited for it goes.
     stagger: Millis,
     /// Tries that may have run.
     runs: usize,
     /// What the next try draws on.
-    next: Draws,
+    next: RetryCost,
     /// Whether it may have run.
     certainty: Certainty,
 }
 
 /// What a try draws on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Draws {
+enum RetryCost {
     /// Nothing: the request has reached no target yet.
     Nothing,
     /// The retry budget.
@@ -160,7 +160,7 @@
     /// When its caller gives up or its route ends it.
     pub until: Millis,
     /// Which of its caller's tries it is.
-    pub visit: Visit,
+    pub caller_try: CallerTry,
 }
 
 impl Call {
@@ -181,16 +181,16 @@
             priority: destination.priority,
             arrived: span.arrived,
             until: span.until,
-            visit: span.visit,
+            caller_try: span.caller_try,
             head,
             body,
             waits_since: span.arrived,
             sent: Vec::new(),
             tries: 0,
-            turned_away: 0,
+            denied: 0,
             stagger: Millis(0),
             runs: 0,
-            next: Draws::Nothing,
+            next: RetryCost::Nothing,
             certainty: Certainty::NotRun,
         }
     }
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use cowsliproad_admission::{
-    patience::{Asked, Start, Visit},
+    patience::{Admission, Asked, CallerTry},
     quarantine::Standing,
 };
 use cowsliproad_kernel::clock::Millis;
@@ -13,7 +13,7 @@
 use slog::info;
 use tokio::time::sleep;
 
-use super::{Call, Certainty, Draws, LAST_RANK};
+use super::{Call, Certainty, LAST_RANK, RetryCost, failure::Reason};
 use crate::{
     entry::{
         Choice, Entry,
@@ -25,7 +25,7 @@
 
 /// Permits that a request asks for in vain before it goes where no limit is,
 /// or is refused: a few of 3 ms each.
-const MAX_TURNED_AWAY: usize = 3;
+const MAX_DENIED: usize = 3;
 
 /// What is left of a caller's patience for the answer's way: 3 ms there, and
 /// a VM that has used up its share of a tenth of a second.
@@ -48,7 +48,7 @@
             let now = Millis::now();
             let standing = entry.quarantine.borrow_mut().admit(self.work, now);
             if let Standing::Refused(after) = standing {
-                return Err(self.refuse(entry, after));
+                return Err(self.reject_with(entry, Reason::Poison(after)));
             }
             let ahead = self.share_of(wait.since(now));
             let shortage = match self.choose(entry, now, ahead) {
@@ -66,10 +66,11 @@
                     || self.is_futile(entry, &shortage, wait, now))
             {
                 let after = self.free_after(entry, &shortage, now);
-                return Err(self.turn_away(entry, after));
+                return Err(self.reject_with(entry, Reason::Busy(after)));
             }
             if patience.0 == 0 {
-                return Err(self.give_up(entry, "no target can be used"));
+                let reason = Reason::NoTarget("no target can be used");
+                return Err(self.reject_with(entry, reason));
             }
             let cooldown_end = shortage.and_then(|it| it.cooldown_end);
             if let Some(end) = cooldown_end {
@@ -100,7 +101,7 @@
             |end: Millis| end <= wait && end + ANSWER_TIME <= self.until;
         let ends_in_time = shortage.cooldown_end.is_some_and(in_time);
         // A caller that may come back gets to another target sooner.
-        let returns = self.visit == Visit::First
+        let returns = self.caller_try == CallerTry::First
             && self.certainty == Certainty::NotRun
             && !self.may_go_elsewhere()
             && self.has_others(entry, now);
@@ -116,7 +117,7 @@
     /// one may not be sent to.
     fn has_others(&self, entry: &Entry, now: Millis) -> bool {
         let others = |it: &Target| !self.sent.contains(&it.id);
-        let others = entry.look(&self.service, now, Millis(0), others);
+        let others = entry.candidates(&self.service, now, Millis(0), others);
         others.choose(Asks::Now, 0.0).is_some()
     }
 
@@ -127,7 +128,7 @@
         shortage: &Shortage,
         now: Millis,
     ) -> Millis {
-        let all = entry.look(&self.service, now, Millis(0), |_| true);
+        let all = entry.candidates(&self.service, now, Millis(0), |_| true);
         if all.choose(Asks::Now, 0.0).is_some() {
             return Millis(0);
         }
@@ -136,7 +137,7 @@
         end.map_or(Millis(0), |it| it.since(now))
     }
 
-    /// Draws how long after the end of a cooldown it goes, once, within the
+    /// RetryCost how long after the end of a cooldown it goes, once, within the
     /// time that it can wait.
     fn spread_out(&mut self, entry: &Entry, most: Millis) {
         if self.stagger.0 == 0 {
@@ -153,38 +154,40 @@
         mut choice: Choice,
         patience: Millis,
     ) -> Result<Option<Choice>, Response<Body>> {
-        if let Start::Later(after) = self.start(entry, Millis::now()) {
-            return Err(self.put_off(entry, after));
+        if let Admission::Later(after) = self.start(entry, Millis::now()) {
+            return Err(self.reject_with(entry, Reason::TooLate(after)));
         }
         if !limits::permit(entry, &mut choice, patience).await {
-            self.turned_away += 1;
+            self.denied += 1;
             return Ok(None);
         }
         let now = Millis::now();
-        if self.next == Draws::Budget && !entry.spend_retry(&self.service, now)
+        if self.next == RetryCost::Budget
+            && !entry.spend_retry(&self.service, now)
         {
             choice.give_back();
-            return Err(self.give_up(entry, "no retry is left"));
+            let reason = Reason::NoTarget("no retry is left");
+            return Err(self.reject_with(entry, reason));
         }
         self.log_choice(entry, &choice, now);
         choice.endpoint.borrow_mut().probe(now);
         self.tries += 1;
-        self.turned_away = 0;
+        self.denied = 0;
         Ok(Some(choice))
     }
 
     /// Whether a stream that nothing has run of is still worth its start.
-    fn start(&self, entry: &Entry, now: Millis) -> Start {
+    fn start(&self, entry: &Entry, now: Millis) -> Admission {
         let (Some(silence), Some(aim)) = (self.route.silence, self.route.aim)
         else {
-            return Start::Now;
+            return Admission::Now;
         };
         if self.certainty == Certainty::Unknown {
-            return Start::Now;
+            return Admission::Now;
         }
-        let Call { arrived, visit, .. } = *self;
+        let Call { arrived, caller_try, .. } = *self;
         let left = self.left();
-        let asked = Asked { arrived, silence, aim, left, visit };
+        let asked = Asked { arrived, silence, aim, left, caller_try };
         asked.start(now, entry.draw())
     }
 
@@ -206,31 +209,31 @@
         now: Millis,
         ahead: Millis,
     ) -> Result<(Choice, Millis), Option<Shortage>> {
-        let look = |new: bool| {
+        let candidates = |new: bool| {
             let fits = |it: &Target| self.sent.contains(&it.id) != new;
-            entry.look(&self.service, now, self.stagger, fits)
+            entry.candidates(&self.service, now, self.stagger, fits)
         };
-        let may_ask = self.turned_away < MAX_TURNED_AWAY;
+        let may_ask = self.denied < MAX_DENIED;
         let asks = if may_ask { Asks::Now } else { Asks::Never };
         let more = self.may_go_elsewhere();
-        let first = look(more);
+        let first = candidates(more);
         if let Some(choice) = first.choose(asks, entry.draw()) {
             return Ok((choice, Millis(0)));
         }
-        let before = more.then(|| look(false));
+        let before = more.then(|| candidates(false));
         let before = before.as_ref();
         let chosen = before.and_then(|it| it.choose(asks, entry.draw()));
         if let Some(choice) = chosen {
             return Ok((choice, Millis(0)));
         }
-        let sights = || [Some(&first), before].into_iter().flatten();
+        let seen = || [Some(&first), before].into_iter().flatten();
         if !may_ask || ahead == Millis(0) {
-            return Err(Shortage::new(sights()));
+            return Err(Shortage::new(seen()));
         }
         let asks = Asks::Ahead(ahead);
-        let chosen = sights().find_map(|it| it.choose(asks, entry.draw()));
+        let chosen = seen().find_map(|it| it.choose(asks, entry.draw()));
         let chosen = chosen.map(|it| (it, ahead));
-        chosen.ok_or_else(|| Shortage::new(sights()))
+        chosen.ok_or_else(|| Shortage::new(seen()))
     }
 
     fn log_choice(&self, entry: &Entry, choice: &Choice, now: Millis) {
@@ -245,7 +248,7 @@
             "own" => endpoint.record.in_flight(), "report_age" => age,
             "limit" => choice.limit.map(|it| it.a_second()),
             "limit_age" => word.map(|it| it.age.0),
-            "denied" => self.turned_away,
+            "denied" => self.denied,
             "left" => self.left().0, "try" => self.tries + 1);
     }
 
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -8,7 +8,7 @@
 use slog::info;
 use tokio::time::sleep;
 
-use super::{AttemptError, Call, Certainty, Draws};
+use super::{AttemptError, Call, Certainty, RetryCost};
 use crate::{
     entry::{Choice, Entry},
     reply::{self, Body},
@@ -32,8 +32,18 @@
 /// after a quarter of a second each.
 const MAX_TRIES: usize = 12;
 
-/// What a caller hears whose work ends its targets.
-const DEADLY: &str = "targets ended each time they ran this\n";
+/// Why a request gets no answer of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// No attempt may follow.
+    NoTarget(&'static str),
+    /// It waited so long that no first event can reach its caller in time.
+    TooLate(Millis),
+    /// Its targets take no more, by their own word, before so long.
+    Busy(Millis),
+    /// Targets crashed each time they ran it.
+    Poison(Millis),
+}
 
 /// The pause after a connection broke under a request. Where many targets end
 /// at the same moment, connections to the others are seen to break by then:
@@ -86,7 +96,7 @@
             }
         };
         if !self.may_try_again(entry, choice, why) {
-            return Some(self.give_up(entry, why));
+            return Some(self.reject_with(entry, Reason::NoTarget(why)));
         }
         if matches!(error, AttemptError::Broken(_)) {
             sleep(BREAK_TIME.duration()).await;
@@ -112,7 +122,7 @@
         let attempts = self.route.attempts as usize;
         let room = self.runs < attempts && self.tries < attempts + SPARE_TRIES;
         let allowed = safe && room && self.left().0 > 0;
-        self.next = Draws::Budget;
+        self.next = RetryCost::Budget;
         info!(entry.log, "missed"; "request" => &*self.id,
             "target" => &*choice.target.id, "why" => why,
             "repeats" => self.route.repeats(), "tries" => self.tries,
@@ -121,79 +131,54 @@
         allowed
     }
 
-    /// The final answer of a request that no target answers.
-    pub fn give_up(&self, entry: &Entry, why: &'static str) -> Response<Body> {
-        let left = self.left();
-        info!(entry.log, "given_up"; "request" => &*self.id, "why" => why,
-            "certainty" => ?self.certainty, "tries" => self.tries,
-            "left" => left.0);
-        match self.certainty {
-            Certainty::NotRun => {
-                reply::not_run("not run: no target\n", self.come_back())
-            }
-            Certainty::Unknown if left.0 == 0 => reply::overdue(),
-            Certainty::Unknown => reply::unknown("no whole answer\n"),
-        }
-    }
-
-    /// When the caller should come back.
-    fn come_back(&self) -> Millis {
-        let longest = self.longest_return();
-        if self.route.streams() { longest } else { longest.min(FULL_TIME) }
-    }
-
-    /// Callers wait for a third of what they have left at most.
-    fn longest_return(&self) -> Millis {
-        Millis(self.left().0 / 3)
-    }
-
-    /// The answer to a caller that is best off coming back.
-    pub(super) fn put_off(
+    /// The final answer of a request that gets none of a target. That it has
+    /// not run, and when its caller may come back, is said where that is so.
+    pub fn reject_with(
         &self,
         entry: &Entry,
-        after: Millis,
+        reason: Reason,
     ) -> Response<Body> {
-        info!(entry.log, "put_off"; "request" => &*self.id,
-            "waited" => Millis::now().since(self.arrived).0,
-            "visit" => ?self.visit, "after" => after.0,
-            "left" => self.left().0);
-        reply::not_run("not run: too late for a first event\n", after)
-    }
-
-    /// The answer to a caller whose targets take no more for now.
-    pub(super) fn turn_away(
-        &self,
-        entry: &Entry,
-        after: Millis,
-    ) -> Response<Body> {
-        let after = after.clamp(MIN_RETURN, MAX_RETURN);
-        let after = patience::spread_return(after, entry.draw());
-        info!(entry.log, "turned_away"; "request" => &*self.id,
-            "certainty" => ?self.certainty, "after" => after.0,
-            "left" => self.left().0);
-        entry.measure.limited("refused");
-        match self.certainty {
-            Certainty::NotRun => {
-                reply::not_run("not run: targets take no more\n", after)
+        let left = self.left();
+        let (text, after) = match reason {
+            Reason::NoTarget(_) => {
+                ("not run: no target\n", self.come_back(entry))
+            }
+            Reason::TooLate(after) => {
+                ("not run: too late for a first event\n", after)
+            }
+            Reason::Busy(after) => {
+                entry.measure.limited("refused");
+                let after = after.clamp(MIN_RETURN, MAX_RETURN);
+                let after = patience::spread_return(after, entry.draw());
+                ("not run: targets take no more\n", after)
             }
-            Certainty::Unknown => reply::unknown("no whole answer\n"),
+            Reason::Poison(after) => {
+                entry.measure.quarantined("request");
+                ("targets ended each time they ran this\n", after)
+            }
+        };
+        info!(entry.log, "rejected"; "request" => &*self.id,
+            "reason" => ?reason, "certainty" => ?self.certainty,
+            "tries" => self.tries, "caller_try" => ?self.caller_try,
+            "waited" => Millis::now().since(self.arrived).0,
+            "after" => after.0, "left" => left.0, "work" => %self.work);
+        match (self.certainty, reason) {
+            (Certainty::NotRun, _) => reply::not_run(text, after),
+            (Certainty::Unknown, Reason::Poison(_)) => reply::unknown(text),
+            (Certainty::Unknown, _) if left.0 == 0 => reply::overdue(),
+            (Certainty::Unknown, _) => reply::unknown("no whole answer\n"),
         }
     }
 
-    /// The answer to a caller whose work ends its targets. That it ran is said
-    /// where it may have; otherwise it never does.
-    pub(super) fn refuse(
-        &self,
-        entry: &Entry,
-        after: Millis,
-    ) -> Response<Body> {
-        info!(entry.log, "refused"; "request" => &*self.id,
-            "work" => %self.work, "certainty" => ?self.certainty,
-            "after" => after.0);
-        entry.measure.quarantined("request");
-        match self.certainty {
-            Certainty::NotRun => reply::not_run(DEADLY, after),
-            Certainty::Unknown => reply::unknown(DEADLY),
+    /// When the caller should come back. Those of streams wait as long as they
+    /// do: their group may have formed again by then.
+    fn come_back(&self, entry: &Entry) -> Millis {
+        // Callers wait for a third of what they have left at most.
+        let longest = Millis(self.left().0 / 3);
+        if self.route.streams() {
+            return longest;
         }
+        let after = patience::spread_return(FULL_TIME, entry.draw());
+        longest.min(after)
     }
 }
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -52,11 +52,11 @@
 /// Requests that are asked about at once, some 70 bytes each: all that a
 /// target runs and has waiting from one entry. Those that were given up give
 /// way to others, the oldest first.
-const MAX_DOUBTS: usize = 64;
+const MAX_SUSPICIONS: usize = 64;
 
 /// A request under which its target may have ended.
 #[derive(Clone, Debug)]
-pub struct Doubt {
+pub struct Suspicion {
     request: Name,
     work: Work,
     /// When its connection broke or was given up, or since then the target
@@ -69,29 +69,29 @@
     until: Millis,
 }
 
-impl Doubt {
+impl Suspicion {
     /// A request whose connection broke.
-    pub fn broken(request: Name, work: Work) -> Doubt {
+    pub fn broken(request: Name, work: Work) -> Suspicion {
         let at = Millis::now();
-        Doubt { request, work, at, lingers: Millis(0), until: at }
+        Suspicion { request, work, at, lingers: Millis(0), until: at }
     }
 
     /// A request that was given up here, and that the target may go on with
     /// until its time is over.
-    pub fn given_up(request: Name, work: Work, until: Millis) -> Doubt {
-        let broken = Doubt::broken(request, work);
+    pub fn given_up(request: Name, work: Work, until: Millis) -> Suspicion {
+        let broken = Suspicion::broken(request, work);
         let lingers = LINGER_TIME;
         let until = until.min(broken.at + LONGEST_LINGER);
-        Doubt { lingers, until, ..broken }
+        Suspicion { lingers, until, ..broken }
     }
 
     fn is_given_up(&self) -> bool {
         self.lingers > Millis(0)
     }
 
-    /// What is still in doubt once the target is seen to live.
-    fn renewed(&self, now: Millis) -> Option<Doubt> {
-        (self.until > now).then(|| Doubt { at: now, ..self.clone() })
+    /// What is still in suspect once the target is seen to live.
+    fn renewed(&self, now: Millis) -> Option<Suspicion> {
+        (self.until > now).then(|| Suspicion { at: now, ..self.clone() })
     }
 
     /// From when on a sign of life says that the target outlived it.
@@ -120,21 +120,22 @@
 }
 
 /// Asks whether a target ended under a request.
-pub fn doubt(entry: &Rc<Entry>, choice: &Choice, doubt: Doubt) {
+pub fn suspect(entry: &Rc<Entry>, choice: &Choice, suspect: Suspicion) {
     let mut endpoint = choice.endpoint.borrow_mut();
-    if endpoint.doubts.len() >= MAX_DOUBTS {
+    if endpoint.suspicions.len() >= MAX_SUSPICIONS {
         entry.measure.doubted(1, "untold");
-        let oldest = endpoint.doubts.iter().position(Doubt::is_given_up);
+        let oldest =
+            endpoint.suspicions.iter().position(Suspicion::is_given_up);
         let Some(oldest) = oldest else { return };
-        endpoint.doubts.remove(oldest);
+        endpoint.suspicions.remove(oldest);
     }
-    endpoint.doubts.push(doubt);
-    if endpoint.doubts.len() == 1 {
+    endpoint.suspicions.push(suspect);
+    if endpoint.suspicions.len() == 1 {
         tokio::task::spawn_local(look(entry.clone(), choice.clone()));
     }
 }
 
-/// Looks until nothing is in doubt.
+/// Looks until nothing is in suspect.
 async fn look(entry: Rc<Entry>, choice: Choice) {
     let mut asked = 0;
     loop {
@@ -175,13 +176,14 @@
         let endpoint = choice.endpoint.borrow();
         (endpoint.lived, endpoint.lost)
     };
-    let outlived = |it: &Doubt| lived.is_some_and(|at| it.counts_from() <= at);
+    let outlived =
+        |it: &Suspicion| lived.is_some_and(|at| it.counts_from() <= at);
     settle(entry, choice, Fate::Lives, outlived);
-    let ended = |it: &Doubt| lost.is_some_and(|at| it.at <= at + WAY_TIME);
+    let ended = |it: &Suspicion| lost.is_some_and(|at| it.at <= at + WAY_TIME);
     settle(entry, choice, Fate::Ended, ended);
     let endpoint = choice.endpoint.borrow();
-    let due = |it: &Doubt| it.at + it.lingers + patience(&endpoint, it.at);
-    endpoint.doubts.iter().map(due).min()
+    let due = |it: &Suspicion| it.at + it.lingers + patience(&endpoint, it.at);
+    endpoint.suspicions.iter().map(due).min()
 }
 
 fn patience(endpoint: &Endpoint, since: Millis) -> Millis {
@@ -193,7 +195,7 @@
 }
 
 async fn ask(entry: &Entry, choice: &Choice) -> Fate {
-    let newest = choice.endpoint.borrow().doubts.last().map(|it| it.at);
+    let newest = choice.endpoint.borrow().suspicions.last().map(|it| it.at);
     let since = newest.unwrap_or_default() + WAY_TIME;
     let opening = TcpStream::connect(choice.target.address);
     match tokio::time::timeout(ASK_TIME.duration(), opening).await {
@@ -212,11 +214,11 @@
     entry: &Entry,
     choice: &Choice,
     fate: Fate,
-    is_settled: impl Fn(&Doubt) -> bool,
+    is_settled: impl Fn(&Suspicion) -> bool,
 ) {
     let now = Millis::now();
     let mut settled = Vec::new();
-    choice.endpoint.borrow_mut().doubts.retain_mut(|it| {
+    choice.endpoint.borrow_mut().suspicions.retain_mut(|it| {
         if !is_settled(it) {
             return true;
         }
@@ -236,18 +238,18 @@
         Fate::Unknown => entry.measure.doubted(settled.len(), "unknown"),
         Fate::Ended => {
             entry.measure.doubted(settled.len(), "ended");
-            for doubt in settled {
-                note_end(entry, choice, &doubt);
+            for suspect in settled {
+                note_end(entry, choice, &suspect);
             }
         }
     }
 }
 
 /// Notes that a target ended under a request.
-fn note_end(entry: &Entry, choice: &Choice, doubt: &Doubt) {
-    let age = Millis::now().since(doubt.at);
+fn note_end(entry: &Entry, choice: &Choice, suspect: &Suspicion) {
+    let age = Millis::now().since(suspect.at);
     info!(entry.log, "ended_under"; "target" => &*choice.target.id,
-        "request" => &*doubt.request, "work" => %doubt.work,
+        "request" => &*suspect.request, "work" => %suspect.work,
         "known_after" => age.0);
-    entry.note_ended(&choice.target, doubt.work, Millis::now());
+    entry.note_ended(&choice.target, suspect.work, Millis::now());
 }
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -30,7 +30,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    ends::Doubt, limits::Limits, measure::Measure, peers::Peers,
+    ends::Suspicion, limits::Limits, measure::Measure, peers::Peers,
     quarantine::Quarantine, settings::Settings, upstream::Pool,
 };
 
@@ -89,7 +89,7 @@
     /// When its agent last said that its process is gone.
     pub lost: Option<Millis>,
     /// Requests under which it may have ended.
-    pub doubts: Vec<Doubt>,
+    pub suspicions: Vec<Suspicion>,
     /// How many requests a second it takes.
     pub limit: CurrentLimit,
     /// Permits there that came too late for the requests that asked.
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -11,7 +11,7 @@
 use super::{Choice, Endpoint, Entry, Group, Recovery, groups::SILENT_TIME};
 
 /// The targets of a service that work, as an entry sees them at a moment.
-pub struct Sight {
+pub struct Candidates {
     seen: Vec<Seen>,
     at: Millis,
     usual: Usual,
@@ -50,21 +50,21 @@
     /// What the targets lack that were seen at a moment; nothing where none
     /// is kept from use by its own word.
     pub fn new<'a>(
-        sights: impl Iterator<Item = &'a Sight>,
+        looks: impl Iterator<Item = &'a Candidates>,
     ) -> Option<Shortage> {
         let mut shortage = Shortage {
             limit_end: None,
             cooldown_end: None,
             is_complete: true,
         };
-        for sight in sights {
-            let limited = sight.seen.iter().filter_map(|it| it.free);
+        for look in looks {
+            let limited = look.seen.iter().filter_map(|it| it.free);
             let limit_end = shortage.limit_end.into_iter().chain(limited);
             shortage.limit_end = limit_end.min();
             let ends = shortage.cooldown_end.into_iter();
-            shortage.cooldown_end = ends.chain(sight.cooldown_end).min();
-            let kept = sight.seen.len() + sight.cooling;
-            shortage.is_complete &= kept == sight.fitting;
+            shortage.cooldown_end = ends.chain(look.cooldown_end).min();
+            let kept = look.seen.len() + look.cooling;
+            shortage.is_complete &= kept == look.fitting;
         }
         shortage.end().map(|_| shortage)
     }
@@ -86,7 +86,7 @@
     Never,
 }
 
-impl Sight {
+impl Candidates {
     /// The target with the least cost, or, where agents report, one of those
     /// with little cost; see [`pick::spread`]. One that takes fewer requests
     /// than its part is chosen whenever it costs no more, so that it gets what
@@ -139,13 +139,13 @@
 impl Entry {
     /// Looks at the targets of a service that `fits` lets through. Cooldowns
     /// count as longer by `stagger`.
-    pub fn look(
+    pub fn candidates(
         &self,
         service: &str,
         now: Millis,
         stagger: Millis,
         fits: impl Fn(&Target) -> bool,
-    ) -> Sight {
+    ) -> Candidates {
         let fleet = self.fleet.borrow();
         let most = self.connections(service);
         let zone = &self.settings().zone;
@@ -225,7 +225,7 @@
         let limited = seen.iter().any(|it| it.choice.limit.is_some());
         let part =
             if limited { self.part(service, targets, now) } else { 0.0 };
-        Sight {
+        Candidates {
             seen,
             at: now,
             usual,
--- a/cowsliproad-direct/src/receive.rs
+++ b/cowsliproad-direct/src/receive.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use cowsliproad_admission::{patience::Visit, quarantine::Work};
+use cowsliproad_admission::{patience::CallerTry, quarantine::Work};
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_platform::header;
 use cowsliproad_routing::catalog::{Catalog, Found, Organisation, Refusal};
@@ -83,8 +83,8 @@
         service,
     };
     let most = entry.patience_of(&target.route.name, left);
-    let visit = Visit::new(left, most);
-    let time = Span { arrived, until: arrived + time, visit };
+    let caller_try = CallerTry::new(left, most);
+    let time = Span { arrived, until: arrived + time, caller_try };
     head.headers = headers;
     Ok(Call::new(head, body, target, time))
 }
--- a/tests/properties/patience.rs
+++ b/tests/properties/patience.rs
@@ -2,7 +2,7 @@
 //! and who is told to come back.
 
 use cowsliproad::{
-    admission::patience::{Asked, Start, Visit},
+    admission::patience::{Admission, Asked, CallerTry},
     kernel::clock::Millis,
 };
 use proptest::prelude::*;
@@ -13,22 +13,27 @@
 const SILENCE: Millis = Millis(2_000);
 const AIM: Millis = Millis(500);
 
-fn asked(waited: u64, visit: Visit) -> (Asked, Millis) {
+fn asked(waited: u64, caller_try: CallerTry) -> (Asked, Millis) {
     let arrived = Millis(10_000);
     let left = MOST.since(Millis(waited));
-    let asked = Asked { arrived, silence: SILENCE, aim: AIM, left, visit };
+    let asked =
+        Asked { arrived, silence: SILENCE, aim: AIM, left, caller_try };
     (asked, arrived + Millis(waited))
 }
 
-fn start(waited: u64, visit: Visit) -> Start {
-    let (asked, now) = asked(waited, visit);
+fn start(waited: u64, caller_try: CallerTry) -> Admission {
+    let (asked, now) = asked(waited, caller_try);
     asked.start(now, 0.5)
 }
 
 #[test]
 fn whoever_stays_long_enough_for_a_first_event_starts() {
     for waited in [0, 200, 1_000, 1_500] {
-        assert_eq!(start(waited, Visit::First), Start::Now, "{waited}");
+        assert_eq!(
+            start(waited, CallerTry::First),
+            Admission::Now,
+            "{waited}"
+        );
     }
 }
 
@@ -37,23 +42,23 @@
 #[test]
 fn whoever_would_leave_before_it_comes_back() {
     for waited in [1_501, 1_700, 1_890] {
-        let start = start(waited, Visit::First);
-        assert!(matches!(start, Start::Later(_)), "{waited}: {start:?}");
+        let start = start(waited, CallerTry::First);
+        assert!(matches!(start, Admission::Later(_)), "{waited}: {start:?}");
     }
 }
 
 #[test]
 fn whoever_came_back_before_is_sent_on() {
-    assert_eq!(start(1_890, Visit::Return), Start::Now);
+    assert_eq!(start(1_890, CallerTry::Return), Admission::Now);
 }
 
 #[test]
 fn a_later_try_shows_in_what_its_caller_has_left() {
-    assert_eq!(Visit::new(Millis(7_998), MOST), Visit::First);
-    assert_eq!(Visit::new(Millis(7_750), MOST), Visit::First);
-    assert_eq!(Visit::new(Millis(4_070), MOST), Visit::Return);
+    assert_eq!(CallerTry::new(Millis(7_998), MOST), CallerTry::First);
+    assert_eq!(CallerTry::new(Millis(7_750), MOST), CallerTry::First);
+    assert_eq!(CallerTry::new(Millis(4_070), MOST), CallerTry::Return);
     // Nobody was seen to have more.
-    assert_eq!(Visit::new(Millis(4_070), Millis(4_070)), Visit::First);
+    assert_eq!(CallerTry::new(Millis(4_070), Millis(4_070)), CallerTry::First);
 }
 
 proptest! {
@@ -65,13 +70,13 @@
     fn returns_are_spread_over_what_callers_wait(
         waited in 1_501_u64..7_900, draw in 0.0..1.0_f64,
     ) {
-        let (asked, now) = asked(waited, Visit::First);
+        let (asked, now) = asked(waited, CallerTry::First);
         match asked.start(now, draw) {
-            Start::Later(after) => {
+            Admission::Later(after) => {
                 prop_assert!(after <= Millis(asked.left.0 / 3));
                 prop_assert!((100..=1_100).contains(&after.0));
             }
-            Start::Now => prop_assert!(asked.left.0 / 3 < 100),
+            Admission::Now => prop_assert!(asked.left.0 / 3 < 100),
         }
     }
 }
