--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -40,7 +40,7 @@
 mod choose;
 pub mod failure;
 
-pub use self::choose::STAGGER_TIME;
+pub use self::choose::{MAX_STAGGER, PROBE_PERIOD};
 
 /// The largest answer that is read whole before it is passed on.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -33,7 +33,11 @@
 
 /// Requests that wait for the end of one cooldown are sent within this time,
 /// not all at once.
-pub const STAGGER_TIME: Millis = Millis(200);
+pub const MAX_STAGGER: Millis = Millis(200);
+
+/// Within this time after a cooldown, requests that can go elsewhere find out
+/// whether the target takes more.
+pub const PROBE_PERIOD: Millis = Millis(1_000);
 
 impl Call {
     /// Chooses the next target, and waits for one if there is none.
@@ -141,7 +145,7 @@
     /// time that it can wait.
     fn spread_out(&mut self, entry: &Entry, most: Millis) {
         if self.stagger.0 == 0 {
-            let most = STAGGER_TIME.min(most).0 as f64;
+            let most = MAX_STAGGER.min(most).0 as f64;
             self.stagger = Millis((most * entry.draw()) as u64);
         }
     }
@@ -202,16 +206,34 @@
     /// The best target that the request may still be sent to, and how long it
     /// may wait for a permit there: a new one while its route allows more, else
     /// one that was asked before; one that takes it now, else one that does so
-    /// within `ahead`. Without one, what limits have to do with that.
+    /// within `ahead`. Without one, what the targets' own words have to do with
+    /// that. A request that may go to one target only leaves those whose
+    /// cooldown has just ended to others, if it can.
     fn choose(
         &self,
         entry: &Entry,
         now: Millis,
         ahead: Millis,
+    ) -> Result<(Choice, Millis), Option<Shortage>> {
+        let choose = |after| self.choose_after(entry, now, ahead, after);
+        if self.route.attempts > 1 {
+            return choose(self.stagger);
+        }
+        let chosen = choose(self.stagger + PROBE_PERIOD);
+        chosen.or_else(|_| choose(self.stagger))
+    }
+
+    /// The same, where cooldowns count as longer by `stagger`.
+    fn choose_after(
+        &self,
+        entry: &Entry,
+        now: Millis,
+        ahead: Millis,
+        stagger: Millis,
     ) -> Result<(Choice, Millis), Option<Shortage>> {
         let candidates = |new: bool| {
             let fits = |it: &Target| self.sent.contains(&it.id) != new;
-            entry.candidates(&self.service, now, self.stagger, fits)
+            entry.candidates(&self.service, now, stagger, fits)
         };
         let may_ask = self.denied < MAX_DENIED;
         let asks = if may_ask { Asks::Now } else { Asks::Never };
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -36,7 +36,7 @@
 };
 
 use crate::{
-    call::STAGGER_TIME,
+    call::{MAX_STAGGER, PROBE_PERIOD},
     entry::{Entry, Group, Source},
     follow,
     limits::{self, Told},
@@ -238,8 +238,9 @@
         let known = entry.peers.borrow().known.len();
         entry.measure.knows(known, entry.fleet.borrow().ready().count());
         entry.measure.knows_limits(entry.limits_known());
-        // Staggered requests look at what was over a moment ago.
-        entry.cooldowns.borrow_mut().sweep(now - STAGGER_TIME);
+        // Some requests count cooldowns as longer.
+        let over = now - MAX_STAGGER - PROBE_PERIOD;
+        entry.cooldowns.borrow_mut().sweep(over);
         entry.measure.knows_cooling(entry.cooldowns.borrow().active(now));
         let joined = entry.joined.get();
         if round % ASK_EVERY == 0 || joined != asked {
--- a/cowsliproad-direct/tests/entry/cooldowns.rs
+++ b/cowsliproad-direct/tests/entry/cooldowns.rs
@@ -599,3 +599,43 @@
     let got = targets[0].arrivals() - got;
     assert!(got >= 50, "it is left idle: {got}");
 }
+
+/// Guards against a service that serves less, or a target that is asked again
+/// and again, where one of three targets sheds all that it gets. Prints what
+/// that costs the entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_sheds_costs_its_service_little() {
+    const ENTRIES: usize = 7;
+    const TIME: Duration = Duration::from_secs(10);
+    const WAIT: usize = 3;
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant, "plain").await;
+    let entries = plant.entries(ENTRIES).await;
+    targets[0].set_retry_after(Some("3"));
+    targets[0].set(Fault::Shedding);
+    let used = || entries.iter().map(Entry::processor).sum::<Duration>();
+    let before = used();
+    let pause = 2 * PAUSE;
+    let (many, once) = tokio::join!(
+        load(&entries, "/many/a", pause, TIME),
+        load(&entries, "/once/a", pause, TIME),
+    );
+    let used = used() - before;
+    let memory = entries.iter().map(Entry::memory).max().unwrap_or(0) >> 10;
+    let shed = targets[0].arrivals();
+    println!(
+        "served {} and {} that run once, refused {} and {}, other {}; shed \
+         {shed}; processor {} ms, memory {memory} KB at most",
+        many.good,
+        once.good,
+        many.refused,
+        once.refused,
+        many.other + once.other,
+        used.as_millis(),
+    );
+    // Each entry finds out once in the time that is stated.
+    let most = ENTRIES * (TIME.as_secs() as usize / WAIT + 1);
+    assert!(shed <= most as u64, "{shed}");
+    assert_eq!((many.refused, many.other + once.other), (0, 0));
+    assert!(once.refused as u64 <= shed, "{once:?}");
+}
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -212,6 +212,16 @@
         pages.unwrap_or(0_usize) * 4_096
     }
 
+    /// Processor time that the process has used.
+    pub fn processor(&self) -> Duration {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let text = fs::read_to_string(path).expect("the process is there");
+        let fields = text.rsplit(')').next().unwrap_or_default();
+        let ticks = fields.split_whitespace().skip(11).take(2);
+        let ticks: u64 = ticks.filter_map(|it| it.parse::<u64>().ok()).sum();
+        Duration::from_millis(ticks * 10)
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
