--- a/cowsliproad-direct/tests/entry/limits.rs
+++ b/cowsliproad-direct/tests/entry/limits.rs
@@ -410,3 +410,39 @@
     // One place more where somebody else begins to keep the pace.
     assert!(most <= 11, "{most} in 4 s");
 }
+
+/// Guards against a limit that is lost with the target's entry in the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lapsed_announcement_ends_no_limit() {
+    let mut plant = Plant::start().await;
+    let targets = targets(&mut plant).await;
+    let entries = plant.entries(4).await;
+    targets[0].set_limit(Some("1"));
+    let pause = Duration::from_millis(5);
+    load(&entries, "/many/a", pause, Duration::from_secs(1)).await;
+    let begun = Instant::now();
+    for turn in 0..3 {
+        let known = |count: f64| {
+            let entries = &entries;
+            async move {
+                until("entries know the targets", async || {
+                    for entry in entries {
+                        if entry.metric("targets").await != Some(count) {
+                            return false;
+                        }
+                    }
+                    true
+                })
+                .await;
+            }
+        };
+        targets[0].withdraw(&plant.log);
+        known(2.0).await;
+        targets[0].announce(&plant.log, "ready");
+        known(3.0).await;
+        load(&entries, "/many/a", pause, Duration::from_millis(800)).await;
+        println!("{turn}: {} in 4 s", most_within(&targets[0], begun, SPAN));
+    }
+    let most = most_within(&targets[0], begun, SPAN);
+    assert!(most <= 5, "{most} in 4 s");
+}
