--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -141,7 +141,7 @@
         end.map_or(Millis(0), |it| it.since(now))
     }
 
-    /// RetryCost how long after the end of a cooldown it goes, once, within the
+    /// Draws how long after the end of a cooldown it goes, once, within the
     /// time that it can wait.
     fn spread_out(&mut self, entry: &Entry, most: Millis) {
         if self.stagger.0 == 0 {
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -89,7 +89,7 @@
         self.lingers > Millis(0)
     }
 
-    /// What is still in suspect once the target is seen to live.
+    /// What is still suspected once the target is seen to live.
     fn renewed(&self, now: Millis) -> Option<Suspicion> {
         (self.until > now).then(|| Suspicion { at: now, ..self.clone() })
     }
@@ -135,7 +135,7 @@
     }
 }
 
-/// Looks until nothing is in suspect.
+/// Looks until nothing is suspected.
 async fn look(entry: Rc<Entry>, choice: Choice) {
     let mut asked = 0;
     loop {
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -150,7 +150,7 @@
         let most = self.connections(service);
         let zone = &self.settings().zone;
         let own = fleet.ready().filter(|it| &*it.service == service);
-        let with_endpoints: Vec<(&Target, Rc<RefCell<Endpoint>>)> =
+        let endpoints: Vec<(&Target, Rc<RefCell<Endpoint>>)> =
             own.map(|it| (it, self.endpoint(&it.id))).collect();
         // Where most agents report, a target whose agent is silent is not
         // idle but unknown: its VM may be frozen, or it may be the slow one.
@@ -158,19 +158,18 @@
             let heard = group.as_ref().map(|it| now.since(it.heard));
             heard.is_some_and(|age| age < SILENT_TIME)
         };
-        let heard =
-            with_endpoints.iter().filter(|it| known(&it.1.borrow().group));
-        let reported = heard.count() * 2 > with_endpoints.len();
+        let heard = endpoints.iter().filter(|it| known(&it.1.borrow().group));
+        let reported = heard.count() * 2 > endpoints.len();
         let records: Vec<Record> =
-            with_endpoints.iter().map(|it| it.1.borrow().record).collect();
+            endpoints.iter().map(|it| it.1.borrow().record).collect();
         let usual = Usual::new(records.iter());
         let unseen =
             if reported { self.unseen(service, &records, now) } else { 0.0 };
-        let targets = with_endpoints.len();
+        let targets = endpoints.len();
         let mut fitting = 0;
         let (mut cooling, mut cooldown_end) = (0, None);
         let mut seen: Vec<Seen> = Vec::new();
-        for (target, endpoint) in with_endpoints {
+        for (target, endpoint) in endpoints {
             if !fits(target) {
                 continue;
             }
--- a/cowsliproad-routing/src/owner.rs
+++ b/cowsliproad-routing/src/owner.rs
@@ -4,7 +4,7 @@
 //! Entries of the target's availability zone go first: whoever is cut off from
 //! them mostly doesn't reach the target either. Among these each target has
 //! another owner. Where entries know different ones of the others they may
-//! choose different owners; a question for a place is passed on by whoever
+//! choose different owners; a question for a permit is passed on by whoever
 //! knows of a better one.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
