--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -111,6 +111,19 @@
         target::start(address, config, &self.log).await.expect("a target")
     }
 
+    /// A quick target, which gets most requests, and two slower ones.
+    pub async fn uneven_targets(&mut self, service: &str) -> Vec<Arc<Target>> {
+        let mut targets = Vec::new();
+        for (id, pause) in [("i-1", 2), ("i-2", 20), ("i-3", 20)] {
+            let pause = Duration::from_millis(pause);
+            let events = if service == "model" { 4 } else { 0 };
+            let config = Config::new(id, service, "a").with_start(1);
+            let config = config.with_events(events, pause);
+            targets.push(self.target_with(config).await);
+        }
+        targets
+    }
+
     /// Settings of one more entry.
     pub fn settings(&mut self, seeds: &[&Entry]) -> Settings {
         let vm = self.vm();
