--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -216,7 +216,7 @@
         ahead: Millis,
     ) -> Result<(Choice, Millis), Option<Shortage>> {
         let choose = |after| self.choose_after(entry, now, ahead, after);
-        if self.route.attempts > 1 {
+        if self.route.attempts > 1 || entry.cooldowns.borrow().is_empty() {
             return choose(self.stagger);
         }
         let chosen = choose(self.stagger + PROBE_PERIOD);
--- a/cowsliproad-routing/src/cooldown.rs
+++ b/cowsliproad-routing/src/cooldown.rs
@@ -81,6 +81,11 @@
         (*start == target.start).then(|| cooldown.end(now))?
     }
 
+    /// Whether no target is known to be left alone.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// Targets that are left alone.
     pub fn active(&self, now: Millis) -> usize {
         let cooldowns = self.targets.values();
