--- a/cowsliproad-entry/src/target.rs
+++ b/cowsliproad-entry/src/target.rs
@@ -99,7 +99,7 @@
 /// What is shown of a target to operators.
 #[derive(Clone, Debug)]
 pub struct Status {
-    /// `unreachable`, `ended`, `leaving`, `ejected` or `serving`.
+    /// `unreachable`, `ended`, `leaving`, `cooling`, `ejected` or `serving`.
     pub state: &'static str,
     /// The last load report.
     pub load: Load,
@@ -248,10 +248,12 @@
         let linked = self.link.load().is_some();
         let stats = lock(&self.stats);
         let is_ejected = stats.health.is_ejected();
+        let is_cooling = stats.health.cooldown_end(now).is_some();
         let state = match (linked, stats.presence(), open) {
             (false, _, _) => "unreachable",
             (true, Presence::Gone, _) => "ended",
             (true, Presence::Here, false) => "leaving",
+            (true, Presence::Here, true) if is_cooling => "cooling",
             (true, Presence::Here, true) if is_ejected => "ejected",
             (true, Presence::Here, true) => "serving",
         };
