tests: wait for all answers that are to be on their way

It waited until each target had some of 12 requests, then had the next one at each lose its answer: a request of the 12 that came later took that. With two of them sent 60 ms later the old wait fails likewise, [200 x 10, 502, 502]; the new one, for each target and for all 12, passes. The assertions are the same.

--- a/cowsliproad-direct/tests/entry/quarantine.rs
+++ b/cowsliproad-direct/tests/entry/quarantine.rs
@@ -529,7 +529,18 @@
         assert_eq!(join_all(asked).await, [200; 12]);
     };
     let ends = async {
-        until("each has some", async || have_run("on its way")).await;
+        let on_their_way = || {
+            let runs = scene.targets.iter().map(|it| {
+                let runs = it.runs();
+                runs.iter().filter(|it| it.body == "on its way").count()
+            });
+            runs.sum::<usize>()
+        };
+        // One that came later would take the fault that is meant for others.
+        until("each has some, and all are there", async || {
+            have_run("on its way") && on_their_way() == 12
+        })
+        .await;
         while !have_run("suspect") {
             for target in &scene.targets {
                 target.set(target::Fault::LoseAnswer);
