--- a/cowsliproad-agent/src/pace.rs
+++ b/cowsliproad-agent/src/pace.rs
@@ -44,6 +44,8 @@
     cooldown: Cooldown,
     /// Whether entries are to be told of that.
     has_news: bool,
+    /// Whether its last refusal stated a time that is none.
+    unreadable: bool,
     /// Whether less is taken than when the waiting work came in.
     tightened: bool,
     limiter: Option<Limiter>,
@@ -87,17 +89,19 @@
     }
 
     fn note_retry_after(&self, status: StatusCode, headers: &HeaderMap) {
-        let wait = match retry_after::read(status, headers, SystemTime::now())
-        {
+        let wait = match retry_after::read(status, headers, SystemTime::now) {
             RetryAfter::None => return,
             RetryAfter::Unreadable => {
-                warn!(self.log, "retry_after_refused";
-                    "stated" => ?headers.get(RETRY_AFTER));
+                if !std::mem::replace(&mut self.lock().unreadable, true) {
+                    warn!(self.log, "retry_after_refused";
+                        "stated" => ?headers.get(RETRY_AFTER));
+                }
                 return;
             }
             RetryAfter::Wait(wait) => wait,
         };
         let mut inner = self.lock();
+        inner.unreadable = false;
         let extends = inner.cooldown.extend(wait, Millis::now());
         inner.tightened |= extends;
         inner.has_news |= extends;
@@ -111,8 +115,7 @@
 
     /// How long the target is left alone.
     pub fn cooldown(&self, now: Millis) -> Millis {
-        let end = self.lock().cooldown.end(now);
-        end.map_or(Millis(0), |it| it.since(now))
+        self.lock().cooldown.left(now)
     }
 
     /// Whether entries haven't been told yet of a change of that.
@@ -146,8 +149,7 @@
     /// The limit in force, and how long no request may go.
     pub fn limit(&self, now: Millis) -> (Option<Rate>, Millis) {
         let mut inner = self.lock();
-        let end = inner.cooldown.end(now);
-        let wait = end.map_or(Millis(0), |it| it.since(now));
+        let wait = inner.cooldown.left(now);
         let Some(rate) = inner.known.rate() else { return (None, wait) };
         let full_for = inner.limiter(rate, now).full_for(now);
         (Some(rate), wait.max(full_for))
@@ -157,8 +159,9 @@
     /// none is free.
     pub fn take(&self, now: Millis) -> Result<(), Millis> {
         let mut inner = self.lock();
-        if let Some(end) = inner.cooldown.end(now) {
-            return Err(end.since(now));
+        let left = inner.cooldown.left(now);
+        if left > Millis(0) {
+            return Err(left);
         }
         let Some(rate) = inner.known.rate() else {
             inner.limiter = None;
--- a/cowsliproad-direct/src/stated.rs
+++ b/cowsliproad-direct/src/stated.rs
@@ -66,7 +66,7 @@
     ) {
         let stated = head.headers.get(RETRY_AFTER);
         let read =
-            retry_after::read(head.status, &head.headers, SystemTime::now());
+            retry_after::read(head.status, &head.headers, SystemTime::now);
         let target = &choice.target;
         let wait = match read {
             RetryAfter::Wait(wait) if wait.0 > 0 => wait,
@@ -105,12 +105,11 @@
 
     /// Notes an answer that asks for nothing.
     fn note_recovered(&self, choice: &Choice) {
-        let now = Millis::now();
-        let cools = self.cooldown_end(&choice.target, now).is_some();
-        let mut endpoint = choice.endpoint.borrow_mut();
-        if !cools && endpoint.recovery != Recovery::Done {
-            endpoint.recovery = Recovery::Done;
-            drop(endpoint);
+        if choice.endpoint.borrow().recovery == Recovery::Done {
+            return;
+        }
+        if self.cooldown_end(&choice.target, Millis::now()).is_none() {
+            choice.endpoint.borrow_mut().recovery = Recovery::Done;
             self.freed.notify_waiters();
         }
     }
--- a/cowsliproad-direct/tests/entry/connections.rs
+++ b/cowsliproad-direct/tests/entry/connections.rs
@@ -1,13 +1,13 @@
 //! Connections to targets and to callers: kept, shared, and bounded.
 
-use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io::ErrorKind, sync::Arc, time::Duration};
 
 use cowsliproad_net::client::Client;
-use cowsliproad_platform::{header, log::TARGETS};
-use cowsliproad_platform_standin::target::{Announcement, Config, Target};
+use cowsliproad_platform::header;
+use cowsliproad_platform_standin::target::{Config, Target};
 use http::{HeaderValue, StatusCode};
 use http_body_util::BodyExt;
-use tokio::{io::AsyncReadExt, net::TcpListener, time::sleep};
+use tokio::{io::AsyncReadExt, time::sleep};
 
 use crate::harness::{Entry, KEY, Plant, numbers, until};
 
@@ -154,17 +154,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_sees_a_reset_where_the_caller_left() {
     let mut plant = Plant::start().await;
-    let address = SocketAddr::from((plant.vm(), 18_083));
-    let listener = TcpListener::bind(address).await.expect("a target");
-    let announced = Announcement {
-        service: "model",
-        address,
-        zone: "a",
-        state: "ready",
-        sequence: 1,
-        start: None,
-    };
-    plant.log.put(TARGETS, "i-1", Some(announced.text().as_bytes()));
+    let listener = plant.bare_target("i-1", "model", None).await;
     let entry = plant.entry().await;
     let request = entry.request("/stream/a", KEY, "");
     let asked = tokio::spawn(async move {
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -20,16 +20,21 @@
     gossip::{self, Datagram, Load, Lost},
 };
 use cowsliproad_net::client::{Client, Error};
-use cowsliproad_platform::{READINESS_PATH, SETTINGS_VARIABLE, header};
+use cowsliproad_platform::{
+    READINESS_PATH, SETTINGS_VARIABLE, header, log::TARGETS as TARGETS_TOPIC,
+};
 use cowsliproad_platform_standin::{
     catalog::{Catalog, Kind},
     log::{self, Log},
-    target::{self, Config, Target},
+    target::{self, Announcement, Config, Target},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use rustix::process::{Pid, Signal, kill_process};
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    time::sleep,
+};
 
 /// How long anything may take that has no bound of its own.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -124,6 +129,28 @@
         targets
     }
 
+    /// A listener that is announced as a target and answers nothing itself.
+    pub async fn bare_target(
+        &mut self,
+        id: &str,
+        service: &str,
+        start: Option<u64>,
+    ) -> TcpListener {
+        let address = SocketAddr::from((self.vm(), TARGETS));
+        let listener = TcpListener::bind(address).await.expect("a target");
+        let announced = Announcement {
+            service,
+            address,
+            zone: "a",
+            state: "ready",
+            sequence: 1,
+            start,
+        };
+        let text = announced.text();
+        self.log.put(TARGETS_TOPIC, id, Some(text.as_bytes()));
+        listener
+    }
+
     /// Settings of one more entry.
     pub fn settings(&mut self, seeds: &[&Entry]) -> Settings {
         let vm = self.vm();
--- a/cowsliproad-direct/tests/entry/scripted.rs
+++ b/cowsliproad-direct/tests/entry/scripted.rs
@@ -1,7 +1,6 @@
 //! A target that answers each request when and how a test says.
 
 use std::{
-    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -10,11 +9,10 @@
 };
 
 use cowsliproad_kernel::sync::lock;
-use cowsliproad_platform::{header, log::TARGETS};
-use cowsliproad_platform_standin::target::Announcement;
+use cowsliproad_platform::header;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
 };
 
 use crate::harness::Plant;
@@ -29,18 +27,7 @@
 impl Scripted {
     /// Starts one and announces it in the log.
     pub async fn start(plant: &mut Plant, id: &str) -> Scripted {
-        let address = SocketAddr::from((plant.vm(), 18_083));
-        let listener = TcpListener::bind(address).await.expect("a target");
-        let announced = Announcement {
-            service: "plain",
-            address,
-            zone: "a",
-            state: "ready",
-            sequence: 1,
-            start: Some(1),
-        };
-        let text = announced.text();
-        plant.log.put(TARGETS, id, Some(text.as_bytes()));
+        let listener = plant.bare_target(id, "plain", Some(1)).await;
         let pending = Arc::new(Mutex::new(Vec::new()));
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let connections = Arc::new(AtomicUsize::new(0));
--- a/cowsliproad-entry/src/callers.rs
+++ b/cowsliproad-entry/src/callers.rs
@@ -347,16 +347,14 @@
         &self,
         checked: &Checked,
     ) -> Result<Arc<Target>, Refused> {
-        let now = Millis::now();
-        let first = choose::first_to_return(&checked.service, &[], now);
-        let (target, end) = first.ok_or_else(no_target)?;
-        let wait = end.since(now);
-        if wait < checked.request_type.deadline_ms {
-            return Ok(target);
-        }
-        let after = patience::spread_return(wait, rand::random());
-        let failure = Failure::new(Code::Overloaded, Ran::NotRun);
-        Err(Refused::new(failure.with_retry_after(after)))
+        let deadline = Millis::now() + checked.request_type.deadline_ms;
+        let first = choose::first_to_return(&checked.service, &[], deadline);
+        first.map_err(|wait| {
+            let Some(wait) = wait else { return no_target() };
+            let after = patience::spread_return(wait, rand::random());
+            let failure = Failure::new(Code::Overloaded, Ran::NotRun);
+            Refused::new(failure.with_retry_after(after))
+        })
     }
 
     fn check(
--- a/cowsliproad-entry/src/choose.rs
+++ b/cowsliproad-entry/src/choose.rs
@@ -64,16 +64,20 @@
 }
 
 /// Of the targets that asked to be left alone the one that takes work again
-/// first, and when.
+/// first, if that is before `deadline`. Otherwise how long none does; nothing
+/// where none asked.
 pub fn first_to_return(
     service: &Service,
     tried: &[Name],
-    now: Millis,
-) -> Option<(Arc<Target>, Millis)> {
+    deadline: Millis,
+) -> Result<Arc<Target>, Option<Millis>> {
+    let now = Millis::now();
     let open = service.targets.iter().filter(|it| is_open(it, tried));
     let ends = open.filter_map(|it| Some((it, it.cooldown_end(now)?)));
-    let first = ends.min_by_key(|it| it.1)?;
-    Some((first.0.clone(), first.1))
+    match ends.min_by_key(|it| it.1) {
+        Some((target, end)) if end < deadline => Ok(target.clone()),
+        first => Err(first.map(|it| it.1.since(now))),
+    }
 }
 
 /// The weight of a target for an idempotency key: resends of one request go
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -276,19 +276,16 @@
     /// The target at whose agent work waits that no target takes now, if one
     /// takes it in time.
     fn wait_for_return(&self, order: &Order) -> Result<Arc<Target>, Failure> {
-        let now = Millis::now();
-        let first = choose::first_to_return(&order.service, &self.tried, now);
-        match first {
-            Some((target, end)) if end < self.deadline => Ok(target),
-            Some((_, end)) => {
-                let failure = Failure::new(Code::Overloaded, self.ran());
-                Err(failure.with_retry_after(end.since(now)))
-            }
-            None => {
-                let failure = Failure::new(Code::NoTarget, self.ran());
-                Err(failure.with_retry_after(COME_BACK))
-            }
-        }
+        let (service, tried) = (&order.service, &self.tried);
+        choose::first_to_return(service, tried, self.deadline).map_err(
+            |wait| {
+                let (code, wait) = match wait {
+                    Some(wait) => (Code::Overloaded, wait),
+                    None => (Code::NoTarget, COME_BACK),
+                };
+                Failure::new(code, self.ran()).with_retry_after(wait)
+            },
+        )
     }
 
     async fn submit(&mut self, target: Arc<Target>) {
--- a/cowsliproad-net/src/retry_after.rs
+++ b/cowsliproad-net/src/retry_after.rs
@@ -29,18 +29,19 @@
     Wait(Millis),
 }
 
-/// Reads what an answer states. With several values the longest counts.
+/// Reads what an answer states. With several values the longest counts. The
+/// time of day is asked for only where a date needs it.
 pub fn read(
     status: StatusCode,
     headers: &HeaderMap,
-    now: SystemTime,
+    now: impl FnOnce() -> SystemTime,
 ) -> RetryAfter {
     let turned_away =
         [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
     if !turned_away.contains(&status) || !headers.contains_key(RETRY_AFTER) {
         return RetryAfter::None;
     }
-    let date = headers.get(DATE).and_then(date).unwrap_or(now);
+    let date = headers.get(DATE).and_then(date).unwrap_or_else(now);
     let values = headers.get_all(RETRY_AFTER).iter();
     let waits =
         values.filter_map(|it| seconds(it).or_else(|| until(it, date)));
--- a/cowsliproad-rank/src/agent/readings.rs
+++ b/cowsliproad-rank/src/agent/readings.rs
@@ -28,9 +28,9 @@
             }
             Err(error) => {
                 if self.state.take().is_some() {
-                    let end = self.engine.cooldown().end(Millis::now());
+                    let cooldown = self.engine.cooldown().left(Millis::now());
                     info!(self.log, "engine_lost"; "error" => %error,
-                        "cooldown_end" => end.map(|it| it.0));
+                        "cooldown" => cooldown.0);
                 }
                 self.note_loss(&error);
                 return;
--- a/cowsliproad-routing/src/cooldown.rs
+++ b/cowsliproad-routing/src/cooldown.rs
@@ -37,6 +37,11 @@
     pub fn end(&self, now: Millis) -> Option<Millis> {
         (self.until > now).then_some(self.until)
     }
+
+    /// How long it still lasts; zero if it is over.
+    pub fn left(&self, now: Millis) -> Millis {
+        self.until.since(now)
+    }
 }
 
 /// The cooldowns of all targets.
