tests: roll the stand-in's log back to an older copy

The log may come back from a copy some seconds old: what was written since is gone, offsets are given out again, a read from one that it doesn't have gets 410, and the header Store-Era rises by one. The stand-in plays that, also with reads that it goes on holding.

What was seen: offsets that seemed read are skipped for as long as the reader lives; entries that others tell of lower offsets ignore them; an entry that starts serves with the copy's configuration and sends to targets that left; quarantined work that the log lost is written by nobody; the next coordinator gets the number of the first.

--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -12,6 +12,7 @@
 mod news;
 mod numbers;
 mod quarantine;
+mod rollbacks;
 mod scripted;
 mod siege;
 mod stop;
--- /dev/null
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -0,0 +1,301 @@
+//! The platform's log comes back from a copy some seconds old.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cowsliproad_platform::log::{OPERATORS, QUARANTINE, TARGETS};
+use cowsliproad_platform_standin::{
+    catalog::Kind,
+    target::{Config, Target},
+};
+use http::StatusCode;
+use tokio::time::sleep;
+
+use crate::harness::{Entry, KEY, Plant, until};
+
+/// The time in which news has to be in force.
+const BOUND: Duration = Duration::from_millis(2_000);
+
+/// In which targets whose entries the copy lacks write them again.
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
+
+/// The longest that entries tell one another of targets that left.
+const LEFT_TIME: Duration = Duration::from_secs(9);
+
+/// The body of work that ends its targets.
+const DEADLY: &str = "deadly";
+
+async fn status(entry: &Entry, path: &str, key: &str) -> Option<StatusCode> {
+    let answer = entry.ask_with(path, key, "").await;
+    answer.ok().map(|it| it.status())
+}
+
+/// Waits until an entry has sent a request to a target.
+async fn until_used(entry: &Entry, target: &Target) {
+    let before = target.arrivals();
+    until("the target is used", async || {
+        status(entry, "/many/a", KEY).await;
+        target.arrivals() > before
+    })
+    .await;
+}
+
+/// Renews a target's announcement, as it does all the time.
+fn renew(plant: &Plant, target: &Target, times: usize) {
+    for _ in 0..times {
+        target.announce(&plant.log, "ready");
+    }
+}
+
+/// Guards against missing what is written where an offset that was read
+/// before the rollback is given out again.
+#[tokio::test(flavor = "multi_thread")]
+async fn records_written_after_a_rollback_are_read() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(7));
+    let one = plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    let copy = Instant::now();
+    renew(&plant, &one, 10);
+    for _ in 0..3 {
+        plant.catalog.publish(&plant.log);
+    }
+    // Its offsets lie beyond those of the copy from here on.
+    sleep(BOUND).await;
+    plant.log.roll_back(copy);
+    let back = Instant::now();
+    let two = plant.target("i-2", "plain").await;
+    renew(&plant, &one, 12);
+    plant.catalog =
+        plant.catalog.clone().with_organisation("harju", &["key-2"]);
+    plant.catalog.publish(&plant.log);
+    until("the configuration is in force", async || {
+        status(&entry, "/many/a", KEY).await == Some(StatusCode::UNAUTHORIZED)
+    })
+    .await;
+    assert!(back.elapsed() < BOUND, "{:?}", back.elapsed());
+    let before = two.arrivals();
+    until("the new target is used", async || {
+        status(&entry, "/many/a", "key-2").await;
+        two.arrivals() > before
+    })
+    .await;
+    assert!(back.elapsed() < BOUND, "{:?}", back.elapsed());
+}
+
+/// Guards against leaving an entry behind that the log turns away, since the
+/// offsets that others tell it of have gone back.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_the_log_turns_away_learns_of_a_rollback() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    let one = plant.target("i-1", "plain").await;
+    let first = plant.entry().await;
+    let mut settings = plant.settings(&[&first]);
+    // Nobody listens there.
+    settings.log.set_port(1);
+    let second = Entry::start(settings);
+    second.until_ready().await;
+    let copy = Instant::now();
+    renew(&plant, &one, 20);
+    let old = plant.target("i-0", "plain").await;
+    until_used(&second, &old).await;
+    plant.log.roll_back(copy);
+    let back = Instant::now();
+    let two = plant.target("i-2", "plain").await;
+    until_used(&second, &two).await;
+    assert!(back.elapsed() < BOUND, "{:?}", back.elapsed());
+}
+
+/// Guards against a configuration that goes back for callers of an entry that
+/// starts after the rollback.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_starting_entry_takes_no_older_configuration() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    plant.target("i-1", "plain").await;
+    let first = plant.entry().await;
+    let copy = Instant::now();
+    plant.catalog =
+        plant.catalog.clone().with_organisation("harju", &["key-2"]);
+    plant.catalog.publish(&plant.log);
+    until("the new key holds", async || {
+        status(&first, "/many/a", "key-2").await == Some(StatusCode::OK)
+    })
+    .await;
+    plant.log.roll_back(copy);
+    for _ in 0..5 {
+        let settings = plant.settings(&[&first]);
+        let second = Entry::start(settings);
+        until("the new key holds", async || {
+            let old = status(&second, "/many/a", KEY).await;
+            assert_ne!(old, Some(StatusCode::OK), "an older configuration");
+            status(&second, "/many/a", "key-2").await == Some(StatusCode::OK)
+        })
+        .await;
+    }
+    let old = status(&first, "/many/a", KEY).await;
+    assert_eq!(old, Some(StatusCode::UNAUTHORIZED));
+}
+
+/// Guards against requests to a target that left and is ready in the copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_left_before_a_rollback_stays_out_of_use() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    let one = plant.target("i-1", "plain").await;
+    let two = plant.target("i-2", "plain").await;
+    let first = plant.entry().await;
+    let copy = Instant::now();
+    one.announce(&plant.log, "draining");
+    until("its leaving is known", async || {
+        let before = one.arrivals();
+        for _ in 0..20 {
+            status(&first, "/many/a", KEY).await;
+        }
+        one.arrivals() == before
+    })
+    .await;
+    sleep(LEFT_TIME).await;
+    let before = one.arrivals();
+    plant.log.roll_back(copy);
+    // A request or a renewal makes the rollback known.
+    renew(&plant, &two, 1);
+    let second = Entry::start(plant.settings(&[&first]));
+    second.until_ready().await;
+    let begun = Instant::now();
+    while begun.elapsed() < BOUND {
+        for entry in [&first, &second] {
+            let answer = status(entry, "/many/a", KEY).await;
+            assert_eq!(answer, Some(StatusCode::OK));
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(one.arrivals(), before);
+}
+
+/// Guards against the loss of targets that joined after the copy, and against
+/// use for good of one that is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_the_copy_lacks_stays_in_use_until_it_is_missed() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    let old = plant.target("i-1", "model").await;
+    let first = plant.entry().await;
+    let copy = Instant::now();
+    let lives = plant.target("i-2", "plain").await;
+    let gone = plant.target("i-3", "plain").await;
+    until_used(&first, &lives).await;
+    until_used(&first, &gone).await;
+    plant.log.roll_back(copy);
+    let back = Instant::now();
+    while back.elapsed() < RETURN_TIME {
+        renew(&plant, &old, 1);
+        let answer = status(&first, "/many/a", KEY).await;
+        assert_eq!(answer, Some(StatusCode::OK), "{:?}", back.elapsed());
+        sleep(Duration::from_millis(50)).await;
+    }
+    renew(&plant, &lives, 1);
+    until("the missing target is out of use", async || {
+        renew(&plant, &lives, 1);
+        let before = gone.arrivals();
+        for _ in 0..20 {
+            let answer = status(&first, "/many/a", KEY).await;
+            assert_eq!(answer, Some(StatusCode::OK), "{:?}", back.elapsed());
+        }
+        gone.arrivals() == before
+    })
+    .await;
+    assert!(back.elapsed() < RETURN_TIME + BOUND, "{:?}", back.elapsed());
+}
+
+/// Guards against forgetting work that ends its targets, and against as many
+/// writes of it as there are entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_work_is_written_again_once() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    let mut targets: Vec<Arc<Target>> = Vec::new();
+    for number in 0..6 {
+        let id = format!("i-{number}");
+        let config = Config::new(&id, "plain", "a").with_deadly(DEADLY);
+        targets.push(plant.target_with(config).await);
+    }
+    let entries = plant.entries(3).await;
+    let copy = Instant::now();
+    let ended =
+        || targets.iter().filter(|target| target.has_ended()).count();
+    let mut sent = 0;
+    while ended() < 3 {
+        assert!(sent < 9, "the work ends no target");
+        let _ = entries[sent % 3].ask_with("/many/a", KEY, DEADLY).await;
+        sent += 1;
+    }
+    until("the log keeps it", async || {
+        plant.log.records(QUARANTINE) > 0
+    })
+    .await;
+    sleep(BOUND).await;
+    plant.log.roll_back(copy);
+    assert_eq!(plant.log.records(QUARANTINE), 0);
+    // Those that still live renew theirs, which makes the rollback known.
+    let living = targets.iter().filter(|it| !it.has_ended());
+    living.for_each(|it| renew(&plant, it, 1));
+    until("the log keeps it again", async || {
+        plant.log.records(QUARANTINE) > 0
+    })
+    .await;
+    // Whoever else has it would have written it by then.
+    sleep(BOUND * 2).await;
+    assert_eq!(plant.log.records(QUARANTINE), 1);
+    // One that the others don't reach knows it, too.
+    let alone = plant.entry().await;
+    until("the work is refused", async || {
+        alone.metric("quarantined").await.is_some()
+    })
+    .await;
+    let before = ended();
+    let answer = alone.ask_with("/many/a", KEY, DEADLY).await;
+    let answer = answer.expect("an answer").status();
+    assert_eq!(answer, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(ended(), before);
+}
+
+/// Guards against waiting for the end of a long poll that the log took before
+/// the rollback, in all later rollbacks too.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_rollback_after_the_other_hides_nothing() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(0));
+    let one = plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    for round in 0..4 {
+        let copy = Instant::now();
+        renew(&plant, &one, 5);
+        plant.catalog.publish(&plant.log);
+        plant.catalog.publish(&plant.log);
+        sleep(Duration::from_millis(100 + 400 * round)).await;
+        plant.log.roll_back(copy);
+        if round == 2 {
+            plant.log.forget(OPERATORS);
+            plant.log.forget(TARGETS);
+        }
+        let back = Instant::now();
+        renew(&plant, &one, 7);
+        let path = format!("/new{round}/");
+        plant.catalog = plant.catalog.clone().with_route(
+            &path,
+            Kind::Idempotent,
+            "plain",
+            1_000,
+        );
+        plant.catalog.publish(&plant.log);
+        until("the new route holds", async || {
+            status(&entry, &path, KEY).await == Some(StatusCode::OK)
+        })
+        .await;
+        assert!(back.elapsed() < BOUND, "{round}: {:?}", back.elapsed());
+    }
+}
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -443,3 +443,29 @@
     until("it is said", || leaving(engines[1])).await;
     assert!(!leaving(engines[0]));
 }
+
+/// Guards against two coordinators with one fencing number: the log gives the
+/// offset that the number of the first came from out again.
+#[tokio::test(flavor = "multi_thread")]
+async fn fencing_numbers_grow_over_a_rollback() {
+    let before_all = Instant::now();
+    let (mut plant, engines) = Plant::prepare().await;
+    plant.log.set_era(Some(3));
+    plant.ask(engines).await;
+    let mut last = 0;
+    for round in 0..3 {
+        plant.group.like_from(3 * round);
+        plant.until_balanced().await;
+        let fence = plant.group.fence();
+        assert!(fence > last, "{fence} after {last}");
+        last = fence;
+        plant.log.roll_back(before_all);
+        // Nobody is left who knows the number.
+        for agent in 0..usize::from(RANKS) {
+            plant.signal(agent, Signal::KILL);
+        }
+        for agent in &mut plant.agents {
+            agent.restart();
+        }
+    }
+}
