platform, entry: read the log anew when it comes back older

Callers of an entry that ran through a rollback of the log missed new keys and routes, and new targets stayed unused, for as long as the entry lived.

Cause: places in the log were bare offsets. After a rollback an offset that was read names another record, so what is written there is skipped without any error once the log has grown beyond it; a held read waits for a record that other records stand before; and entries that others tell of lower offsets take them for old news.

The client now decodes the era with each answer. A place is an era and an offset, ordered as such. A read that began in an earlier era, held or not, brings nothing, and answers of an era that is over are dropped. A reader that meets a later era, or hears of it from another entry, reads the newest of every key once more. Records are merged by what they say of themselves, as before. Targets that the copy lacks have the usual time to come back, and those that left in the last minute are told of once more. The three loops that read topics share one reader.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -17,7 +17,7 @@
     limit::{CurrentLimit, Permit, Rate},
     window::{self, Window},
 };
-use cowsliproad_kernel::{Name, clock::Millis, settings};
+use cowsliproad_kernel::{Name, clock::Millis, position::Position, settings};
 use cowsliproad_routing::{
     catalog::Catalog,
     cooldown::Cooldowns,
@@ -31,7 +31,8 @@
 
 use crate::{
     ends::Suspicion, limits::Limits, measure::Measure, peers::Peers,
-    quarantine::Quarantine, settings::Settings, upstream::Pool,
+    quarantine::Quarantine, rollback::Rollbacks, settings::Settings,
+    upstream::Pool,
 };
 
 pub mod choose;
@@ -184,6 +185,8 @@
     pub readings: RefCell<Readings>,
     /// Wakes the task that reads them.
     pub behind: Notify,
+    /// Times that the log came back from an older copy.
+    pub rollbacks: Rollbacks,
     /// Counts targets that joined.
     pub joined: Cell<u64>,
     /// Requests that were taken and not answered in full.
@@ -247,6 +250,7 @@
             lists: RefCell::new(HashMap::new()),
             readings: RefCell::new(readings),
             behind: Notify::new(),
+            rollbacks: Rollbacks::new(),
             joined: Cell::new(0),
             under_way: Cell::new(0),
             phase: Cell::new(Phase::Serving),
@@ -367,7 +371,7 @@
     }
 
     /// Takes another entry's reading of the targets in.
-    pub fn note_reading(&self, at: Millis, changed: u64, now: Millis) {
+    pub fn note_reading(&self, at: Millis, changed: Position, now: Millis) {
         let found = self.readings.borrow_mut().hear(at, changed);
         self.note_gap(found, now);
         if self.readings.borrow().is_behind() {
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -7,11 +7,12 @@
 //! be known, and by one entry for all.
 //!
 //! When the log turns this entry away, the others tell it what they read; see
-//! [`crate::peers`].
+//! [`crate::peers`]. What happens when the log comes back from an older copy
+//! stands in [`crate::rollback`].
 
 use std::{collections::HashSet, rc::Rc};
 
-use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_kernel::{Name, clock::Millis, position::Position};
 use cowsliproad_platform::{
     catalog, log,
     log::{Client, Error, Page, Record},
@@ -42,6 +43,7 @@
 const READ_PERCENT: u64 = 40;
 
 /// Contact with the log as one task sees it.
+#[derive(Debug)]
 pub struct Contact {
     topic: &'static str,
     last: Millis,
@@ -85,41 +87,124 @@
     Millis(rand::rng().random_range(time.0 * 3 / 4..=time.0))
 }
 
+/// Reads one topic: first the newest record of every key, then what follows.
+#[derive(Debug)]
+pub struct Reader {
+    topic: &'static str,
+    client: Client,
+    contact: Contact,
+    next: Option<Position>,
+}
+
+/// What a read brought.
+#[derive(Debug)]
+pub struct Reading {
+    /// The records.
+    pub records: Vec<Record>,
+    /// The place after them.
+    pub end: Position,
+    /// Which records they are.
+    pub scope: Scope,
+}
+
+/// Which records a read brought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Scope {
+    /// The newest of every key.
+    All,
+    /// Those since the last read.
+    New,
+}
+
+impl Reader {
+    /// Nothing read yet.
+    pub fn new(entry: &Entry, topic: &'static str) -> Reader {
+        Reader {
+            topic,
+            client: Client::new(entry.settings().log),
+            contact: Contact::new(topic),
+            next: None,
+        }
+    }
+
+    /// Reads on. The log may hold the call for `hold` until there is a record.
+    pub async fn read(
+        &mut self,
+        entry: &Entry,
+        hold: Millis,
+    ) -> Result<Reading, Error> {
+        let is_over = |it: Position| it.era < entry.rollbacks.era();
+        if self.next.is_some_and(is_over) {
+            self.next = None;
+            sleep(entry.reading_delay().duration()).await;
+        }
+        let era = entry.rollbacks.era();
+        self.client.raise(era);
+        let call = async {
+            match self.next {
+                None => self.client.newest(self.topic).await,
+                Some(from) => self.client.read(self.topic, from, hold).await,
+            }
+        };
+        let read = tokio::select! {
+            read = call => read,
+            () = entry.rollbacks.after(era) => Err(Error::RolledBack),
+        };
+        entry.learn_era(self.client.era(), Source::Log);
+        let Page { next, records } = read?;
+        self.contact.good(entry);
+        let scope = match self.next.replace(next) {
+            None => Scope::All,
+            Some(_) => Scope::New,
+        };
+        Ok(Reading { records, end: next, scope })
+    }
+
+    /// Prepares the next read after one that failed.
+    pub async fn recover(&mut self, entry: &Entry, error: &Error) {
+        match error {
+            // The next read notices by itself.
+            Error::RolledBack => {}
+            Error::Expired => {
+                info!(entry.log, "records_expired"; "topic" => self.topic);
+                self.next = None;
+            }
+            error => self.contact.bad(entry, error).await,
+        }
+    }
+}
+
 /// Follows the configuration for ever.
 pub async fn catalog(entry: Rc<Entry>) {
-    let mut client = Client::new(entry.settings().log);
-    let mut contact = Contact::new(log::OPERATORS);
-    let mut next = None;
+    let mut reader = Reader::new(&entry, log::OPERATORS);
     let mut called = Millis(0);
     loop {
         let pause = (called + MIN_PAUSE).since(Millis::now());
         sleep(pause.duration()).await;
         called = Millis::now();
-        let read = match next {
-            None => client.newest(log::OPERATORS).await,
-            Some(from) => client.read(log::OPERATORS, from, HOLD_TIME).await,
-        };
-        match read {
-            Ok(page) => {
-                contact.good(&entry);
-                next = Some(page.next);
-                adopt_newest(&entry, page);
-            }
-            Err(Error::Expired) => {
-                info!(entry.log, "records_expired"; "topic" => log::OPERATORS);
-                next = None;
+        match reader.read(&entry, HOLD_TIME).await {
+            Ok(reading) => {
+                let before = entry.version();
+                adopt_newest(&entry, &reading.records);
+                if reading.scope == Scope::All {
+                    let new = usize::from(entry.version() > before);
+                    let records = reading.records.len();
+                    entry.note_read(log::OPERATORS, records, new);
+                }
             }
-            Err(error) => contact.bad(&entry, &error).await,
+            Err(error) => reader.recover(&entry, &error).await,
         }
     }
 }
 
-fn adopt_newest(entry: &Entry, page: Page) {
-    let versions = page.records.into_iter().rev();
+fn adopt_newest(entry: &Entry, records: &[Record]) {
+    let versions = records.iter().rev();
     for record in versions.filter(|it| it.key == catalog::KEY) {
-        let Some(raw) = record.value else { continue };
-        match catalog::decode(&raw) {
-            Ok(catalog) => return entry.adopt(catalog, raw, Source::Log),
+        let Some(raw) = &record.value else { continue };
+        match catalog::decode(raw) {
+            Ok(catalog) => {
+                return entry.adopt(catalog, raw.clone(), Source::Log);
+            }
             Err(error) => {
                 warn!(entry.log, "catalog_refused"; "error" => %error);
             }
@@ -129,34 +214,23 @@
 
 /// Follows the targets for ever.
 pub async fn targets(entry: Rc<Entry>) {
-    let mut client = Client::new(entry.settings().log);
-    let mut contact = Contact::new(log::TARGETS);
-    let mut next = None;
+    let mut reader = Reader::new(&entry, log::TARGETS);
     loop {
         wait_for_turn(&entry).await;
-        let read = match next {
-            None => client.newest(log::TARGETS).await,
-            Some(from) => client.read(log::TARGETS, from, Millis(0)).await,
-        };
-        let now = Millis::now();
-        match read {
-            Ok(page) => {
-                contact.good(&entry);
-                let found = entry.readings.borrow_mut().read(now, page.next);
+        match reader.read(&entry, Millis(0)).await {
+            Ok(reading) => {
+                let now = Millis::now();
+                let found = entry.readings.borrow_mut().read(now, reading.end);
                 entry.note_gap(found, now);
-                let complete = next.is_none();
-                next = Some(page.next);
-                take(&entry, &page, complete, now);
+                take(&entry, &reading, now);
                 // The others need not read.
                 entry.rumour.notify_one();
             }
-            Err(Error::Expired) => {
-                info!(entry.log, "records_expired"; "topic" => log::TARGETS);
-                next = None;
-            }
             Err(error) => {
-                entry.readings.borrow_mut().lost();
-                contact.bad(&entry, &error).await;
+                if !matches!(error, Error::Expired | Error::RolledBack) {
+                    entry.readings.borrow_mut().lost();
+                }
+                reader.recover(&entry, &error).await;
             }
         }
         let gone = entry.fleet.borrow_mut().tick(Millis::now());
@@ -183,16 +257,20 @@
     }
 }
 
-/// Takes a page of announcements in; a complete one withdraws all others.
-fn take(entry: &Entry, page: &Page, complete: bool, now: Millis) {
-    for record in &page.records {
-        announce(entry, record, now, Source::Log);
-    }
-    if !complete {
+/// Takes announcements in; all of them withdraw those that are missing.
+fn take(entry: &Entry, reading: &Reading, now: Millis) {
+    let records = &reading.records;
+    let news = records
+        .iter()
+        .map(|it| announce(entry, it, now, Source::Log))
+        .filter(|it| *it != Change::None)
+        .count();
+    if reading.scope == Scope::New {
         return;
     }
+    entry.note_read(log::TARGETS, records.len(), news);
     let listed: HashSet<&str> =
-        page.records.iter().map(|it| it.key.as_str()).collect();
+        records.iter().map(|it| it.key.as_str()).collect();
     let gone =
         entry.fleet.borrow_mut().keep_only(|id| listed.contains(id), now);
     note_gone(entry, &gone);
@@ -204,8 +282,13 @@
     }
 }
 
-/// Takes one announcement or withdrawal in.
-pub fn announce(entry: &Entry, record: &Record, now: Millis, source: Source) {
+/// Takes one announcement or withdrawal in, and says what it changed.
+pub fn announce(
+    entry: &Entry,
+    record: &Record,
+    now: Millis,
+    source: Source,
+) -> Change {
     let change = match &record.value {
         None => entry.fleet.borrow_mut().withdraw(&record.key, now),
         Some(raw) => match target::decode(&record.key, raw) {
@@ -220,8 +303,12 @@
             }
             // Another writer's entry names no target, and changes nothing of
             // one that has that name.
-            Err(error) => return entry.refuse_target(&record.key, &error),
+            Err(error) => {
+                entry.refuse_target(&record.key, &error);
+                return Change::None;
+            }
         },
     };
     entry.changed(&record.key, change, source);
+    change
 }
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -19,6 +19,7 @@
 //! * [`limits`]: targets that name how much they take from all entries;
 //! * [`quarantine`]: work that ends its targets is refused by all entries;
 //! * [`follow`]: configuration and targets from the platform's log;
+//! * [`rollback`]: what is done when that log comes back from an older copy;
 //! * [`peers`]: what entries and agents tell one another;
 //! * [`reply`]: the entry's own answers;
 //! * [`readiness`], [`measure`]: what the balancer and operators ask.
@@ -51,6 +52,7 @@
 pub mod readiness;
 pub mod receive;
 pub mod reply;
+pub mod rollback;
 pub mod settings;
 pub mod stated;
 pub mod stream;
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -21,6 +21,8 @@
     limits: Gauge<u64>,
     cooldowns: Counter<u64>,
     cooling: Gauge<u64>,
+    rollbacks: Counter<u64>,
+    caught_up: Histogram<u64>,
     peers: Gauge<u64>,
     targets: Gauge<u64>,
 }
@@ -40,6 +42,8 @@
             limits: meter.u64_gauge("limits").build(),
             cooldowns: meter.u64_counter("cooldowns").build(),
             cooling: meter.u64_gauge("cooling_targets").build(),
+            rollbacks: meter.u64_counter("log_rollbacks").build(),
+            caught_up: meter.u64_histogram("log_caught_up_ms").build(),
             doubts: meter.u64_counter("doubts").build(),
             peers: meter.u64_gauge("peers").build(),
             targets: meter.u64_gauge("targets").build(),
@@ -96,6 +100,16 @@
         self.cooling.record(targets as u64, &[]);
     }
 
+    /// Notes that the platform's log came back from an older copy.
+    pub fn rolled_back(&self) {
+        self.rollbacks.add(1, &[]);
+    }
+
+    /// Notes how long it took until all of that log was read again.
+    pub fn caught_up(&self, took: Millis) {
+        self.caught_up.record(took.0, &[]);
+    }
+
     /// Notes how many other entries and targets it knows.
     pub fn knows(&self, peers: usize, targets: usize) {
         self.peers.record(peers as u64, &[]);
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -16,6 +16,7 @@
     Name,
     clock::Millis,
     gossip::{self, Datagram, Digest, Load, Lost, Subscribe},
+    position::{Era, Position},
 };
 use cowsliproad_net::client::Client;
 use cowsliproad_platform::{catalog, log::Record};
@@ -253,7 +254,7 @@
 }
 
 fn digest(entry: &Entry, limits: Told, now: Millis) -> Digest {
-    let since = now - LEFT_TIME;
+    let since = now - entry.rollbacks.departures(now).unwrap_or(LEFT_TIME);
     let fleet = entry.fleet.borrow();
     let (suspects, lives) = entry.quarantine.borrow().told(now);
     let (mut left, mut withdrawn) = (Vec::new(), Vec::new());
@@ -269,8 +270,9 @@
         vm: entry.settings().vm.clone(),
         address: entry.settings().peer_address(),
         version: entry.version(),
+        era: entry.rollbacks.era(),
         read_ms: now.since(entry.readings.borrow().at()).0,
-        changed: entry.readings.borrow().changed(),
+        changed: entry.readings.borrow().changed().offset,
         left,
         withdrawn,
         peers: entry.peers.borrow().known.keys().copied().collect(),
@@ -318,12 +320,12 @@
         let engine = service.engine.as_ref()?;
         let own = fleet.ready().filter(|it| it.service == service.name);
         let targets: Vec<SocketAddr> = own.map(|it| it.address).collect();
-        Some(subscribe(engine, &targets))
+        Some(subscribe(engine, &targets, entry.rollbacks.era()))
     };
     catalog.services().filter_map(subscription).collect()
 }
 
-fn subscribe(engine: &Engine, targets: &[SocketAddr]) -> Subscribe {
+fn subscribe(engine: &Engine, targets: &[SocketAddr], era: Era) -> Subscribe {
     Subscribe {
         list: gossip::list_of(targets),
         targets: targets.to_vec(),
@@ -332,6 +334,7 @@
         places: engine.places as u16,
         spare: engine.spare as u16,
         copy_ms: engine.copy_time.0,
+        era,
     }
 }
 
@@ -375,6 +378,7 @@
 
 async fn hear(entry: &Rc<Entry>, socket: &UdpSocket, heard: Digest) {
     let now = Millis::now();
+    entry.learn_era(heard.era, Source::Peer);
     let left = heard.left.iter();
     let left = left.map(|it| (&it.0, Parting::ForGood(Start(it.1))));
     let withdrawn = heard.withdrawn.iter();
@@ -388,7 +392,8 @@
     entry.hear_suspects(&heard.suspects, &heard.lives, now);
     entry.hear_limits(&heard.limits, now);
     let at = now - Millis(heard.read_ms);
-    entry.note_reading(at, heard.changed, now);
+    let changed = Position::new(heard.era, heard.changed);
+    entry.note_reading(at, changed, now);
     let (is_new, others) = {
         let mut peers = entry.peers.borrow_mut();
         (peers.hear(&heard, now), peers.introduce(&heard.peers))
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -18,16 +18,16 @@
     clock::Millis,
     gossip::{self, Suspect, Suspects},
 };
-use cowsliproad_platform::log::{self, Client, Error, Record};
+use cowsliproad_platform::log::{self, Client, Record};
 use cowsliproad_routing::fleet::{Start, Target};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::{sync::Notify, time::sleep};
+use tokio::{sync::Notify, time::timeout};
 
 use crate::{
     ends::WAY_TIME,
     entry::{Entry, Source},
-    follow::Contact,
+    follow::{Contact, Reader, Scope},
 };
 
 /// Ends from which on work is written to the log. After the first, one end
@@ -260,7 +260,12 @@
         }
     }
 
-    fn hear_suspect(&self, suspect: &Suspect, now: Millis, source: Source) {
+    fn hear_suspect(
+        &self,
+        suspect: &Suspect,
+        now: Millis,
+        source: Source,
+    ) -> Change {
         let mut quarantine = self.quarantine.borrow_mut();
         let change = quarantine.ledger.hear(suspect, now);
         for end in suspect.ends.iter().map(|it| End(*it)) {
@@ -270,6 +275,7 @@
         }
         drop(quarantine);
         self.judged(Work(suspect.work), change, source);
+        change
     }
 
     /// Does what follows when something is learnt of a piece of work.
@@ -302,45 +308,39 @@
 
 /// Follows what the log keeps, for ever.
 pub async fn follow(entry: Rc<Entry>) {
-    let mut client = Client::new(entry.settings().log);
-    let mut contact = Contact::new(log::QUARANTINE);
-    let mut next = None;
+    let mut reader = Reader::new(&entry, log::QUARANTINE);
     loop {
         let called = Millis::now();
-        let read = match next {
-            None => client.newest(log::QUARANTINE).await,
-            Some(from) => client.read(log::QUARANTINE, from, HOLD_TIME).await,
-        };
-        match read {
-            Ok(page) => {
-                contact.good(&entry);
-                let first = next.replace(page.next).is_none();
-                for record in &page.records {
-                    take(&entry, record);
-                }
-                // A log that doesn't hold reads is not asked all the time.
-                let rest = (called + MIN_TIME).since(Millis::now());
-                if !first && page.records.is_empty() {
-                    sleep(rest.duration()).await;
-                }
+        let reading = match reader.read(&entry, HOLD_TIME).await {
+            Ok(reading) => reading,
+            Err(error) => {
+                reader.recover(&entry, &error).await;
+                continue;
             }
-            Err(Error::Expired) => {
-                info!(entry.log, "records_expired"; "topic" => log::QUARANTINE);
-                next = None;
-            }
-            Err(error) => contact.bad(&entry, &error).await,
+        };
+        let new = reading.records.iter().filter(|it| take(&entry, it)).count();
+        if reading.scope == Scope::All {
+            let records = reading.records.len();
+            entry.note_read(log::QUARANTINE, records, new);
+        } else if reading.records.is_empty() {
+            // A log that doesn't hold reads is not asked all the time.
+            let rest = (called + MIN_TIME).since(Millis::now());
+            let era = entry.rollbacks.era();
+            let over = entry.rollbacks.after(era);
+            let _ = timeout(rest.duration(), over).await;
         }
     }
 }
 
-/// Takes in a record of the log.
-fn take(entry: &Entry, record: &Record) {
+/// Takes in a record of the log, and says whether it told something new.
+fn take(entry: &Entry, record: &Record) -> bool {
+    let now = Millis::now();
     // Work that was forgotten elsewhere is forgotten here in its own time.
-    let Some(value) = &record.value else { return };
+    let Some(value) = &record.value else { return false };
     let Some(kept) = gossip::decode::<Kept>(value) else {
         warn!(entry.log, "strange_record"; "topic" => log::QUARANTINE,
             "key" => &record.key);
-        return;
+        return false;
     };
     let age = Millis(unix_now()).since(Millis(kept.at));
     let mut suspect = kept.suspect;
@@ -352,8 +352,7 @@
         }
         None => suspect.idle = suspect.idle + age,
     }
-    let now = Millis::now();
-    entry.hear_suspect(&suspect, now, Source::Log);
+    let change = entry.hear_suspect(&suspect, now, Source::Log);
     let work = Work(suspect.work);
     let mut quarantine = entry.quarantine.borrow_mut();
     if quarantine.ledger.suspect(work, now).is_none() {
@@ -361,6 +360,7 @@
         quarantine.unwritten.insert(work);
         quarantine.due.notify_one();
     }
+    change != Change::None
 }
 
 /// Writes to the log what it has to keep, for ever.
@@ -376,7 +376,9 @@
         };
         let value = value_of(&entry, work);
         let key = work.to_string();
+        client.raise(entry.rollbacks.era());
         let written = client.put(log::QUARANTINE, &key, &value).await;
+        entry.learn_era(client.era(), Source::Log);
         if let Err(error) = written {
             contact.bad(&entry, &error).await;
             continue;
--- a/cowsliproad-direct/tests/entry/rollbacks.rs
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -225,18 +225,15 @@
     }
     let entries = plant.entries(3).await;
     let copy = Instant::now();
-    let ended =
-        || targets.iter().filter(|target| target.has_ended()).count();
+    let ended = || targets.iter().filter(|target| target.has_ended()).count();
     let mut sent = 0;
     while ended() < 3 {
         assert!(sent < 9, "the work ends no target");
         let _ = entries[sent % 3].ask_with("/many/a", KEY, DEADLY).await;
         sent += 1;
     }
-    until("the log keeps it", async || {
-        plant.log.records(QUARANTINE) > 0
-    })
-    .await;
+    until("the log keeps it", async || plant.log.records(QUARANTINE) > 0)
+        .await;
     sleep(BOUND).await;
     plant.log.roll_back(copy);
     assert_eq!(plant.log.records(QUARANTINE), 0);
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
-use crate::{Name, clock::Millis};
+use crate::{Name, clock::Millis, position::Era};
 
 /// Encodes a message. All of ours encode.
 pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
@@ -73,11 +73,14 @@
     /// The version of the configuration that it uses; 0 for none.
     #[serde(rename = "c")]
     pub version: u64,
-    /// How long ago the targets were last read in the platform's log, by the
-    /// sender or by an entry that it heard of; in milliseconds.
+    /// The newest era of the platform's log that the sender knows of.
+    #[serde(rename = "y", default)]
+    pub era: Era,
+    /// How long ago the targets were last read in that era, by the sender or
+    /// by an entry that it heard of; in milliseconds.
     #[serde(rename = "r")]
     pub read_ms: u64,
-    /// The place in that log of the last change of the targets that the
+    /// The offset of the last change of the targets in that era that the
     /// sender knows of.
     #[serde(rename = "n")]
     pub changed: u64,
@@ -210,6 +213,9 @@
     /// The time in which a rank copies an expert, in milliseconds.
     #[serde(rename = "c")]
     pub copy_ms: u64,
+    /// The newest era of the platform's log that the sender knows of.
+    #[serde(rename = "y", default)]
+    pub era: Era,
 }
 
 /// An agent's word to entries: how its engine stands.
--- a/cowsliproad-kernel/src/lib.rs
+++ b/cowsliproad-kernel/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod id;
 pub mod log;
 pub mod plugin;
+pub mod position;
 pub mod secret;
 pub mod settings;
 pub mod sync;
--- a/cowsliproad-net/src/single.rs
+++ b/cowsliproad-net/src/single.rs
@@ -33,6 +33,11 @@
         self.open.as_ref().is_none_or(SendRequest::is_closed)
     }
 
+    /// Has the next call open another connection.
+    pub fn close(&mut self) {
+        self.open = None;
+    }
+
     /// Opens the connection without a call.
     pub async fn open(&mut self, patience: Duration) -> Result<(), Error> {
         let opening = connect(self.address);
--- a/cowsliproad-rank/src/agent/chair.rs
+++ b/cowsliproad-rank/src/agent/chair.rs
@@ -114,7 +114,7 @@
 /// it is never 0 and always higher than all before.
 async fn number(log: SocketAddr, vm: String, logger: Logger) -> Option<u64> {
     match Client::new(log).append(COORDINATORS, vm.as_bytes()).await {
-        Ok(offset) => Some(offset + 1),
+        Ok(record) => Some(record.offset + 1),
         Err(error) => {
             warn!(logger, "log_lost"; "error" => %error);
             None
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -123,6 +123,7 @@
             places: 6,
             spare: 2,
             copy_ms: 0,
+            era: Default::default(),
         });
         let asking = socket.clone();
         tokio::spawn(async move {
--- a/cowsliproad-rank/tests/lead.rs
+++ b/cowsliproad-rank/tests/lead.rs
@@ -48,6 +48,7 @@
             experts: EXPERTS as u16,
             places: 8,
             spare: 2,
+            era: Default::default(),
             copy_ms: 400,
         };
         self.lead.look(Some(&shape), self.now);
--- a/cowsliproad-routing/src/readings.rs
+++ b/cowsliproad-routing/src/readings.rs
@@ -10,20 +10,26 @@
 //! of itself stands in the log only.
 //!
 //! An entry that hears nobody reads by itself, so nothing depends on others.
+//!
+//! When the log comes back from an older copy, what was read in the era before
+//! counts no longer, and each entry reads all once more.
 
-use cowsliproad_kernel::clock::Millis;
+use cowsliproad_kernel::{
+    clock::Millis,
+    position::{Era, Position},
+};
 
 /// What is known of readings.
 #[derive(Clone, Copy, Debug)]
 pub struct Readings {
     /// Without a reading for longer, entries may have lapsed unseen.
     gap: Millis,
-    /// When anybody read last.
+    /// When anybody read last in the newest era.
     at: Millis,
-    /// Where the last change stands that is known of.
-    changed: u64,
+    /// Where the last change stands that is known of; its era is the newest.
+    changed: Position,
     /// Up to where this entry has read.
-    position: u64,
+    position: Position,
     contact: Contact,
 }
 
@@ -51,8 +57,8 @@
         Readings {
             gap: Millis(heartbeat.0 * 2),
             at: Millis(0),
-            changed: 0,
-            position: 0,
+            changed: Position::default(),
+            position: Position::default(),
             contact: Contact::Good,
         }
     }
@@ -63,20 +69,36 @@
     }
 
     /// Where the last change stands that is known of.
-    pub fn changed(&self) -> u64 {
+    pub fn changed(&self) -> Position {
         self.changed
     }
 
-    /// Takes another's reading in.
-    pub fn hear(&mut self, at: Millis, changed: u64) -> Found {
+    /// Notes that the log is in an era.
+    pub fn enter(&mut self, era: Era) {
+        if era > self.changed.era {
+            self.changed = Position::start_of(era);
+            self.at = Millis(0);
+        }
+    }
+
+    /// Takes another's reading in. One of an earlier era says nothing.
+    pub fn hear(&mut self, at: Millis, changed: Position) -> Found {
+        self.enter(changed.era);
+        if changed.era < self.changed.era {
+            return Found::Unbroken;
+        }
         self.changed = self.changed.max(changed);
         self.take(at)
     }
 
     /// Takes an own reading in, up to a position.
-    pub fn read(&mut self, at: Millis, position: u64) -> Found {
+    pub fn read(&mut self, at: Millis, position: Position) -> Found {
+        self.enter(position.era);
         self.position = self.position.max(position);
         self.contact = Contact::Good;
+        if position.era < self.changed.era {
+            return Found::Unbroken;
+        }
         self.take(at)
     }
 
--- a/tests/properties/readings.rs
+++ b/tests/properties/readings.rs
@@ -1,12 +1,20 @@
 //! Readings of the targets that entries share.
 
 use cowsliproad::{
-    kernel::clock::Millis,
+    kernel::{
+        clock::Millis,
+        position::{Era, Position},
+    },
     routing::readings::{Found, Readings},
 };
 
 const PATIENCE: Millis = Millis(800);
 
+/// A place in the era that most of these are of.
+fn place(offset: u64) -> Position {
+    Position::new(Era(1), offset)
+}
+
 fn readings() -> Readings {
     Readings::new(Millis(1_200))
 }
@@ -19,11 +27,11 @@
 #[test]
 fn anothers_reading_spares_an_own_one() {
     let mut own = readings();
-    own.read(Millis(1_000), 7);
-    own.hear(Millis(1_500), 0);
+    own.read(Millis(1_000), place(7));
+    own.hear(Millis(1_500), place(0));
     assert_eq!(own.due_in(PATIENCE, Millis(1_900)), Millis(400));
     // Older news changes nothing.
-    own.hear(Millis(1_200), 0);
+    own.hear(Millis(1_200), place(0));
     assert_eq!(own.due_in(PATIENCE, Millis(1_900)), Millis(400));
     assert_eq!(own.due_in(PATIENCE, Millis(2_300)), Millis(0));
 }
@@ -31,21 +39,21 @@
 #[test]
 fn a_change_that_was_not_read_is_read_at_once() {
     let mut own = readings();
-    own.read(Millis(1_000), 7);
-    own.hear(Millis(1_100), 9);
+    own.read(Millis(1_000), place(7));
+    own.hear(Millis(1_100), place(9));
     assert_eq!(own.due_in(PATIENCE, Millis(1_100)), Millis(0));
-    own.read(Millis(1_105), 9);
+    own.read(Millis(1_105), place(9));
     assert!(!own.is_behind());
     own.note_change();
-    assert_eq!(own.changed(), 9);
+    assert_eq!(own.changed(), place(9));
     assert!(!own.is_behind(), "its own news is none to itself");
 }
 
 #[test]
 fn another_entry_is_asked_where_the_log_says_nothing() {
     let mut own = readings();
-    own.read(Millis(1_000), 7);
-    own.hear(Millis(1_100), 9);
+    own.read(Millis(1_000), place(7));
+    own.hear(Millis(1_100), place(9));
     assert!(!own.needs_peer());
     own.lost();
     assert!(own.needs_peer());
@@ -58,7 +66,43 @@
 #[test]
 fn only_a_gap_of_two_heartbeats_leaves_doubt() {
     let mut own = readings();
-    assert_eq!(own.read(Millis(9_000), 1), Found::Unbroken);
-    assert_eq!(own.hear(Millis(11_300), 1), Found::Unbroken);
-    assert_eq!(own.read(Millis(13_800), 1), Found::Gap);
+    assert_eq!(own.read(Millis(9_000), place(1)), Found::Unbroken);
+    assert_eq!(own.hear(Millis(11_300), place(1)), Found::Unbroken);
+    assert_eq!(own.read(Millis(13_800), place(1)), Found::Gap);
+}
+
+/// Guards against a lower offset of a later era that counts as read.
+#[test]
+fn a_later_era_is_read_at_once() {
+    let mut own = readings();
+    own.read(Millis(1_000), place(900));
+    own.hear(Millis(1_100), Position::new(Era(2), 3));
+    assert!(own.is_behind());
+    assert_eq!(own.due_in(PATIENCE, Millis(1_100)), Millis(0));
+    own.read(Millis(1_200), Position::new(Era(2), 5));
+    assert!(!own.is_behind());
+}
+
+/// Guards against an entry that stood still and brings the former era back.
+#[test]
+fn a_reading_of_an_earlier_era_says_nothing() {
+    let mut own = readings();
+    own.read(Millis(1_000), Position::new(Era(2), 5));
+    own.hear(Millis(1_500), place(900));
+    assert!(!own.is_behind());
+    assert_eq!(own.changed(), Position::start_of(Era(2)));
+    assert_eq!(own.due_in(PATIENCE, Millis(1_600)), Millis(200));
+    own.read(Millis(1_550), place(900));
+    assert_eq!(own.due_in(PATIENCE, Millis(1_600)), Millis(200));
+}
+
+#[test]
+fn another_entry_tells_of_a_later_era() {
+    let mut own = readings();
+    own.read(Millis(1_000), place(900));
+    own.lost();
+    own.enter(Era(2));
+    assert!(own.needs_peer());
+    own.told();
+    assert!(!own.needs_peer());
 }
