entry: hear another entry before the log's configuration is used

An entry that starts just after the log came back from an older copy served by the copy's configuration for some 150 ms: withdrawn keys were good again there, and targets that had left were used. Cause: it took the first configuration that it read, and heard of the newer one and of departures only later.

It now waits until another entry has told its version, and for that version if it is newer: 0.4 s at most where nobody answers, 2 s where a newer one was told of and doesn't come. Entries answer one that has no configuration at once, also if they knew its VM before.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -187,6 +187,8 @@
     pub behind: Notify,
     /// Times that the log came back from an older copy.
     pub rollbacks: Rollbacks,
+    /// Wakes the task that waits for another entry's word at the start.
+    pub met: Notify,
     /// Counts targets that joined.
     pub joined: Cell<u64>,
     /// Requests that were taken and not answered in full.
@@ -251,6 +253,7 @@
             readings: RefCell::new(readings),
             behind: Notify::new(),
             rollbacks: Rollbacks::new(),
+            met: Notify::new(),
             joined: Cell::new(0),
             under_way: Cell::new(0),
             phase: Cell::new(Phase::Serving),
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -23,7 +23,10 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
-use crate::entry::{Entry, Source};
+use crate::{
+    entry::{Entry, Source},
+    peers,
+};
 
 /// How long the log may hold a read of the configuration. A connection that
 /// fell silent is noticed when this is over; other entries tell us sooner.
@@ -185,7 +188,7 @@
         match reader.read(&entry, HOLD_TIME).await {
             Ok(reading) => {
                 let before = entry.version();
-                adopt_newest(&entry, &reading.records);
+                adopt_newest(&entry, &reading.records).await;
                 if reading.scope == Scope::All {
                     let new = usize::from(entry.version() > before);
                     let records = reading.records.len();
@@ -197,12 +200,13 @@
     }
 }
 
-fn adopt_newest(entry: &Entry, records: &[Record]) {
+async fn adopt_newest(entry: &Entry, records: &[Record]) {
     let versions = records.iter().rev();
     for record in versions.filter(|it| it.key == catalog::KEY) {
         let Some(raw) = &record.value else { continue };
         match catalog::decode(raw) {
             Ok(catalog) => {
+                peers::meet(entry, catalog.version()).await;
                 return entry.adopt(catalog, raw.clone(), Source::Log);
             }
             Err(error) => {
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -64,6 +64,12 @@
 /// How long the targets that left are told of.
 const LEFT_TIME: Millis = Millis(8_000);
 
+/// How long an entry that starts waits for the word of another one.
+const MEETING_TIME: Millis = Millis(400);
+
+/// How long it waits for a newer configuration that another one told of.
+const NEWER_TIME: Millis = Millis(2_000);
+
 /// What the own reading of the log is given before a peer is asked.
 const OWN_TIME: Millis = Millis(120);
 
@@ -85,6 +91,8 @@
     own: SocketAddr,
     seeds: Vec<SocketAddr>,
     known: BTreeMap<SocketAddr, Peer>,
+    /// The newest version of the configuration that any of them told of.
+    newest: u64,
     fetching: bool,
 }
 
@@ -119,6 +127,7 @@
             own: settings.peer_address(),
             seeds: Vec::new(),
             known: BTreeMap::new(),
+            newest: 0,
             fetching: false,
         };
         peers.reseed(settings);
@@ -140,6 +149,7 @@
     }
 
     fn hear(&mut self, digest: &Digest, now: Millis) -> bool {
+        self.newest = self.newest.max(digest.version);
         let known = self.known.get(&digest.address);
         let peer = Peer {
             vm: digest.vm.clone(),
@@ -199,6 +209,11 @@
         (heard.count() + 1) as f64 / all as f64
     }
 
+    /// Whether all seeds were met.
+    fn has_met_seeds(&self) -> bool {
+        self.seeds.iter().all(|it| self.known.contains_key(it))
+    }
+
     fn silence(&self) -> Millis {
         owner::silence(self.known.len(), MAX_TOLD)
     }
@@ -398,9 +413,14 @@
         let mut peers = entry.peers.borrow_mut();
         (peers.hear(&heard, now), peers.introduce(&heard.peers))
     };
+    entry.met.notify_one();
     if is_new {
         info!(entry.log, "peer_met"; "peer" => &*heard.vm,
             "address" => %heard.address);
+    }
+    // One that starts waits for it.
+    let starts = heard.version == 0 && entry.version() > 0;
+    if is_new || starts {
         let own =
             gossip::encode(&Datagram::Digest(digest(entry, Told::All, now)));
         for other in others.into_iter().chain([heard.address]) {
@@ -420,6 +440,32 @@
     }
 }
 
+/// Waits, in an entry that starts, until another one has told which version
+/// of the configuration it uses, and has given it if it is newer than the one
+/// that the log gave: the log may have come back from an older copy.
+pub async fn meet(entry: &Entry, version: u64) {
+    let begun = Millis::now();
+    while entry.catalog().is_none() {
+        let (newest, has_met_all) = {
+            let peers = entry.peers.borrow();
+            (peers.newest, peers.has_met_seeds())
+        };
+        let patience = match newest {
+            0 if has_met_all => return,
+            0 => MEETING_TIME,
+            newest if newest <= version => return,
+            _ => NEWER_TIME,
+        };
+        let left = (begun + patience).since(Millis::now());
+        if left == Millis(0) {
+            info!(entry.log, "nobody_met"; "newest" => newest,
+                "version" => version);
+            return;
+        }
+        let _ = timeout(left.duration(), entry.met.notified()).await;
+    }
+}
+
 /// Fetches a peer's state if the log doesn't bring it in time.
 async fn catch_up(entry: &Rc<Entry>, heard: &Digest) {
     sleep(OWN_TIME.duration()).await;
