entry: write quarantined work again that a rollback took

Work that ends its targets was unknown to entries that start anew after the log came back from an older copy and reach no other entry: nobody wrote it again, since each had written what it knew.

Each entry that reads the topic whole now finds what it knows and the log doesn't keep, and writes it after a random time unless it reads meanwhile that another one did: within 0.3 s if it wrote it before, later otherwise.

--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -6,9 +6,13 @@
 //! the log, from the second end on, so that entries that all start anew know
 //! it, and one that the others don't reach. What the log brings is waited
 //! for, which costs two calls a minute.
+//!
+//! A log that comes back from an older copy has lost some of it. Whoever has
+//! what it lacks writes that again after a random time, first those who wrote
+//! it before; as all read what one of them writes, mostly one does.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     rc::Rc,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -41,6 +45,14 @@
 /// The least time between two reads of which the first brought nothing.
 const MIN_TIME: Millis = Millis(15_000);
 
+/// When work that the log lost is written again: by whoever wrote it before,
+/// and by others for each entry, so that one mostly goes first.
+const OWN_REWRITE_TIME: Millis = Millis(300);
+const REWRITE_TIME_PER_ENTRY: Millis = Millis(50);
+
+/// The longest of the latter.
+const MAX_REWRITE_TIME: Millis = Millis(10_000);
+
 /// A target that answers so soon after its end did not end: none has started
 /// again by then.
 const RESTART_TIME: Millis = Millis(1_000);
@@ -66,6 +78,8 @@
     /// Work that the log is to be told of, and that it was told of.
     unwritten: BTreeSet<Work>,
     written: HashSet<Work>,
+    /// Work that the log lost, and when it is to be told again.
+    lost: BTreeMap<Work, Millis>,
     /// Ends that are held against work, whose targets may yet show life.
     ended: HashMap<End, Ended>,
     /// Wakes the task that writes.
@@ -136,9 +150,34 @@
         let ledger = &self.ledger;
         self.own.retain(|it| ledger.knows(*it));
         self.written.retain(|it| ledger.knows(*it));
+        self.lost.retain(|it, _| ledger.knows(*it));
         self.ended.retain(|end, _| ledger.holds(*end));
     }
 
+    /// Work that the log is to be told of now, or when there is some.
+    fn due(&mut self, now: Millis) -> Result<Work, Option<Millis>> {
+        let next = self.lost.iter().min_by_key(|it| it.1);
+        let next = next.map(|it| (*it.0, *it.1));
+        if let Some((work, at)) = next
+            && at <= now
+        {
+            self.lost.remove(&work);
+            self.unwritten.insert(work);
+        }
+        let first = self.unwritten.first().copied();
+        first.ok_or(next.map(|it| it.1))
+    }
+
+    /// Notes that the log keeps so much of a piece of work.
+    fn note_kept(&mut self, kept: &Suspect, now: Millis) {
+        let work = Work(kept.work);
+        if let Some(own) = self.ledger.suspect(work, now)
+            && covers(kept, &own)
+        {
+            self.lost.remove(&work);
+        }
+    }
+
     fn watch(&mut self, end: End, now: Millis) {
         if self.ended.len() < MAX_ENDED {
             let new = Ended { at: now, announced: None };
@@ -322,6 +361,7 @@
         if reading.scope == Scope::All {
             let records = reading.records.len();
             entry.note_read(log::QUARANTINE, records, new);
+            note_lost(&entry, &reading.records);
         } else if reading.records.is_empty() {
             // A log that doesn't hold reads is not asked all the time.
             let rest = (called + MIN_TIME).since(Millis::now());
@@ -355,6 +395,7 @@
     let change = entry.hear_suspect(&suspect, now, Source::Log);
     let work = Work(suspect.work);
     let mut quarantine = entry.quarantine.borrow_mut();
+    quarantine.note_kept(&suspect, now);
     if quarantine.ledger.suspect(work, now).is_none() {
         // It is over, and whoever wrote it may be gone.
         quarantine.unwritten.insert(work);
@@ -363,16 +404,65 @@
     change != Change::None
 }
 
+/// Finds the work that the log should keep and lost.
+fn note_lost(entry: &Entry, records: &[Record]) {
+    let now = Millis::now();
+    let kept = records.iter().filter_map(|it| it.value.as_ref());
+    let kept: HashMap<u64, Suspect> = kept
+        .filter_map(|it| gossip::decode::<Kept>(it))
+        .map(|it| (it.suspect.work, it.suspect))
+        .collect();
+    let entries = entry.peers.borrow().entries() as u64;
+    let others = Millis(REWRITE_TIME_PER_ENTRY.0 * entries);
+    let others = others.min(MAX_REWRITE_TIME);
+    let known = entry.quarantine.borrow().ledger.known(now);
+    let known = known.into_iter().filter(|it| it.ends.len() >= WRITTEN_ENDS);
+    for suspect in known {
+        let work = Work(suspect.work);
+        if kept.get(&work.0).is_some_and(|it| covers(it, &suspect)) {
+            continue;
+        }
+        let drawn = entry.draw();
+        let mut quarantine = entry.quarantine.borrow_mut();
+        let wait = match quarantine.written.contains(&work) {
+            true => drawn * OWN_REWRITE_TIME.0 as f64,
+            false => OWN_REWRITE_TIME.0 as f64 + drawn * others.0 as f64,
+        };
+        let at = now + Millis(wait as u64);
+        quarantine.lost.insert(work, at);
+        quarantine.due.notify_one();
+        info!(entry.log, "work_lost"; "work" => %work, "wait" => wait as u64);
+    }
+}
+
+/// Whether what the log keeps of a piece of work says all that is known.
+fn covers(kept: &Suspect, own: &Suspect) -> bool {
+    let tells = |it: &u64| kept.ends.contains(it) || kept.excused.contains(it);
+    own.ends.iter().all(tells)
+        && own.excused.iter().all(|it| kept.excused.contains(it))
+        && kept.proven >= own.proven
+        && kept.refused.is_some() >= own.refused.is_some()
+}
+
 /// Writes to the log what it has to keep, for ever.
 pub async fn write(entry: Rc<Entry>) {
     let mut client = Client::new(entry.settings().log);
     let mut contact = Contact::new(log::QUARANTINE);
     let due = entry.quarantine.borrow().due.clone();
     loop {
-        let first = entry.quarantine.borrow().unwritten.first().copied();
-        let Some(work) = first else {
-            due.notified().await;
-            continue;
+        let now = Millis::now();
+        let next = entry.quarantine.borrow_mut().due(now);
+        let work = match next {
+            Ok(work) => work,
+            Err(None) => {
+                due.notified().await;
+                continue;
+            }
+            Err(Some(at)) => {
+                let wait = at.since(now).duration();
+                let _ = timeout(wait, due.notified()).await;
+                continue;
+            }
         };
         let value = value_of(&entry, work);
         let key = work.to_string();
