agent: have fencing numbers grow over rollbacks of the log

After the log came back from an older copy the next coordinator could get the number that an earlier one had: late orders of the earlier one were then good beside its own. Cause: a number was the offset of a record plus one.

It is now made of the era and the offset. As a record that was appended before a rollback may be answered after it, a place counts only if the era of the answer was known before the call; entries tell agents the era, so this takes one more call only where an agent knows none.

--- a/cowsliproad-mapswitch/src/order.rs
+++ b/cowsliproad-mapswitch/src/order.rs
@@ -50,6 +50,7 @@
 pub use coordinator::{Config, Coordinator, Event, FARTHEST, VERSIONS};
 
 mod coordinator;
+pub mod fence;
 
 /// A formation of a group. A new one starts with the first map and nothing
 /// prepared, armed or held.
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -14,6 +14,7 @@
     Name,
     clock::Millis,
     gossip::{self, Subscribe},
+    position::{Era, Position},
 };
 use cowsliproad_mapswitch::order::{
     self, Aim, Directive, Epoch, Report, Standing,
@@ -66,7 +67,7 @@
 const FORGET_TIME: Millis = Millis(4_000);
 
 /// A fencing number on its way from the platform's log.
-type Candidacy = JoinHandle<Option<u64>>;
+type Candidacy = JoinHandle<Option<Position>>;
 
 /// An agent.
 pub struct Agent {
@@ -101,6 +102,8 @@
     sealed: Option<(Epoch, u64)>,
     /// The highest fencing number met.
     fence: u64,
+    /// The newest era of the platform's log that is known of.
+    era: Era,
     lead: Option<Lead>,
     /// A number that is being fetched from the platform's log.
     candidacy: Option<Candidacy>,
@@ -181,6 +184,7 @@
             word: None,
             sealed: None,
             fence: 0,
+            era: Era::default(),
             lead: None,
             candidacy: None,
             begun: Millis::now(),
@@ -266,6 +270,7 @@
             return;
         };
         let now = Millis::now();
+        self.learn_era(asked.era);
         if self.entries.insert(from, now).is_none() {
             info!(self.log, "entry_met"; "entry" => %from);
         }
--- a/cowsliproad-rank/src/agent/chair.rs
+++ b/cowsliproad-rank/src/agent/chair.rs
@@ -2,8 +2,12 @@
 
 use std::net::SocketAddr;
 
-use cowsliproad_kernel::clock::Millis;
-use cowsliproad_mapswitch::order::{Aim, Directive, Standing};
+use cowsliproad_kernel::{
+    Name,
+    clock::Millis,
+    position::{Era, Position},
+};
+use cowsliproad_mapswitch::order::{Aim, Directive, Standing, fence};
 use cowsliproad_platform::log::{COORDINATORS, Client};
 use slog::{Logger, info, warn};
 
@@ -24,12 +28,19 @@
 /// The pause before the platform's log is asked for a number again.
 const AGAIN_TIME: Millis = Millis(1_000);
 
+/// Records that are appended for a number, where the log turns out to be in a
+/// later era.
+const MAX_RECORDS: usize = 3;
+
 impl Agent {
     /// Leads, if nobody else does by now.
-    pub(super) async fn take_number(&mut self, number: Option<u64>) {
+    pub(super) async fn take_number(&mut self, record: Option<Position>) {
         let now = Millis::now();
-        let Some(fence) = number else {
-            info!(self.log, "no_fencing_number");
+        if let Some(record) = record {
+            self.learn_era(record.era);
+        }
+        let Some(fence) = record.and_then(fence::number) else {
+            info!(self.log, "no_fencing_number"; "record" => ?record);
             return;
         };
         let stops = self.stopping.is_some();
@@ -97,11 +108,21 @@
             info!(self.log, "asks_for_number";
                 "standing" => ?self.standing());
             let (log, vm) = (self.settings.log, self.settings.vm.clone());
-            let task = number(log, vm.to_string(), self.log.clone());
+            let task = record(log, vm, self.era, self.log.clone());
             self.candidacy = Some(tokio::task::spawn_local(task));
         }
     }
 
+    /// Takes in which era the platform's log is in. Fencing numbers of a later
+    /// one are higher than all before.
+    pub(super) fn learn_era(&mut self, era: Era) {
+        if era > self.era {
+            info!(self.log, "log_era"; "era" => era.0,
+                "before" => self.era.0);
+            self.era = era;
+        }
+    }
+
     pub(super) fn step_down(&mut self, fence: u64) {
         info!(self.log, "steps_down"; "fence" => fence);
         self.fence = self.fence.max(fence);
@@ -110,22 +131,38 @@
     }
 }
 
-/// A fencing number: one more than the offset of a record of ours, so that
-/// it is never 0 and always higher than all before.
-async fn number(log: SocketAddr, vm: String, logger: Logger) -> Option<u64> {
-    match Client::new(log).append(COORDINATORS, vm.as_bytes()).await {
-        Ok(record) => Some(record.offset + 1),
-        Err(error) => {
-            warn!(logger, "log_lost"; "error" => %error);
-            None
+/// Appends a record of ours whose place in the log makes a fencing number.
+async fn record(
+    log: SocketAddr,
+    vm: Name,
+    mut era: Era,
+    logger: Logger,
+) -> Option<Position> {
+    let mut client = Client::new(log);
+    for _ in 0..MAX_RECORDS {
+        client.raise(era);
+        match client.append(COORDINATORS, vm.as_bytes()).await {
+            Ok(record) if fence::is_unique(record, era) => {
+                return Some(record);
+            }
+            Ok(record) => {
+                info!(logger, "record_of_later_era"; "era" => record.era.0,
+                    "before" => era.0);
+                era = record.era;
+            }
+            Err(error) => {
+                warn!(logger, "log_lost"; "error" => %error);
+                return None;
+            }
         }
     }
+    None
 }
 
-/// The number that was asked for, once it has come.
+/// The record that was asked for, once it has come.
 pub(super) async fn candidate(
     candidacy: &mut Option<Candidacy>,
-) -> Option<u64> {
+) -> Option<Position> {
     match candidacy {
         Some(task) => task.await.ok().flatten(),
         None => std::future::pending().await,
