tests: add a siege of rollbacks

Real entries before a log that comes back older, is away, slow or compacted, while keys, targets and entries come and go. Checked: no key that was seen withdrawn is good again, also at entries that start; a leaving target gets nothing after its time; every target is used again in time.

Entries' processes and their troubles are shared with the siege of cooldowns, whose checks are the same.

--- a/cowsliproad-direct/tests/entry/cooldown_siege.rs
+++ b/cowsliproad-direct/tests/entry/cooldown_siege.rs
@@ -16,7 +16,6 @@
     time::{Duration, Instant},
 };
 
-use cowsliproad_direct::settings::Settings;
 use cowsliproad_net::client::Client;
 use cowsliproad_platform::header;
 use cowsliproad_platform_standin::{
@@ -34,6 +33,7 @@
 use crate::{
     harness::{Entry, KEY, Plant, until},
     limits::PATIENCE,
+    processes::{ON_ITS_WAY, Process, Processes},
     siege,
 };
 
@@ -47,9 +47,6 @@
 const CALM: Duration = Duration::from_secs(5);
 const CHECKED: Duration = Duration::from_secs(2);
 
-/// What is on its way when an answer is given.
-const ON_ITS_WAY: Duration = Duration::from_millis(100);
-
 /// In which entries tell one another of a target's leaving.
 const TOLD: Duration = Duration::from_secs(3);
 
@@ -65,30 +62,18 @@
     ("-3", 0.0),
 ];
 
-/// An entry's process: a number that no other has.
-type Process = usize;
-
 /// A target's name, and who has it.
 struct Place {
     target: RefCell<Arc<Target>>,
     starts: Cell<u64>,
 }
 
-/// A time in which a process stood still.
-struct Freeze {
-    process: Process,
-    from: Instant,
-    until: Instant,
-}
-
 struct Siege {
     plant: RefCell<Plant>,
-    entries: Vec<RefCell<Option<(Process, Entry)>>>,
-    processes: Cell<usize>,
+    processes: Processes,
     places: Vec<Place>,
     /// All targets that ever ran.
     targets: RefCell<Vec<Arc<Target>>>,
-    freezes: RefCell<Vec<Freeze>>,
     /// Which process each request was sent to.
     asked: RefCell<HashMap<String, Process>>,
     /// What callers draw from, and what targets and entries do.
@@ -112,26 +97,15 @@
             let (target, starts) = (RefCell::new(target), Cell::new(1));
             places.push(Place { target, starts });
         }
-        let mut entries: Vec<Entry> = Vec::new();
-        for _ in 0..siege::size(ENTRIES) {
-            let seeds: Vec<&Entry> = entries.iter().take(3).collect();
-            let settings = plant.settings(&seeds);
-            entries.push(siege::start(settings));
-        }
-        for entry in &entries {
-            entry.until_ready().await;
-        }
+        let count = siege::size(ENTRIES);
+        let processes = Processes::start(&mut plant, count).await;
         let targets = places.iter().map(|it| it.target.borrow().clone());
         let targets = RefCell::new(targets.collect());
-        let processes = Cell::new(entries.len());
-        let entries = entries.into_iter().enumerate();
         Siege {
             plant: RefCell::new(plant),
-            entries: entries.map(|it| RefCell::new(Some(it))).collect(),
             processes,
             places,
             targets,
-            freezes: RefCell::default(),
             asked: RefCell::default(),
             callers: RefCell::new(StdRng::seed_from_u64(seed)),
             troubles: RefCell::new(StdRng::seed_from_u64(seed + 1_000)),
@@ -160,19 +134,16 @@
                     let mut random = self.callers.borrow_mut();
                     let path =
                         ["/many/a", "/once/a"][random.random_range(0..2)];
-                    (path, random.random_range(0..self.entries.len()))
+                    (path, random.random_range(0..self.processes.count()))
                 };
-                let request = {
-                    let entry = self.entries[at].borrow();
-                    let Some((process, entry)) = entry.as_ref() else {
-                        continue;
-                    };
+                let request = self.processes.with(at, |process, entry| {
                     let request = entry.request(path, KEY, "");
                     let id = &request.headers()[header::REQUEST_ID];
                     let id = id.to_str().expect("text").to_string();
-                    self.asked.borrow_mut().insert(id, *process);
+                    self.asked.borrow_mut().insert(id, process);
                     request
-                };
+                });
+                let Some(request) = request else { continue };
                 let answers = answers.clone();
                 let is_calm = self.calm.get();
                 tokio::task::spawn_local(async move {
@@ -265,10 +236,15 @@
     async fn trouble_entries(&self) {
         let begun = Instant::now();
         while begun.elapsed() < TROUBLE {
+            let place = self.draw(self.processes.count());
             match self.draw(6) {
-                0 => self.freeze_entry().await,
-                1 => self.replace_entry(Signal::KILL).await,
-                2 => self.replace_entry(Signal::TERM).await,
+                0 => {
+                    let time = 200 + self.draw(1_500) as u64;
+                    let time = Duration::from_millis(time);
+                    self.processes.freeze(place, time).await;
+                }
+                1 => self.processes.replace(place, Signal::KILL).await,
+                2 => self.processes.replace(place, Signal::TERM).await,
                 3 => self.set_log(log::Fault::Refusing),
                 _ => self.set_log(log::Fault::None),
             }
@@ -281,55 +257,6 @@
         self.plant.borrow().log.set(fault);
     }
 
-    async fn freeze_entry(&self) {
-        let number = self.draw(self.entries.len());
-        let signal = |signal| {
-            let entry = self.entries[number].borrow();
-            let (process, entry) = entry.as_ref()?;
-            entry.signal(signal);
-            Some(*process)
-        };
-        let from = Instant::now();
-        let process = signal(Signal::STOP);
-        sleep(Duration::from_millis(200 + self.draw(1_500) as u64)).await;
-        signal(Signal::CONT);
-        // It takes in what waited for it.
-        let until = Instant::now() + ON_ITS_WAY;
-        let freeze = process.map(|process| Freeze { process, from, until });
-        self.freezes.borrow_mut().extend(freeze);
-    }
-
-    async fn replace_entry(&self, signal: Signal) {
-        let place = &self.entries[self.draw(self.entries.len())];
-        let Some((_, mut gone)) = place.take() else { return };
-        gone.signal(signal);
-        let others = self.entries.iter();
-        let others = others
-            .filter_map(|it| Some(it.borrow().as_ref()?.1.settings.callers));
-        let seeds = others.take(3).collect();
-        let settings = Settings { seeds, ..gone.settings.clone() };
-        if signal == Signal::KILL {
-            gone.ended().await;
-        }
-        // One that was told to stop serves on for seconds; it is let go.
-        drop(gone);
-        let process = self.processes.get();
-        self.processes.set(process + 1);
-        place.replace(Some((process, siege::start(settings))));
-    }
-
-    /// Whether a process stood still at some time from one moment to another.
-    fn stood_still(
-        &self,
-        process: Process,
-        from: Instant,
-        until: Instant,
-    ) -> bool {
-        let freezes = self.freezes.borrow();
-        let mut own = freezes.iter().filter(|it| it.process == process);
-        own.any(|it| it.from <= until && from <= it.until)
-    }
-
     /// Requests that came to a target although its answers had asked for
     /// none.
     fn unwanted(&self, target: &Target) -> Vec<Arrival> {
@@ -350,7 +277,9 @@
                 let left = earlier.leaving
                     && arrival.at > if own { since } else { since + TOLD };
                 (rests || left)
-                    && !self.stood_still(*process, earlier.at, arrival.at)
+                    && !self
+                        .processes
+                        .stood_still(*process, earlier.at, arrival.at)
             };
             if log.iter().any(breaks) {
                 unwanted.push(arrival.clone());
@@ -416,8 +345,7 @@
 async fn play(seed: u64) {
     let siege = Siege::start(seed).await;
     tokio::join!(siege.play(), siege.send());
-    let entries = siege.entries.iter().filter_map(RefCell::take);
-    let entries: Vec<Entry> = entries.map(|it| it.1).collect();
+    let entries = siege.processes.take();
     siege.announce(None, &entries).await;
     let unused = siege.unused(&entries).await;
     let targets = siege.targets.borrow();
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -234,14 +234,7 @@
     /// A gauge or counter of the process.
     pub async fn metric(&self, name: &str) -> Option<f64> {
         let uri = format!("http://{}/metrics", self.settings.readiness);
-        let request = Request::get(uri).body(Full::default());
-        let request = request.expect("a request");
-        let client = Client::new();
-        let answer = client.call(request, 1 << 20, PATIENCE).await;
-        let body = answer.ok()?.into_body();
-        let text = String::from_utf8_lossy(&body).into_owned();
-        let line = text.lines().find(|it| it.starts_with(name))?;
-        line.rsplit(' ').next()?.parse().ok()
+        metric(&uri, name).await
     }
 
     /// Bytes that the process holds in memory.
@@ -327,6 +320,17 @@
     }
 }
 
+/// A gauge or counter of a process whose metrics stand there.
+pub async fn metric(uri: &str, name: &str) -> Option<f64> {
+    let request = Request::get(uri).body(Full::default());
+    let request = request.expect("a request");
+    let answer = Client::new().call(request, 1 << 20, PATIENCE).await;
+    let body = answer.ok()?.into_body();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let line = text.lines().find(|it| it.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
 /// Writes a settings file.
 pub fn write(file: &PathBuf, settings: &Settings) {
     let text = cowsliproad_kernel::settings::print(settings);
