entry, agent: bound what a rollback of the log costs

A count at the stand-in: 7 entries made 38 calls in the 2 s after a rollback, 3 without one, 24 of them within 20 ms. Three calls of each read the topics, two wait again for what follows; none can go. A test keeps the five.

--- a/cowsliproad-direct/src/rollback.rs
+++ b/cowsliproad-direct/src/rollback.rs
@@ -32,7 +32,7 @@
 use crate::entry::{Entry, Source};
 
 /// The time over which all entries read a topic again, for each of them.
-const SPREAD_PER_ENTRY: Millis = Millis(4);
+const SPREAD_PER_ENTRY: Millis = Millis(10);
 
 /// The longest of it: a new configuration is to be in force in two seconds.
 const MAX_SPREAD: Millis = Millis(1_000);
--- a/cowsliproad-direct/tests/entry/rollbacks.rs
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -13,7 +13,10 @@
 use http::StatusCode;
 use tokio::time::sleep;
 
-use crate::harness::{Entry, KEY, Plant, until};
+use crate::{
+    harness::{Entry, KEY, Plant, until},
+    siege,
+};
 
 /// The time in which news has to be in force.
 const BOUND: Duration = Duration::from_millis(2_000);
@@ -296,3 +299,54 @@
         assert!(back.elapsed() < BOUND, "{round}: {:?}", back.elapsed());
     }
 }
+
+/// Guards against entries that ask the log more than they have to, or all at
+/// once. `ENTRIES=31` plays it at that size.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rollback_costs_each_entry_five_calls() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    let one = plant.target("i-1", "plain").await;
+    let entries = plant.entries(siege::size(7)).await;
+    // Calls of the start are over.
+    sleep(BOUND).await;
+    let quiet = calls(&plant, BOUND).await;
+    let copy = Instant::now();
+    renew(&plant, &one, 3);
+    sleep(BOUND).await;
+    let processor = || entries.iter().map(Entry::processor).sum();
+    let before: Duration = processor();
+    plant.log.roll_back(copy);
+    let after = calls(&plant, BOUND).await;
+    let used: Duration = processor() - before;
+    println!(
+        "{} entries: calls in 2 s {} without and {} with a rollback, in the \
+         busiest 20 ms {} and {}; processor {used:?} of all",
+        entries.len(),
+        quiet.0,
+        after.0,
+        quiet.1,
+        after.1,
+    );
+    // Three read a topic each, two wait again for what follows.
+    assert!(after.0 <= 2 * quiet.0 + 5 * entries.len() as u64);
+    for entry in &entries {
+        assert_eq!(entry.metric("log_rollbacks").await, Some(1.0));
+        let caught_up = entry.metric("log_caught_up_ms_count").await;
+        assert_eq!(caught_up, Some(1.0));
+    }
+}
+
+/// Calls that the log gets in a time, and in its busiest moment.
+async fn calls(plant: &Plant, time: Duration) -> (u64, u64) {
+    let begun = Instant::now();
+    let first = plant.log.calls();
+    let (mut last, mut most) = (first, 0);
+    while begun.elapsed() < time {
+        sleep(Duration::from_millis(20)).await;
+        let now = plant.log.calls();
+        most = most.max(now - last);
+        last = now;
+    }
+    (last - first, most)
+}
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -7,7 +7,7 @@
     fs,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{Child, Command},
     sync::{
         Arc,
         atomic::{AtomicU8, Ordering},
@@ -25,6 +25,8 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::{net::UdpSocket, time::sleep};
 
+mod siege;
+
 const PATIENCE: Duration = Duration::from_secs(30);
 const ENGINES: u16 = 19_080;
 const PEERS: u16 = 19_081;
@@ -174,10 +176,20 @@
     }
 }
 
+/// Where the lines of an agent go, of all its processes.
+fn output(file: &Path) -> PathBuf {
+    file.with_extension("log")
+}
+
 fn spawn(file: &Path) -> Child {
+    let output = fs::File::options()
+        .create(true)
+        .append(true)
+        .open(output(file))
+        .expect("a file");
     Command::new(env!("CARGO_BIN_EXE_cowsliproad-rank"))
         .env(SETTINGS_VARIABLE, file)
-        .stdout(Stdio::null())
+        .stdout(output)
         .spawn()
         .expect("the program starts")
 }
@@ -186,6 +198,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = fs::remove_file(output(&self.file));
         let _ = fs::remove_file(&self.file);
     }
 }
