--- a/cowsliproad-admission/src/limit.rs
+++ b/cowsliproad-admission/src/limit.rs
@@ -28,7 +28,7 @@
 
 /// After so long, and so many times from one permit to the next, without a
 /// question somebody else may have kept the pace.
-const RESUMED_TIME: Millis = Millis(1_000);
+const RESUMPTION_TIMEOUT: Millis = Millis(1_000);
 const ASKED_INTERVALS: f64 = 2.0;
 
 /// What is known of the last answer of a target is no older than this where
@@ -243,7 +243,7 @@
     /// pace meanwhile. Where few requests are taken, few are asked for.
     pub fn is_stale(&self, share: f64, now: Millis) -> bool {
         let asks = ASKED_INTERVALS * self.rate.interval(share);
-        now.since(self.asked) > RESUMED_TIME + Millis(asks as u64)
+        now.since(self.asked) > RESUMPTION_TIMEOUT + Millis(asks as u64)
     }
 
     /// How long no permit is free.
--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -16,8 +16,8 @@
 //! * an end that was none is taken back everywhere once the target shows
 //!   life ([`Ledger::lives`]): a target that is cut off looks like one that
 //!   ended. Its next end is another ([`Ledger::end_of`]), and counts;
-//! * all of it is forgotten [`KEEP_TIME`] after the work came last, and
-//!   [`LONGEST_TIME`] after it was first refused, so that targets that were
+//! * all of it is forgotten [`SUSPECT_TTL`] after the work came last, and
+//!   [`REJECT_TTL`] after it was first refused, so that targets that were
 //!   mended get it again. Trying it sooner would cost a target each time.
 //!
 //! What entries tell one another only ever grows (ends, excuses, lives), so it
@@ -116,21 +116,21 @@
 pub const PROVEN_ENDS: usize = 6;
 
 /// How long work is suspected after it came last, by any entry's clock.
-pub const KEEP_TIME: Millis = Millis(10 * 60 * 1_000);
+pub const SUSPECT_TTL: Millis = Millis(10 * 60 * 1_000);
 
 /// How long it is refused at most. Three targets an hour are the price of
 /// finding out whether it still ends them.
-pub const LONGEST_TIME: Millis = Millis(60 * 60 * 1_000);
+pub const REJECT_TTL: Millis = Millis(60 * 60 * 1_000);
 
 /// How long own news is told: eight digests, of which seven may be lost. So
 /// it reaches all of 31 entries of which 16 are told at a time.
-const TELL_TIME: Millis = Millis(4_000);
+const BROADCAST_TTL: Millis = Millis(4_000);
 
 /// How long what was heard is passed on, for entries that whoever learnt it
 /// doesn't reach: two digests. Only from the second end on: passed on at
 /// once, all that runs on killed targets was two thirds of what 31 entries
 /// told one another.
-const PASS_ON_TIME: Millis = Millis(1_000);
+const RELAY_TTL: Millis = Millis(1_000);
 const PASSED_ON_ENDS: usize = 2;
 
 /// Pieces of work that are told of at a time, 8 to 35 bytes each: a third of
@@ -156,14 +156,14 @@
 /// Outlived work that is remembered twice over, 9 bytes each: that of the
 /// last five to ten minutes at 14 answers a second.
 const MAX_OUTLIVED: usize = 4_096;
-const OUTLIVED_TIME: Millis = Millis(5 * 60 * 1_000);
+const OUTLIVED_TTL: Millis = Millis(5 * 60 * 1_000);
 
 /// What a word may take on its way, and be older than it says. Each telling
 /// of one another would keep work in mind for that much longer.
-const WAY_TIME: Millis = Millis(1_000);
+const MAX_LATENCY: Millis = Millis(1_000);
 
 /// How often what is due is looked for.
-const SWEEP_TIME: Millis = Millis(10_000);
+const SWEEP_INTERVAL: Millis = Millis(10_000);
 
 /// Times before the start of the process, as others tell them, are counted
 /// from so long before it.
@@ -241,8 +241,8 @@
         match case.and_then(|it| it.since) {
             None => Standing::Free,
             Some(since) => {
-                let longest = (since + LONGEST_TIME).since(now);
-                Standing::Refused(KEEP_TIME.min(longest))
+                let longest = (since + REJECT_TTL).since(now);
+                Standing::Refused(SUSPECT_TTL.min(longest))
             }
         }
     }
@@ -264,7 +264,7 @@
             idle: Millis(0),
             refused: None,
         };
-        self.learn(&seen, TELL_TIME, now)
+        self.learn(&seen, BROADCAST_TTL, now)
     }
 
     /// Notes that a target outlived work.
@@ -281,7 +281,7 @@
         for end in std::mem::take(&mut case.ends) {
             case.excuse(end);
         }
-        case.told_until = now + TELL_TIME;
+        case.told_until = now + BROADCAST_TTL;
         match case.judge(now) {
             Change::None => Change::Suspected,
             change => change,
@@ -290,7 +290,7 @@
 
     /// Takes in what another entry, or one before this process, knows.
     pub fn hear(&mut self, told: &Suspect, now: Millis) -> Change {
-        self.learn(told, PASS_ON_TIME, now)
+        self.learn(told, RELAY_TTL, now)
     }
 
     /// Takes something in that is told for a time.
@@ -302,7 +302,7 @@
     ) -> Change {
         let now = now + BEFORE;
         let refused = told.refused.unwrap_or_default();
-        if told.idle >= KEEP_TIME || refused >= LONGEST_TIME {
+        if told.idle >= SUSPECT_TTL || refused >= REJECT_TTL {
             return Change::None;
         }
         let work = Work(told.work);
@@ -322,7 +322,7 @@
             case.since = None;
             case.ends.clear();
         }
-        if now.since(case.seen) > told.idle + WAY_TIME {
+        if now.since(case.seen) > told.idle + MAX_LATENCY {
             case.seen = now - told.idle;
         }
         let before = (case.ends.len(), case.excused.len(), case.proven);
@@ -346,7 +346,7 @@
         let after = (case.ends.len(), case.excused.len(), case.proven);
         let is_news = after != before;
         let is_passed_on = case.ends.len() >= PASSED_ON_ENDS || case.proven;
-        if misses || is_news && (is_passed_on || telling == TELL_TIME) {
+        if misses || is_news && (is_passed_on || telling == BROADCAST_TTL) {
             case.told_until = case.told_until.max(now + telling);
         }
         let change = case.judge(now);
@@ -454,19 +454,19 @@
     /// Ends that were none, as far as that is news.
     pub fn lives_told(&self, now: Millis) -> Vec<u64> {
         let now = now + BEFORE;
-        let news = |at: Millis| now.since(at) < TELL_TIME;
+        let news = |at: Millis| now.since(at) < BROADCAST_TTL;
         let told = self.lives.iter().filter(|it| news(*it.1));
         told.take(MAX_TOLD).map(|it| it.0.0).collect()
     }
 
     /// Forgets what is over, and says which work that was.
     pub fn sweep(&mut self, now: Millis) -> Vec<Work> {
-        if now.since(self.swept) < SWEEP_TIME {
+        if now.since(self.swept) < SWEEP_INTERVAL {
             return Vec::new();
         }
         self.swept = now;
         let now = now + BEFORE;
-        self.lives.retain(|_, at| now.since(*at) < LONGEST_TIME);
+        self.lives.retain(|_, at| now.since(*at) < REJECT_TTL);
         let is_over = |it: &Case| it.is_over(now);
         let over = self.cases.iter().filter(|it| is_over(it.1));
         let over: Vec<Work> = over.map(|it| *it.0).collect();
@@ -520,8 +520,8 @@
     }
 
     fn is_over(&self, now: Millis) -> bool {
-        let longest = |since| now.since(since) >= LONGEST_TIME;
-        now.since(self.seen) >= KEEP_TIME || self.since.is_some_and(longest)
+        let longest = |since| now.since(since) >= REJECT_TTL;
+        now.since(self.seen) >= SUSPECT_TTL || self.since.is_some_and(longest)
     }
 
     fn is_told(&self, now: Millis) -> bool {
@@ -542,7 +542,7 @@
 
 impl Outlived {
     fn note(&mut self, work: Work, now: Millis) {
-        let is_old = now.since(self.since) >= OUTLIVED_TIME;
+        let is_old = now.since(self.since) >= OUTLIVED_TTL;
         if is_old || self.newer.len() >= MAX_OUTLIVED {
             self.older = std::mem::take(&mut self.newer);
             self.since = now;
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -32,7 +32,7 @@
 use crate::{
     attempt::Attempt,
     entry::{Choice, Entry},
-    receive::{USUAL_TIME, drop_hop_by_hop, work_of},
+    receive::{DEFAULT_TIMEOUT, drop_hop_by_hop, work_of},
     reply::Body,
     upstream::{self, Failure, Lease, Reuse},
 };
@@ -313,7 +313,7 @@
     /// goes behind those that can: after an outage the others would all be
     /// late too, for as long as the backlog lasts.
     fn urgency(&self) -> u16 {
-        let time = self.route.timeout.unwrap_or(USUAL_TIME);
+        let time = self.route.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let waited = time.since(self.left());
         let late = self.route.aim.is_some_and(|aim| waited > aim);
         let rank = u16::from(self.priority);
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -29,7 +29,7 @@
 
 /// What is left of a caller's patience for the answer's way: 3 ms there, and
 /// a VM that has used up its share of a tenth of a second.
-const ANSWER_TIME: Millis = Millis(100);
+const ANSWER_LATENCY: Millis = Millis(100);
 
 /// Requests that wait for the end of one cooldown are sent within this time,
 /// not all at once.
@@ -102,7 +102,7 @@
         now: Millis,
     ) -> bool {
         let in_time =
-            |end: Millis| end <= wait && end + ANSWER_TIME <= self.until;
+            |end: Millis| end <= wait && end + ANSWER_LATENCY <= self.until;
         let ends_in_time = shortage.cooldown_end.is_some_and(in_time);
         // A caller that may come back gets to another target sooner.
         let returns = self.caller_try == CallerTry::First
@@ -199,7 +199,7 @@
     /// stream that hears nothing for longer leaves and is lost; one that is
     /// answered just before comes back when it was told to.
     fn wait(&self, entry: &Entry) -> Millis {
-        let silence = self.route.silence.map(|it| it - ANSWER_TIME);
+        let silence = self.route.silence.map(|it| it - ANSWER_LATENCY);
         silence.unwrap_or(entry.settings().wait_ms)
     }
 
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -15,7 +15,7 @@
 };
 
 /// When to come back if all targets are full.
-pub const FULL_TIME: Millis = Millis(250);
+pub const FULL_BACKOFF: Millis = Millis(250);
 
 /// Callers that are told of a free place come back after this at the least:
 /// their way there and back takes longer than the place stays free.
@@ -50,10 +50,10 @@
 /// the way there and back takes 3 ms. Without it a second try went to a target
 /// that was gone too, and none was left: 70 requests on four days of crashes,
 /// each of which broke within 7 ms.
-const BREAK_TIME: Millis = Millis(8);
+const BREAK_DELAY: Millis = Millis(8);
 
 /// The pause before a target that refused is asked again.
-const AGAIN_TIME: Millis = Millis(60);
+const RETRY_BACKOFF: Millis = Millis(60);
 
 impl Call {
     /// Takes a error in. Returns the final answer if nothing may follow.
@@ -99,13 +99,13 @@
             return Some(self.reject_with(entry, Reason::NoTarget(why)));
         }
         if matches!(error, AttemptError::Broken(_)) {
-            sleep(BREAK_TIME.duration()).await;
+            sleep(BREAK_DELAY.duration()).await;
         }
         let again = self.sent.len() >= self.route.attempts as usize;
         let now = Millis::now();
         let cools = entry.cooldown_end(&choice.target, now).is_some();
         if again && !cools && matches!(error, AttemptError::Refused(_)) {
-            sleep(AGAIN_TIME.duration()).await;
+            sleep(RETRY_BACKOFF.duration()).await;
         }
         None
     }
@@ -178,7 +178,7 @@
         if self.route.streams() {
             return longest;
         }
-        let after = patience::spread_return(FULL_TIME, entry.draw());
+        let after = patience::spread_return(FULL_BACKOFF, entry.draw());
         longest.min(after)
     }
 }
--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -34,19 +34,19 @@
 };
 
 /// The balancer asks once a second and needs two misses.
-const NOTICE_TIME: Millis = Millis(3_200);
+const DRAIN_DELAY: Millis = Millis(3_200);
 
 /// What is left of the grace time for the process's own end.
 const END_MARGIN: Millis = Millis(400);
 
 /// How often a connection's idle time is looked at.
-const LOOK_TIME: Millis = Millis(1_000);
+const IDLE_CHECK_INTERVAL: Millis = Millis(1_000);
 
 /// How often the end of all requests is looked for while stopping.
-const STOP_LOOK_TIME: Millis = Millis(50);
+const STOP_CHECK_INTERVAL: Millis = Millis(50);
 
 /// The time for the last answers to leave the process.
-const LAST_TIME: Millis = Millis(100);
+const FLUSH_DELAY: Millis = Millis(100);
 
 /// What idle connections are given beyond the limit that callers know, so
 /// that a request sent at the limit still finds its connection open.
@@ -69,7 +69,7 @@
         Instant::now() + (entry.settings().grace_ms - END_MARGIN).duration();
     entry.phase.set(Phase::Leaving);
     info!(entry.log, "stopping"; "under_way" => entry.under_way.get());
-    let noticed = Instant::now() + NOTICE_TIME.duration();
+    let noticed = Instant::now() + DRAIN_DELAY.duration();
     tokio::select! {
         never = accept(entry, &listener) => match never {},
         () = sleep_until(noticed) => {}
@@ -78,10 +78,10 @@
     entry.phase.set(Phase::Closing);
     entry.closing.notify_waiters();
     while entry.under_way.get() > 0 && Instant::now() < end {
-        sleep(STOP_LOOK_TIME.duration()).await;
+        sleep(STOP_CHECK_INTERVAL.duration()).await;
     }
     // The last answers are on their way through the sockets.
-    sleep(LAST_TIME.duration()).await;
+    sleep(FLUSH_DELAY.duration()).await;
     info!(entry.log, "stopping"; "left" => entry.under_way.get());
     Ok(())
 }
@@ -94,7 +94,7 @@
             }
             Err(error) => {
                 info!(entry.log, "accept_failed"; "error" => %error);
-                sleep(STOP_LOOK_TIME.duration()).await;
+                sleep(STOP_CHECK_INTERVAL.duration()).await;
             }
         }
     }
@@ -161,7 +161,7 @@
         tokio::select! {
             // A connection that breaks has nobody left to tell.
             _ = &mut serving => return,
-            () = sleep(LOOK_TIME.duration()) => {}
+            () = sleep(IDLE_CHECK_INTERVAL.duration()) => {}
             () = entry.closing.notified() => {}
         }
         match verdict(&entry, &activity) {
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -29,25 +29,25 @@
 /// What a report or answer may have taken on its way: one that came sooner
 /// after a break may be from before it. Some 5 ms each, and more where a VM
 /// has used up its share of a tenth of a second.
-pub const WAY_TIME: Millis = Millis(100);
+pub const MAX_LATENCY: Millis = Millis(100);
 
 /// When a target without an agent is asked. Others whose connections broke
 /// with it are asked about together.
-const PLAIN_TIME: Millis = Millis(150);
+const PLAIN_DELAY: Millis = Millis(150);
 
 /// When one beside an agent is asked: its agent reports every 400 ms, so that
 /// after a whole group was cut off no connection is made.
-const AGENT_TIME: Millis = Millis(550);
+const AGENT_DELAY: Millis = Millis(550);
 
 /// An agent that was silent for so long before won't speak.
-const MUTE_TIME: Millis = Millis(1_000);
+const AGENT_TIMEOUT: Millis = Millis(1_000);
 
 /// The time for a connection to be made or refused. Both take 3 ms.
-const ASK_TIME: Millis = Millis(250);
+const CONNECT_TIMEOUT: Millis = Millis(250);
 
 /// How often is asked when there is no answer, and the pause between.
 const MAX_ASKED: u32 = 3;
-const PAUSE: Millis = Millis(300);
+const RETRY_BACKOFF: Millis = Millis(300);
 
 /// Requests that are asked about at once, some 70 bytes each: all that a
 /// target runs and has waiting from one entry. Those that were given up give
@@ -80,7 +80,7 @@
     /// until its time is over.
     pub fn given_up(request: Name, work: Work, until: Millis) -> Suspicion {
         let broken = Suspicion::broken(request, work);
-        let lingers = LINGER_TIME;
+        let lingers = LINGER_INTERVAL;
         let until = until.min(broken.at + LONGEST_LINGER);
         Suspicion { lingers, until, ..broken }
     }
@@ -96,7 +96,7 @@
 
     /// From when on a sign of life says that the target outlived it.
     fn counts_from(&self) -> Millis {
-        self.at + self.lingers + WAY_TIME
+        self.at + self.lingers + MAX_LATENCY
     }
 }
 
@@ -104,7 +104,7 @@
 /// was reset. Most drop it at once; one that reads it late has a tenth of a
 /// second to begin and another to end. Others have it wait its turn for as
 /// long as it has time; these are looked at again as often.
-const LINGER_TIME: Millis = Millis(500);
+const LINGER_INTERVAL: Millis = Millis(500);
 
 /// The longest that a request's time may be: that of streams, and a quarter
 /// more.
@@ -161,7 +161,7 @@
         };
         asked += 1;
         if fate == Fate::Unknown && asked < MAX_ASKED {
-            sleep(PAUSE.duration()).await;
+            sleep(RETRY_BACKOFF.duration()).await;
             continue;
         }
         settle(&entry, &choice, fate, |it| it.at + it.lingers <= asked_at);
@@ -179,7 +179,8 @@
     let outlived =
         |it: &Suspicion| lived.is_some_and(|at| it.counts_from() <= at);
     settle(entry, choice, Fate::Lives, outlived);
-    let ended = |it: &Suspicion| lost.is_some_and(|at| it.at <= at + WAY_TIME);
+    let ended =
+        |it: &Suspicion| lost.is_some_and(|at| it.at <= at + MAX_LATENCY);
     settle(entry, choice, Fate::Ended, ended);
     let endpoint = choice.endpoint.borrow();
     let due = |it: &Suspicion| it.at + it.lingers + patience(&endpoint, it.at);
@@ -189,16 +190,16 @@
 fn patience(endpoint: &Endpoint, since: Millis) -> Millis {
     let heard = endpoint.group.as_ref().map(|it| since.since(it.heard));
     match heard {
-        Some(age) if age < MUTE_TIME => AGENT_TIME,
-        _ => PLAIN_TIME,
+        Some(age) if age < AGENT_TIMEOUT => AGENT_DELAY,
+        _ => PLAIN_DELAY,
     }
 }
 
 async fn ask(entry: &Entry, choice: &Choice) -> Fate {
     let newest = choice.endpoint.borrow().suspicions.last().map(|it| it.at);
-    let since = newest.unwrap_or_default() + WAY_TIME;
+    let since = newest.unwrap_or_default() + MAX_LATENCY;
     let opening = TcpStream::connect(choice.target.address);
-    match tokio::time::timeout(ASK_TIME.duration(), opening).await {
+    match tokio::time::timeout(CONNECT_TIMEOUT.duration(), opening).await {
         Ok(Ok(_)) => Fate::Lives,
         Ok(Err(error))
             if error.kind() == io::ErrorKind::ConnectionRefused
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -8,7 +8,7 @@
     pick::{self, Candidate, Distance, Record, Usual},
 };
 
-use super::{Choice, Endpoint, Entry, Group, Recovery, groups::SILENT_TIME};
+use super::{Choice, Endpoint, Entry, Group, Recovery, groups::AGENT_TIMEOUT};
 
 /// The targets of a service that work, as an entry sees them at a moment.
 pub struct Candidates {
@@ -156,7 +156,7 @@
         // idle but unknown: its VM may be frozen, or it may be the slow one.
         let known = |group: &Option<Group>| {
             let heard = group.as_ref().map(|it| now.since(it.heard));
-            heard.is_some_and(|age| age < SILENT_TIME)
+            heard.is_some_and(|age| age < AGENT_TIMEOUT)
         };
         let heard = endpoints.iter().filter(|it| known(&it.1.borrow().group));
         let reported = heard.count() * 2 > endpoints.len();
@@ -254,7 +254,7 @@
         let sent: u32 = records.iter().map(Record::unreported).sum();
         let budgets = self.budgets.borrow();
         let usual = budgets.get(service);
-        let usual = usual.map_or(0.0, |it| it.usual(UNSEEN_TIME, now));
+        let usual = usual.map_or(0.0, |it| it.usual(UNSEEN_INTERVAL, now));
         usual.max(f64::from(sent)) * others
     }
 
@@ -280,7 +280,7 @@
 /// agent. Behind 31 entries 0.2% of the requests then find no free slot at
 /// one of 72 ranks, 0.5% with one report, and 38% with nothing allowed for
 /// (`cowsliproad-bench routing`).
-const UNSEEN_TIME: Millis = Millis(800);
+const UNSEEN_INTERVAL: Millis = Millis(800);
 
 /// Connections to a target that an entry may have however many entries there
 /// are.
--- a/cowsliproad-direct/src/entry/groups.rs
+++ b/cowsliproad-direct/src/entry/groups.rs
@@ -43,7 +43,7 @@
         let now = Millis::now();
         let endpoint = choice.endpoint.borrow();
         let group = endpoint.group.as_ref();
-        group.is_some_and(|it| now.since(it.heard) < SILENT_TIME)
+        group.is_some_and(|it| now.since(it.heard) < AGENT_TIMEOUT)
     }
 
     /// The last pass that any group of a service is known to have begun.
@@ -74,4 +74,4 @@
 }
 
 /// An agent that two reports are missing of is silent.
-pub(super) const SILENT_TIME: Millis = Millis(1_000);
+pub(super) const AGENT_TIMEOUT: Millis = Millis(1_000);
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -30,15 +30,15 @@
 
 /// How long the log may hold a read of the configuration. A connection that
 /// fell silent is noticed when this is over; other entries tell us sooner.
-const HOLD_TIME: Millis = Millis(15_000);
+const POLL_TIMEOUT: Millis = Millis(15_000);
 
 /// The pauses between calls that fail, doubled from the first to the last.
-const FIRST_PAUSE: Millis = Millis(150);
-const LONGEST_PAUSE: Millis = Millis(1_200);
+const MIN_BACKOFF: Millis = Millis(150);
+const MAX_BACKOFF: Millis = Millis(1_200);
 
 /// The least time between two calls for one topic, so that a storm of new
 /// versions costs no more than 20 calls a second; only the newest counts.
-const MIN_PAUSE: Millis = Millis(50);
+const MIN_READ_INTERVAL: Millis = Millis(50);
 
 /// The part of the time for a leaving target in which the targets are read
 /// once at the latest by some entry, in percent. Two readings may be late or
@@ -77,9 +77,9 @@
             warn!(entry.log, "log_lost"; "topic" => self.topic,
                 "error" => %error);
         }
-        let doubled = FIRST_PAUSE.0 << self.failures.min(4);
+        let doubled = MIN_BACKOFF.0 << self.failures.min(4);
         self.failures += 1;
-        let pause = doubled.min(LONGEST_PAUSE.0);
+        let pause = doubled.min(MAX_BACKOFF.0);
         sleep(jittered(Millis(pause)).duration()).await;
     }
 }
@@ -182,10 +182,10 @@
     let mut reader = Reader::new(&entry, log::OPERATORS);
     let mut called = Millis(0);
     loop {
-        let pause = (called + MIN_PAUSE).since(Millis::now());
+        let pause = (called + MIN_READ_INTERVAL).since(Millis::now());
         sleep(pause.duration()).await;
         called = Millis::now();
-        match reader.read(&entry, HOLD_TIME).await {
+        match reader.read(&entry, POLL_TIMEOUT).await {
             Ok(reading) => {
                 let before = entry.version();
                 adopt_newest(&entry, &reading.records).await;
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -44,36 +44,36 @@
 
 /// The time for an answer from an entry that asks nobody else: the way there
 /// and back, and a VM that has used up its share of a tenth of a second.
-const ANSWER_TIME: Millis = Millis(120);
+const REPLY_TIMEOUT: Millis = Millis(120);
 
 /// How long a request that can go elsewhere waits for its answer.
-const PATIENCE: Millis = Millis(40);
+const SHORT_REPLY_TIMEOUT: Millis = Millis(40);
 
 /// How long an entry that didn't answer is passed over.
-const MUTE_TIME: Millis = Millis(2_000);
+const MUTE_TTL: Millis = Millis(2_000);
 
 /// Entries that are asked for one permit. Each may be gone.
 const MAX_ASKED: usize = 2;
 
 /// When a permit is asked for again if nobody knows when one is free.
-const AGAIN_TIME: Millis = Millis(250);
+const RETRY_BACKOFF: Millis = Millis(250);
 
 /// How long a permit is held for its request to get a connection.
-const HOLD_TIME: Millis = Millis(400);
+const PERMIT_TTL: Millis = Millis(400);
 
 /// How long a limit that has changed, or is over, is told with each digest.
-const NEWS_TIME: Millis = Millis(8_000);
+const BROADCAST_TTL: Millis = Millis(8_000);
 
 /// How long what is told of an unknown target is kept: it is announced by
 /// then.
-const EARLY_TIME: Millis = Millis(10_000);
+const UNKNOWN_TTL: Millis = Millis(10_000);
 
 /// Limits that others are told of at a time, some 40 bytes each.
 const MAX_TOLD: usize = 256;
 
 /// Changes of limits are told at once no more often than this, however often
 /// targets change them.
-const TELL_PAUSE: Millis = Millis(100);
+const MIN_BROADCAST_INTERVAL: Millis = Millis(100);
 
 /// Which limits others are told of.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -114,7 +114,7 @@
     /// Keeps what was told of a target that isn't known yet.
     fn keep_early(&mut self, limit: &Limit, now: Millis) {
         if self.early.len() >= MAX_TOLD {
-            self.early.retain(|_, it| now.since(it.1) < EARLY_TIME);
+            self.early.retain(|_, it| now.since(it.1) < UNKNOWN_TTL);
         }
         if self.early.len() < MAX_TOLD {
             self.early.insert(limit.target.clone(), (limit.clone(), now));
@@ -199,8 +199,8 @@
     let asking = get(entry.clone(), choice.clone(), patience, sender);
     tokio::task::spawn_local(asking);
     let wait = match patience {
-        Millis(0) => PATIENCE,
-        _ => Millis(ANSWER_TIME.0 * u64::from(RELAYS + 1)),
+        Millis(0) => SHORT_REPLY_TIMEOUT,
+        _ => Millis(REPLY_TIMEOUT.0 * u64::from(RELAYS + 1)),
     };
     let Ok(Ok(Some(permit))) = timeout(wait.duration(), given).await else {
         entry.measure.limited("none");
@@ -246,7 +246,7 @@
             let from = now + after;
             let rate = endpoint.limit.rate().or(choice.limit);
             let Some(rate) = rate else { return };
-            let permit = Permit { rate, from, until: from + HOLD_TIME };
+            let permit = Permit { rate, from, until: from + PERMIT_TTL };
             if given.send(Some(permit)).is_err() {
                 endpoint.permits.push(permit);
             }
@@ -283,14 +283,14 @@
             Some(reply) if reply.given => return Verdict::Permit(reply.after),
             Some(reply) => return Verdict::Later(reply.after),
             None => {
-                let until = Millis::now() + MUTE_TIME;
+                let until = Millis::now() + MUTE_TTL;
                 entry.peers.borrow_mut().mute(other, until);
                 info!(entry.log, "keeper_mute"; "peer" => %other,
                     "target" => &*target.id);
             }
         }
     }
-    Verdict::Later(AGAIN_TIME)
+    Verdict::Later(RETRY_BACKOFF)
 }
 
 /// Asks another entry for a permit.
@@ -307,7 +307,7 @@
     let (sender, reply) = oneshot::channel();
     entry.limits.borrow_mut().open.insert(number, sender);
     entry.say(Datagram::Ask(question), other).await;
-    let wait = Millis(ANSWER_TIME.0 * (u64::from(relays) + 1));
+    let wait = Millis(REPLY_TIMEOUT.0 * (u64::from(relays) + 1));
     let reply = timeout(wait.duration(), reply).await;
     entry.limits.borrow_mut().open.remove(&number);
     reply.ok()?.ok()
@@ -328,7 +328,7 @@
                 (verdict, entry.limit_told(&target, Millis::now()))
             }
             // Its announcement has not come here yet.
-            None => (Verdict::Later(AGAIN_TIME), ask.limit),
+            None => (Verdict::Later(RETRY_BACKOFF), ask.limit),
         };
         let (given, after) = match verdict {
             Verdict::Permit(after) => (true, after),
@@ -413,7 +413,7 @@
         // Others hand it on too: there may be more entries than one tells.
         let now = Millis::now();
         let mut limits = self.limits.borrow_mut();
-        if now.since(limits.told) >= TELL_PAUSE {
+        if now.since(limits.told) >= MIN_BROADCAST_INTERVAL {
             limits.told = now;
             self.rumour.notify_one();
         }
@@ -426,7 +426,7 @@
             let endpoint = self.known_endpoint(&target.id)?;
             let limit = endpoint.borrow().limit;
             let word = limit.word(now)?;
-            let is_news = now.since(limit.changed()) < NEWS_TIME;
+            let is_news = now.since(limit.changed()) < BROADCAST_TTL;
             let is_told = match which {
                 Told::News => is_news,
                 Told::All => is_news || word.rate.is_some(),
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -46,7 +46,7 @@
 
 /// How often other entries are told. Two digests may be lost before an entry
 /// that the log turns away misses a change for longer than its bound.
-const TELL_TIME: Millis = Millis(500);
+const BROADCAST_INTERVAL: Millis = Millis(500);
 
 /// Every so many digests the agents are asked to report, and at once when
 /// there are new ones: after a restart of everything they wait for it.
@@ -59,22 +59,22 @@
 const MAX_TOLD: usize = 16;
 
 /// Without a word for so long an entry is no longer told to others.
-const FORGET_TIME: Millis = Millis(12_000);
+const PEER_TTL: Millis = Millis(12_000);
 
 /// How long the targets that left are told of.
-const LEFT_TIME: Millis = Millis(8_000);
+const DEPARTURE_TTL: Millis = Millis(8_000);
 
 /// How long an entry that starts waits for the word of another one.
-const MEETING_TIME: Millis = Millis(400);
+const MEETING_TIMEOUT: Millis = Millis(400);
 
 /// How long it waits for a newer configuration that another one told of.
-const NEWER_TIME: Millis = Millis(2_000);
+const NEWER_TIMEOUT: Millis = Millis(2_000);
 
 /// What the own reading of the log is given before a peer is asked.
-const OWN_TIME: Millis = Millis(120);
+const OWN_READ_DELAY: Millis = Millis(120);
 
 /// The time for fetching a peer's state.
-const FETCH_TIME: Millis = Millis(1_000);
+const FETCH_TIMEOUT: Millis = Millis(1_000);
 
 /// The largest state that is fetched.
 const MAX_STATE_BYTES: usize = 16 << 20;
@@ -201,7 +201,7 @@
         let known = self.known.values();
         let heard = known.filter(|it| now.since(it.heard) < silence);
         let unmet = |it: &&SocketAddr| !self.known.contains_key(*it);
-        let unmet = match now < FORGET_TIME {
+        let unmet = match now < PEER_TTL {
             true => self.seeds.iter().filter(unmet).count(),
             false => 0,
         };
@@ -227,7 +227,7 @@
     }
 
     fn told(&mut self, now: Millis) -> Vec<SocketAddr> {
-        self.known.retain(|_, it| now.since(it.heard) < FORGET_TIME);
+        self.known.retain(|_, it| now.since(it.heard) < PEER_TTL);
         let known = self.known.keys().copied();
         let mut told = known.choose_multiple(&mut rand::rng(), MAX_TOLD);
         let unmet = |it: &&SocketAddr| !self.known.contains_key(*it);
@@ -264,12 +264,14 @@
             ask_agents(&entry, &socket).await;
         }
         round += 1;
-        let _ = timeout(TELL_TIME.duration(), entry.rumour.notified()).await;
+        let _ =
+            timeout(BROADCAST_INTERVAL.duration(), entry.rumour.notified())
+                .await;
     }
 }
 
 fn digest(entry: &Entry, limits: Told, now: Millis) -> Digest {
-    let since = now - entry.rollbacks.departures(now).unwrap_or(LEFT_TIME);
+    let since = now - entry.rollbacks.departures(now).unwrap_or(DEPARTURE_TTL);
     let fleet = entry.fleet.borrow();
     let (suspects, lives) = entry.quarantine.borrow().told(now);
     let (mut left, mut withdrawn) = (Vec::new(), Vec::new());
@@ -370,7 +372,7 @@
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // An unreachable peer shows here; the next datagram may be good.
-            sleep(OWN_TIME.duration()).await;
+            sleep(OWN_READ_DELAY.duration()).await;
             continue;
         };
         match gossip::decode::<Datagram>(&buffer[..length]) {
@@ -452,9 +454,9 @@
         };
         let patience = match newest {
             0 if has_met_all => return,
-            0 => MEETING_TIME,
+            0 => MEETING_TIMEOUT,
             newest if newest <= version => return,
-            _ => NEWER_TIME,
+            _ => NEWER_TIMEOUT,
         };
         let left = (begun + patience).since(Millis::now());
         if left == Millis(0) {
@@ -468,7 +470,7 @@
 
 /// Fetches a peer's state if the log doesn't bring it in time.
 async fn catch_up(entry: &Rc<Entry>, heard: &Digest) {
-    sleep(OWN_TIME.duration()).await;
+    sleep(OWN_READ_DELAY.duration()).await;
     let knows = entry.version() >= heard.version && entry.is_ready();
     if knows && !entry.readings.borrow().needs_peer() {
         return;
@@ -478,7 +480,7 @@
         return;
     };
     let client = Client::new();
-    let call = client.call(request, MAX_STATE_BYTES, FETCH_TIME.duration());
+    let call = client.call(request, MAX_STATE_BYTES, FETCH_TIMEOUT.duration());
     let body = match call.await {
         Ok(answer) => answer.into_body(),
         Err(error) => {
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -29,7 +29,7 @@
 use tokio::{sync::Notify, time::timeout};
 
 use crate::{
-    ends::WAY_TIME,
+    ends::MAX_LATENCY,
     entry::{Entry, Source},
     follow::{Contact, Reader, Scope},
 };
@@ -40,31 +40,31 @@
 const WRITTEN_ENDS: usize = 2;
 
 /// How long the log may hold a read: the longest that it allows.
-const HOLD_TIME: Millis = Millis(30_000);
+const POLL_TIMEOUT: Millis = Millis(30_000);
 
 /// The least time between two reads of which the first brought nothing.
-const MIN_TIME: Millis = Millis(15_000);
+const MIN_READ_INTERVAL: Millis = Millis(15_000);
 
 /// When work that the log lost is written again: by whoever wrote it before,
 /// and by others for each entry, so that one mostly goes first.
-const OWN_REWRITE_TIME: Millis = Millis(300);
-const REWRITE_TIME_PER_ENTRY: Millis = Millis(50);
+const OWN_REWRITE_DELAY: Millis = Millis(300);
+const REWRITE_DELAY_PER_ENTRY: Millis = Millis(50);
 
 /// The longest of the latter.
-const MAX_REWRITE_TIME: Millis = Millis(10_000);
+const MAX_REWRITE_DELAY: Millis = Millis(10_000);
 
 /// A target that answers so soon after its end did not end: none has started
 /// again by then.
-const RESTART_TIME: Millis = Millis(1_000);
+const MIN_RESTART_DELAY: Millis = Millis(1_000);
 
 /// Announcements of before an end are read by then.
-const READ_TIME: Millis = Millis(3_000);
+const READ_DELAY: Millis = Millis(3_000);
 
 /// Two announcements that lie further apart are not of one reading.
-const RENEWAL_TIME: Millis = Millis(1_000);
+const MIN_RENEWAL_INTERVAL: Millis = Millis(1_000);
 
 /// How often what is over is looked for.
-const SWEEP_TIME: Millis = Millis(10_000);
+const SWEEP_INTERVAL: Millis = Millis(10_000);
 
 /// Ended targets whose signs of life are looked for, 100 bytes each.
 const MAX_ENDED: usize = 1_024;
@@ -137,7 +137,7 @@
 
     /// Forgets what is over, and has the log forget it.
     pub fn sweep(&mut self, now: Millis) {
-        if now.since(self.swept) < SWEEP_TIME {
+        if now.since(self.swept) < SWEEP_INTERVAL {
             return;
         }
         self.swept = now;
@@ -225,7 +225,7 @@
         let mut quarantine = self.quarantine.borrow_mut();
         let Some((end, ended)) = quarantine.end_of(target) else { return };
         let is_later = sent > ended.at;
-        let is_soon = now.since(ended.at) < RESTART_TIME;
+        let is_soon = now.since(ended.at) < MIN_RESTART_DELAY;
         drop(quarantine);
         if is_later && is_soon {
             self.note_lives(end, now, Source::Own);
@@ -240,7 +240,7 @@
         }
         let mut quarantine = self.quarantine.borrow_mut();
         let Some((end, ended)) = quarantine.end_of(target) else { return };
-        let is_later = now.since(ended.at) >= WAY_TIME;
+        let is_later = now.since(ended.at) >= MAX_LATENCY;
         drop(quarantine);
         if is_later {
             self.note_lives(end, now, Source::Own);
@@ -251,13 +251,13 @@
     pub fn note_announcement(&self, target: &Target, now: Millis) {
         let mut quarantine = self.quarantine.borrow_mut();
         let Some((end, ended)) = quarantine.end_of(target) else { return };
-        if now.since(ended.at) < READ_TIME {
+        if now.since(ended.at) < READ_DELAY {
             return;
         }
         let (first, at) =
             *ended.announced.get_or_insert((target.sequence, now));
         drop(quarantine);
-        if target.sequence > first && now.since(at) >= RENEWAL_TIME {
+        if target.sequence > first && now.since(at) >= MIN_RENEWAL_INTERVAL {
             self.note_lives(end, now, Source::Log);
         }
     }
@@ -350,7 +350,7 @@
     let mut reader = Reader::new(&entry, log::QUARANTINE);
     loop {
         let called = Millis::now();
-        let reading = match reader.read(&entry, HOLD_TIME).await {
+        let reading = match reader.read(&entry, POLL_TIMEOUT).await {
             Ok(reading) => reading,
             Err(error) => {
                 reader.recover(&entry, &error).await;
@@ -364,7 +364,7 @@
             note_lost(&entry, &reading.records);
         } else if reading.records.is_empty() {
             // A log that doesn't hold reads is not asked all the time.
-            let rest = (called + MIN_TIME).since(Millis::now());
+            let rest = (called + MIN_READ_INTERVAL).since(Millis::now());
             let era = entry.rollbacks.era();
             let over = entry.rollbacks.after(era);
             let _ = timeout(rest.duration(), over).await;
@@ -413,8 +413,8 @@
         .map(|it| (it.suspect.work, it.suspect))
         .collect();
     let entries = entry.peers.borrow().entries() as u64;
-    let others = Millis(REWRITE_TIME_PER_ENTRY.0 * entries);
-    let others = others.min(MAX_REWRITE_TIME);
+    let others = Millis(REWRITE_DELAY_PER_ENTRY.0 * entries);
+    let others = others.min(MAX_REWRITE_DELAY);
     let known = entry.quarantine.borrow().ledger.known(now);
     let known = known.into_iter().filter(|it| it.ends.len() >= WRITTEN_ENDS);
     for suspect in known {
@@ -425,8 +425,8 @@
         let drawn = entry.draw();
         let mut quarantine = entry.quarantine.borrow_mut();
         let wait = match quarantine.written.contains(&work) {
-            true => drawn * OWN_REWRITE_TIME.0 as f64,
-            false => OWN_REWRITE_TIME.0 as f64 + drawn * others.0 as f64,
+            true => drawn * OWN_REWRITE_DELAY.0 as f64,
+            false => OWN_REWRITE_DELAY.0 as f64 + drawn * others.0 as f64,
         };
         let at = now + Millis(wait as u64);
         quarantine.lost.insert(work, at);
--- a/cowsliproad-direct/src/readiness.rs
+++ b/cowsliproad-direct/src/readiness.rs
@@ -21,10 +21,10 @@
 const METRICS_PATH: &str = "/metrics";
 
 /// The longest that a connection is kept. The balancer asks once a second.
-const CONNECTION_TIME: Millis = Millis(20_000);
+const CONNECTION_TTL: Millis = Millis(20_000);
 
 /// The pause after a failed accept, for example without a free descriptor.
-const PAUSE: Millis = Millis(50);
+const ACCEPT_BACKOFF: Millis = Millis(50);
 
 /// Takes connections for ever and answers each request at once, as `answer`
 /// says.
@@ -35,7 +35,7 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            sleep(PAUSE.duration()).await;
+            sleep(ACCEPT_BACKOFF.duration()).await;
             continue;
         };
         let entry = entry.clone();
@@ -47,7 +47,7 @@
             let serving = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service);
             // Whoever breaks off, or keeps a connection, asks again.
-            let _ = timeout(CONNECTION_TIME.duration(), serving).await;
+            let _ = timeout(CONNECTION_TTL.duration(), serving).await;
         });
     }
 }
--- a/cowsliproad-direct/src/receive.rs
+++ b/cowsliproad-direct/src/receive.rs
@@ -15,16 +15,16 @@
 use tokio::time::timeout;
 
 use crate::{
-    call::{Call, Destination, Span, failure::FULL_TIME},
+    call::{Call, Destination, Span, failure::FULL_BACKOFF},
     entry::Entry,
     reply::{self, Body},
 };
 
 /// How long a caller waits that doesn't say how long.
-pub const USUAL_TIME: Millis = Millis(30_000);
+pub const DEFAULT_TIMEOUT: Millis = Millis(30_000);
 
 /// When to come back if an entry knows no configuration or no target yet.
-const STARTING_TIME: Millis = Millis(400);
+const STARTING_BACKOFF: Millis = Millis(400);
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -45,7 +45,7 @@
     arrived: Millis,
 ) -> Result<Call, Response<Body>> {
     let left = number(&head.headers, &header::TIME_LEFT).map(Millis);
-    let left = left.unwrap_or(USUAL_TIME);
+    let left = left.unwrap_or(DEFAULT_TIMEOUT);
     let catalog = entry.catalog();
     let most =
         catalog.as_ref().map_or(usize::MAX, |it| it.limits().body_bytes);
@@ -67,12 +67,15 @@
     };
     // A version that came while the body was read counts.
     let Some(catalog) = entry.catalog() else {
-        return Err(reply::not_run("starting\n", STARTING_TIME));
+        return Err(reply::not_run("starting\n", STARTING_BACKOFF));
     };
     let found = find(&catalog, &head).map_err(refuse)?;
     let Found { route, organisation } = found;
     let Some(service) = route.draw(entry.draw()).cloned() else {
-        return Err(reply::not_run("the route has no service\n", FULL_TIME));
+        return Err(reply::not_run(
+            "the route has no service\n",
+            FULL_BACKOFF,
+        ));
     };
     let time = route.timeout.map_or(left, |it| it.min(left));
     let headers = passed_on(&head.headers, organisation.as_deref());
--- a/cowsliproad-direct/src/rollback.rs
+++ b/cowsliproad-direct/src/rollback.rs
@@ -38,7 +38,7 @@
 const MAX_SPREAD: Millis = Millis(1_000);
 
 /// How long other entries are told of targets that left before.
-const TELL_TIME: Millis = Millis(8_000);
+const BROADCAST_TTL: Millis = Millis(8_000);
 
 /// How old the copy may be: targets that left since may be listed in it.
 const MAX_AGE: Millis = Millis(60_000);
@@ -87,7 +87,7 @@
     /// rollback makes that more than usual.
     pub fn departures(&self, now: Millis) -> Option<Millis> {
         let last = self.last.borrow();
-        let last = last.as_ref().filter(|it| now.since(it.at) < TELL_TIME);
+        let last = last.as_ref().filter(|it| now.since(it.at) < BROADCAST_TTL);
         last.map(|_| MAX_AGE)
     }
 }
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -34,10 +34,10 @@
 const WAITING_PIECES: usize = 16;
 
 /// How long a target may be silent while its group goes on. Ten passes.
-const SILENT_TIME: Millis = Millis(800);
+const SILENCE_TIMEOUT: Millis = Millis(800);
 
 /// How often a silent stream is looked at.
-const LOOK_TIME: Millis = Millis(400);
+const SILENCE_CHECK_INTERVAL: Millis = Millis(400);
 
 /// From this pace on a target's streams are moved. A move costs that the
 /// prompt is read again, some 15 ms of its new target; with 12 streams a rank
@@ -176,7 +176,7 @@
     let mut opening =
         std::pin::pin!(call.open(entry, choice, attempt, resume));
     loop {
-        let look = Instant::now() + LOOK_TIME.duration();
+        let look = Instant::now() + SILENCE_CHECK_INTERVAL.duration();
         tokio::select! {
             opened = &mut opening => {
                 return opened.inspect_err(|error| attempt.left(error));
@@ -222,7 +222,7 @@
                     return Next::Failed(AttemptError::Unknown("slow"));
                 }
             }
-            let look = Instant::now() + LOOK_TIME.duration();
+            let look = Instant::now() + SILENCE_CHECK_INTERVAL.duration();
             let frame = tokio::select! {
                 frame = self.body.frame() => frame,
                 () = entry.news.notified() => continue,
@@ -280,7 +280,7 @@
     let endpoint = choice.endpoint.borrow();
     let Some(group) = &endpoint.group else { return false };
     let goes_on = entry.step_of(&choice.target.service) >= since.step + PASSES;
-    now.since(since.at) > SILENT_TIME && group.open && goes_on
+    now.since(since.at) > SILENCE_TIMEOUT && group.open && goes_on
 }
 
 /// Whether a target is so slow that it sets the pace of its group, and others
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -34,13 +34,13 @@
 
 /// A dropped opening packet is sent again after a second or more; another
 /// target is a better use of that time. The way there and back takes 3 ms.
-const CONNECT_TIME: Millis = Millis(250);
+const CONNECT_TIMEOUT: Millis = Millis(250);
 
 /// Unacknowledged bytes for so long mean that the other side is gone.
-const SILENT_TIME: Millis = Millis(1_500);
+const UNACKED_TIMEOUT: Millis = Millis(1_500);
 
 /// After so much silence the other side is asked whether it lives.
-const PROBE_TIME: Millis = Millis(1_000);
+const KEEPALIVE_DELAY: Millis = Millis(1_000);
 
 /// How long an idle connection is kept if the target doesn't say.
 const USUAL_IDLE: Millis = Millis(4_000);
@@ -196,7 +196,7 @@
 /// that has idled too long for this request, or waits for one to end.
 async fn make_room(attempt: &Attempt, choice: &Choice) -> Result<(), Failure> {
     let freed = choice.endpoint.borrow().freed.clone();
-    let until = Instant::now() + CONNECT_TIME.duration();
+    let until = Instant::now() + CONNECT_TIMEOUT.duration();
     loop {
         let mut changed = std::pin::pin!(freed.notified());
         changed.as_mut().enable();
@@ -232,7 +232,7 @@
 ) -> Result<SendRequest<Full<Bytes>>, Failure> {
     let open = Open::new(&choice.endpoint);
     let opening = TcpStream::connect(choice.target.address);
-    let stream = timeout(CONNECT_TIME.duration(), opening)
+    let stream = timeout(CONNECT_TIMEOUT.duration(), opening)
         .await
         .map_err(|_| Failure::Unsent("no connection in time"))?
         .map_err(|_| Failure::Unsent("no connection"))?;
@@ -275,10 +275,10 @@
 pub fn prepare(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(SILENT_TIME.duration()))?;
+    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT.duration()))?;
     let probes = TcpKeepalive::new()
-        .with_time(PROBE_TIME.duration())
-        .with_interval(PROBE_TIME.duration())
+        .with_time(KEEPALIVE_DELAY.duration())
+        .with_interval(KEEPALIVE_DELAY.duration())
         .with_retries(2);
     socket.set_tcp_keepalive(&probes)
 }
--- a/cowsliproad-routing/src/fleet.rs
+++ b/cowsliproad-routing/src/fleet.rs
@@ -88,7 +88,7 @@
 impl Config {
     /// The usual times.
     pub fn new() -> Config {
-        Config { return_time: RETURN_TIME }
+        Config { return_time: RETURN_TIMEOUT }
     }
 
     /// How long after a gap a live target needs to be in the log again.
@@ -105,7 +105,7 @@
 
 /// Targets renew lapsed entries within about two seconds of the log's
 /// return, as its operators say; some more for the way to us.
-const RETURN_TIME: Millis = Millis(2_300);
+const RETURN_TIMEOUT: Millis = Millis(2_300);
 
 /// Incarnations whose leaving is remembered. One entry each is some 60 bytes.
 const REMEMBERED: usize = 2_048;
--- a/cowsliproad-routing/src/owner.rs
+++ b/cowsliproad-routing/src/owner.rs
@@ -74,11 +74,11 @@
 /// `told` of the `known` others at a time.
 pub fn silence(known: usize, told: usize) -> Millis {
     let rounds = (known / told.max(1)).max(1) as u64;
-    Millis(SILENT_TIME.0 * rounds)
+    Millis(SILENCE_TIMEOUT.0 * rounds)
 }
 
 /// Three digests missing.
-const SILENT_TIME: Millis = Millis(1_600);
+const SILENCE_TIMEOUT: Millis = Millis(1_600);
 
 fn rank<A: Hash>(target: &Target, address: A, zone: &Name) -> (bool, u64) {
     let mut hasher = DefaultHasher::new();
--- a/cowsliproad-routing/src/pick.rs
+++ b/cowsliproad-routing/src/pick.rs
@@ -28,7 +28,7 @@
 
 /// For so long a report of a target's load holds: agents renew theirs twice
 /// in it.
-const REPORT_TIME: Millis = Millis(1_000);
+const REPORT_TTL: Millis = Millis(1_000);
 
 /// The time in which the requests of an older report become half as many.
 const REPORT_FADING: Millis = Millis(500);
@@ -127,10 +127,10 @@
     /// look busy for good.
     fn lasting(&self, now: Millis) -> u32 {
         let age = now.since(self.reported_at);
-        if age <= REPORT_TIME {
+        if age <= REPORT_TTL {
             return self.reported;
         }
-        let over = (age - REPORT_TIME).0 as f64 / REPORT_FADING.0 as f64;
+        let over = (age - REPORT_TTL).0 as f64 / REPORT_FADING.0 as f64;
         (f64::from(self.reported) * 0.5_f64.powf(over)) as u32
     }
 
--- a/tests/properties/quarantine.rs
+++ b/tests/properties/quarantine.rs
@@ -3,7 +3,7 @@
 
 use cowsliproad::{
     admission::quarantine::{
-        Change, ENDS, End, KEEP_TIME, LONGEST_TIME, Ledger, PROVEN_ENDS,
+        Change, ENDS, End, Ledger, PROVEN_ENDS, REJECT_TTL, SUSPECT_TTL,
         Standing, Work,
     },
     kernel::{
@@ -204,19 +204,19 @@
 fn it_is_forgotten_once_it_stays_away_and_after_an_hour() {
     let deadly = work("deadly");
     let mut ledger = after(3, deadly);
-    let later = NOW + KEEP_TIME - Millis(1);
+    let later = NOW + SUSPECT_TTL - Millis(1);
     assert!(is_refused(&ledger, deadly, later));
     ledger.sighted(deadly, later);
-    assert!(is_refused(&ledger, deadly, later + KEEP_TIME - Millis(1)));
-    assert!(!is_refused(&ledger, deadly, later + KEEP_TIME));
+    assert!(is_refused(&ledger, deadly, later + SUSPECT_TTL - Millis(1)));
+    assert!(!is_refused(&ledger, deadly, later + SUSPECT_TTL));
     let mut now = NOW;
-    while now < NOW + LONGEST_TIME {
+    while now < NOW + REJECT_TTL {
         assert!(is_refused(&ledger, deadly, now), "{now}");
         ledger.sighted(deadly, now);
-        now = now + KEEP_TIME - Millis(1);
+        now = now + SUSPECT_TTL - Millis(1);
     }
-    assert!(!is_refused(&ledger, deadly, NOW + LONGEST_TIME));
-    assert_eq!(ledger.sweep(NOW + LONGEST_TIME), [deadly]);
+    assert!(!is_refused(&ledger, deadly, NOW + REJECT_TTL));
+    assert_eq!(ledger.sweep(NOW + REJECT_TTL), [deadly]);
     assert_eq!(ledger.ends(deadly), 0);
 }
 
@@ -227,7 +227,7 @@
     let mut ledgers = [after(3, deadly), Ledger::new()];
     ledgers[0].lives(end(9), NOW);
     let mut now = NOW;
-    while now < NOW + KEEP_TIME + Millis(2_000) {
+    while now < NOW + SUSPECT_TTL + Millis(2_000) {
         for (from, to) in [(0, 1), (1, 0)] {
             for told in ledgers[from].told(now) {
                 ledgers[to].hear(&told, now + Millis(5));
@@ -250,7 +250,7 @@
 fn a_young_entry_does_not_make_it_last_longer() {
     let deadly = work("deadly");
     let mut old = after(3, deadly);
-    let idle = KEEP_TIME - Millis(2_000);
+    let idle = SUSPECT_TTL - Millis(2_000);
     let mut young = Ledger::new();
     for told in old.told(NOW + idle) {
         // Its clock began a second ago.
@@ -261,7 +261,7 @@
     for told in young.told(Millis(2_900)) {
         old.hear(&told, NOW + idle + Millis(1_900));
     }
-    assert!(!is_refused(&old, deadly, NOW + KEEP_TIME));
+    assert!(!is_refused(&old, deadly, NOW + SUSPECT_TTL));
 }
 
 /// A whole fleet's targets are killed, with 50 pieces of work on each.
