--- a/cowsliproad-admission/src/limit.rs
+++ b/cowsliproad-admission/src/limit.rs
@@ -134,7 +134,7 @@
 
     /// What was last said, for others. A target that never named a limit has
     /// no word.
-    pub fn word(&self, now: Millis) -> Option<Report> {
+    pub fn report(&self, now: Millis) -> Option<Report> {
         let Held { rate, since } = self.word?;
         let age = Millis((now.0 as i64 - since).max(0) as u64);
         Some(Report { rate, age })
--- a/cowsliproad-admission/src/patience.rs
+++ b/cowsliproad-admission/src/patience.rs
@@ -4,11 +4,9 @@
 //! that waited here while its group stood may have so little of that left
 //! when the group opens that no first event can reach it: it leaves, the
 //! work is for nobody, and the engine is kept from others that the same
-//! moment brings. On a day in which a group stood for six seconds 247 of
-//! 3,000 requests were lost so. Told to come back, the caller stays as long
-//! again. They all come from one moment, so their returns are spread; and a
-//! caller that came back before mostly doesn't do so twice, so it is sent on
-//! whatever is left.
+//! moment brings. Told to come back, the caller stays as long again. They all
+//! come from one moment, so their returns are spread; and a caller that came
+//! back before mostly doesn't do so twice, so it is sent on whatever is left.
 
 use cowsliproad_kernel::clock::Millis;
 
@@ -33,8 +31,7 @@
     }
 }
 
-/// What a first try may have lost on its way here: a packet that is sent again
-/// takes some 200 ms.
+/// What a first try may have lost on its way here to packets sent again.
 const ON_THE_WAY: Millis = Millis(300);
 
 /// A stream that could start now.
--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -5,7 +5,7 @@
 //! other, unless it is known by what it is: [`Work`]. Each entry notes under
 //! which work a target ended and tells the others ([`Suspect`]). Once
 //! [`ENDS`] targets have ended under one piece of work, all entries refuse
-//! it ([`Ledger::standing`]).
+//! it ([`Ledger::verdict`]).
 //!
 //! Others work beside it, and targets end for other reasons, so that alone
 //! proves little, and what it can prove wrongly is kept small:
@@ -122,20 +122,18 @@
 /// finding out whether it still ends them.
 pub const REJECT_TTL: Millis = Millis(60 * 60 * 1_000);
 
-/// How long own news is told: eight digests, of which seven may be lost. So
-/// it reaches all of 31 entries of which 16 are told at a time.
+/// How long own news is told: eight digests, of which seven may be lost.
 const BROADCAST_TTL: Millis = Millis(4_000);
 
 /// How long what was heard is passed on, for entries that whoever learnt it
-/// doesn't reach: two digests. Only from the second end on: passed on at
-/// once, all that runs on killed targets was two thirds of what 31 entries
-/// told one another.
+/// doesn't reach: two digests. Only from the second end on, as otherwise all
+/// that runs on killed targets would be passed on.
 const RELAY_TTL: Millis = Millis(1_000);
 const PASSED_ON_ENDS: usize = 2;
 
 /// Pieces of work that are told of at a time, 8 to 35 bytes each: a third of
 /// the largest datagram.
-const MAX_TOLD: usize = 512;
+const MAX_UPDATES: usize = 512;
 
 /// Pieces of work that are suspected, 350 bytes each. What a target ran and
 /// had waiting at its end is some 50.
@@ -153,8 +151,7 @@
 /// more often in an hour is no longer believed to have ended.
 const MAX_RETURNS: usize = 16;
 
-/// Outlived work that is remembered twice over, 9 bytes each: that of the
-/// last five to ten minutes at 14 answers a second.
+/// Outlived work that is remembered, 9 bytes each, and for how long.
 const MAX_OUTLIVED: usize = 4_096;
 const OUTLIVED_TTL: Millis = Millis(5 * 60 * 1_000);
 
@@ -171,7 +168,7 @@
 
 /// What becomes of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Standing {
+pub enum Verdict {
     /// It may run.
     Free,
     /// It is refused, and may be tried again after this time.
@@ -232,17 +229,17 @@
     }
 
     /// Whether work may run now.
-    pub fn standing(&self, work: Work, now: Millis) -> Standing {
+    pub fn verdict(&self, work: Work, now: Millis) -> Verdict {
         if self.cases.is_empty() {
-            return Standing::Free;
+            return Verdict::Free;
         }
         let now = now + BEFORE;
         let case = self.cases.get(&work).filter(|it| !it.is_over(now));
         match case.and_then(|it| it.since) {
-            None => Standing::Free,
+            None => Verdict::Free,
             Some(since) => {
                 let longest = (since + REJECT_TTL).since(now);
-                Standing::Refused(SUSPECT_TTL.min(longest))
+                Verdict::Refused(SUSPECT_TTL.min(longest))
             }
         }
     }
@@ -423,21 +420,21 @@
     /// What is known of a piece of work, to be told or kept.
     pub fn suspect(&self, work: Work, now: Millis) -> Option<Suspect> {
         let now = now + BEFORE;
-        self.cases.get(&work).map(|it| it.told(work, now))
+        self.cases.get(&work).map(|it| it.suspect(work, now))
     }
 
     /// What others are told: what is refused, and news.
-    pub fn told(&self, now: Millis) -> Vec<Suspect> {
+    pub fn updates(&self, now: Millis) -> Vec<Suspect> {
         let now = now + BEFORE;
         let mut told: Vec<(&Work, &Case)> =
-            self.cases.iter().filter(|it| it.1.is_told(now)).collect();
+            self.cases.iter().filter(|it| it.1.is_news(now)).collect();
         // Own news lasts longer than what is passed on.
         told.sort_by_key(|(_, case)| {
             let ends = Reverse(case.ends.len());
             (case.since.is_none(), ends, Reverse(case.told_until))
         });
-        told.truncate(MAX_TOLD);
-        told.into_iter().map(|it| it.1.told(*it.0, now)).collect()
+        told.truncate(MAX_UPDATES);
+        told.into_iter().map(|it| it.1.suspect(*it.0, now)).collect()
     }
 
     /// All that is known, for a peer that was out of reach.
@@ -445,18 +442,18 @@
         let now = now + BEFORE;
         let kept = self.cases.iter().filter(|it| !it.1.is_over(now));
         let mut kept: Vec<Suspect> =
-            kept.map(|it| it.1.told(*it.0, now)).collect();
+            kept.map(|it| it.1.suspect(*it.0, now)).collect();
         kept.sort_by_key(|it| (Reverse(it.ends.len()), it.idle));
-        kept.truncate(MAX_TOLD);
+        kept.truncate(MAX_UPDATES);
         kept
     }
 
     /// Ends that were none, as far as that is news.
-    pub fn lives_told(&self, now: Millis) -> Vec<u64> {
+    pub fn taken_back(&self, now: Millis) -> Vec<u64> {
         let now = now + BEFORE;
         let news = |at: Millis| now.since(at) < BROADCAST_TTL;
         let told = self.lives.iter().filter(|it| news(*it.1));
-        told.take(MAX_TOLD).map(|it| it.0.0).collect()
+        told.take(MAX_UPDATES).map(|it| it.0.0).collect()
     }
 
     /// Forgets what is over, and says which work that was.
@@ -524,11 +521,11 @@
         now.since(self.seen) >= SUSPECT_TTL || self.since.is_some_and(longest)
     }
 
-    fn is_told(&self, now: Millis) -> bool {
+    fn is_news(&self, now: Millis) -> bool {
         !self.is_over(now) && (self.since.is_some() || now < self.told_until)
     }
 
-    fn told(&self, work: Work, now: Millis) -> Suspect {
+    fn suspect(&self, work: Work, now: Millis) -> Suspect {
         Suspect {
             work: work.0,
             ends: self.ends.iter().map(|it| it.0).collect(),
--- a/cowsliproad-admission/src/queue.rs
+++ b/cowsliproad-admission/src/queue.rs
@@ -8,9 +8,8 @@
 //!
 //! So that drafts never starve, one turn in [`AGED_TURN`] goes to the work
 //! that has waited longest beyond its class's patience, whatever its class.
-//! A first version aged by adding the patience to the rank instead. Under
-//! lasting overload every draft is older than that, so urgent work waited
-//! behind drafts: 59% on time at 1.5 times the capacity.
+//! Ageing by adding the patience to the rank would have urgent work wait
+//! behind drafts, as under lasting overload every draft is older than that.
 //!
 //! Work that can't meet its deadline any more is refused on arrival, and
 //! work whose deadline passes while it waits is given back at once by
--- a/cowsliproad-admission/src/window.rs
+++ b/cowsliproad-admission/src/window.rs
@@ -12,8 +12,7 @@
 /// The steps in which the span slides.
 const STEP: Millis = Millis(500);
 
-/// Steps that the usual number of requests is taken over: two seconds, some
-/// 20 requests of one of ten a second.
+/// Steps that the usual number of requests is taken over.
 const RATE_STEPS: u64 = 4;
 
 /// What is used of the budget. The rest covers that targets count arrivals
--- a/cowsliproad-bench/src/experiment/limits.rs
+++ b/cowsliproad-bench/src/experiment/limits.rs
@@ -259,7 +259,7 @@
         let known = self.entries[entry].known.keys().copied();
         let others = known.chain((0..3).filter(|it| *it != entry));
         let told = others.choose_multiple(&mut self.random, MAX_TOLD);
-        let word = self.entries[entry].limit.word(Millis(now));
+        let word = self.entries[entry].limit.report(Millis(now));
         let changed = self.entries[entry].limit.changed();
         let is_news = Millis(now).since(changed) < Millis(NEWS_MS);
         let is_due = (now / TELL_MS).is_multiple_of(LIMITS_EVERY);
@@ -293,7 +293,7 @@
                 self.entries[other].known.entry(third).or_insert((now, 0));
             }
         }
-        if let Some(word) = self.entries[one].limit.word(Millis(now)) {
+        if let Some(word) = self.entries[one].limit.report(Millis(now)) {
             self.hear(other, word);
         }
     }
@@ -378,7 +378,7 @@
             self.bytes += (self.sizes.question + self.sizes.reply) as u64;
             if self.reaches(entry, other) {
                 let now = Millis(self.now);
-                let word = self.entries[entry].limit.word(now);
+                let word = self.entries[entry].limit.report(now);
                 if let Some(word) = word {
                     self.hear(other, word);
                 }
@@ -416,7 +416,7 @@
         let heard = known.values().filter(|it| self.now - it.0 < silence);
         let share = (heard.count() + 1) as f64 / (known.len() + 1) as f64;
         let entry = &mut self.entries[entry];
-        let Some(Report { rate: Some(rate), age }) = entry.limit.word(now)
+        let Some(Report { rate: Some(rate), age }) = entry.limit.report(now)
         else {
             return Verdict::Permit(Millis(0));
         };
--- a/cowsliproad-bench/src/experiment/quarantine.rs
+++ b/cowsliproad-bench/src/experiment/quarantine.rs
@@ -16,7 +16,7 @@
     collections::{BTreeMap, BinaryHeap, HashSet},
 };
 
-use cowsliproad_admission::quarantine::{Change, End, Ledger, Standing, Work};
+use cowsliproad_admission::quarantine::{Change, End, Ledger, Verdict, Work};
 use cowsliproad_kernel::{
     clock::Millis,
     gossip::{self, Suspect, Suspects},
@@ -261,7 +261,7 @@
         let Request { work, entry, tries } = request;
         let now = Millis(self.now);
         if self.policy != Policy::ByRequest
-            && self.ledgers[entry].standing(work, now) != Standing::Free
+            && self.ledgers[entry].verdict(work, now) != Verdict::Free
         {
             self.ledgers[entry].sighted(work, now);
             self.score.refused += u32::from(work != DEADLY);
@@ -418,7 +418,7 @@
         if self.policy < Policy::Told {
             return;
         }
-        let told = self.ledgers[entry].told(Millis(self.now));
+        let told = self.ledgers[entry].updates(Millis(self.now));
         if told.is_empty() {
             return;
         }
@@ -465,8 +465,7 @@
         let kept = self.ledgers[entry].cases();
         self.score.kept = self.score.kept.max(kept);
         let Some(third) = self.third else { return };
-        let knows =
-            self.ledgers[entry].standing(DEADLY, now) != Standing::Free;
+        let knows = self.ledgers[entry].verdict(DEADLY, now) != Verdict::Free;
         if !knows && self.born[entry] == 0 && self.is_in_touch(entry) {
             self.score.known_ms = self.now - third;
         }
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -5,7 +5,7 @@
 
 use cowsliproad_admission::{
     patience::{Admission, Asked, CallerTry},
-    quarantine::Standing,
+    quarantine::Verdict,
 };
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_routing::fleet::Target;
@@ -24,11 +24,11 @@
 };
 
 /// Permits that a request asks for in vain before it goes where no limit is,
-/// or is refused: a few of 3 ms each.
+/// or is refused.
 const MAX_DENIED: usize = 3;
 
-/// What is left of a caller's patience for the answer's way: 3 ms there, and
-/// a VM that has used up its share of a tenth of a second.
+/// What is left of a caller's patience for the answer's way, also from a VM
+/// that has used up its share of the processor for the moment.
 const ANSWER_LATENCY: Millis = Millis(100);
 
 /// Requests that wait for the end of one cooldown are sent within this time,
@@ -50,8 +50,8 @@
             let (news, freed) =
                 (entry.news.notified(), entry.freed.notified());
             let now = Millis::now();
-            let standing = entry.quarantine.borrow_mut().admit(self.work, now);
-            if let Standing::Refused(after) = standing {
+            let verdict = entry.quarantine.borrow_mut().admit(self.work, now);
+            if let Verdict::Refused(after) = verdict {
                 return Err(self.reject_with(entry, Reason::Poison(after)));
             }
             let ahead = self.share_of(wait.since(now));
@@ -262,14 +262,14 @@
         let endpoint = choice.endpoint.borrow();
         let group = endpoint.group.as_ref();
         let age = group.map_or(-1, |it| now.since(it.heard).0 as i64);
-        let word = endpoint.limit.word(now);
+        let report = endpoint.limit.report(now);
         info!(entry.log, "chosen"; "request" => &*self.id,
             "work" => %self.work,
             "target" => &*choice.target.id, "route" => &*self.route.name,
             "cost" => choice.cost as u64, "at_target" => endpoint.record.occupancy(now),
             "own" => endpoint.record.in_flight(), "report_age" => age,
             "limit" => choice.limit.map(|it| it.a_second()),
-            "limit_age" => word.map(|it| it.age.0),
+            "limit_age" => report.map(|it| it.age.0),
             "denied" => self.denied,
             "left" => self.left().0, "try" => self.tries + 1);
     }
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -45,11 +45,9 @@
     Poison(Millis),
 }
 
-/// The pause after a connection broke under a request. Where many targets end
-/// at the same moment, connections to the others are seen to break by then:
-/// the way there and back takes 3 ms. Without it a second try went to a target
-/// that was gone too, and none was left: 70 requests on four days of crashes,
-/// each of which broke within 7 ms.
+/// The pause after a connection broke under a request. It gives connections to
+/// other targets that ended at the same moment time to break, so that the
+/// retry doesn't pick one of them.
 const BREAK_DELAY: Millis = Millis(8);
 
 /// The pause before a target that refused is asked again.
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -27,8 +27,7 @@
 use crate::entry::{Choice, Endpoint, Entry};
 
 /// What a report or answer may have taken on its way: one that came sooner
-/// after a break may be from before it. Some 5 ms each, and more where a VM
-/// has used up its share of a tenth of a second.
+/// after a break may be from before it.
 pub const MAX_LATENCY: Millis = Millis(100);
 
 /// When a target without an agent is asked. Others whose connections broke
@@ -42,7 +41,7 @@
 /// An agent that was silent for so long before won't speak.
 const AGENT_TIMEOUT: Millis = Millis(1_000);
 
-/// The time for a connection to be made or refused. Both take 3 ms.
+/// The time for a connection to be made or refused.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
 /// How often is asked when there is no answer, and the pause between.
@@ -123,7 +122,7 @@
 pub fn suspect(entry: &Rc<Entry>, choice: &Choice, suspect: Suspicion) {
     let mut endpoint = choice.endpoint.borrow_mut();
     if endpoint.suspicions.len() >= MAX_SUSPICIONS {
-        entry.measure.doubted(1, "untold");
+        entry.measure.suspected(1, "untold");
         let oldest =
             endpoint.suspicions.iter().position(Suspicion::is_given_up);
         let Some(oldest) = oldest else { return };
@@ -131,12 +130,12 @@
     }
     endpoint.suspicions.push(suspect);
     if endpoint.suspicions.len() == 1 {
-        tokio::task::spawn_local(look(entry.clone(), choice.clone()));
+        tokio::task::spawn_local(probe(entry.clone(), choice.clone()));
     }
 }
 
 /// Looks until nothing is suspected.
-async fn look(entry: Rc<Entry>, choice: Choice) {
+async fn probe(entry: Rc<Entry>, choice: Choice) {
     let mut asked = 0;
     loop {
         let Some(due) = settle_by_signs(&entry, &choice) else { return };
@@ -235,10 +234,10 @@
         return;
     }
     match fate {
-        Fate::Lives => entry.measure.doubted(settled.len(), "lives"),
-        Fate::Unknown => entry.measure.doubted(settled.len(), "unknown"),
+        Fate::Lives => entry.measure.suspected(settled.len(), "lives"),
+        Fate::Unknown => entry.measure.suspected(settled.len(), "unknown"),
         Fate::Ended => {
-            entry.measure.doubted(settled.len(), "ended");
+            entry.measure.suspected(settled.len(), "ended");
             for suspect in settled {
                 note_end(entry, choice, &suspect);
             }
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -277,9 +277,7 @@
 const PROBE_TIMEOUT: Millis = Millis(400);
 
 /// The time for which requests of others are allowed for: two reports of an
-/// agent. Behind 31 entries 0.2% of the requests then find no free slot at
-/// one of 72 ranks, 0.5% with one report, and 38% with nothing allowed for
-/// (`cowsliproad-bench routing`).
+/// agent. `cowsliproad-bench routing` compares it with others.
 const UNSEEN_INTERVAL: Millis = Millis(800);
 
 /// Connections to a target that an entry may have however many entries there
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -42,8 +42,7 @@
 /// taken for the owner, and from there to the one that it takes for it.
 const RELAYS: u8 = 2;
 
-/// The time for an answer from an entry that asks nobody else: the way there
-/// and back, and a VM that has used up its share of a tenth of a second.
+/// The time for an answer from an entry that asks nobody else.
 const REPLY_TIMEOUT: Millis = Millis(120);
 
 /// How long a request that can go elsewhere waits for its answer.
@@ -69,7 +68,7 @@
 const UNKNOWN_TTL: Millis = Millis(10_000);
 
 /// Limits that others are told of at a time, some 40 bytes each.
-const MAX_TOLD: usize = 256;
+const MAX_UPDATES: usize = 256;
 
 /// Changes of limits are told at once no more often than this, however often
 /// targets change them.
@@ -77,9 +76,9 @@
 
 /// Which limits others are told of.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Told {
+pub enum Update {
     /// Those that have changed lately.
-    News,
+    Changed,
     /// All.
     All,
 }
@@ -113,10 +112,10 @@
 
     /// Keeps what was told of a target that isn't known yet.
     fn keep_early(&mut self, limit: &Limit, now: Millis) {
-        if self.early.len() >= MAX_TOLD {
+        if self.early.len() >= MAX_UPDATES {
             self.early.retain(|_, it| now.since(it.1) < UNKNOWN_TTL);
         }
-        if self.early.len() < MAX_TOLD {
+        if self.early.len() < MAX_UPDATES {
             self.early.insert(limit.target.clone(), (limit.clone(), now));
         }
     }
@@ -302,7 +301,7 @@
     relays: u8,
 ) -> Option<Reply> {
     let number = rand::random();
-    let limit = entry.limit_told(target, Millis::now());
+    let limit = entry.current_limit(target, Millis::now());
     let question = Ask { number, limit, patience, relays };
     let (sender, reply) = oneshot::channel();
     entry.limits.borrow_mut().open.insert(number, sender);
@@ -325,7 +324,7 @@
             Some(target) => {
                 let verdict =
                     decide(&entry, &target, ask.patience, relays).await;
-                (verdict, entry.limit_told(&target, Millis::now()))
+                (verdict, entry.current_limit(&target, Millis::now()))
             }
             // Its announcement has not come here yet.
             None => (Verdict::Later(RETRY_BACKOFF), ask.limit),
@@ -378,9 +377,9 @@
         if rate.is_none() != limit.rate.is_none() {
             return;
         }
-        let word = Report { rate, age: limit.age };
+        let report = Report { rate, age: limit.age };
         let endpoint = self.endpoint(&limit.target);
-        let change = endpoint.borrow_mut().limit.hear(word, now);
+        let change = endpoint.borrow_mut().limit.hear(report, now);
         self.limit_changed(&limit.target, change, Source::Peer);
     }
 
@@ -420,20 +419,20 @@
     }
 
     /// What others are told of limits.
-    pub fn limits_told(&self, which: Told, now: Millis) -> Vec<Limit> {
+    pub fn limit_updates(&self, which: Update, now: Millis) -> Vec<Limit> {
         let fleet = self.fleet.borrow();
         let told = |target: &Target| {
             let endpoint = self.known_endpoint(&target.id)?;
             let limit = endpoint.borrow().limit;
-            let word = limit.word(now)?;
+            let report = limit.report(now)?;
             let is_news = now.since(limit.changed()) < BROADCAST_TTL;
             let is_told = match which {
-                Told::News => is_news,
-                Told::All => is_news || word.rate.is_some(),
+                Update::Changed => is_news,
+                Update::All => is_news || report.rate.is_some(),
             };
-            is_told.then(|| limit_of(target, word))
+            is_told.then(|| limit_of(target, report))
         };
-        fleet.ready().filter_map(told).take(MAX_TOLD).collect()
+        fleet.ready().filter_map(told).take(MAX_UPDATES).collect()
     }
 
     /// Targets that name a limit.
@@ -447,10 +446,10 @@
     }
 
     /// What is known of a target's limit.
-    fn limit_told(&self, target: &Target, now: Millis) -> Limit {
-        let word = self.endpoint(&target.id).borrow().limit.word(now);
+    fn current_limit(&self, target: &Target, now: Millis) -> Limit {
+        let report = self.endpoint(&target.id).borrow().limit.report(now);
         let never = Report { rate: None, age: Millis(u64::MAX) };
-        limit_of(target, word.unwrap_or(never))
+        limit_of(target, report.unwrap_or(never))
     }
 
     /// Decides on a permit as the one that keeps the target's pace.
@@ -461,8 +460,8 @@
         patience: Millis,
         now: Millis,
     ) -> Verdict {
-        let word = self.endpoint(&target.id).borrow().limit.word(now);
-        let Some(Report { rate: Some(rate), age }) = word else {
+        let report = self.endpoint(&target.id).borrow().limit.report(now);
+        let Some(Report { rate: Some(rate), age }) = report else {
             return Verdict::Permit(Millis(0));
         };
         let share = self.peers.borrow().reached(now);
@@ -498,11 +497,11 @@
     }
 }
 
-fn limit_of(target: &Target, word: Report) -> Limit {
+fn limit_of(target: &Target, report: Report) -> Limit {
     Limit {
         target: target.id.clone(),
         start: target.start.0,
-        rate: word.rate.map(Rate::a_second),
-        age: word.age,
+        rate: report.rate.map(Rate::a_second),
+        age: report.age,
     }
 }
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -15,7 +15,7 @@
     tries: Counter<u64>,
     first_byte: Histogram<u64>,
     whole: Histogram<u64>,
-    doubts: Counter<u64>,
+    suspicions: Counter<u64>,
     quarantined: Counter<u64>,
     limited: Counter<u64>,
     limits: Gauge<u64>,
@@ -44,7 +44,7 @@
             cooling: meter.u64_gauge("cooling_targets").build(),
             rollbacks: meter.u64_counter("log_rollbacks").build(),
             caught_up: meter.u64_histogram("log_caught_up_ms").build(),
-            doubts: meter.u64_counter("doubts").build(),
+            suspicions: meter.u64_counter("doubts").build(),
             peers: meter.u64_gauge("peers").build(),
             targets: meter.u64_gauge("targets").build(),
             metrics,
@@ -69,9 +69,9 @@
     }
 
     /// Notes what became of requests under which a target may have ended.
-    pub fn doubted(&self, requests: usize, outcome: &'static str) {
+    pub fn suspected(&self, requests: usize, outcome: &'static str) {
         let outcome = KeyValue::new("outcome", outcome);
-        self.doubts.add(requests as u64, &[outcome]);
+        self.suspicions.add(requests as u64, &[outcome]);
     }
 
     /// Notes work that is refused, a request of it that was, or work that is
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -40,7 +40,7 @@
     call::{MAX_STAGGER, PROBE_PERIOD},
     entry::{Entry, Group, Source},
     follow,
-    limits::{self, Told},
+    limits::{self, Update},
     settings::Settings,
 };
 
@@ -56,7 +56,7 @@
 const LIMITS_EVERY: u32 = 8;
 
 /// Entries told at a time. With more of them news travels on by digests.
-const MAX_TOLD: usize = 16;
+const MAX_RECIPIENTS: usize = 16;
 
 /// Without a word for so long an entry is no longer told to others.
 const PEER_TTL: Millis = Millis(12_000);
@@ -215,7 +215,7 @@
     }
 
     fn silence(&self) -> Millis {
-        owner::silence(self.known.len(), MAX_TOLD)
+        owner::silence(self.known.len(), MAX_RECIPIENTS)
     }
 
     /// Notes entries that others speak of.
@@ -226,10 +226,10 @@
         peers.iter().filter(new).copied().collect()
     }
 
-    fn told(&mut self, now: Millis) -> Vec<SocketAddr> {
+    fn recipients(&mut self, now: Millis) -> Vec<SocketAddr> {
         self.known.retain(|_, it| now.since(it.heard) < PEER_TTL);
         let known = self.known.keys().copied();
-        let mut told = known.choose_multiple(&mut rand::rng(), MAX_TOLD);
+        let mut told = known.choose_multiple(&mut rand::rng(), MAX_RECIPIENTS);
         let unmet = |it: &&SocketAddr| !self.known.contains_key(*it);
         told.extend(self.seeds.iter().filter(unmet));
         told
@@ -243,12 +243,12 @@
     loop {
         let now = Millis::now();
         entry.quarantine.borrow_mut().sweep(now);
-        let told = entry.peers.borrow_mut().told(now);
+        let recipients = entry.peers.borrow_mut().recipients(now);
         let all = round % LIMITS_EVERY == 0;
-        let which = if all { Told::All } else { Told::News };
+        let which = if all { Update::All } else { Update::Changed };
         let digest =
             gossip::encode(&Datagram::Digest(digest(&entry, which, now)));
-        for peer in told {
+        for peer in recipients {
             send(&entry, &socket, &digest, peer).await;
         }
         let known = entry.peers.borrow().known.len();
@@ -270,10 +270,10 @@
     }
 }
 
-fn digest(entry: &Entry, limits: Told, now: Millis) -> Digest {
+fn digest(entry: &Entry, limits: Update, now: Millis) -> Digest {
     let since = now - entry.rollbacks.departures(now).unwrap_or(DEPARTURE_TTL);
     let fleet = entry.fleet.borrow();
-    let (suspects, lives) = entry.quarantine.borrow().told(now);
+    let (suspects, lives) = entry.quarantine.borrow().updates(now);
     let (mut left, mut withdrawn) = (Vec::new(), Vec::new());
     for (id, parting) in fleet.left_since(since) {
         match parting {
@@ -296,7 +296,7 @@
         zone: entry.settings().zone.clone(),
         suspects,
         lives,
-        limits: entry.limits_told(limits, now),
+        limits: entry.limit_updates(limits, now),
     }
 }
 
@@ -424,7 +424,7 @@
     let starts = heard.version == 0 && entry.version() > 0;
     if is_new || starts {
         let own =
-            gossip::encode(&Datagram::Digest(digest(entry, Told::All, now)));
+            gossip::encode(&Datagram::Digest(digest(entry, Update::All, now)));
         for other in others.into_iter().chain([heard.address]) {
             send(entry, socket, &own, other).await;
         }
@@ -513,7 +513,7 @@
         let record = Record { key: announcement.id, value };
         follow::announce(entry, &record, now, Source::Peer);
     }
-    entry.readings.borrow_mut().told();
+    entry.readings.borrow_mut().merged();
 }
 
 /// Takes an agent's report in.
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -17,7 +17,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use cowsliproad_admission::quarantine::{Change, End, Ledger, Standing, Work};
+use cowsliproad_admission::quarantine::{Change, End, Ledger, Verdict, Work};
 use cowsliproad_kernel::{
     clock::Millis,
     gossip::{self, Suspect, Suspects},
@@ -108,23 +108,23 @@
 
 impl Quarantine {
     /// Whether work may run now. Work that is refused counts as seen.
-    pub fn admit(&mut self, work: Work, now: Millis) -> Standing {
-        let standing = self.ledger.standing(work, now);
-        if standing != Standing::Free {
+    pub fn admit(&mut self, work: Work, now: Millis) -> Verdict {
+        let verdict = self.ledger.verdict(work, now);
+        if verdict != Verdict::Free {
             self.ledger.sighted(work, now);
         }
-        standing
+        verdict
     }
 
     /// Whether work is refused.
     pub fn refuses(&self, work: Work, now: Millis) -> bool {
-        self.ledger.standing(work, now) != Standing::Free
+        self.ledger.verdict(work, now) != Verdict::Free
     }
 
     /// What other entries are told.
-    pub fn told(&self, now: Millis) -> (Suspects, Vec<u64>) {
-        let suspects = Suspects::pack(self.ledger.told(now));
-        (suspects, self.ledger.lives_told(now))
+    pub fn updates(&self, now: Millis) -> (Suspects, Vec<u64>) {
+        let suspects = Suspects::pack(self.ledger.updates(now));
+        (suspects, self.ledger.taken_back(now))
     }
 
     fn note(&mut self, work: Work) {
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -39,9 +39,8 @@
 /// How often a silent stream is looked at.
 const SILENCE_CHECK_INTERVAL: Millis = Millis(400);
 
-/// From this pace on a target's streams are moved. A move costs that the
-/// prompt is read again, some 15 ms of its new target; with 12 streams a rank
-/// of this pace takes 100 ms more of each pass.
+/// From this pace on a target's streams are moved, in percent of the usual. A
+/// move costs its new target that the prompt is read again.
 const SLOW_PERCENT: u32 = 300;
 
 /// Passes that a group must have begun to go on.
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -33,7 +33,7 @@
 };
 
 /// A dropped opening packet is sent again after a second or more; another
-/// target is a better use of that time. The way there and back takes 3 ms.
+/// target is a better use of that time.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
 /// Unacknowledged bytes for so long mean that the other side is gone.
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -19,7 +19,7 @@
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use cowsliproad_admission::{
-    quarantine::{Standing, Work},
+    quarantine::{Verdict, Work},
     ticket::{self, Purpose, Ticket},
 };
 use cowsliproad_config::object::{Repeat, RequestType};
@@ -290,11 +290,11 @@
 
     async fn submit(&mut self, target: Arc<Target>) {
         let Task::Work(order) = &self.task else { return };
-        let permit = match quarantine::standing(&self.shared, order) {
-            Standing::Free => Permit::Run,
+        let permit = match quarantine::verdict(&self.shared, order) {
+            Verdict::Free => Permit::Run,
             // What became of earlier submissions is still told.
-            Standing::Refused(_) if may_be_known(order) => Permit::Recall,
-            Standing::Refused(after) => {
+            Verdict::Refused(_) if may_be_known(order) => Permit::Recall,
+            Verdict::Refused(after) => {
                 let (shared, ran) = (&self.shared, self.ran());
                 let failure = quarantine::refusal(shared, order, ran, after);
                 return self.fail(failure);
--- a/cowsliproad-entry/src/forward/failure.rs
+++ b/cowsliproad-entry/src/forward/failure.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use cowsliproad_admission::{patience, quarantine::Standing};
+use cowsliproad_admission::{patience, quarantine::Verdict};
 use cowsliproad_kernel::{
     clock::Millis,
     code::{Code, Ran},
@@ -93,9 +93,9 @@
         if failure.code != Code::Quarantined {
             return failure;
         }
-        let after = match quarantine::standing(&self.shared, order) {
-            Standing::Refused(after) => after,
-            Standing::Free => ASK_AGAIN,
+        let after = match quarantine::verdict(&self.shared, order) {
+            Verdict::Refused(after) => after,
+            Verdict::Free => ASK_AGAIN,
         };
         quarantine::refusal(&self.shared, order, failure.ran, after)
     }
--- a/cowsliproad-entry/src/quarantine.rs
+++ b/cowsliproad-entry/src/quarantine.rs
@@ -5,7 +5,7 @@
 //! hears it from the agents, and one in a zone that is cut off counts the ends
 //! of the targets that it can reach.
 
-use cowsliproad_admission::quarantine::{Change, Standing, Work};
+use cowsliproad_admission::quarantine::{Change, Verdict, Work};
 use cowsliproad_kernel::{
     clock::Millis,
     code::{Code, Ran},
@@ -50,14 +50,14 @@
 }
 
 /// Whether a request may run now, and when it may come back if not.
-pub fn standing(shared: &Shared, order: &Order) -> Standing {
+pub fn verdict(shared: &Shared, order: &Order) -> Verdict {
     let (now, work) = (Millis::now(), order.work);
     let mut ledger = lock(&shared.quarantine);
-    let standing = ledger.standing(work, now);
-    if standing != Standing::Free {
+    let verdict = ledger.verdict(work, now);
+    if verdict != Verdict::Free {
         ledger.sighted(work, now);
     }
-    standing
+    verdict
 }
 
 /// The final answer to a request of such work.
--- a/cowsliproad-routing/src/readings.rs
+++ b/cowsliproad-routing/src/readings.rs
@@ -4,10 +4,9 @@
 //! Calls to the log are charged, and most readings bring nothing but signs of
 //! life. So an entry reads only when nobody is known to have read for a
 //! period, and tells the others at once. As each waits for another part of
-//! the period, one of them mostly reads for all: 31 entries made 1,062 calls
-//! on a calm day where one alone would have made some 40. Whoever hears of a
-//! change that it has not read itself reads at once, since what a target says
-//! of itself stands in the log only.
+//! the period, one of them mostly reads for all. Whoever hears of a change
+//! that it has not read itself reads at once, since what a target says of
+//! itself stands in the log only.
 //!
 //! An entry that hears nobody reads by itself, so nothing depends on others.
 //!
@@ -112,8 +111,8 @@
         self.contact = Contact::Lost;
     }
 
-    /// Notes that another entry has told all that it knows.
-    pub fn told(&mut self) {
+    /// Notes that all that another entry knows was merged.
+    pub fn merged(&mut self) {
         self.position = self.position.max(self.changed);
     }
 
--- a/tests/properties/quarantine.rs
+++ b/tests/properties/quarantine.rs
@@ -4,7 +4,7 @@
 use cowsliproad::{
     admission::quarantine::{
         Change, ENDS, End, Ledger, PROVEN_ENDS, REJECT_TTL, SUSPECT_TTL,
-        Standing, Work,
+        Verdict, Work,
     },
     kernel::{
         clock::Millis,
@@ -34,7 +34,7 @@
 }
 
 fn is_refused(ledger: &Ledger, work: Work, now: Millis) -> bool {
-    ledger.standing(work, now) != Standing::Free
+    ledger.verdict(work, now) != Verdict::Free
 }
 
 #[test]
@@ -112,13 +112,13 @@
 fn an_excuse_goes_before_what_is_told_late() {
     let common = work("common");
     let mut ledger = after(2, common);
-    let late = ledger.told(NOW);
+    let late = ledger.updates(NOW);
     ledger.outlived(common, NOW);
     let later = NOW + Millis(10_000);
-    assert!(ledger.told(later).is_empty());
+    assert!(ledger.updates(later).is_empty());
     ledger.hear(&late[0], later);
     assert_eq!(ledger.ends(common), 0);
-    let corrected = ledger.told(later);
+    let corrected = ledger.updates(later);
     let mut other = after(2, common);
     other.hear(&corrected[0], later);
     assert_eq!(other.ends(common), 0);
@@ -131,11 +131,11 @@
     let mut other = Ledger::new();
     other.outlived(common, NOW);
     // It hears that three ended, and knows better.
-    for told in ledger.told(NOW) {
+    for told in ledger.updates(NOW) {
         other.hear(&told, NOW);
     }
     assert!(!is_refused(&other, common, NOW));
-    let told = other.told(NOW);
+    let told = other.updates(NOW);
     let changes: Vec<Change> =
         told.iter().map(|it| ledger.hear(it, NOW)).collect();
     assert_eq!(changes, [Change::Freed]);
@@ -147,13 +147,13 @@
     let innocent = work("innocent");
     let mut ledger = after(3, innocent);
     let mut other = Ledger::new();
-    for told in ledger.told(NOW) {
+    for told in ledger.updates(NOW) {
         other.hear(&told, NOW);
     }
     assert!(is_refused(&other, innocent, NOW));
     assert_eq!(ledger.lives(end(1), NOW), [innocent]);
     assert!(!is_refused(&ledger, innocent, NOW));
-    for lives in ledger.lives_told(NOW) {
+    for lives in ledger.taken_back(NOW) {
         other.lives(End(lives), NOW);
     }
     assert!(!is_refused(&other, innocent, NOW));
@@ -168,7 +168,7 @@
     };
     other.hear(&late, NOW + Millis(8_000));
     assert!(!is_refused(&other, innocent, NOW + Millis(8_000)));
-    assert_eq!(other.lives_told(NOW + Millis(8_000)), [end(1).0]);
+    assert_eq!(other.taken_back(NOW + Millis(8_000)), [end(1).0]);
 }
 
 /// A zone is cut off and its targets are taken for ended, and later they end
@@ -229,10 +229,10 @@
     let mut now = NOW;
     while now < NOW + SUSPECT_TTL + Millis(2_000) {
         for (from, to) in [(0, 1), (1, 0)] {
-            for told in ledgers[from].told(now) {
+            for told in ledgers[from].updates(now) {
                 ledgers[to].hear(&told, now + Millis(5));
             }
-            for lives in ledgers[from].lives_told(now) {
+            for lives in ledgers[from].taken_back(now) {
                 ledgers[to].lives(End(lives), now + Millis(5));
             }
         }
@@ -240,8 +240,8 @@
     }
     for ledger in &ledgers {
         assert!(!is_refused(ledger, deadly, now));
-        assert!(ledger.told(now).is_empty());
-        assert!(ledger.lives_told(now).is_empty());
+        assert!(ledger.updates(now).is_empty());
+        assert!(ledger.taken_back(now).is_empty());
     }
 }
 
@@ -252,13 +252,13 @@
     let mut old = after(3, deadly);
     let idle = SUSPECT_TTL - Millis(2_000);
     let mut young = Ledger::new();
-    for told in old.told(NOW + idle) {
+    for told in old.updates(NOW + idle) {
         // Its clock began a second ago.
         young.hear(&told, Millis(1_000));
     }
     assert!(is_refused(&young, deadly, Millis(2_900)));
     assert!(!is_refused(&young, deadly, Millis(3_000)));
-    for told in young.told(Millis(2_900)) {
+    for told in young.updates(Millis(2_900)) {
         old.hear(&told, NOW + idle + Millis(1_900));
     }
     assert!(!is_refused(&old, deadly, NOW + SUSPECT_TTL));
@@ -274,7 +274,7 @@
         ledger.outlived(work, NOW);
         ledger.ended(work, end(number / 50), NOW);
     }
-    let told = ledger.told(NOW);
+    let told = ledger.updates(NOW);
     assert!(told.len() <= 512, "{}", told.len());
     let bytes = gossip::encode(&Suspects::pack(told.clone())).len();
     assert!(bytes < gossip::MAX_BYTES / 3, "{bytes}");
@@ -290,7 +290,7 @@
     for (piece, target) in [("a", 1), ("b", 1), ("c", 2), ("proven", 2)] {
         ledger.ended(work(piece), end(target), NOW);
     }
-    let mut told = ledger.told(NOW);
+    let mut told = ledger.updates(NOW);
     let packed = gossip::encode(&Suspects::pack(told.clone()));
     let packed: Suspects = gossip::decode(&packed).expect("suspects");
     let mut unpacked: Vec<Suspect> = packed.unpack().collect();
@@ -331,10 +331,10 @@
 }
 
 fn tell(from: &Ledger, to: &mut Ledger, now: Millis) {
-    for lives in from.lives_told(now) {
+    for lives in from.taken_back(now) {
         to.lives(End(lives), now);
     }
-    for told in from.told(now) {
+    for told in from.updates(now) {
         to.hear(&told, now);
     }
 }
--- a/tests/properties/readings.rs
+++ b/tests/properties/readings.rs
@@ -57,7 +57,7 @@
     assert!(!own.needs_peer());
     own.lost();
     assert!(own.needs_peer());
-    own.told();
+    own.merged();
     assert!(!own.needs_peer());
 }
 
@@ -103,6 +103,6 @@
     own.lost();
     own.enter(Era(2));
     assert!(own.needs_peer());
-    own.told();
+    own.merged();
     assert!(!own.needs_peer());
 }
