--- a/cowsliproad-direct/tests/entry/cooldown_siege.rs
+++ b/cowsliproad-direct/tests/entry/cooldown_siege.rs
@@ -33,7 +33,7 @@
 use crate::{
     harness::{Entry, KEY, Plant, until},
     limits::PATIENCE,
-    processes::{ON_ITS_WAY, Process, Processes},
+    processes::{Address, ON_ITS_WAY, Process, Processes},
     siege,
 };
 
@@ -236,15 +236,16 @@
     async fn trouble_entries(&self) {
         let begun = Instant::now();
         while begun.elapsed() < TROUBLE {
-            let place = self.draw(self.processes.count());
+            // Draws come in this order, so that seeds stay what they were.
             match self.draw(6) {
                 0 => {
+                    let place = self.draw(self.processes.count());
                     let time = 200 + self.draw(1_500) as u64;
                     let time = Duration::from_millis(time);
                     self.processes.freeze(place, time).await;
                 }
-                1 => self.processes.replace(place, Signal::KILL).await,
-                2 => self.processes.replace(place, Signal::TERM).await,
+                1 => self.replace_entry(Signal::KILL).await,
+                2 => self.replace_entry(Signal::TERM).await,
                 3 => self.set_log(log::Fault::Refusing),
                 _ => self.set_log(log::Fault::None),
             }
@@ -253,6 +254,11 @@
         self.set_log(log::Fault::None);
     }
 
+    async fn replace_entry(&self, signal: Signal) {
+        let place = self.draw(self.processes.count());
+        self.processes.replace(place, signal, Address::Same).await;
+    }
+
     fn set_log(&self, fault: log::Fault) {
         self.plant.borrow().log.set(fault);
     }
--- a/cowsliproad-direct/tests/entry/limit_siege.rs
+++ b/cowsliproad-direct/tests/entry/limit_siege.rs
@@ -14,7 +14,6 @@
     time::{Duration, Instant},
 };
 
-use cowsliproad_direct::settings::Settings;
 use cowsliproad_net::client::Client;
 use cowsliproad_platform_standin::{
     log,
@@ -28,6 +27,7 @@
 use crate::{
     harness::{Entry, KEY, Plant},
     limits::{PATIENCE, SPAN, most_between},
+    processes::{Address, Processes},
     siege,
 };
 
@@ -73,7 +73,7 @@
 
 struct Siege {
     plant: RefCell<Plant>,
-    entries: Vec<RefCell<Option<Entry>>>,
+    processes: Processes,
     limited: Vec<Limited>,
     /// What callers draw from, and what troubles and limits do, so that these
     /// come alike however quick callers are.
@@ -140,19 +140,11 @@
                 limited.push(Limited { target, stages, closed });
             }
         }
-        let mut entries: Vec<Entry> = Vec::new();
-        for _ in 0..siege::size(ENTRIES) {
-            let seeds: Vec<&Entry> = entries.iter().take(3).collect();
-            let settings = plant.settings(&seeds);
-            entries.push(siege::start(settings));
-        }
-        for entry in &entries {
-            entry.until_ready().await;
-        }
-        let entries = entries.into_iter().map(|it| RefCell::new(Some(it)));
+        let count = siege::size(ENTRIES);
+        let processes = Processes::start(&mut plant, count).await;
         Siege {
             plant: RefCell::new(plant),
-            entries: entries.collect(),
+            processes,
             limited,
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             troubles: RefCell::new(StdRng::seed_from_u64(seed + 1_000)),
@@ -186,12 +178,11 @@
                 while !self.over.get() {
                     due.tick().await;
                     let path = ["/many/a", "/once/a"][self.draw(2)];
-                    let at = self.draw(self.entries.len());
-                    let request = {
-                        let entry = self.entries[at].borrow();
-                        let Some(entry) = entry.as_ref() else { continue };
-                        entry.request(path, KEY, "")
-                    };
+                    let at = self.draw(self.processes.count());
+                    let request = self
+                        .processes
+                        .with(at, |_, entry| entry.request(path, KEY, ""));
+                    let Some(request) = request else { continue };
                     let answers = answers.clone();
                     tokio::task::spawn_local(async move {
                         let client = Client::new();
@@ -247,42 +238,23 @@
     }
 
     async fn freeze_entry(&self) {
-        let number = self.draw_trouble(self.entries.len());
-        let signal = |signal| {
-            if let Some(entry) = &*self.entries[number].borrow() {
-                entry.signal(signal);
-            }
-        };
-        signal(Signal::STOP);
-        let pause = 200 + self.draw_trouble(2_000) as u64;
-        sleep(Duration::from_millis(pause)).await;
-        signal(Signal::CONT);
+        let place = self.draw_trouble(self.processes.count());
+        let time = 200 + self.draw_trouble(2_000) as u64;
+        self.processes.freeze(place, Duration::from_millis(time)).await;
     }
 
     /// One entry ends, and another one takes its place, at times at another
     /// address.
     async fn replace_entry(&self, signal: Signal) {
-        let place = &self.entries[self.draw_trouble(self.entries.len())];
-        let Some(mut gone) = place.take() else { return };
-        gone.signal(signal);
-        let mut settings = gone.settings.clone();
-        if self.draw_trouble(3) == 0 {
-            let fresh = self.plant.borrow_mut().settings(&[]);
-            // A VM that is replaced keeps its name.
-            settings = Settings { vm: settings.vm, ..fresh };
-        }
-        // Settings name entries that were there a moment ago.
-        let others = self
-            .entries
-            .iter()
-            .filter_map(|it| Some(it.borrow().as_ref()?.settings.callers));
-        settings.seeds = others.take(3).collect();
-        if signal == Signal::KILL {
-            gone.ended().await;
-        }
-        // One that was told to stop serves on for seconds; it is let go.
-        drop(gone);
-        place.replace(Some(siege::start(settings)));
+        let place = self.draw_trouble(self.processes.count());
+        let address = match self.draw_trouble(3) {
+            0 => {
+                let settings = self.plant.borrow_mut().settings(&[]);
+                Address::Of(Box::new(settings))
+            }
+            _ => Address::Same,
+        };
+        self.processes.replace(place, signal, address).await;
     }
 
     async fn play(&self) -> (f64, f64, f64) {
@@ -312,8 +284,8 @@
 async fn play(seed: u64) {
     let siege = Siege::start(seed).await;
     let ((worst, least, most), ()) = tokio::join!(siege.play(), siege.send());
-    let memory = siege.entries.iter();
-    let memory = memory.filter_map(|it| Some(it.borrow().as_ref()?.memory()));
+    let entries = siege.processes.take();
+    let memory = entries.iter().map(Entry::memory);
     println!(
         "seed {seed}: worst {worst:.2} of the bound, then {least:.2} to \
          {most:.2} of the limit; served {}, refused {}, other {}; entries of \
--- a/cowsliproad-direct/tests/entry/processes.rs
+++ b/cowsliproad-direct/tests/entry/processes.rs
@@ -27,6 +27,14 @@
     until: Instant,
 }
 
+/// Where an entry that takes the place of another one listens.
+pub enum Address {
+    /// Where that one did.
+    Same,
+    /// Where these settings say.
+    Of(Box<Settings>),
+}
+
 /// The life of a process.
 #[derive(Clone)]
 pub struct Life {
@@ -104,7 +112,12 @@
     }
 
     /// Ends an entry by a signal and starts another one in its place.
-    pub async fn replace(&self, place: usize, signal: Signal) {
+    pub async fn replace(
+        &self,
+        place: usize,
+        signal: Signal,
+        address: Address,
+    ) {
         let Some((old, mut gone)) = self.entries[place].take() else { return };
         self.lives.borrow_mut()[old].until = Some(Instant::now());
         gone.signal(signal);
@@ -115,7 +128,14 @@
             Some((*process, entry.settings.callers))
         });
         let (known, seeds) = others.take(3).unzip();
-        let settings = Settings { seeds, ..gone.settings.clone() };
+        let settings = match address {
+            Address::Same => gone.settings.clone(),
+            // A VM that is replaced keeps its name.
+            Address::Of(other) => {
+                Settings { vm: gone.settings.vm.clone(), ..*other }
+            }
+        };
+        let settings = Settings { seeds, ..settings };
         if signal == Signal::KILL {
             gone.ended().await;
         }
--- a/cowsliproad-direct/tests/entry/rollback_siege.rs
+++ b/cowsliproad-direct/tests/entry/rollback_siege.rs
@@ -40,7 +40,7 @@
 use crate::{
     harness::{Plant, metric},
     limits::PATIENCE,
-    processes::{ON_ITS_WAY, Process, Processes},
+    processes::{Address, ON_ITS_WAY, Process, Processes},
     siege,
 };
 
@@ -292,12 +292,16 @@
                     let time = self.draw_time(200, 2_500);
                     self.processes.freeze(place, time).await;
                 }
-                1 => self.processes.replace(place, Signal::KILL).await,
-                _ => self.processes.replace(place, Signal::TERM).await,
+                1 => self.replace_entry(place, Signal::KILL).await,
+                _ => self.replace_entry(place, Signal::TERM).await,
             }
         }
     }
 
+    async fn replace_entry(&self, place: usize, signal: Signal) {
+        self.processes.replace(place, signal, Address::Same).await;
+    }
+
     async fn trouble_log(&self) {
         let begun = Instant::now();
         while begun.elapsed() < TROUBLE {
