tests: show a target that lapses though it is back in time

It writes its entry again 2.15 s after a rollback, within the 2.3 s that it is given, and lapses in some of six rollbacks: the time is looked at before the log is read.

--- a/cowsliproad-direct/tests/entry/rollbacks.rs
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -1,6 +1,7 @@
 //! The platform's log comes back from a copy some seconds old.
 
 use std::{
+    fs::{self, File},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -24,6 +25,9 @@
 /// In which targets whose entries the copy lacks write them again.
 const RETURN_TIME: Duration = Duration::from_millis(2_000);
 
+/// The same for one that is a little late.
+const LATE_RETURN_TIME: Duration = Duration::from_millis(2_150);
+
 /// The longest that entries tell one another of targets that left.
 const LEFT_TIME: Duration = Duration::from_secs(9);
 
@@ -214,6 +218,36 @@
     assert!(back.elapsed() < RETURN_TIME + BOUND, "{:?}", back.elapsed());
 }
 
+/// Guards against taking a target for gone that was back in time, before its
+/// new entry is read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_is_back_in_time_never_lapses() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    plant.target("i-1", "model").await;
+    let settings = plant.settings(&[]);
+    let lines = format!("cowsliproad-{}.log", settings.callers.ip());
+    let lines = std::env::temp_dir().join(lines);
+    let file = File::create(&lines).expect("a file");
+    let entry = Entry::start_with(settings, file.into());
+    entry.until_ready().await;
+    let copy = Instant::now();
+    let lives = plant.target("i-2", "plain").await;
+    until_used(&entry, &lives).await;
+    for _ in 0..6 {
+        plant.log.roll_back(copy);
+        // The read that is held for it notices at once.
+        plant.catalog.publish(&plant.log);
+        sleep(LATE_RETURN_TIME).await;
+        renew(&plant, &lives, 1);
+        sleep(Duration::from_secs(1)).await;
+    }
+    let text = fs::read_to_string(&lines).expect("its lines");
+    fs::remove_file(&lines).expect("the file is there");
+    let left = text.lines().filter(|it| it.contains("event=target_left"));
+    assert_eq!(left.collect::<Vec<_>>(), Vec::<&str>::new());
+}
+
 /// Guards against forgetting work that ends its targets, and against as many
 /// writes of it as there are entries.
 #[tokio::test(flavor = "multi_thread")]
