entry: read the log before a target counts as gone

A target that wrote its entry again within its time after a gap or a rollback of the log still left and joined again at entries that had not read that yet: what was known of it, its limit and connections went, and other entries were told of its leaving. Cause: the time was looked at whenever the task that reads woke, also just before it read.

The log is now read when the time is over, and only what was withdrawn before that read began counts.

--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -221,12 +221,16 @@
     let mut reader = Reader::new(&entry, log::TARGETS);
     loop {
         wait_for_turn(&entry).await;
+        let begun = Millis::now();
         match reader.read(&entry, Millis(0)).await {
             Ok(reading) => {
                 let now = Millis::now();
                 let found = entry.readings.borrow_mut().read(now, reading.end);
                 entry.note_gap(found, now);
                 take(&entry, &reading, now);
+                // What was back by then has been read.
+                let gone = entry.fleet.borrow_mut().tick(begun);
+                note_gone(&entry, &gone);
                 // The others need not read.
                 entry.rumour.notify_one();
             }
@@ -237,20 +241,19 @@
                 reader.recover(&entry, &error).await;
             }
         }
-        let gone = entry.fleet.borrow_mut().tick(Millis::now());
-        note_gone(&entry, &gone);
     }
 }
 
-/// Waits until nobody is known to have read the targets for too long.
+/// Waits until nobody is known to have read the targets for too long, or until
+/// a target counts as gone unless it is back.
 async fn wait_for_turn(entry: &Rc<Entry>) {
     let period = Millis(entry.settings().drain_ms.0 * READ_PERCENT / 100);
     let patience = jittered(period);
     loop {
         let now = Millis::now();
-        let gone = entry.fleet.borrow_mut().tick(now);
-        note_gone(entry, &gone);
         let wait = entry.readings.borrow().due_in(patience, now);
+        let lapse = entry.fleet.borrow().next_lapse();
+        let wait = lapse.map_or(wait, |at| wait.min(at.since(now)));
         if wait == Millis(0) {
             return;
         }
--- a/cowsliproad-routing/src/fleet.rs
+++ b/cowsliproad-routing/src/fleet.rs
@@ -223,7 +223,13 @@
         self.doubtful_until = now + self.config.return_time;
     }
 
-    /// Lets withdrawals count whose time has come.
+    /// When the next withdrawal counts, unless its target is back by then.
+    pub fn next_lapse(&self) -> Option<Millis> {
+        self.targets.values().filter_map(|it| it.lapsing).min()
+    }
+
+    /// Lets withdrawals count whose time has come. What was announced by then
+    /// has to be known, so the log is read before.
     pub fn tick(&mut self, now: Millis) -> Vec<Name> {
         let due = |it: &Belief| it.lapsing.is_some_and(|at| at <= now);
         let gone: Vec<Name> = self
