entry: withdraw nothing at the first read of the log

An entry that started while the log was away, and had its targets from others, took those that an older copy lacked for gone as soon as it read it, and told the others, which dropped living targets too until these wrote their entries again. Cause: only a rollback that an entry had seen itself left its targets time to come back.

The first complete list now leaves that time as well. Nothing is lost by it: those that others saw leave are known to have left.

Test, failing before (the first entry heard from the second that i-2 left): an_entry_that_first_reads_an_older_copy_withdraws_nothing.

--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -97,6 +97,7 @@
     client: Client,
     contact: Contact,
     next: Option<Position>,
+    has_read: bool,
 }
 
 /// What a read brought.
@@ -113,7 +114,9 @@
 /// Which records a read brought.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Scope {
-    /// The newest of every key.
+    /// The newest of every key, for the first time.
+    First,
+    /// The newest of every key once more.
     All,
     /// Those since the last read.
     New,
@@ -127,6 +130,7 @@
             client: Client::new(entry.settings().log),
             contact: Contact::new(topic),
             next: None,
+            has_read: false,
         }
     }
 
@@ -157,9 +161,11 @@
         let Page { next, records } = read?;
         self.contact.good(entry);
         let scope = match self.next.replace(next) {
-            None => Scope::All,
+            None if self.has_read => Scope::All,
+            None => Scope::First,
             Some(_) => Scope::New,
         };
+        self.has_read = true;
         Ok(Reading { records, end: next, scope })
     }
 
@@ -189,7 +195,7 @@
             Ok(reading) => {
                 let before = entry.version();
                 adopt_newest(&entry, &reading.records).await;
-                if reading.scope == Scope::All {
+                if reading.scope != Scope::New {
                     let new = usize::from(entry.version() > before);
                     let records = reading.records.len();
                     entry.note_read(log::OPERATORS, records, new);
@@ -276,6 +282,11 @@
         return;
     }
     entry.note_read(log::TARGETS, records.len(), news);
+    if reading.scope == Scope::First {
+        // Others told of the targets known so far, and the log may have come
+        // back from a copy that lacks them.
+        entry.fleet.borrow_mut().regained(now);
+    }
     let listed: HashSet<&str> =
         records.iter().map(|it| it.key.as_str()).collect();
     let gone =
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -358,7 +358,7 @@
             }
         };
         let new = reading.records.iter().filter(|it| take(&entry, it)).count();
-        if reading.scope == Scope::All {
+        if reading.scope != Scope::New {
             let records = reading.records.len();
             entry.note_read(log::QUARANTINE, records, new);
             note_lost(&entry, &reading.records);
--- a/cowsliproad-direct/tests/entry/rollbacks.rs
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs::{self, File},
+    path::PathBuf,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -9,6 +10,7 @@
 use cowsliproad_platform::log::{OPERATORS, QUARANTINE, TARGETS};
 use cowsliproad_platform_standin::{
     catalog::Kind,
+    log::Fault,
     target::{Config, Target},
 };
 use http::StatusCode;
@@ -251,11 +253,7 @@
     let mut plant = Plant::start().await;
     plant.log.set_era(Some(1));
     plant.target("i-1", "model").await;
-    let settings = plant.settings(&[]);
-    let lines = format!("cowsliproad-{}.log", settings.callers.ip());
-    let lines = std::env::temp_dir().join(lines);
-    let file = File::create(&lines).expect("a file");
-    let entry = Entry::start_with(settings, file.into());
+    let (entry, lines) = Lines::of(&mut plant, &[]);
     entry.until_ready().await;
     let copy = Instant::now();
     let lives = plant.target("i-2", "plain").await;
@@ -268,10 +266,61 @@
         renew(&plant, &lives, 1);
         sleep(Duration::from_secs(1)).await;
     }
-    let text = fs::read_to_string(&lines).expect("its lines");
-    fs::remove_file(&lines).expect("the file is there");
-    let left = text.lines().filter(|it| it.contains("event=target_left"));
-    assert_eq!(left.collect::<Vec<_>>(), Vec::<&str>::new());
+    assert_eq!(lines.with("event=target_left"), Vec::<String>::new());
+}
+
+/// Guards against an entry that started while the log was away, and takes what
+/// it knows from others for gone by the copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_first_reads_an_older_copy_withdraws_nothing() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    plant.target("i-1", "model").await;
+    let (first, first_lines) = Lines::of(&mut plant, &[]);
+    first.until_ready().await;
+    let copy = Instant::now();
+    let lives = plant.target("i-2", "plain").await;
+    until_used(&first, &lives).await;
+    plant.log.set(Fault::Refusing);
+    let (second, second_lines) = Lines::of(&mut plant, &[&first]);
+    second.until_ready().await;
+    until_used(&second, &lives).await;
+    plant.log.roll_back(copy);
+    plant.log.set(Fault::None);
+    sleep(RETURN_TIME).await;
+    renew(&plant, &lives, 1);
+    sleep(BOUND).await;
+    for lines in [first_lines, second_lines] {
+        assert_eq!(lines.with("event=target_left"), Vec::<String>::new());
+    }
+    until_used(&second, &lives).await;
+}
+
+/// Where an entry's lines are kept.
+struct Lines(PathBuf);
+
+impl Lines {
+    /// Starts an entry whose lines are kept.
+    fn of(plant: &mut Plant, seeds: &[&Entry]) -> (Entry, Lines) {
+        let settings = plant.settings(seeds);
+        let name = format!("cowsliproad-{}.log", settings.callers.ip());
+        let path = std::env::temp_dir().join(name);
+        let file = File::create(&path).expect("a file");
+        (Entry::start_with(settings, file.into()), Lines(path))
+    }
+
+    /// Those that hold a text.
+    fn with(&self, text: &str) -> Vec<String> {
+        let lines = fs::read_to_string(&self.0).expect("its lines");
+        let lines = lines.lines().filter(|it| it.contains(text));
+        lines.map(str::to_string).collect()
+    }
+}
+
+impl Drop for Lines {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
 }
 
 /// Guards against forgetting work that ends its targets, and against as many
