entry: tell others of targets that are back after a rollback

Their lines show why: the copy had an earlier start of i-0; two entries knew the later one from before the rollback, two did not. When i-0 wrote its entry again, one of the first two read it, found nothing new and told the others only that it had read. As entries read for one another, the other two did not read themselves for seconds.

A complete list that has an earlier start of a target now lacks it, so that it has to write its entry again; and when a target that was missing is back, the reader tells the others that there is news, which they then read.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -337,6 +337,8 @@
     pub fn changed(&self, id: &str, change: Change, source: Source) {
         match change {
             Change::None => return,
+            // Entries that hadn't known it can't tell from other news.
+            Change::Returned => return self.note_change(source),
             Change::Joined | Change::Restarted => {
                 self.note_change(source);
                 if change == Change::Restarted {
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -10,7 +10,7 @@
 //! [`crate::peers`]. What happens when the log comes back from an older copy
 //! stands in [`crate::rollback`].
 
-use std::{collections::HashSet, rc::Rc};
+use std::{collections::HashMap, rc::Rc};
 
 use cowsliproad_kernel::{Name, clock::Millis, position::Position};
 use cowsliproad_platform::{
@@ -18,7 +18,7 @@
     log::{Client, Error, Page, Record},
     target,
 };
-use cowsliproad_routing::fleet::Change;
+use cowsliproad_routing::fleet::{Change, Start};
 use rand::Rng;
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -287,13 +287,21 @@
         // back from a copy that lacks them.
         entry.fleet.borrow_mut().regained(now);
     }
-    let listed: HashSet<&str> =
-        records.iter().map(|it| it.key.as_str()).collect();
+    let listed: HashMap<&str, Start> =
+        records.iter().filter_map(start).collect();
     let gone =
-        entry.fleet.borrow_mut().keep_only(|id| listed.contains(id), now);
+        entry.fleet.borrow_mut().keep_only(|id| listed.get(id).copied(), now);
     note_gone(entry, &gone);
 }
 
+/// Which start of a target a record is of. One of another writer may hide a
+/// target, and counts as its newest.
+fn start(record: &Record) -> Option<(&str, Start)> {
+    let raw = record.value.as_ref()?;
+    let start = target::decode(&record.key, raw).map(|it| it.start);
+    Some((&record.key, start.unwrap_or(Start(u64::MAX))))
+}
+
 fn note_gone(entry: &Entry, gone: &[Name]) {
     for id in gone {
         entry.changed(id, Change::Left, Source::Log);
--- a/cowsliproad-direct/tests/entry/rollbacks.rs
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -14,6 +14,7 @@
     target::{Config, Target},
 };
 use http::StatusCode;
+use rustix::process::Signal;
 use tokio::time::sleep;
 
 use crate::{
@@ -246,6 +247,34 @@
     }
 }
 
+/// Guards against an entry that never hears of a target's new entry, since all
+/// who read it in its stead knew the target before the rollback.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_all_others_know_already_is_news_to_one_that_stood_still() {
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    let config = |start| Config::new("i-1", "plain", "a").with_start(start);
+    let mut target = plant.target_with(config(1)).await;
+    let entries = plant.entries(7).await;
+    for start in 2..5 {
+        let copy = Instant::now();
+        entries[0].signal(Signal::STOP);
+        target.end();
+        target = plant.target_with(config(start)).await;
+        for entry in &entries[1..] {
+            until_used(entry, &target).await;
+        }
+        plant.log.roll_back(copy);
+        entries[0].signal(Signal::CONT);
+        // By then all have read the copy, which has the start before.
+        sleep(Duration::from_millis(1_500)).await;
+        renew(&plant, &target, 1);
+        let written = Instant::now();
+        until_used(&entries[0], &target).await;
+        assert!(written.elapsed() < BOUND, "{start}: {:?}", written.elapsed());
+    }
+}
+
 /// Guards against taking a target for gone that was back in time, before its
 /// new entry is read.
 #[tokio::test(flavor = "multi_thread")]
--- a/cowsliproad-routing/src/fleet.rs
+++ b/cowsliproad-routing/src/fleet.rs
@@ -77,6 +77,8 @@
     Restarted,
     /// The target gets nothing new from now on.
     Left,
+    /// The target was about to count as gone, and is back.
+    Returned,
 }
 
 /// Times of the fleet.
@@ -175,9 +177,9 @@
             if target.start > known.target.start {
                 change = Change::Restarted;
             } else if target.state == State::Ready {
-                known.lapsing = None;
+                let lapsing = known.lapsing.take();
                 known.target = target;
-                return Change::None;
+                return lapsing.map_or(Change::None, |_| Change::Returned);
             }
         }
         if target.state == State::Leaving {
@@ -206,14 +208,16 @@
         self.depart_known(id, now)
     }
 
-    /// Withdraws all that a complete list does not hold.
+    /// Withdraws all that a complete list does not hold. It tells the start of
+    /// those that it holds; an older one doesn't count.
     pub fn keep_only(
         &mut self,
-        listed: impl Fn(&str) -> bool,
+        listed: impl Fn(&str) -> Option<Start>,
         now: Millis,
     ) -> Vec<Name> {
+        let is_missing = |it: &&Target| listed(&it.id) < Some(it.start);
         let missing: Vec<Name> =
-            self.targets.keys().filter(|id| !listed(id)).cloned().collect();
+            self.ready().filter(is_missing).map(|it| it.id.clone()).collect();
         let left = |id: &Name| self.withdraw(id, now) == Change::Left;
         missing.into_iter().filter(left).collect()
     }
--- a/tests/properties/fleet.rs
+++ b/tests/properties/fleet.rs
@@ -202,3 +202,22 @@
     assert_eq!(fleet.leave("i-1", LATER, Millis(30)), Change::Left);
     assert!(!fleet.is_ready("i-1"));
 }
+
+/// Guards against counting the entry of an earlier start for a target, and
+/// against news that others miss.
+#[test]
+fn a_list_with_an_earlier_start_lacks_the_target() {
+    let mut fleet = fleet();
+    let later = Target { start: LATER, ..target(1, State::Ready) };
+    fleet.announce(later.clone(), Millis(10));
+    fleet.regained(Millis(100));
+    let gone = fleet.keep_only(|_| Some(START), Millis(100));
+    assert!(gone.is_empty());
+    assert!(fleet.next_lapse().is_some());
+    let again = Target { sequence: 2, ..later };
+    let back = fleet.announce(again, Millis(200));
+    assert_eq!(back, Change::Returned);
+    assert_eq!(fleet.next_lapse(), None);
+    assert!(fleet.keep_only(|_| Some(LATER), Millis(300)).is_empty());
+    assert_eq!(fleet.next_lapse(), None);
+}
