--- a/cowsliproad-direct/tests/entry/rollback_siege.rs
+++ b/cowsliproad-direct/tests/entry/rollback_siege.rs
@@ -540,3 +540,9 @@
         play(seed).await;
     }
 }
+
+/// Guards against a target's return that only those tell of who missed it.
+#[tokio::test]
+async fn a_siege_that_hid_a_target_from_some_entries_hides_none() {
+    play(336).await;
+}
