entry: decode what the log keeps of quarantined work once

On a whole read of the topic each record was decoded to be merged and again to find what the log lost. It is now decoded once, and both use that. No behavior changes.

--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -54,7 +54,7 @@
 const RETRY_BACKOFF: Millis = Millis(60);
 
 impl Call {
-    /// Takes a error in. Returns the final answer if nothing may follow.
+    /// Takes an error in. Returns the final answer if nothing may follow.
     pub async fn on_attempt_failed(
         &mut self,
         entry: &Rc<Entry>,
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -337,7 +337,7 @@
     pub fn changed(&self, id: &str, change: Change, source: Source) {
         match change {
             Change::None => return,
-            // Entries that hadn't known it can't tell from other news.
+            // Known here, but maybe not to other entries.
             Change::Returned => return self.note_change(source),
             Change::Joined | Change::Restarted => {
                 self.note_change(source);
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -357,11 +357,14 @@
                 continue;
             }
         };
-        let new = reading.records.iter().filter(|it| take(&entry, it)).count();
+        let records = reading.records.iter();
+        let kept: Vec<Kept> =
+            records.filter_map(|it| decode(&entry, it)).collect();
+        let new = kept.iter().filter(|it| take(&entry, it)).count();
         if reading.scope != Scope::New {
             let records = reading.records.len();
             entry.note_read(log::QUARANTINE, records, new);
-            note_lost(&entry, &reading.records);
+            note_lost(&entry, &kept);
         } else if reading.records.is_empty() {
             // A log that doesn't hold reads is not asked all the time.
             let rest = (called + MIN_READ_INTERVAL).since(Millis::now());
@@ -372,18 +375,22 @@
     }
 }
 
-/// Takes in a record of the log, and says whether it told something new.
-fn take(entry: &Entry, record: &Record) -> bool {
-    let now = Millis::now();
-    // Work that was forgotten elsewhere is forgotten here in its own time.
-    let Some(value) = &record.value else { return false };
-    let Some(kept) = gossip::decode::<Kept>(value) else {
+/// What a record of the log keeps, if it keeps anything. Work that was
+/// forgotten elsewhere is forgotten here in its own time.
+fn decode(entry: &Entry, record: &Record) -> Option<Kept> {
+    let kept = gossip::decode::<Kept>(record.value.as_ref()?);
+    if kept.is_none() {
         warn!(entry.log, "strange_record"; "topic" => log::QUARANTINE,
             "key" => &record.key);
-        return false;
-    };
+    }
+    kept
+}
+
+/// Takes in what the log keeps, and says whether it told something new.
+fn take(entry: &Entry, kept: &Kept) -> bool {
+    let now = Millis::now();
     let age = Millis(unix_now()).since(Millis(kept.at));
-    let mut suspect = kept.suspect;
+    let mut suspect = kept.suspect.clone();
     match &mut suspect.refused {
         // It may have come since, which is not written each time.
         Some(refused) => {
@@ -405,13 +412,10 @@
 }
 
 /// Finds the work that the log should keep and lost.
-fn note_lost(entry: &Entry, records: &[Record]) {
+fn note_lost(entry: &Entry, kept: &[Kept]) {
     let now = Millis::now();
-    let kept = records.iter().filter_map(|it| it.value.as_ref());
-    let kept: HashMap<u64, Suspect> = kept
-        .filter_map(|it| gossip::decode::<Kept>(it))
-        .map(|it| (it.suspect.work, it.suspect))
-        .collect();
+    let kept = kept.iter().map(|it| (it.suspect.work, &it.suspect));
+    let kept: HashMap<u64, &Suspect> = kept.collect();
     let entries = entry.peers.borrow().entries() as u64;
     let others = Millis(REWRITE_DELAY_PER_ENTRY.0 * entries);
     let others = others.min(MAX_REWRITE_DELAY);
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -294,6 +294,12 @@
         Client::new().call(request, 1 << 20, PATIENCE).await
     }
 
+    /// The status that a request without a body gets, if it gets an answer.
+    pub async fn status(&self, path: &str, key: &str) -> Option<StatusCode> {
+        let answer = self.ask_with(path, key, "").await;
+        answer.ok().map(|it| it.status())
+    }
+
     /// A request to this entry.
     pub fn request(
         &self,
--- a/cowsliproad-direct/tests/entry/news.rs
+++ b/cowsliproad-direct/tests/entry/news.rs
@@ -13,8 +13,7 @@
 const BOUND: Duration = Duration::from_millis(2_000);
 
 async fn status(entry: &Entry, path: &str, key: &str) -> StatusCode {
-    let answer = entry.ask_with(path, key, "").await;
-    answer.expect("an answer").status()
+    entry.status(path, key).await.expect("an answer")
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/cowsliproad-direct/tests/entry/rollbacks.rs
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -37,16 +37,11 @@
 /// The body of work that ends its targets.
 const DEADLY: &str = "deadly";
 
-async fn status(entry: &Entry, path: &str, key: &str) -> Option<StatusCode> {
-    let answer = entry.ask_with(path, key, "").await;
-    answer.ok().map(|it| it.status())
-}
-
 /// Waits until an entry has sent a request to a target.
 async fn until_used(entry: &Entry, target: &Target) {
     let before = target.arrivals();
     until("the target is used", async || {
-        status(entry, "/many/a", KEY).await;
+        entry.status("/many/a", KEY).await;
         target.arrivals() > before
     })
     .await;
@@ -82,13 +77,13 @@
         plant.catalog.clone().with_organisation("harju", &["key-2"]);
     plant.catalog.publish(&plant.log);
     until("the configuration is in force", async || {
-        status(&entry, "/many/a", KEY).await == Some(StatusCode::UNAUTHORIZED)
+        entry.status("/many/a", KEY).await == Some(StatusCode::UNAUTHORIZED)
     })
     .await;
     assert!(back.elapsed() < BOUND, "{:?}", back.elapsed());
     let before = two.arrivals();
     until("the new target is used", async || {
-        status(&entry, "/many/a", "key-2").await;
+        entry.status("/many/a", "key-2").await;
         two.arrivals() > before
     })
     .await;
@@ -132,7 +127,7 @@
         plant.catalog.clone().with_organisation("harju", &["key-2"]);
     plant.catalog.publish(&plant.log);
     until("the new key holds", async || {
-        status(&first, "/many/a", "key-2").await == Some(StatusCode::OK)
+        first.status("/many/a", "key-2").await == Some(StatusCode::OK)
     })
     .await;
     plant.log.roll_back(copy);
@@ -140,13 +135,13 @@
         let settings = plant.settings(&[&first]);
         let second = Entry::start(settings);
         until("the new key holds", async || {
-            let old = status(&second, "/many/a", KEY).await;
+            let old = second.status("/many/a", KEY).await;
             assert_ne!(old, Some(StatusCode::OK), "an older configuration");
-            status(&second, "/many/a", "key-2").await == Some(StatusCode::OK)
+            second.status("/many/a", "key-2").await == Some(StatusCode::OK)
         })
         .await;
     }
-    let old = status(&first, "/many/a", KEY).await;
+    let old = first.status("/many/a", KEY).await;
     assert_eq!(old, Some(StatusCode::UNAUTHORIZED));
 }
 
@@ -163,7 +158,7 @@
     until("its leaving is known", async || {
         let before = one.arrivals();
         for _ in 0..20 {
-            status(&first, "/many/a", KEY).await;
+            first.status("/many/a", KEY).await;
         }
         one.arrivals() == before
     })
@@ -178,7 +173,7 @@
     let begun = Instant::now();
     while begun.elapsed() < BOUND {
         for entry in [&first, &second] {
-            let answer = status(entry, "/many/a", KEY).await;
+            let answer = entry.status("/many/a", KEY).await;
             assert_eq!(answer, Some(StatusCode::OK));
         }
         sleep(Duration::from_millis(20)).await;
@@ -203,7 +198,7 @@
     let back = Instant::now();
     while back.elapsed() < RETURN_TIME {
         renew(&plant, &old, 1);
-        let answer = status(&first, "/many/a", KEY).await;
+        let answer = first.status("/many/a", KEY).await;
         assert_eq!(answer, Some(StatusCode::OK), "{:?}", back.elapsed());
         sleep(Duration::from_millis(50)).await;
     }
@@ -212,7 +207,7 @@
         renew(&plant, &lives, 1);
         let before = gone.arrivals();
         for _ in 0..20 {
-            let answer = status(&first, "/many/a", KEY).await;
+            let answer = first.status("/many/a", KEY).await;
             assert_eq!(answer, Some(StatusCode::OK), "{:?}", back.elapsed());
         }
         gone.arrivals() == before
@@ -431,7 +426,7 @@
         );
         plant.catalog.publish(&plant.log);
         until("the new route holds", async || {
-            status(&entry, &path, KEY).await == Some(StatusCode::OK)
+            entry.status(&path, KEY).await == Some(StatusCode::OK)
         })
         .await;
         assert!(back.elapsed() < BOUND, "{round}: {:?}", back.elapsed());
