tests: show a target that is left idle after a slow answer

The usual time of a target's answers changes only with an answer, so a first answer that took some milliseconds more leaves the target idle for as long as the other one is free.

--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -17,5 +17,6 @@
 mod rollbacks;
 mod scripted;
 mod siege;
+mod slowness;
 mod stop;
 mod streams;
