routing: measure slow targets again

Callers: none failed; a target whose answer once took longer got nothing more while its neighbours were free, so part of a service stood idle for good. Cause: the usual time of a target changes only with its answers.

A target that costs more than the quickest is now taken for as quick once it has been left alone for a hundred times the difference, 120 s at most, until a request is there. So a slow target costs callers 1 % of the time and entry, and what it answers then counts for as much as the old average is old.

Of a target with an agent the usual time is that of its group, and on the own path an idle target's time does not count: neither had the fault.

--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -197,7 +197,7 @@
             let distance = if near { Distance::Near } else { Distance::Far };
             let usual_ms = match group {
                 Some(_) => usual.in_step(),
-                None => usual.alone(&held.record),
+                None => usual.alone(&held.record, now),
             };
             let candidate = Candidate {
                 record: &held.record,
--- a/cowsliproad-routing/src/pick.rs
+++ b/cowsliproad-routing/src/pick.rs
@@ -3,7 +3,9 @@
 //! The cost of a target is the time that a request is expected to take
 //! there: its usual time, longer the more requests it has for each slot, and
 //! longer by its recent failures. A target is never shut out for good: its
-//! failures fade with [`FADING`], and the best of bad ones is still used.
+//! failures fade with [`FADING`], the best of bad ones is still used, and one
+//! whose usual time is longer than that of others is measured again by one
+//! request now and then; see [`Usual::alone`].
 //!
 //! Requests at a target are the last report, corrected by what this entry
 //! sent and got back since. Two entries that see the same report would
@@ -19,9 +21,20 @@
 /// What one recent failure adds to the cost, as a share of the usual time.
 const FAILURE: f64 = 3.0;
 
-/// The weight of a new time in the average of a target's times.
+/// The weight of a new time in the average of a target's times, where the
+/// average is new too.
 const WEIGHT: f64 = 0.2;
 
+/// The time in which the average loses half of its own weight.
+const USUAL_FADING: Millis = Millis(2_500);
+
+/// What measuring a slow target again may cost callers, as a share of the
+/// time.
+const MEASURING_SHARE: f64 = 0.01;
+
+/// The longest time without a measurement.
+const MAX_MEASURING_INTERVAL: Millis = Millis(120_000);
+
 /// The most requests that a target is believed to have. Ours have some ten
 /// slots and queue a few more.
 const MAX_REQUESTS: u32 = 10_000;
@@ -46,6 +59,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Record {
     usual_ms: f64,
+    /// When a request there last ended well or badly.
+    measured: Millis,
     failures: f64,
     faded: Millis,
     reported: u32,
@@ -60,6 +75,7 @@
     pub fn new() -> Record {
         Record {
             usual_ms: 0.0,
+            measured: Millis(0),
             failures: 0.0,
             faded: Millis(0),
             reported: 0,
@@ -98,16 +114,20 @@
         self.fade(now);
         self.failures *= 0.5;
         let took = took.0 as f64;
+        let age = now.since(self.measured).0 as f64 / USUAL_FADING.0 as f64;
+        let weight = 1.0 - (1.0 - WEIGHT) * 0.5_f64.powf(age);
         self.usual_ms = match self.usual_ms {
             0.0 => took,
-            usual => usual + (took - usual) * WEIGHT,
+            usual => usual + (took - usual) * weight,
         };
+        self.measured = now;
     }
 
     /// Notes a failure.
     pub fn failure(&mut self, now: Millis) {
         self.fade(now);
         self.failures += 1.0;
+        self.measured = now;
     }
 
     /// The usual time of its answers in milliseconds, once there was one.
@@ -201,8 +221,22 @@
 
     /// The usual time of a target that works by itself. One that never
     /// answered is taken for as quick as the quickest, so that it is tried.
-    pub fn alone(&self, record: &Record) -> f64 {
-        record.usual_ms().unwrap_or(self.least)
+    /// So is one that is due to be measured again, until a request is there:
+    /// only requests tell that a slow target is quick by now.
+    pub fn alone(&self, record: &Record, now: Millis) -> f64 {
+        match record.usual_ms() {
+            Some(usual) if !self.is_due(record, usual, now) => usual,
+            _ => self.least,
+        }
+    }
+
+    /// Whether a target was left alone for so long that one slow answer is a
+    /// small share of the time.
+    fn is_due(&self, record: &Record, usual: f64, now: Millis) -> bool {
+        let interval = (usual - self.least) / MEASURING_SHARE;
+        let interval = interval.min(MAX_MEASURING_INTERVAL.0 as f64);
+        let age = now.since(record.measured).0 as f64;
+        record.in_flight == 0 && age > interval
     }
 
     /// The usual time of a rank of a group. All ranks go in step, so what one
