tests: cut entries off from the log in the siege of rollbacks

The stand-ins have a proxy that holds back bytes in one direction or both, delays them or closes connections. Every entry of the sieges reaches the log through one, and the siege of rollbacks cuts one place after the other for up to 4 s, over freezes, kills and rollbacks. Nothing that is checked is eased: what an entry can't read the others tell it.

--- a/cowsliproad-direct/tests/entry/processes.rs
+++ b/cowsliproad-direct/tests/entry/processes.rs
@@ -1,4 +1,5 @@
-//! Entries that a siege stops, kills and replaces, and which of them did what.
+//! Entries that a siege stops, kills, replaces and cuts off from the log, and
+//! which of them did what.
 
 use std::{
     cell::{Cell, RefCell},
@@ -6,6 +7,7 @@
 };
 
 use cowsliproad_direct::settings::Settings;
+use cowsliproad_platform_standin::proxy::{Link, Proxy};
 use rustix::process::Signal;
 use tokio::time::sleep;
 
@@ -17,6 +19,9 @@
 /// What is on its way when a process goes on.
 pub const ON_ITS_WAY: Duration = Duration::from_millis(100);
 
+/// Where the way to the log begins on an entry's VM.
+const LOG_PORT: u16 = 18_085;
+
 /// An entry's process: a number that no other has.
 pub type Process = usize;
 
@@ -48,6 +53,8 @@
 
 /// Entries, one process each at a time.
 pub struct Processes {
+    /// The way of each place to the log.
+    links: Vec<Proxy>,
     entries: Vec<RefCell<Option<(Process, Entry)>>>,
     lives: RefCell<Vec<Life>>,
     freezes: RefCell<Vec<Freeze>>,
@@ -58,10 +65,14 @@
     /// So many that know the first three, and are ready.
     pub async fn start(plant: &mut Plant, count: usize) -> Processes {
         let mut entries: Vec<Entry> = Vec::new();
-        let mut lives = Vec::new();
+        let (mut lives, mut links) = (Vec::new(), Vec::new());
         for number in 0..count {
             let seeds: Vec<&Entry> = entries.iter().take(3).collect();
-            let settings = plant.settings(&seeds);
+            let mut settings = plant.settings(&seeds);
+            let address = (settings.callers.ip(), LOG_PORT).into();
+            let link = Proxy::start(address, settings.log).await;
+            links.push(link.expect("a proxy"));
+            settings.log = address;
             let seeds = (0..number.min(3)).collect();
             lives.push(Life { from: Instant::now(), until: None, seeds });
             entries.push(siege::start(settings));
@@ -71,6 +82,7 @@
         }
         let entries = entries.into_iter().enumerate();
         Processes {
+            links,
             entries: entries.map(|it| RefCell::new(Some(it))).collect(),
             lives: RefCell::new(lives),
             freezes: RefCell::default(),
@@ -111,6 +123,14 @@
         self.freezes.borrow_mut().extend(freeze);
     }
 
+    /// Changes the way of whichever entry is in a place to the log, for a
+    /// time.
+    pub async fn disturb(&self, place: usize, link: Link, time: Duration) {
+        self.links[place].set(link);
+        sleep(time).await;
+        self.links[place].set(Link::Up);
+    }
+
     /// Ends an entry by a signal and starts another one in its place.
     pub async fn replace(
         &self,
@@ -131,9 +151,11 @@
         let settings = match address {
             Address::Same => gone.settings.clone(),
             // A VM that is replaced keeps its name.
-            Address::Of(other) => {
-                Settings { vm: gone.settings.vm.clone(), ..*other }
-            }
+            Address::Of(other) => Settings {
+                vm: gone.settings.vm.clone(),
+                log: gone.settings.log,
+                ..*other
+            },
         };
         let settings = Settings { seeds, ..settings };
         if signal == Signal::KILL {
--- a/cowsliproad-direct/tests/entry/rollback_siege.rs
+++ b/cowsliproad-direct/tests/entry/rollback_siege.rs
@@ -1,7 +1,8 @@
 //! The platform's log comes back from older copies again and again, is away,
 //! slow or drops its history, while operators publish keys, targets leave,
 //! crash, start again and join, and entries stand still, are killed, are
-//! stopped and join; in series that overlap, drawn from a seed.
+//! stopped, join and are cut off from the log, in one direction or both; in
+//! series that overlap, drawn from a seed.
 //!
 //! Of each entry's process is checked: no key that it has once seen withdrawn
 //! is good again, nor is one that another entry had seen withdrawn before it
@@ -27,6 +28,7 @@
 };
 use cowsliproad_platform_standin::{
     log,
+    proxy::Link,
     target::{self, Config, Target},
 };
 use http::StatusCode;
@@ -324,6 +326,25 @@
         self.roll_back().await;
     }
 
+    /// One entry after the other is cut off from the log. It learns of all
+    /// from the others, so nothing that is checked allows for that.
+    async fn trouble_links(&self) {
+        let begun = Instant::now();
+        while begun.elapsed() < TROUBLE {
+            sleep(self.draw_time(100, 1_000)).await;
+            let place = self.draw(self.processes.count());
+            let link = match self.draw(5) {
+                0 => Link::Cut,
+                1 => Link::CutThere,
+                2 => Link::CutBack,
+                3 => Link::Closed,
+                _ => Link::Slow(self.draw_time(20, 400)),
+            };
+            let time = self.draw_time(100, 4_000);
+            self.processes.disturb(place, link, time).await;
+        }
+    }
+
     async fn disturb(&self, fault: log::Fault) {
         let from = Instant::now();
         self.plant.borrow().log.set(fault);
@@ -364,6 +385,7 @@
             self.trouble_targets(),
             self.trouble_entries(),
             self.trouble_log(),
+            self.trouble_links(),
         );
         self.is_calm.set(true);
         // The bound counts from when the last target has written its entry.
