--- a/cowsliproad-bench/src/experiment/quarantine.rs
+++ b/cowsliproad-bench/src/experiment/quarantine.rs
@@ -30,7 +30,7 @@
 inventory::submit! {
     Plugin {
         name: "quarantine",
-        about: "Work that ends its targets, by what entries tell one another",
+        about: "Requests that crash targets, by what entries tell one another",
         start: run,
     }
 }
--- a/cowsliproad-bench/src/experiment/switch.rs
+++ b/cowsliproad-bench/src/experiment/switch.rs
@@ -11,7 +11,8 @@
 use cowsliproad_kernel::{clock::Millis, plugin::inventory};
 use cowsliproad_mapswitch::order::{
     Absent, Arms, Config, Coordinator, Directive, Epoch, Event, Experts,
-    Follows, Order, Report, Seal, Sight, Version, due, due_at_holder, seals,
+    Follows, Order, Report, Seal, Snapshot, Version, due, due_at_holder,
+    seals,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
@@ -117,15 +118,15 @@
 
     /// What the coordinator sees of all ranks, whose agents have heard its
     /// word.
-    fn sights(&self, word: &Directive) -> Vec<Sight> {
+    fn snapshots(&self, word: &Directive) -> Vec<Snapshot> {
         let seal = seals(word).map_or(Seal::Unheard, Seal::Heard);
-        let sight = |report: &Report| Sight {
+        let snapshot = |report: &Report| Snapshot {
             report: report.clone(),
             arms: Arms::Answered,
             seal,
             follows: Follows::Us,
         };
-        self.ranks.iter().map(sight).collect()
+        self.ranks.iter().map(snapshot).collect()
     }
 }
 
@@ -162,8 +163,8 @@
                 group.carry_out(rank, &order);
             }
         }
-        let sights = group.sights(&word);
-        match coordinator.look(&sights, Absent::Nobody, Millis(now)) {
+        let snapshots = group.snapshots(&word);
+        match coordinator.advance(&snapshots, Absent::Nobody, Millis(now)) {
             Event::Changed(_) => {
                 score.changes += 1;
                 score.times.push(now - begun);
@@ -174,7 +175,7 @@
         }
         if coordinator.is_resting() && now >= rest {
             begun = now;
-            newest = coordinator.begin(&sights, Millis(now));
+            newest = coordinator.begin(&snapshots, Millis(now));
         }
     }
     score.times.sort_unstable();
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -158,7 +158,7 @@
     budgets: RefCell<HashMap<Name, Window>>,
     /// What was last said of each group, by any of its ranks.
     formations: RefCell<HashMap<Name, Formation>>,
-    /// Work that ends its targets.
+    /// Requests that crash their targets.
     pub quarantine: RefCell<Quarantine>,
     /// When each availability zone was last heard from.
     zones: RefCell<HashMap<Name, Millis>>,
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -17,7 +17,7 @@
 //! * [`upstream`]: connections to targets;
 //! * [`ends`]: whether a target ended under its requests;
 //! * [`limits`]: targets that name how much they take from all entries;
-//! * [`quarantine`]: work that ends its targets is refused by all entries;
+//! * [`quarantine`]: all entries refuse requests that crash their targets;
 //! * [`follow`]: configuration and targets from the platform's log;
 //! * [`rollback`]: what is done when that log comes back from an older copy;
 //! * [`peers`]: what entries and agents tell one another;
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! The entry's part in refusing work that ends its targets.
+//! The entry's part in refusing requests that crash their targets.
 //!
 //! What is decided stands in [`cowsliproad_admission::quarantine`]. Here is
 //! who is told: other entries at once and then by digests, so that it works
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -191,7 +191,7 @@
         }
         // It may still wait its turn there; left alone it ends one more.
         if entry.quarantine.borrow().refuses(work, Millis::now()) {
-            return Err(AttemptError::Unknown("it ends its targets"));
+            return Err(AttemptError::Unknown("it crashes its targets"));
         }
         // A request may wait its turn at a target that is well.
         let alone = is_left_behind(entry, choice, since);
--- a/cowsliproad-direct/tests/entry/quarantine.rs
+++ b/cowsliproad-direct/tests/entry/quarantine.rs
@@ -31,7 +31,7 @@
 
 use crate::harness::{Entry, KEY, Plant, report, tell_lost, until};
 
-/// The body of work that ends its targets.
+/// The body of a request that crashes its target.
 const DEADLY: &str = "deadly";
 
 /// By then all entries have to know.
--- a/cowsliproad-direct/tests/entry/rollbacks.rs
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -34,7 +34,7 @@
 /// The longest that entries tell one another of targets that left.
 const LEFT_TIME: Duration = Duration::from_secs(9);
 
-/// The body of work that ends its targets.
+/// The body of a request that crashes its target.
 const DEADLY: &str = "deadly";
 
 /// Waits until an entry has sent a request to a target.
@@ -347,8 +347,8 @@
     }
 }
 
-/// Guards against forgetting work that ends its targets, and against as many
-/// writes of it as there are entries.
+/// Guards against forgetting a request that crashes its targets, and against
+/// as many writes of it as there are entries.
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_work_is_written_again_once() {
     let mut plant = Plant::start().await;
--- a/cowsliproad-direct/tests/entry/siege.rs
+++ b/cowsliproad-direct/tests/entry/siege.rs
@@ -1,13 +1,14 @@
-//! Work that ends its targets comes all the time, while entries are stopped,
-//! killed and started again, the platform's log misbehaves and targets are
-//! killed beside it; in series that overlap, drawn from a seed. In one shape
-//! its callers also leave at once and targets go on with it all the same, some
-//! are taken for ended that live, and several are killed at one moment.
+//! Requests that crash their targets come all the time, while entries are
+//! stopped, killed and started again, the platform's log misbehaves and
+//! targets are killed beside it; in series that overlap, drawn from a seed. In
+//! one shape their callers also leave at once and targets go on with them all
+//! the same, some are taken for ended that live, and several are killed at one
+//! moment.
 //!
 //! `FIRST_SEED=1 SEEDS=50 cargo test -p cowsliproad-direct --test entry siege -- --nocapture`
 //! plays more of them and prints a line for each, with `ENTRIES=100` at the
-//! size of a large fleet. With `LOGS=DIRECTORY` each
-//! entry's lines are kept there.
+//! size of a large fleet. With `LOGS=DIRECTORY` each entry's lines are kept
+//! there.
 
 use std::{
     cell::{Cell, RefCell},
--- a/cowsliproad-entry/src/forward/failure.rs
+++ b/cowsliproad-entry/src/forward/failure.rs
@@ -86,8 +86,8 @@
         self.fail(Failure { ran, ..failure });
     }
 
-    /// Adds when to come back to a refusal of work that ends its targets,
-    /// which the agent doesn't know.
+    /// Adds when to come back to a refusal of a request that crashes its
+    /// targets, which the agent doesn't know.
     fn timed(&self, failure: Failure) -> Failure {
         let Task::Work(order) = &self.task else { return failure };
         if failure.code != Code::Quarantined {
--- a/cowsliproad-entry/src/lib.rs
+++ b/cowsliproad-entry/src/lib.rs
@@ -9,7 +9,7 @@
 //! * [`choose`]: the choice of a target; [`target`]: what is known of each;
 //! * [`control`]: the control thread, which owns the replica and publishes
 //!   the [`view::View`] that traffic reads;
-//! * [`quarantine`]: work that ends its targets is refused;
+//! * [`quarantine`]: requests that crash their targets are refused;
 //! * [`links`]: links to agents and between entries;
 //! * [`log`] and [`vms`]: the platform's log and VM list;
 //! * [`admin`]: the operators' gRPC.
@@ -64,7 +64,7 @@
     pub ticket_key: [u8; 32],
     /// What traffic reads.
     pub published: Published,
-    /// Work that ends its targets.
+    /// Requests that crash their targets.
     pub quarantine: Mutex<Ledger>,
     /// Requests in flight.
     pub in_flight: AtomicU32,
--- a/cowsliproad-entry/src/quarantine.rs
+++ b/cowsliproad-entry/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Work that ends its targets is refused.
+//! Requests that crash their targets are refused.
 //!
 //! Agents tell every entry that links to them under which work their targets
 //! ended. Entries need not speak to one another for it: one that starts anew
--- a/cowsliproad-mapswitch/src/order.rs
+++ b/cowsliproad-mapswitch/src/order.rs
@@ -177,7 +177,7 @@
 
 /// An engine's report and what is known beside it.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct Sight {
+pub struct Snapshot {
     /// The report.
     pub report: Report,
     /// The orders that it may not show yet.
--- a/cowsliproad-mapswitch/src/order/coordinator.rs
+++ b/cowsliproad-mapswitch/src/order/coordinator.rs
@@ -4,20 +4,21 @@
 use cowsliproad_kernel::clock::Millis;
 
 use super::{
-    Absent, Aim, Arms, Directive, Epoch, Follows, Report, Seal, Sight, Version,
+    Absent, Aim, Arms, Directive, Epoch, Follows, Report, Seal, Snapshot,
+    Version,
 };
 
 /// Times and distances of a change.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
     lead: (u64, u64),
-    patience: Millis,
+    copy_timeout: Millis,
 }
 
 impl Config {
     /// The usual ones.
     pub fn new() -> Config {
-        Config { lead: LEAD, patience: PATIENCE }
+        Config { lead: LEAD, copy_timeout: COPY_TIMEOUT }
     }
 
     /// How many passes ahead the boundary is set, at least and at most.
@@ -44,9 +45,8 @@
 /// and what is known of the group's pass is up to 30 ms old.
 const MIN_ARMING: Millis = Millis(90);
 
-/// The time for copies before a plan is given up: seven of the longest seen,
-/// 0.4 s each.
-const PATIENCE: Millis = Millis(3_000);
+/// The time for copies before a plan is given up.
+const COPY_TIMEOUT: Millis = Millis(3_000);
 
 /// Versions of one coordinator. A rank refuses a version that isn't higher
 /// than all that it has had, also in formations that nobody remembers. So
@@ -65,7 +65,7 @@
     Releasing { version: Version, step: u64 },
 }
 
-/// What ended or began with the last look at the reports.
+/// What ended or began with the last reports.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
     /// Nothing of note.
@@ -86,7 +86,7 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Coordinator {
     lead: (u64, u64),
-    patience: Millis,
+    copy_timeout: Millis,
     fence: u64,
     rank: u16,
     epoch: Epoch,
@@ -160,7 +160,7 @@
     pub fn new(config: Config, fence: u64, rank: u16) -> Coordinator {
         Coordinator {
             lead: config.lead,
-            patience: config.patience,
+            copy_timeout: config.copy_timeout,
             fence,
             rank,
             epoch: Epoch(0),
@@ -198,15 +198,15 @@
         Directive { fence: self.fence, epoch: self.epoch, aim }
     }
 
-    /// Begins a plan; all ranks are in sight.
-    pub fn begin(&mut self, sights: &[Sight], now: Millis) -> Version {
-        let newest = sights.iter().map(|it| newest(&it.report)).max();
+    /// Begins a plan; all ranks have reported.
+    pub fn begin(&mut self, snapshots: &[Snapshot], now: Millis) -> Version {
+        let newest = snapshots.iter().map(|it| newest(&it.report)).max();
         let known = newest.unwrap_or(self.newest).max(self.newest);
         let own = self.fence * VERSIONS;
         let version = Version(own.max(known.0 + 1));
         self.newest = version;
         self.phase = Phase::Preparing { version, since: now };
-        self.pace.start(last(sights), now);
+        self.pace.start(last(snapshots), now);
         version
     }
 
@@ -218,18 +218,18 @@
         Some(version)
     }
 
-    /// Looks at what the ranks report now.
-    pub fn look(
+    /// Goes on by what the ranks report now.
+    pub fn advance(
         &mut self,
-        sights: &[Sight],
+        snapshots: &[Snapshot],
         absent: Absent,
         now: Millis,
     ) -> Event {
-        let Some(first) = sights.first() else { return Event::None };
+        let Some(first) = snapshots.first() else { return Event::None };
         let epoch = first.report.epoch;
         // Ranks that learn of a new formation at different moments don't
         // agree for a while.
-        if sights.iter().any(|it| it.report.epoch != epoch) {
+        if snapshots.iter().any(|it| it.report.epoch != epoch) {
             return Event::None;
         }
         if epoch != self.epoch {
@@ -238,83 +238,87 @@
             return Event::Reset(epoch);
         }
         match (self.phase, absent) {
-            (Phase::Resting, Absent::Nobody) => self.tidy(sights),
+            (Phase::Resting, Absent::Nobody) => self.tidy(snapshots),
             (Phase::Resting, Absent::Predecessor(fence)) => {
-                self.call_off(sights, fence)
+                self.call_off(snapshots, fence)
             }
-            // Not forward again, even with all in sight: an agent may still
+            // Not forward again, even if all have reported: an agent may still
             // act on the word to disarm.
             (
                 Phase::Disarming { step },
                 Absent::Predecessor(_) | Absent::Nobody,
-            ) => self.disarm(sights, step),
+            ) => self.disarm(snapshots, step),
             (Phase::Releasing { version, step }, _) => {
-                self.release(sights, version, step)
+                self.release(snapshots, version, step)
             }
             (Phase::Preparing { version, since }, _) => {
-                self.prepare(sights, absent, version, since, now)
+                self.prepare(snapshots, absent, version, since, now)
             }
             (_, Absent::Predecessor(_) | Absent::Others) => Event::None,
             (Phase::Holding { version, step, holder }, _) => {
-                self.hold(sights, version, step, holder)
+                self.hold(snapshots, version, step, holder)
             }
             (Phase::Arming { version, step, except }, _) => {
-                self.arm(sights, version, step, except, now);
+                self.arm(snapshots, version, step, except, now);
                 Event::None
             }
             (Phase::Sealing { version, step }, _) => {
-                self.seal(sights, version, step);
+                self.seal(snapshots, version, step);
                 Event::None
             }
         }
     }
 
     /// Completes what another coordinator left, and releases a stray hold.
-    fn tidy(&mut self, sights: &[Sight]) -> Event {
-        let armed = sights.iter().find_map(|it| it.report.armed);
+    fn tidy(&mut self, snapshots: &[Snapshot]) -> Event {
+        let armed = snapshots.iter().find_map(|it| it.report.armed);
         if let Some((version, step)) = armed {
             self.phase = Phase::Arming { version, step, except: None };
             return Event::TakenUp(version);
         }
-        let Some(step) = sights.iter().find_map(|it| it.report.held) else {
+        let Some(step) = snapshots.iter().find_map(|it| it.report.held) else {
             return Event::None;
         };
         // An *arm* for this very pass may be on its way to any rank that has
         // the next map. Completing forward is right in either case.
-        self.phase = match ready(sights) {
+        self.phase = match ready(snapshots) {
             Some(version) => Phase::Arming { version, step, except: None },
-            None => Phase::Releasing { version: sights[0].report.map, step },
+            None => {
+                Phase::Releasing { version: snapshots[0].report.map, step }
+            }
         };
         Event::None
     }
 
     /// Calls off what a coordinator left that is out of reach now.
-    fn call_off(&mut self, sights: &[Sight], predecessor: u64) -> Event {
-        let held = sights.iter().find_map(|it| it.report.held);
+    fn call_off(&mut self, snapshots: &[Snapshot], predecessor: u64) -> Event {
+        let held = snapshots.iter().find_map(|it| it.report.held);
         let Some(step) = held else { return Event::None };
-        let armed = sights.iter().find_map(|it| it.report.armed);
+        let armed = snapshots.iter().find_map(|it| it.report.armed);
         // One that has not armed and never will says that the former
         // coordinator, who arms last, has not either. While any is in doubt
         // it is better to wait: the former coordinator may be back sooner,
         // and then the change is completed.
-        let certain = sights.iter().all(is_certain);
+        let certain = snapshots.iter().all(is_certain);
         let unarmed =
-            |it: &Sight| it.report.armed.is_none() && it.report.step < step;
-        let missing = sights.iter().any(unarmed) || is_unsealed(sights, step);
-        let latest = sights.iter().map(|it| newest(&it.report)).max();
+            |it: &Snapshot| it.report.armed.is_none() && it.report.step < step;
+        let missing =
+            snapshots.iter().any(unarmed) || is_unsealed(snapshots, step);
+        let latest = snapshots.iter().map(|it| newest(&it.report)).max();
         let own = latest.is_some_and(|it| it.0 / VERSIONS == predecessor);
         if !certain || !missing || !own {
             return Event::None;
         }
-        let version = armed.map_or(sights[0].report.map, |it| it.0);
+        let version = armed.map_or(snapshots[0].report.map, |it| it.0);
         self.phase = Phase::Disarming { step };
         Event::CalledOff(version)
     }
 
-    fn disarm(&mut self, sights: &[Sight], step: u64) -> Event {
-        let clear = |it: &Sight| it.report.armed.is_none() && is_certain(it);
-        if sights.iter().all(clear) {
-            let version = sights[0].report.map;
+    fn disarm(&mut self, snapshots: &[Snapshot], step: u64) -> Event {
+        let clear =
+            |it: &Snapshot| it.report.armed.is_none() && is_certain(it);
+        if snapshots.iter().all(clear) {
+            let version = snapshots[0].report.map;
             self.phase = Phase::Releasing { version, step };
         }
         Event::None
@@ -322,21 +326,21 @@
 
     fn prepare(
         &mut self,
-        sights: &[Sight],
+        snapshots: &[Snapshot],
         absent: Absent,
         version: Version,
         since: Millis,
         now: Millis,
     ) -> Event {
-        let has = |it: &Sight| it.report.prepared == Some(version);
-        if absent == Absent::Nobody && sights.iter().all(has) {
-            self.pace.arm(last(sights), now);
-            let step = self.boundary(sights);
-            let holder = self.holder(sights);
+        let has = |it: &Snapshot| it.report.prepared == Some(version);
+        if absent == Absent::Nobody && snapshots.iter().all(has) {
+            self.pace.arm(last(snapshots), now);
+            let step = self.boundary(snapshots);
+            let holder = self.holder(snapshots);
             self.phase = Phase::Holding { version, step, holder };
             return Event::None;
         }
-        if now.since(since) > self.patience {
+        if now.since(since) > self.copy_timeout {
             self.phase = Phase::Resting;
             return Event::GivenUp(version);
         }
@@ -344,30 +348,30 @@
     }
 
     /// The pass from which the new map is to be used.
-    fn boundary(&self, sights: &[Sight]) -> u64 {
+    fn boundary(&self, snapshots: &[Snapshot]) -> u64 {
         let (least, most) = self.lead;
-        last(sights) + self.pace.passes().clamp(least, most)
+        last(snapshots) + self.pace.passes().clamp(least, most)
     }
 
-    fn holder(&self, sights: &[Sight]) -> u16 {
-        let ranks = sights.iter().map(|it| it.report.rank);
+    fn holder(&self, snapshots: &[Snapshot]) -> u16 {
+        let ranks = snapshots.iter().map(|it| it.report.rank);
         ranks.filter(|it| *it != self.rank).min().unwrap_or(self.rank)
     }
 
     fn hold(
         &mut self,
-        sights: &[Sight],
+        snapshots: &[Snapshot],
         version: Version,
         step: u64,
         holder: u16,
     ) -> Event {
-        let held = sights.iter().any(|it| it.report.held == Some(step));
+        let held = snapshots.iter().any(|it| it.report.held == Some(step));
         if held {
             let except = Some(self.rank);
             self.phase = Phase::Arming { version, step, except };
-        } else if last(sights) >= step {
+        } else if last(snapshots) >= step {
             // The group went past: nothing is armed, so another pass serves.
-            let step = self.boundary(sights);
+            let step = self.boundary(snapshots);
             self.phase = Phase::Holding { version, step, holder };
         }
         Event::None
@@ -375,50 +379,50 @@
 
     fn arm(
         &mut self,
-        sights: &[Sight],
+        snapshots: &[Snapshot],
         version: Version,
         step: u64,
         except: Option<u16>,
         now: Millis,
     ) {
         // One that obeys another's word could be disarmed yet.
-        let done = |it: &Sight| {
+        let done = |it: &Snapshot| {
             it.report.armed == Some((version, step))
                 && it.follows == Follows::Us
                 || it.report.map == version
         };
-        if sights.iter().all(done) {
+        if snapshots.iter().all(done) {
             self.pace.armed(now);
             self.phase = Phase::Releasing { version, step };
             return;
         }
-        let others = |it: &&Sight| Some(it.report.rank) != except;
-        if except.is_some() && sights.iter().filter(others).all(done) {
+        let others = |it: &&Snapshot| Some(it.report.rank) != except;
+        if except.is_some() && snapshots.iter().filter(others).all(done) {
             self.phase = Phase::Sealing { version, step };
         }
     }
 
     /// Lets the own rank arm once the holder vouches that it has heard so.
-    fn seal(&mut self, sights: &[Sight], version: Version, step: u64) {
-        let holder = self.holder(sights);
-        let vouches = |it: &Sight| {
+    fn seal(&mut self, snapshots: &[Snapshot], version: Version, step: u64) {
+        let holder = self.holder(snapshots);
+        let vouches = |it: &Snapshot| {
             it.report.rank == holder
                 && it.seal == Seal::Heard(step)
                 && it.follows == Follows::Us
         };
-        if sights.iter().any(vouches) {
+        if snapshots.iter().any(vouches) {
             self.phase = Phase::Arming { version, step, except: None };
         }
     }
 
     fn release(
         &mut self,
-        sights: &[Sight],
+        snapshots: &[Snapshot],
         version: Version,
         step: u64,
     ) -> Event {
-        let held = sights.iter().any(|it| it.report.held == Some(step));
-        let changed = sights.iter().all(|it| it.report.map == version);
+        let held = snapshots.iter().any(|it| it.report.held == Some(step));
+        let changed = snapshots.iter().all(|it| it.report.map == version);
         if held || !changed {
             return Event::None;
         }
@@ -436,14 +440,14 @@
 
 /// Whether nothing can happen at a rank that its report doesn't show, but by
 /// this coordinator's word.
-fn is_certain(sight: &Sight) -> bool {
-    sight.arms == Arms::Answered && sight.follows == Follows::Us
+fn is_certain(snapshot: &Snapshot) -> bool {
+    snapshot.arms == Arms::Answered && snapshot.follows == Follows::Us
 }
 
 /// Whether the holder, the first of the ranks beside that of a coordinator
 /// that is out of reach, has not been told that this one arms.
-fn is_unsealed(sights: &[Sight], step: u64) -> bool {
-    let holder = sights.iter().min_by_key(|it| it.report.rank);
+fn is_unsealed(snapshots: &[Snapshot], step: u64) -> bool {
+    let holder = snapshots.iter().min_by_key(|it| it.report.rank);
     holder.is_some_and(|it| match it.seal {
         Seal::Unheard => true,
         Seal::Heard(at) => at != step,
@@ -452,14 +456,14 @@
 }
 
 /// The map that all ranks have and none uses yet.
-fn ready(sights: &[Sight]) -> Option<Version> {
-    let version = sights.first()?.report.prepared?;
-    let fits = |it: &Sight| {
+fn ready(snapshots: &[Snapshot]) -> Option<Version> {
+    let version = snapshots.first()?.report.prepared?;
+    let fits = |it: &Snapshot| {
         it.report.prepared == Some(version) && it.report.map < version
     };
-    sights.iter().all(fits).then_some(version)
+    snapshots.iter().all(fits).then_some(version)
 }
 
-fn last(sights: &[Sight]) -> u64 {
-    sights.iter().map(|it| it.report.step).max().unwrap_or_default()
+fn last(snapshots: &[Snapshot]) -> u64 {
+    snapshots.iter().map(|it| it.report.step).max().unwrap_or_default()
 }
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -231,7 +231,7 @@
                     self.take_number(number).await;
                 }
                 () = sleep_until(next) => {
-                    self.look().await;
+                    self.poll_engine().await;
                     next = Instant::now() + self.pause().duration();
                 }
             }
@@ -303,7 +303,7 @@
                         return;
                     }
                     lead.take(*status, now);
-                    lead.look(self.shape.as_ref(), now);
+                    lead.advance(self.shape.as_ref(), now);
                     self.speak(now).await;
                 }
             }
@@ -320,7 +320,7 @@
                 self.note_seal(&word);
                 self.word = Some((word, from, now));
                 if before != Some(word) {
-                    self.look().await;
+                    self.poll_engine().await;
                     self.prompt = matches!(word.aim, Aim::Held { .. });
                 }
             }
@@ -357,7 +357,7 @@
     }
 
     /// Looks at the engine, does what is due and tells the others.
-    async fn look(&mut self) {
+    async fn poll_engine(&mut self) {
         let before = self.standing();
         self.refresh().await;
         if let Some((word, _, _)) = self.word
--- a/cowsliproad-rank/src/agent/chair.rs
+++ b/cowsliproad-rank/src/agent/chair.rs
@@ -15,18 +15,18 @@
 use crate::lead::{Lead, Start};
 
 /// How long rank 0 waits for another coordinator before it leads.
-const FIRST_PATIENCE: Millis = Millis(250);
+const FIRST_TIMEOUT: Millis = Millis(250);
 
 /// How long rank 1 waits, and each next rank more. Three words may be lost.
-const NEXT_PATIENCE: Millis = Millis(1_300);
-const RANK_PATIENCE: Millis = Millis(400);
+const NEXT_TIMEOUT: Millis = Millis(1_300);
+const RANK_STAGGER: Millis = Millis(400);
 
 /// How long rank 0 waits in the middle of a change, when a word comes every
 /// 30 ms and the group may stand still.
-const BUSY_PATIENCE: Millis = Millis(350);
+const BUSY_TIMEOUT: Millis = Millis(350);
 
 /// The pause before the platform's log is asked for a number again.
-const AGAIN_TIME: Millis = Millis(1_000);
+const RETRY_INTERVAL: Millis = Millis(1_000);
 
 /// Records that are appended for a number, where the log turns out to be in a
 /// later era.
@@ -66,17 +66,17 @@
             return false;
         }
         let busy = |it: &Directive| it.aim != Aim::Rest;
-        let patience = match (report.rank, &self.word) {
-            (0, None) => FIRST_PATIENCE,
+        let timeout = match (report.rank, &self.word) {
+            (0, None) => FIRST_TIMEOUT,
             (rank, Some((word, _, _))) if busy(word) => {
-                BUSY_PATIENCE + Millis(RANK_PATIENCE.0 * u64::from(rank) / 4)
+                BUSY_TIMEOUT + Millis(RANK_STAGGER.0 * u64::from(rank) / 4)
             }
             (rank, _) => {
-                NEXT_PATIENCE + Millis(RANK_PATIENCE.0 * u64::from(rank))
+                NEXT_TIMEOUT + Millis(RANK_STAGGER.0 * u64::from(rank))
             }
         };
         let heard = self.word.as_ref().map_or(self.begun, |it| it.2);
-        now.since(heard) > patience
+        now.since(heard) > timeout
     }
 
     /// Takes in that a coordinator stops: the first in line need not wait
@@ -86,7 +86,7 @@
             && word.fence == fence
         {
             info!(self.log, "coordinator_stops"; "fence" => fence);
-            *heard = *heard - NEXT_PATIENCE;
+            *heard = *heard - NEXT_TIMEOUT;
             self.prompt = true;
         }
     }
@@ -102,7 +102,7 @@
         if stops || self.candidacy.is_some() || !self.misses_coordinator(now) {
             return;
         }
-        let again = |at: Millis| now.since(at) > AGAIN_TIME;
+        let again = |at: Millis| now.since(at) > RETRY_INTERVAL;
         if self.last.candidacy.is_none_or(again) {
             self.last.candidacy = Some(now);
             info!(self.log, "asks_for_number";
--- a/cowsliproad-rank/src/agent/orders.rs
+++ b/cowsliproad-rank/src/agent/orders.rs
@@ -151,7 +151,7 @@
         };
         if let Some(lead) = &mut self.lead {
             lead.take(status, Millis::now());
-            lead.look(self.shape.as_ref(), Millis::now());
+            lead.advance(self.shape.as_ref(), Millis::now());
         }
     }
 
--- a/cowsliproad-rank/src/agent/words.rs
+++ b/cowsliproad-rank/src/agent/words.rs
@@ -82,7 +82,7 @@
         self.last.told = Some(news);
         if let Some(lead) = &mut self.lead {
             lead.take(status, now);
-            lead.look(self.shape.as_ref(), now);
+            lead.advance(self.shape.as_ref(), now);
             self.speak(now).await;
             return;
         }
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -10,7 +10,7 @@
 use cowsliproad_kernel::{clock::Millis, gossip::Subscribe};
 use cowsliproad_mapswitch::order::{
     Absent, Config, Coordinator, Directive, Event, Experts, Follows, Order,
-    Sight, Standing, Version, due_at_holder,
+    Snapshot, Standing, Version, due_at_holder,
 };
 use cowsliproad_placement::{
     bound,
@@ -37,7 +37,7 @@
 /// How often the counts are summed.
 const SAMPLE_TIME: Millis = Millis(50);
 
-/// The shortest time between two looks for a better map.
+/// The shortest time between two searches for a better map.
 const PLAN_TIME: Millis = Millis(50);
 
 /// A coordinator and its view of the group.
@@ -169,48 +169,48 @@
         Growth { scale, units }.add_to(&mut self.total, experts);
     }
 
-    /// Looks at all ranks and goes on.
-    pub fn look(&mut self, shape: Option<&Subscribe>, now: Millis) {
-        let sights = self.sights(now);
+    /// Goes on by what all ranks report now.
+    pub fn advance(&mut self, shape: Option<&Subscribe>, now: Millis) {
+        let snapshots = self.snapshots(now);
         let absent = self.absent(shape, now);
-        let event = self.coordinator.look(&sights, absent, now);
+        let event = self.coordinator.advance(&snapshots, absent, now);
         self.note(event);
         if absent != Absent::Nobody {
             return;
         }
         self.sample(now);
         self.drop_overtaken();
-        let is_open = |it: &Sight| it.report.standing == Standing::Open;
-        let open = sights.iter().all(is_open);
+        let is_open = |it: &Snapshot| it.report.standing == Standing::Open;
+        let open = snapshots.iter().all(is_open);
         let due = now.since(self.planned) >= PLAN_TIME;
         if let Some(shape) = shape
             && self.coordinator.is_resting()
-            && self.directive().epoch == sights[0].report.epoch
+            && self.directive().epoch == snapshots[0].report.epoch
             && open
             && due
             && !self.stopping
         {
             self.planned = now;
-            self.consider(shape, &sights, now);
+            self.consider(shape, &snapshots, now);
         }
     }
 
     /// What is known freshly of the ranks.
-    fn sights(&self, now: Millis) -> Vec<Sight> {
+    fn snapshots(&self, now: Millis) -> Vec<Snapshot> {
         let fresh = self.ranks.values().filter(|it| now.since(it.1) < FRESH);
-        fresh.map(|it| self.sight(&it.0)).collect()
+        fresh.map(|it| self.snapshot(&it.0)).collect()
     }
 
     /// What a status says. An agent that has not heard of this coordinator
     /// may yet do what another told it.
-    fn sight(&self, status: &Status) -> Sight {
+    fn snapshot(&self, status: &Status) -> Snapshot {
         let follows = if status.fence >= self.fence() {
             Follows::Us
         } else {
             Follows::Another
         };
         let (report, seal) = (status.report.clone(), status.seal);
-        Sight { report, arms: status.arms, seal, follows }
+        Snapshot { report, arms: status.arms, seal, follows }
     }
 
     /// Who of the group is missing among them.
@@ -297,15 +297,20 @@
     }
 
     /// Begins a better map if there is one.
-    fn consider(&mut self, shape: &Subscribe, sights: &[Sight], now: Millis) {
+    fn consider(
+        &mut self,
+        shape: &Subscribe,
+        snapshots: &[Snapshot],
+        now: Millis,
+    ) {
         let Some(loads) = self.demand.loads() else { return };
         let shape_of_map = Shape {
-            ranks: sights.len(),
+            ranks: snapshots.len(),
             experts: usize::from(shape.experts),
             layers: usize::from(shape.sets),
             slots: usize::from(shape.places),
         };
-        let Some(present) = self.present(shape_of_map, sights) else {
+        let Some(present) = self.present(shape_of_map, snapshots) else {
             return;
         };
         let config = live::Config::new(usize::from(shape.spare))
@@ -316,7 +321,7 @@
         let Some(plan) = plan else {
             return;
         };
-        let version = self.coordinator.begin(sights, now);
+        let version = self.coordinator.begin(snapshots, now);
         let ideal = ideal_time(&loads, &speeds);
         let bound = bound::step_time(shape_of_map, &loads, &speeds) / ideal;
         info!(self.log, "map_planned"; "version" => version.0,
@@ -324,7 +329,7 @@
             "expected" => format!("{:.3}", plan.after),
             "bound" => format!("{bound:.3}"),
             "slowest" => speeds.iter().copied().fold(1.0, f64::min),
-            "copies" => plan.moves, "step" => sights[0].report.step,
+            "copies" => plan.moves, "step" => snapshots[0].report.step,
             "counted" => loads.iter().flatten().sum::<f64>());
         let directive = self.directive();
         let last = self.plan.replace(Plan {
@@ -337,11 +342,11 @@
     }
 
     /// The map in use, put together from what each rank has.
-    fn present(&self, shape: Shape, sights: &[Sight]) -> Option<Map> {
-        let version: Version = sights.first()?.report.map;
+    fn present(&self, shape: Shape, snapshots: &[Snapshot]) -> Option<Map> {
+        let version: Version = snapshots.first()?.report.map;
         if let Some(plan) = &self.used
             && plan.version == version
-            && sights.iter().all(|it| it.report.map == version)
+            && snapshots.iter().all(|it| it.report.map == version)
         {
             return Map::from_experts(shape, &plan.experts);
         }
--- a/cowsliproad-rank/tests/lead.rs
+++ b/cowsliproad-rank/tests/lead.rs
@@ -51,7 +51,7 @@
             era: Default::default(),
             copy_ms: 400,
         };
-        self.lead.look(Some(&shape), self.now);
+        self.lead.advance(Some(&shape), self.now);
     }
 
     fn status(&self, rank: u16) -> Status {
--- a/cowsliproad-routing/src/pick.rs
+++ b/cowsliproad-routing/src/pick.rs
@@ -240,8 +240,7 @@
     }
 
     /// The usual time of a rank of a group. All ranks go in step, so what one
-    /// of them took longer was the length of its answers. Taken for its own,
-    /// it sent 38 of 200 waiting requests to one rank of 16 and 13 to another.
+    /// of them took longer was the length of its answers.
     pub fn in_step(&self) -> f64 {
         self.mean
     }
--- a/tests/order/main.rs
+++ b/tests/order/main.rs
@@ -17,7 +17,7 @@
     kernel::clock::Millis,
     mapswitch::order::{
         self, Absent, Aim, Arms, Config, Coordinator, Directive, Epoch,
-        Follows, Order, Report, Seal, Sight, Standing, VERSIONS, Version,
+        Follows, Order, Report, Seal, Snapshot, Standing, VERSIONS, Version,
     },
 };
 
@@ -44,10 +44,10 @@
     /// Plans that the first coordinator makes.
     plans: u64,
     takeover: Takeover,
-    sights: Sights,
+    snapshots: Sights,
 }
 
-/// How old what a coordinator looks at may be. With old sights the scopes
+/// How old what a coordinator looks at may be. With old snapshots the scopes
 /// with a takeover have too many worlds.
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum Sights {
@@ -85,7 +85,7 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Chair {
     coordinator: Coordinator,
-    seen: BTreeMap<u16, (Sight, u64)>,
+    seen: BTreeMap<u16, (Snapshot, u64)>,
 }
 
 /// An order that went unanswered.
@@ -136,15 +136,15 @@
         let agent = Agent { fence: 0, word, unanswered: 0, sealed };
         let mut first = chair(1, FIRST);
         let report = |rank| Report::new(EPOCH, rank, RANKS);
-        let sight = |rank| Sight {
+        let snapshot = |rank| Snapshot {
             report: report(rank),
             arms: Arms::Answered,
             seal: Seal::Unheard,
             follows: Follows::Us,
         };
-        let sights: Vec<Sight> = (0..RANKS).map(sight).collect();
-        first.coordinator.look(&sights, Absent::Nobody, Millis(0));
-        first.coordinator.begin(&sights, Millis(0));
+        let snapshots: Vec<Snapshot> = (0..RANKS).map(snapshot).collect();
+        first.coordinator.advance(&snapshots, Absent::Nobody, Millis(0));
+        first.coordinator.begin(&snapshots, Millis(0));
         World {
             step: 0,
             mixed: false,
@@ -199,7 +199,7 @@
             }
             self.hear(rank, &mut worlds);
             self.obey(rank, scope, &mut worlds);
-            if scope.sights == Sights::Any {
+            if scope.snapshots == Sights::Any {
                 self.tell(rank, &mut worlds);
             }
         }
@@ -327,7 +327,7 @@
     /// A rank's agent tells a coordinator how its engine stands.
     fn tell(&self, rank: u16, worlds: &mut Vec<World>) {
         let agent = &self.agents[usize::from(rank)];
-        let sight = Sight {
+        let snapshot = Snapshot {
             report: self.report(rank),
             arms: self.arms(rank),
             seal: self.seal(rank),
@@ -337,11 +337,11 @@
             if index == 0 && self.frozen {
                 continue;
             }
-            let told = (sight.clone(), agent.fence);
+            let told = (snapshot.clone(), agent.fence);
             let seen = self.chairs[index].seen.get(&rank);
             // A report that shows another pass and nothing else is news only
             // together with another rank's.
-            let same = |it: &(Sight, u64)| {
+            let same = |it: &(Snapshot, u64)| {
                 let mut old = it.clone();
                 old.0.report.step = self.step;
                 old == told
@@ -351,24 +351,24 @@
             }
             let mut world = self.clone();
             world.chairs[index].seen.insert(rank, told);
-            for (sight, _) in world.chairs[index].seen.values_mut() {
-                sight.report.step = self.step;
+            for (snapshot, _) in world.chairs[index].seen.values_mut() {
+                snapshot.report.step = self.step;
             }
             worlds.push(world);
         }
     }
 
     fn look(&self, index: usize, scope: &Scope, worlds: &mut Vec<World>) {
-        let sights = match scope.sights {
-            Sights::Any => self.chairs[index].sights(),
+        let snapshots = match scope.snapshots {
+            Sights::Any => self.chairs[index].snapshots(),
             Sights::Fresh => self.fresh(index),
         };
-        let all = sights.len() == usize::from(RANKS);
+        let all = snapshots.len() == usize::from(RANKS);
         if all {
-            self.look_at(index, &sights, Absent::Nobody, scope, worlds);
+            self.look_at(index, &snapshots, Absent::Nobody, scope, worlds);
         }
         // A successor may take its predecessor to be gone, rightly or not.
-        let others: Vec<Sight> = sights
+        let others: Vec<Snapshot> = snapshots
             .iter()
             .filter(|it| it.report.rank != FIRST)
             .cloned()
@@ -380,38 +380,38 @@
     }
 
     /// What all ranks in reach would say now.
-    fn fresh(&self, index: usize) -> Vec<Sight> {
+    fn fresh(&self, index: usize) -> Vec<Snapshot> {
         let fence = self.chairs[index].coordinator.fence();
         let in_reach = (0..RANKS).filter(|it| !self.is_out_of_reach(*it));
-        let sight = |rank: u16| {
+        let snapshot = |rank: u16| {
             let agent = &self.agents[usize::from(rank)];
-            Sight {
+            Snapshot {
                 report: self.report(rank),
                 arms: self.arms(rank),
                 seal: self.seal(rank),
                 follows: follows(agent.fence, fence),
             }
         };
-        in_reach.map(sight).collect()
+        in_reach.map(snapshot).collect()
     }
 
     fn look_at(
         &self,
         index: usize,
-        sights: &[Sight],
+        snapshots: &[Snapshot],
         absent: Absent,
         scope: &Scope,
         worlds: &mut Vec<World>,
     ) {
         let mut world = self.clone();
         let coordinator = &mut world.chairs[index].coordinator;
-        coordinator.look(sights, absent, Millis(0));
+        coordinator.advance(snapshots, absent, Millis(0));
         let plans = index == 0
             && self.planned < scope.plans
             && coordinator.is_resting()
             && coordinator.directive().epoch == EPOCH;
         if plans {
-            coordinator.begin(sights, Millis(0));
+            coordinator.begin(snapshots, Millis(0));
             world.planned += 1;
         }
         if world != *self {
@@ -501,14 +501,14 @@
 }
 
 impl Chair {
-    fn sights(&self) -> Vec<Sight> {
+    fn snapshots(&self) -> Vec<Snapshot> {
         let fence = self.coordinator.fence();
-        let sight = |(sight, known): &(Sight, u64)| {
-            let mut sight = sight.clone();
-            sight.follows = follows(*known, fence);
-            sight
+        let snapshot = |(snapshot, known): &(Snapshot, u64)| {
+            let mut snapshot = snapshot.clone();
+            snapshot.follows = follows(*known, fence);
+            snapshot
         };
-        self.seen.values().map(sight).collect()
+        self.seen.values().map(snapshot).collect()
     }
 }
 
@@ -593,7 +593,7 @@
         late: 2,
         plans: 1,
         takeover: Takeover::Never,
-        sights: Sights::Any,
+        snapshots: Sights::Any,
     });
 }
 
@@ -604,7 +604,7 @@
         late: 1,
         plans: 2,
         takeover: Takeover::Never,
-        sights: Sights::Any,
+        snapshots: Sights::Any,
     });
 }
 
@@ -615,7 +615,7 @@
         late: 0,
         plans: 1,
         takeover: Takeover::Once,
-        sights: Sights::Fresh,
+        snapshots: Sights::Fresh,
     });
 }
 
@@ -626,13 +626,13 @@
         late: 1,
         plans: 1,
         takeover: Takeover::Once,
-        sights: Sights::Fresh,
+        snapshots: Sights::Fresh,
     });
 }
 
 /// What the successor of a frozen coordinator sees: all others are armed.
-fn left_by_a_frozen(seal: Seal) -> Vec<Sight> {
-    let sight = |rank| Sight {
+fn left_by_a_frozen(seal: Seal) -> Vec<Snapshot> {
+    let snapshot = |rank| Snapshot {
         report: Report {
             epoch: EPOCH,
             rank,
@@ -648,15 +648,15 @@
         seal,
         follows: Follows::Us,
     };
-    (0..RANKS).filter(|it| *it != FIRST).map(sight).collect()
+    (0..RANKS).filter(|it| *it != FIRST).map(snapshot).collect()
 }
 
 fn aim_of_a_successor(seal: Seal, predecessor: u64) -> Aim {
     let mut successor = chair(2, SECOND).coordinator;
-    let sights = left_by_a_frozen(seal);
+    let snapshots = left_by_a_frozen(seal);
     let absent = Absent::Predecessor(predecessor);
     for _ in 0..2 {
-        successor.look(&sights, absent, Millis(0));
+        successor.advance(&snapshots, absent, Millis(0));
     }
     successor.directive().aim
 }
--- a/tests/properties/quarantine.rs
+++ b/tests/properties/quarantine.rs
@@ -1,4 +1,4 @@
-//! Work that ends its targets: who is refused, who is not, and that all
+//! Requests that crash their targets: who is refused, who is not, and that all
 //! entries come to the same whatever they hear when.
 
 use cowsliproad::{
