tests: show what a crash of one rank does to its group

A request that crashed a rank at 5.435 s was sent to the group's next formation as soon as it had opened, and crashed two ranks at 9.877 s. And from 9.9 s, when every entry had its agent's word that the rank was gone, until 11.4 s, when engines said so, 250 requests were sent to the ranks that were left; 430 were given back at that moment.

--- /dev/null
+++ b/cowsliproad-direct/tests/entry/group_crashes.rs
@@ -0,0 +1,213 @@
+//! A rank of a lock-step group crashes, which stops the whole group.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cowsliproad_net::client::Client;
+use cowsliproad_platform_standin::target::{Config, Target};
+use futures_util::future::join_all;
+use http::{StatusCode, header::RETRY_AFTER};
+use tokio::time::sleep;
+
+use crate::{
+    harness::{Entry, KEY, Plant, numbers, tell_lost, until},
+    streams::Agents,
+};
+
+/// The body of a request that crashes its target.
+const POISON: &str = "poison";
+
+/// By then a group whose rank is gone is known to stand.
+const BOUND: Duration = Duration::from_millis(300);
+
+/// The longest that work is rejected that ran on one crashed rank.
+const MAX_SUSPENSION_S: f64 = 30.0;
+
+/// Entries before the ranks of a group.
+struct Scene {
+    plant: Plant,
+    entries: Vec<Entry>,
+    ranks: Vec<Arc<Target>>,
+    agents: Vec<Arc<Agents>>,
+}
+
+impl Scene {
+    async fn start(ranks: usize) -> Scene {
+        let mut plant = Plant::start().await;
+        let mut targets = Vec::new();
+        for number in 0..ranks {
+            targets.push(rank(&mut plant, number).await);
+        }
+        let entries = plant.entries(3).await;
+        let mut scene =
+            Scene { plant, entries, ranks: targets, agents: Vec::new() };
+        let targets: Vec<&Arc<Target>> = scene.ranks.iter().collect();
+        for entry in &scene.entries {
+            scene.agents.push(Agents::start(entry, &targets).await);
+        }
+        for entry in &scene.entries {
+            until("the ranks are used", async || {
+                let answer = entry.status("/stream/a", KEY).await;
+                answer == Some(StatusCode::OK)
+            })
+            .await;
+        }
+        scene
+    }
+
+    fn ended(&self) -> Vec<&Arc<Target>> {
+        self.ranks.iter().filter(|it| it.has_ended()).collect()
+    }
+
+    /// Has a rank end by its agent's word.
+    async fn lose(&self, rank: &Target) {
+        let address = rank.address().expect("it listened");
+        for agents in &self.agents {
+            agents.change(|loads| loads.retain(|it| it.target != address));
+        }
+        for entry in &self.entries {
+            tell_lost(address, entry.settings.peer_address()).await;
+        }
+    }
+
+    /// Has the ranks that are left open in a new formation.
+    async fn form_again(&self) {
+        for agents in &self.agents {
+            agents
+                .change(|loads| loads.iter_mut().for_each(|it| it.epoch = 2));
+        }
+        for entry in &self.entries {
+            until("the group is used again", async || {
+                let answer = entry.status("/stream/a", KEY).await;
+                answer == Some(StatusCode::OK)
+            })
+            .await;
+        }
+    }
+
+    /// Crashes a rank with a request through the first entry.
+    async fn crash(&self) {
+        let poison = self.entries[0].ask_with("/stream/a", KEY, POISON);
+        let ending = async {
+            until("a rank has ended", async || !self.ended().is_empty()).await;
+            for rank in self.ended() {
+                self.lose(rank).await;
+            }
+            // Both its retry and its caller's return find the group formed.
+            self.form_again().await;
+        };
+        let _ = tokio::join!(poison, ending);
+    }
+}
+
+async fn rank(plant: &mut Plant, number: usize) -> Arc<Target> {
+    let config = Config::new(&format!("i-{number}"), "model", "a")
+        .with_events(20, Duration::from_millis(10))
+        .with_deadly(POISON);
+    plant.target_with(config).await
+}
+
+/// Guards against a request that crashes one formation of a group after the
+/// other, until three crashes are counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_crashed_a_rank_is_not_sent_to_its_group_again() {
+    let scene = Scene::start(5).await;
+    scene.crash().await;
+    assert_eq!(scene.ended().len(), 1);
+    for entry in scene.entries.iter().chain(&scene.entries) {
+        let answer = entry.ask_with("/stream/a", KEY, POISON).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(scene.ended().len(), 1, "{}", entry.settings.vm);
+        assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+        let after = answer.headers().get(RETRY_AFTER).expect("a time");
+        let after: f64 =
+            after.to_str().expect("text").parse().expect("a number");
+        assert!((1.0..=MAX_SUSPENSION_S).contains(&after), "{after}");
+        assert_eq!(entry.status("/stream/a", KEY).await, Some(StatusCode::OK));
+    }
+}
+
+/// Guards against rejecting what ran on the rank when another request crashed
+/// it.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_had_begun_to_answer_is_served_after_the_crash() {
+    let mut scene = Scene::start(1).await;
+    let entry = &scene.entries[0];
+    let request = entry.request("/stream/a", KEY, "innocent");
+    let innocent = tokio::spawn(async move {
+        Client::new().call(request, 1 << 20, Duration::from_secs(10)).await
+    });
+    let sent = scene.ranks[0].sent();
+    until("it has begun", async || scene.ranks[0].sent() > sent + 1).await;
+    let second = rank(&mut scene.plant, 1).await;
+    scene.ranks.push(second);
+    for (entry, agents) in scene.entries.iter().zip(&scene.agents) {
+        let more = crate::harness::report(&scene.ranks[1]);
+        agents.change(|loads| loads.push(more));
+        until("both ranks are known", async || {
+            entry.metric("targets").await == Some(2.0)
+        })
+        .await;
+    }
+    // The poison may go to either rank.
+    scene.crash().await;
+    let answer = innocent.await.expect("no panic").expect("an answer");
+    assert_eq!(numbers(answer.body()), (1..=20).collect::<Vec<_>>());
+    for entry in &scene.entries {
+        let answer = entry.ask_with("/stream/a", KEY, "innocent").await;
+        assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+    }
+}
+
+/// Guards against sending requests to ranks that wait for one that is gone:
+/// until their engines say so, a second and a half later, they take requests
+/// and begin none.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_whose_rank_is_gone_gets_nothing_before_it_forms_again() {
+    let scene = Scene::start(4).await;
+    for agents in &scene.agents {
+        agents.stop();
+    }
+    scene.lose(&scene.ranks[0]).await;
+    let lost = Instant::now();
+    sleep(BOUND).await;
+    let before: u64 = scene.ranks.iter().map(|it| it.arrivals()).sum();
+    let requests =
+        scene.entries.iter().map(|it| it.request("/stream/a", KEY, ""));
+    let requests = requests.map(|it| async move {
+        Client::new().call(it, 1 << 20, Duration::from_secs(10)).await
+    });
+    let waiting = tokio::spawn(join_all(requests.collect::<Vec<_>>()));
+    while lost.elapsed() < Duration::from_millis(1_000) {
+        sleep(Duration::from_millis(20)).await;
+        let now: u64 = scene.ranks.iter().map(|it| it.arrivals()).sum();
+        assert_eq!(now, before, "{:?}", lost.elapsed());
+    }
+    scene.form_again().await;
+    for answer in waiting.await.expect("no panic") {
+        let answer = answer.expect("an answer");
+        assert_eq!(numbers(answer.body()), (1..=20).collect::<Vec<_>>());
+    }
+}
+
+/// Guards against taking a group for standing for good by a wrong word.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_that_goes_on_is_used_whatever_is_said_of_a_rank() {
+    let scene = Scene::start(4).await;
+    for entry in &scene.entries {
+        let address = scene.ranks[0].address().expect("it listens");
+        tell_lost(address, entry.settings.peer_address()).await;
+    }
+    let told = Instant::now();
+    sleep(BOUND).await;
+    for entry in &scene.entries {
+        until("the group is used again", async || {
+            let answer = entry.status("/stream/a", KEY).await;
+            answer == Some(StatusCode::OK)
+        })
+        .await;
+    }
+    assert!(told.elapsed() < Duration::from_secs(2), "{:?}", told.elapsed());
+}
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod cooldown_siege;
 mod cooldowns;
+mod group_crashes;
 mod harness;
 mod leaving;
 mod limit_siege;
--- a/cowsliproad-direct/tests/entry/streams.rs
+++ b/cowsliproad-direct/tests/entry/streams.rs
@@ -91,7 +91,7 @@
 }
 
 /// What the agents of some targets tell an entry.
-struct Agents {
+pub struct Agents {
     loads: Mutex<Vec<Load>>,
     /// Whether the group's passes go on.
     going: AtomicBool,
@@ -99,7 +99,10 @@
 
 impl Agents {
     /// Reports for targets, ten times a second, until the test ends.
-    async fn start(entry: &Entry, targets: &[&Arc<Target>]) -> Arc<Agents> {
+    pub async fn start(
+        entry: &Entry,
+        targets: &[&Arc<Target>],
+    ) -> Arc<Agents> {
         let load = |target: &&Arc<Target>| report(target);
         let agents = Arc::new(Agents {
             loads: Mutex::new(targets.iter().map(load).collect()),
@@ -127,9 +130,15 @@
         agents
     }
 
-    fn change(&self, with: impl FnOnce(&mut Vec<Load>)) {
+    /// Has them report something else.
+    pub fn change(&self, with: impl FnOnce(&mut Vec<Load>)) {
         with(&mut self.loads.lock().expect("no panic"));
     }
+
+    /// Has the group begin no more passes.
+    pub fn stop(&self) {
+        self.going.store(false, Ordering::Relaxed);
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
