entry: send nothing to a group whose rank is gone

Cause: passes need all ranks, but the agent's word that one is gone was kept of that rank only; the others looked open until their engines had waited for it.

The word now halts the group at each entry, until a new formation, an engine's report that it is broken, passes that go on (the word was wrong), or 2.5 s.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -203,6 +203,16 @@
 struct Formation {
     epoch: u64,
     open: bool,
+    /// Whether it waits for a rank whose process is gone.
+    halt: Option<Halt>,
+}
+
+/// A group that is taken to begin no more passes.
+#[derive(Clone, Copy, Debug)]
+struct Halt {
+    at: Millis,
+    /// The pass that a rank reported first after that.
+    step: Option<u64>,
 }
 
 /// A target that was chosen.
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -176,7 +176,7 @@
             fitting += 1;
             let held = endpoint.borrow();
             let group = held.group.as_ref();
-            let closed = group.is_some_and(|it| !self.is_open(it));
+            let closed = group.is_some_and(|it| !self.is_open(it, now));
             if closed || reported && !known(&held.group) {
                 continue;
             }
--- a/cowsliproad-direct/src/entry/groups.rs
+++ b/cowsliproad-direct/src/entry/groups.rs
@@ -3,7 +3,13 @@
 use cowsliproad_kernel::{Name, clock::Millis};
 use slog::info;
 
-use super::{Choice, Entry, Formation, Group};
+use super::{Choice, Entry, Formation, Group, Halt};
+
+impl Formation {
+    fn is_halted(&self, now: Millis) -> bool {
+        self.halt.is_some_and(|it| now.since(it.at) < HALT_TTL)
+    }
+}
 
 impl Entry {
     /// Notes that a target called its group broken. All of its ranks refuse
@@ -21,7 +27,7 @@
     /// that waited.
     pub fn note_formation(&self, group: &Name, epoch: u64, open: bool) {
         let mut formations = self.formations.borrow_mut();
-        let new = Formation { epoch, open };
+        let new = Formation { epoch, open, halt: None };
         let known = formations.entry(group.clone()).or_insert(new);
         let broke = known.epoch == epoch && known.open && !open;
         if known.epoch < epoch || broke {
@@ -31,11 +37,43 @@
         }
     }
 
+    /// Notes that a rank's process is gone. Passes need all ranks, so the
+    /// others begin nothing, though their engines say so only once they have
+    /// waited for it in vain.
+    pub fn note_lost_rank(&self, group: &Group, now: Millis) {
+        let mut formations = self.formations.borrow_mut();
+        let Some(known) = formations.get_mut(&group.name) else { return };
+        if known.epoch == group.epoch && known.open && known.halt.is_none() {
+            info!(self.log, "group_halted"; "group" => &*group.name,
+                "epoch" => known.epoch);
+            known.halt = Some(Halt { at: now, step: None });
+        }
+    }
+
+    /// Notes a pass that a rank reports. A group that goes on has lost none.
+    pub fn note_step(&self, group: &Name, epoch: u64, step: u64, now: Millis) {
+        let mut formations = self.formations.borrow_mut();
+        let Some(known) = formations.get_mut(group) else { return };
+        let Some(halt) = known.halt.as_mut().filter(|_| known.epoch == epoch)
+        else {
+            return;
+        };
+        if now.since(halt.at) < REPORT_LATENCY {
+            return;
+        }
+        let first = *halt.step.get_or_insert(step);
+        if step > first + HALTING_STEPS {
+            info!(self.log, "group_goes_on"; "group" => &**group,
+                "epoch" => epoch, "step" => step);
+            known.halt = None;
+        }
+    }
+
     /// Whether a group takes requests, as far as is known.
-    pub(super) fn is_open(&self, group: &Group) -> bool {
+    pub(super) fn is_open(&self, group: &Group, now: Millis) -> bool {
         let formations = self.formations.borrow();
         let newest = formations.get(&group.name);
-        newest.map_or(group.open, |it| it.open)
+        newest.map_or(group.open, |it| it.open && !it.is_halted(now))
     }
 
     /// Whether the agent beside a target spoke lately.
@@ -73,5 +111,17 @@
     }
 }
 
+/// What a report may have taken on its way: one that came sooner after a
+/// rank's end may be from before it.
+const REPORT_LATENCY: Millis = Millis(100);
+
+/// Passes that ranks may report in turn though no new one has begun: the one
+/// under way when a rank ended.
+const HALTING_STEPS: u64 = 1;
+
+/// By then the engines of a group that waits for a rank have said so. An idle
+/// group begins no passes that could tell.
+const HALT_TTL: Millis = Millis(2_500);
+
 /// An agent that two reports are missing of is silent.
 pub(super) const AGENT_TIMEOUT: Millis = Millis(1_000);
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -548,6 +548,7 @@
     };
     let after = stands(&group);
     entry.note_formation(&group.name, group.epoch, group.open);
+    entry.note_step(&group.name, group.epoch, group.step, now);
     endpoint.group = Some(group);
     drop(endpoint);
     if before != Some(after) {
@@ -568,6 +569,9 @@
     let before = endpoint.borrow_mut().lost.replace(now);
     if before.is_none() {
         info!(entry.log, "target_lost"; "target" => &*target.id);
+        if let Some(group) = &endpoint.borrow().group {
+            entry.note_lost_rank(group, now);
+        }
         entry.tell_news();
     }
 }
