entry: suspend what a rank ran at its crash

The request reached each new formation in its first second, until three ends were counted. Cause: the bound was made for targets that end alone.

What a rank ran at its crash without a first event is now suspended at all entries: 30 s, 60 s after a second end, refused from the third on as before.

Three tests failed before.

--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -7,6 +7,13 @@
 //! [`ENDS`] targets have ended under one piece of work, all entries refuse
 //! it ([`Ledger::verdict`]).
 //!
+//! Where targets go in lock-step, the end of one stops its whole group, and
+//! three would stop it three times. So what a rank ran at its end and had not
+//! begun to answer is suspended at once ([`Ledger::suspend`]): not sent
+//! anywhere for [`SUSPENSION_TTL`], and twice as long after each further end.
+//! That rejects, for so long, requests that ran there by chance; it is bounded
+//! by what one rank runs, and what some target outlived is not suspended.
+//!
 //! Others work beside it, and targets end for other reasons, so that alone
 //! proves little, and what it can prove wrongly is kept small:
 //!
@@ -122,6 +129,9 @@
 /// finding out whether it still ends them.
 pub const REJECT_TTL: Millis = Millis(60 * 60 * 1_000);
 
+/// How long work is suspended under which a rank of a group ended.
+pub const SUSPENSION_TTL: Millis = Millis(30_000);
+
 /// How long own news is told: eight digests, of which seven may be lost.
 const BROADCAST_TTL: Millis = Millis(4_000);
 
@@ -159,6 +169,9 @@
 /// of one another would keep work in mind for that much longer.
 const MAX_LATENCY: Millis = Millis(1_000);
 
+/// The longest suspension, before what is suspended is refused.
+const MAX_SUSPENSION: Millis = Millis(SUSPENSION_TTL.0 << (ENDS - 2));
+
 /// How often what is due is looked for.
 const SWEEP_INTERVAL: Millis = Millis(10_000);
 
@@ -173,6 +186,8 @@
     Free,
     /// It is refused, and may be tried again after this time.
     Refused(Millis),
+    /// It is suspended for this time.
+    Suspended(Millis),
 }
 
 /// How news changed what is known of a piece of work.
@@ -182,6 +197,8 @@
     None,
     /// It is suspected, or less so.
     Suspected,
+    /// It is suspended.
+    Suspended,
     /// It is refused from now on.
     Refused,
     /// It is refused no longer.
@@ -210,6 +227,8 @@
     seen: Millis,
     /// Since when it is refused.
     since: Option<Millis>,
+    /// Until when it is suspended.
+    suspended_until: Option<Millis>,
     /// Until when it is told.
     told_until: Millis,
 }
@@ -235,13 +254,31 @@
         }
         let now = now + BEFORE;
         let case = self.cases.get(&work).filter(|it| !it.is_over(now));
-        match case.and_then(|it| it.since) {
-            None => Verdict::Free,
-            Some(since) => {
-                let longest = (since + REJECT_TTL).since(now);
-                Verdict::Refused(SUSPECT_TTL.min(longest))
-            }
+        let Some(case) = case else { return Verdict::Free };
+        if let Some(since) = case.since {
+            let longest = (since + REJECT_TTL).since(now);
+            return Verdict::Refused(SUSPECT_TTL.min(longest));
         }
+        let left = case.suspended_until.map(|it| it.since(now));
+        let left = left.filter(|it| *it > Millis(0));
+        left.map_or(Verdict::Free, Verdict::Suspended)
+    }
+
+    /// Suspends work under which a rank of a group ended, unless some target
+    /// is known to have outlived it.
+    pub fn suspend(&mut self, work: Work, now: Millis) -> Change {
+        let now = now + BEFORE;
+        let Some(case) = self.cases.get_mut(&work) else {
+            return Change::None;
+        };
+        if case.proven || case.ends.is_empty() || case.since.is_some() {
+            return Change::None;
+        }
+        let doublings = case.ends.len() as u32 - 1;
+        case.suspended_until =
+            Some(now + Millis(SUSPENSION_TTL.0 << doublings));
+        case.told_until = now + BROADCAST_TTL;
+        Change::Suspended
     }
 
     /// Notes that refused work came again.
@@ -260,6 +297,7 @@
             proven: false,
             idle: Millis(0),
             refused: None,
+            suspended: None,
         };
         self.learn(&seen, BROADCAST_TTL, now)
     }
@@ -313,10 +351,12 @@
             proven: outlived,
             seen: now - told.idle,
             since: None,
+            suspended_until: None,
             told_until: now,
         });
         if case.is_over(now) {
             case.since = None;
+            case.suspended_until = None;
             case.ends.clear();
         }
         if now.since(case.seen) > told.idle + MAX_LATENCY {
@@ -341,8 +381,10 @@
             }
         }
         let after = (case.ends.len(), case.excused.len(), case.proven);
-        let is_news = after != before;
-        let is_passed_on = case.ends.len() >= PASSED_ON_ENDS || case.proven;
+        let suspends = case.hear_suspension(told.suspended, now);
+        let is_news = after != before || suspends;
+        let is_passed_on =
+            case.ends.len() >= PASSED_ON_ENDS || case.proven || suspends;
         if misses || is_news && (is_passed_on || telling == BROADCAST_TTL) {
             case.told_until = case.told_until.max(now + telling);
         }
@@ -351,6 +393,7 @@
             *since = (*since).min(now - refused);
         }
         match change {
+            Change::None if suspends => Change::Suspended,
             Change::None if is_news => Change::Suspected,
             change => change,
         }
@@ -499,8 +542,27 @@
         }
     }
 
-    /// Sees whether it is to be refused.
+    /// Takes in how long others suspend it. Returns whether that is longer
+    /// than was known, by more than the words take on their way: each telling
+    /// would prolong it.
+    fn hear_suspension(&mut self, told: Option<Millis>, now: Millis) -> bool {
+        let Some(told) = told.filter(|_| !self.proven) else { return false };
+        let until = now + told.min(MAX_SUSPENSION);
+        let known = self.suspended_until.unwrap_or_default();
+        let is_longer = until > known + MAX_LATENCY && !self.ends.is_empty();
+        if is_longer {
+            self.suspended_until = Some(until);
+        }
+        is_longer
+    }
+
+    /// Sees whether it is to be refused. What no end is held against is not
+    /// suspended either.
     fn judge(&mut self, now: Millis) -> Change {
+        let was_suspended = self.suspended_until.is_some_and(|it| it > now);
+        if self.proven || self.ends.is_empty() {
+            self.suspended_until = None;
+        }
         let most = if self.proven { PROVEN_ENDS } else { ENDS };
         let refused = self.ends.len() >= most;
         match (self.since, refused) {
@@ -512,6 +574,11 @@
                 self.since = None;
                 Change::Freed
             }
+            (None, false)
+                if was_suspended && self.suspended_until.is_none() =>
+            {
+                Change::Freed
+            }
             _ => Change::None,
         }
     }
@@ -533,6 +600,10 @@
             proven: self.proven,
             idle: now.since(self.seen),
             refused: self.since.map(|it| now.since(it)),
+            suspended: self
+                .suspended_until
+                .map(|it| it.since(now))
+                .filter(|it| *it > Millis(0)),
         }
     }
 }
--- a/cowsliproad-direct/src/attempt.rs
+++ b/cowsliproad-direct/src/attempt.rs
@@ -23,6 +23,8 @@
     until: Millis,
     /// When it was written to a connection.
     sent: Cell<Option<Millis>>,
+    /// Whether an event of its answer came.
+    has_progress: Cell<bool>,
     /// Whether it is known, or asked, what became of the target.
     settled: Cell<bool>,
 }
@@ -38,6 +40,7 @@
             began: Millis::now(),
             until: call.until,
             sent: Cell::new(None),
+            has_progress: Cell::new(false),
             settled: Cell::new(false),
         }
     }
@@ -85,6 +88,11 @@
         self.entry.note_answer(target, sent, Millis::now());
     }
 
+    /// Notes an event of its answer.
+    pub fn progress(&self) {
+        self.has_progress.set(true);
+    }
+
     /// Notes a good answer.
     pub fn success(&self) {
         let now = Millis::now();
@@ -134,7 +142,9 @@
     fn suspect(&self, new: impl FnOnce(Name, Work) -> Suspicion) {
         if !self.settled.replace(true) && self.sent.get().is_some() {
             let (request, work) = self.call.clone();
-            ends::suspect(&self.entry, &self.choice, new(request, work));
+            let suspect = new(request, work);
+            let suspect = suspect.with_progress(self.has_progress.get());
+            ends::suspect(&self.entry, &self.choice, suspect);
         }
     }
 }
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -51,8 +51,15 @@
                 (entry.news.notified(), entry.freed.notified());
             let now = Millis::now();
             let verdict = entry.quarantine.borrow_mut().admit(self.work, now);
-            if let Verdict::Refused(after) = verdict {
-                return Err(self.reject_with(entry, Reason::Poison(after)));
+            match verdict {
+                Verdict::Free => {}
+                Verdict::Refused(after) => {
+                    return Err(self.reject_with(entry, Reason::Poison(after)));
+                }
+                Verdict::Suspended(after) => {
+                    let reason = Reason::Suspended(after);
+                    return Err(self.reject_with(entry, reason));
+                }
             }
             let ahead = self.share_of(wait.since(now));
             let shortage = match self.choose(entry, now, ahead) {
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -43,6 +43,9 @@
     Busy(Millis),
     /// Targets crashed each time they ran it.
     Poison(Millis),
+    /// A rank of a group crashed as it ran it, and it is not sent to another
+    /// one before so long.
+    Suspended(Millis),
 }
 
 /// The pause after a connection broke under a request. It gives connections to
@@ -154,6 +157,10 @@
                 entry.measure.quarantined("request");
                 ("targets ended each time they ran this\n", after)
             }
+            Reason::Suspended(after) => {
+                entry.measure.quarantined("suspended request");
+                ("a target ended while it ran this\n", after)
+            }
         };
         info!(entry.log, "rejected"; "request" => &*self.id,
             "reason" => ?reason, "certainty" => ?self.certainty,
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -24,7 +24,10 @@
 use slog::info;
 use tokio::{net::TcpStream, time::sleep};
 
-use crate::entry::{Choice, Endpoint, Entry};
+use crate::{
+    entry::{Choice, Endpoint, Entry},
+    quarantine::Extent,
+};
 
 /// What a report or answer may have taken on its way: one that came sooner
 /// after a break may be from before it.
@@ -66,13 +69,27 @@
     lingers: Millis,
     /// Until when the target may be at work on it at all.
     until: Millis,
+    /// Whether the target had begun to answer it.
+    has_progress: bool,
 }
 
 impl Suspicion {
     /// A request whose connection broke.
     pub fn broken(request: Name, work: Work) -> Suspicion {
         let at = Millis::now();
-        Suspicion { request, work, at, lingers: Millis(0), until: at }
+        Suspicion {
+            request,
+            work,
+            at,
+            lingers: Millis(0),
+            until: at,
+            has_progress: false,
+        }
+    }
+
+    /// One of whose answer an event had come.
+    pub fn with_progress(self, has_progress: bool) -> Suspicion {
+        Suspicion { has_progress, ..self }
     }
 
     /// A request that was given up here, and that the target may go on with
@@ -248,8 +265,16 @@
 /// Notes that a target ended under a request.
 fn note_end(entry: &Entry, choice: &Choice, suspect: &Suspicion) {
     let age = Millis::now().since(suspect.at);
+    // Of what a rank runs, most has begun to answer, and one that crashes it
+    // mostly does so before that.
+    let in_group = choice.endpoint.borrow().group.is_some();
+    let is_likely = !suspect.has_progress && !suspect.is_given_up();
+    let extent = match in_group && is_likely {
+        true => Extent::Group,
+        false => Extent::Target,
+    };
     info!(entry.log, "ended_under"; "target" => &*choice.target.id,
         "request" => &*suspect.request, "work" => %suspect.work,
-        "known_after" => age.0);
-    entry.note_ended(&choice.target, suspect.work, Millis::now());
+        "known_after" => age.0, "extent" => ?extent);
+    entry.note_ended(&choice.target, suspect.work, extent, Millis::now());
 }
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -96,6 +96,15 @@
     announced: Option<(u64, Millis)>,
 }
 
+/// What stops working with a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Extent {
+    /// It alone.
+    Target,
+    /// The group that goes in lock-step with it.
+    Group,
+}
+
 /// What the log keeps of a piece of work.
 #[derive(Debug, Deserialize, Serialize)]
 struct Kept {
@@ -196,15 +205,27 @@
 }
 
 impl Entry {
-    /// Notes that a target ended under work.
-    pub fn note_ended(&self, target: &Target, work: Work, now: Millis) {
+    /// Notes that a target ended under work, and with it a whole group or the
+    /// target alone.
+    pub fn note_ended(
+        &self,
+        target: &Target,
+        work: Work,
+        extent: Extent,
+        now: Millis,
+    ) {
         let mut quarantine = self.quarantine.borrow_mut();
         let end = quarantine.ledger.end_of(&target.id, target.start.0);
         quarantine.watch(end, now);
         quarantine.own.insert(work);
         let change = quarantine.ledger.ended(work, end, now);
+        let suspended = match extent {
+            Extent::Group => quarantine.ledger.suspend(work, now),
+            Extent::Target => Change::None,
+        };
         drop(quarantine);
         self.judged(work, change, Source::Own);
+        self.judged(work, suspended, Source::Own);
     }
 
     /// Notes that a target outlived work.
@@ -322,6 +343,7 @@
         if change == Change::None {
             return;
         }
+        let now = Millis::now();
         let ends = self.quarantine.borrow().ledger.ends(work);
         match change {
             Change::None | Change::Suspected => {}
@@ -332,6 +354,14 @@
                 // Requests that wait with it are answered now.
                 self.tell_news();
             }
+            Change::Suspended => {
+                let until = self.quarantine.borrow().ledger.verdict(work, now);
+                info!(self.log, "work_suspended"; "work" => %work,
+                    "ends" => ends, "verdict" => ?until,
+                    "source" => ?source);
+                self.measure.quarantined("suspended");
+                self.tell_news();
+            }
             Change::Freed => {
                 info!(self.log, "work_freed"; "work" => %work,
                     "ends" => ends, "source" => ?source);
@@ -495,6 +525,8 @@
 fn value_of(entry: &Entry, work: Work) -> Vec<u8> {
     let suspect =
         entry.quarantine.borrow().ledger.suspect(work, Millis::now());
+    // A suspension is over before others read it again.
+    let suspect = suspect.map(|it| Suspect { suspended: None, ..it });
     let kept = suspect.map(|suspect| Kept { suspect, at: unix_now() });
     kept.map(|it| gossip::encode(&it)).unwrap_or_default()
 }
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -206,6 +206,7 @@
     async fn next(&mut self, entry: &Entry, end: Instant) -> Next {
         loop {
             if let Some(event) = self.splitter.pop() {
+                self.attempt.progress();
                 return Next::Event(event);
             }
             if self.splitter.is_over_long() {
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -293,8 +293,12 @@
         let permit = match quarantine::verdict(&self.shared, order) {
             Verdict::Free => Permit::Run,
             // What became of earlier submissions is still told.
-            Verdict::Refused(_) if may_be_known(order) => Permit::Recall,
-            Verdict::Refused(after) => {
+            Verdict::Refused(_) | Verdict::Suspended(_)
+                if may_be_known(order) =>
+            {
+                Permit::Recall
+            }
+            Verdict::Refused(after) | Verdict::Suspended(after) => {
                 let (shared, ran) = (&self.shared, self.ran());
                 let failure = quarantine::refusal(shared, order, ran, after);
                 return self.fail(failure);
--- a/cowsliproad-entry/src/forward/failure.rs
+++ b/cowsliproad-entry/src/forward/failure.rs
@@ -94,7 +94,7 @@
             return failure;
         }
         let after = match quarantine::verdict(&self.shared, order) {
-            Verdict::Refused(after) => after,
+            Verdict::Refused(after) | Verdict::Suspended(after) => after,
             Verdict::Free => ASK_AGAIN,
         };
         quarantine::refusal(&self.shared, order, failure.ran, after)
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -186,6 +186,9 @@
     /// For how long it has been refused, in milliseconds, if it is.
     #[serde(rename = "r")]
     pub refused: Option<Millis>,
+    /// For how long it is suspended, in milliseconds, if it is.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub suspended: Option<Millis>,
 }
 
 /// An entry's word to an agent: report to me.
@@ -275,6 +278,11 @@
 /// The bytes that one piece of work takes.
 const WORK_BYTES: usize = 8;
 
+/// Whether all that is known of it is that one target ended under it.
+fn is_plain(suspect: &Suspect) -> bool {
+    !suspect.proven && suspect.refused.is_none() && suspect.suspended.is_none()
+}
+
 impl Suspects {
     /// Packs them.
     pub fn pack(suspects: Vec<Suspect>) -> Suspects {
@@ -282,7 +290,7 @@
         let mut more = Vec::new();
         for suspect in suspects {
             match suspect.ends[..] {
-                [end] if !suspect.proven && suspect.refused.is_none() => {
+                [end] if is_plain(&suspect) => {
                     let works = once.entry(end).or_default();
                     works.extend_from_slice(&suspect.work.to_be_bytes());
                 }
@@ -310,6 +318,7 @@
                 proven: false,
                 idle: Millis(0),
                 refused: None,
+                suspended: None,
             })
         });
         once.chain(self.more.iter().cloned())
--- a/tests/properties/quarantine.rs
+++ b/tests/properties/quarantine.rs
@@ -4,7 +4,7 @@
 use cowsliproad::{
     admission::quarantine::{
         Change, ENDS, End, Ledger, PROVEN_ENDS, REJECT_TTL, SUSPECT_TTL,
-        Verdict, Work,
+        SUSPENSION_TTL, Verdict, Work,
     },
     kernel::{
         clock::Millis,
@@ -48,6 +48,68 @@
     assert!(is_refused(&ledger, deadly, NOW));
 }
 
+/// Guards against a group that work crashes again as soon as it has formed.
+#[test]
+fn what_crashed_a_rank_is_suspended_for_longer_each_time() {
+    let poison = work("poison");
+    let mut ledger = Ledger::new();
+    let mut now = NOW;
+    for (ends, time) in [(1, SUSPENSION_TTL.0), (2, 2 * SUSPENSION_TTL.0)] {
+        ledger.ended(poison, end(ends), now);
+        assert_eq!(ledger.suspend(poison, now), Change::Suspended);
+        let left = |it: &Ledger, now| it.verdict(poison, now);
+        let time = Millis(time);
+        assert_eq!(left(&ledger, now), Verdict::Suspended(time));
+        assert!(is_refused(&ledger, poison, now + time - Millis(1)));
+        now = now + time;
+        assert_eq!(left(&ledger, now), Verdict::Free);
+    }
+    assert_eq!(ledger.ended(poison, end(3), now), Change::Refused);
+}
+
+/// Guards against rejecting innocent work for a crash that it ran beside.
+#[test]
+fn what_some_target_outlives_is_not_suspended() {
+    let common = work("common");
+    let mut ledger = after(1, common);
+    assert_eq!(ledger.suspend(common, NOW), Change::Suspended);
+    assert_eq!(ledger.outlived(common, NOW), Change::Freed);
+    assert!(!is_refused(&ledger, common, NOW));
+    ledger.ended(common, end(1), NOW);
+    assert_eq!(ledger.suspend(common, NOW), Change::None);
+    // An end that was none suspends nothing.
+    let rare = work("rare");
+    ledger.ended(rare, end(2), NOW);
+    ledger.suspend(rare, NOW);
+    assert_eq!(ledger.lives(end(2), NOW), [rare]);
+    assert!(!is_refused(&ledger, rare, NOW));
+}
+
+/// Guards against suspensions that entries prolong by telling one another.
+#[test]
+fn a_suspension_ends_at_all_entries_at_once() {
+    let poison = work("poison");
+    let mut ledgers = [after(1, poison), Ledger::new(), Ledger::new()];
+    ledgers[0].suspend(poison, NOW);
+    let mut now = NOW;
+    while now < NOW + SUSPENSION_TTL {
+        for from in 0..ledgers.len() {
+            let told = Suspects::pack(ledgers[from].updates(now));
+            now = now + Millis(20);
+            for to in 0..ledgers.len() {
+                told.unpack().for_each(|it| {
+                    ledgers[to].hear(&it, now);
+                });
+            }
+        }
+        let all = ledgers.iter().all(|it| is_refused(it, poison, now));
+        assert!(all || now + Millis(200) >= NOW + SUSPENSION_TTL);
+        now = now + Millis(500);
+    }
+    let late = now + Millis(2_000);
+    assert!(ledgers.iter().all(|it| !is_refused(it, poison, late)));
+}
+
 /// Several requests of one target tell of the same end.
 #[test]
 fn one_end_counts_once_however_often_it_is_told() {
@@ -165,6 +227,7 @@
         proven: false,
         idle: Millis(0),
         refused: None,
+        suspended: None,
     };
     other.hear(&late, NOW + Millis(8_000));
     assert!(!is_refused(&other, innocent, NOW + Millis(8_000)));
