routing: decide in one place whether a group is open

The state of a group's newest formation moves from the entry to a module of its own, without clocks or logs, with a test of it. Nothing else changes.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -22,6 +22,7 @@
     catalog::Catalog,
     cooldown::Cooldowns,
     fleet::{self, Change, Fleet, Target},
+    formation::Formation,
     pick::Record,
     readings::{Found, Readings},
 };
@@ -198,23 +199,6 @@
     random: RefCell<SmallRng>,
 }
 
-/// A formation of a group.
-#[derive(Clone, Copy, Debug)]
-struct Formation {
-    epoch: u64,
-    open: bool,
-    /// Whether it waits for a rank whose process is gone.
-    halt: Option<Halt>,
-}
-
-/// A group that is taken to begin no more passes.
-#[derive(Clone, Copy, Debug)]
-struct Halt {
-    at: Millis,
-    /// The pass that a rank reported first after that.
-    step: Option<u64>,
-}
-
 /// A target that was chosen.
 #[derive(Clone, Debug)]
 pub struct Choice {
--- a/cowsliproad-direct/src/entry/groups.rs
+++ b/cowsliproad-direct/src/entry/groups.rs
@@ -1,15 +1,10 @@
 //! What the entry believes of the groups that targets are ranks of.
 
 use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_routing::formation::Formation;
 use slog::info;
 
-use super::{Choice, Entry, Formation, Group, Halt};
-
-impl Formation {
-    fn is_halted(&self, now: Millis) -> bool {
-        self.halt.is_some_and(|it| now.since(it.at) < HALT_TTL)
-    }
-}
+use super::{Choice, Entry, Group};
 
 impl Entry {
     /// Notes that a target called its group broken. All of its ranks refuse
@@ -27,13 +22,11 @@
     /// that waited.
     pub fn note_formation(&self, group: &Name, epoch: u64, open: bool) {
         let mut formations = self.formations.borrow_mut();
-        let new = Formation { epoch, open, halt: None };
+        let new = Formation::new(epoch, open);
         let known = formations.entry(group.clone()).or_insert(new);
-        let broke = known.epoch == epoch && known.open && !open;
-        if known.epoch < epoch || broke {
+        if known.learn(epoch, open) {
             info!(self.log, "group_stands"; "group" => &**group,
                 "epoch" => epoch, "open" => open);
-            *known = new;
         }
     }
 
@@ -43,10 +36,9 @@
     pub fn note_lost_rank(&self, group: &Group, now: Millis) {
         let mut formations = self.formations.borrow_mut();
         let Some(known) = formations.get_mut(&group.name) else { return };
-        if known.epoch == group.epoch && known.open && known.halt.is_none() {
+        if known.halt(group.epoch, now) {
             info!(self.log, "group_halted"; "group" => &*group.name,
-                "epoch" => known.epoch);
-            known.halt = Some(Halt { at: now, step: None });
+                "epoch" => group.epoch);
         }
     }
 
@@ -54,18 +46,9 @@
     pub fn note_step(&self, group: &Name, epoch: u64, step: u64, now: Millis) {
         let mut formations = self.formations.borrow_mut();
         let Some(known) = formations.get_mut(group) else { return };
-        let Some(halt) = known.halt.as_mut().filter(|_| known.epoch == epoch)
-        else {
-            return;
-        };
-        if now.since(halt.at) < REPORT_LATENCY {
-            return;
-        }
-        let first = *halt.step.get_or_insert(step);
-        if step > first + HALTING_STEPS {
+        if known.step(epoch, step, now) {
             info!(self.log, "group_goes_on"; "group" => &**group,
                 "epoch" => epoch, "step" => step);
-            known.halt = None;
         }
     }
 
@@ -73,7 +56,7 @@
     pub(super) fn is_open(&self, group: &Group, now: Millis) -> bool {
         let formations = self.formations.borrow();
         let newest = formations.get(&group.name);
-        newest.map_or(group.open, |it| it.open && !it.is_halted(now))
+        newest.map_or(group.open, |it| it.is_open(now))
     }
 
     /// Whether the agent beside a target spoke lately.
@@ -111,17 +94,5 @@
     }
 }
 
-/// What a report may have taken on its way: one that came sooner after a
-/// rank's end may be from before it.
-const REPORT_LATENCY: Millis = Millis(100);
-
-/// Passes that ranks may report in turn though no new one has begun: the one
-/// under way when a rank ended.
-const HALTING_STEPS: u64 = 1;
-
-/// By then the engines of a group that waits for a rank have said so. An idle
-/// group begins no passes that could tell.
-const HALT_TTL: Millis = Millis(2_500);
-
 /// An agent that two reports are missing of is silent.
 pub(super) const AGENT_TIMEOUT: Millis = Millis(1_000);
--- a/cowsliproad-routing/src/lib.rs
+++ b/cowsliproad-routing/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`catalog`]: routes, services and organisations in force;
 //! * [`fleet`]: which targets there are;
+//! * [`formation`]: whether a lock-step group takes requests;
 //! * [`readings`]: when an entry reads them in the platform's log;
 //! * [`owner`]: which entry keeps the pace of a target with a limit;
 //! * [`pick`]: the target with the least expected time;
@@ -19,6 +20,7 @@
 pub mod choice;
 pub mod cooldown;
 pub mod fleet;
+pub mod formation;
 pub mod health;
 pub mod owner;
 pub mod pick;
--- a/tests/properties/direct.rs
+++ b/tests/properties/direct.rs
@@ -9,6 +9,7 @@
         catalog::{
             Access, Builder, Kind, Organisation, Refusal, Route, Share,
         },
+        formation::Formation,
         pick::{self, Candidate, Distance, Record, Usual},
     },
 };
@@ -256,3 +257,33 @@
     assert_eq!(splitter.pop(), None);
     assert!(splitter.is_inside());
 }
+
+/// Guards against a group that is taken for halted for good by a wrong word,
+/// and against requests to one that waits for a rank that is gone.
+#[test]
+fn a_halted_group_opens_again_by_passes_a_formation_or_time() {
+    let now = Millis(10_000);
+    let halted = |epoch| {
+        let mut group = Formation::new(1, true);
+        assert!(group.is_open(now));
+        assert_eq!(group.halt(epoch, now), epoch == 1);
+        group
+    };
+    assert!(halted(2).is_open(now), "a rank of another formation");
+    let mut group = halted(1);
+    assert!(!group.is_open(now));
+    assert!(!group.halt(1, now), "it is halted once");
+    // Reports from before the end, and the pass that was under way.
+    for (after, step) in [(50, 900), (150, 40), (200, 41), (900, 41)] {
+        assert!(!group.step(1, step, now + Millis(after)), "{after}");
+    }
+    assert!(group.step(1, 42, now + Millis(1_000)));
+    assert!(group.is_open(now + Millis(1_000)));
+    let mut group = halted(1);
+    assert!(group.learn(1, false));
+    assert!(!group.is_open(now + Millis(60_000)), "it broke");
+    assert!(!group.learn(1, true), "it stays broken in its formation");
+    assert!(group.learn(2, true));
+    assert!(group.is_open(now));
+    assert!(halted(1).is_open(now + Millis(60_000)));
+}
