--- a/cowsliproad-admission/src/patience.rs
+++ b/cowsliproad-admission/src/patience.rs
@@ -73,35 +73,6 @@
     }
 }
 
-/// A caller whose target is expected to take requests at some time.
-#[derive(Clone, Copy, Debug)]
-pub struct Expected {
-    /// When that is.
-    pub open: Millis,
-    /// When the caller came.
-    pub arrived: Millis,
-    /// Until when it waits here.
-    pub waits_until: Millis,
-    /// What it has left in all.
-    pub left: Millis,
-}
-
-impl Expected {
-    /// When the caller should come back instead of waiting here, if its target
-    /// is back too late for it now and early enough for its return, where it
-    /// waits for as long again.
-    pub fn return_time(&self, now: Millis, draw: f64) -> Option<Millis> {
-        let third = Millis(self.left.0 / 3);
-        let wait = self.waits_until.since(self.arrived);
-        let in_vain = self.open > self.waits_until;
-        let until_open = self.open.since(now);
-        // The guess may be short by half.
-        let is_in_reach = until_open.0 * 3 / 2 <= third.0 + wait.0;
-        let after = spread_return(until_open, draw);
-        (in_vain && is_in_reach).then(|| after.min(third))
-    }
-}
-
 /// When a caller comes back that is told of a moment, as others are. Their
 /// returns are spread over a quarter of the time until then.
 pub fn spread_return(wait: Millis, draw: f64) -> Millis {
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use cowsliproad_admission::{
-    patience::{Admission, Asked, CallerTry, Expected},
+    patience::{Admission, Asked, CallerTry},
     quarantine::Verdict,
 };
 use cowsliproad_kernel::clock::Millis;
@@ -79,10 +79,6 @@
                 let after = self.free_after(entry, &shortage, now);
                 return Err(self.reject_with(entry, Reason::Busy(after)));
             }
-            if let Some(after) = self.return_time(entry, wait, now) {
-                let reason = Reason::GroupClosed(after);
-                return Err(self.reject_with(entry, reason));
-            }
             if patience.0 == 0 {
                 let reason = Reason::NoTarget("no target can be used");
                 return Err(self.reject_with(entry, reason));
@@ -123,23 +119,6 @@
         shortage.is_complete && (!ends_in_time || returns)
     }
 
-    /// When its caller should come back for a group that is closed, if that is
-    /// known and better for it than to wait until `wait`.
-    fn return_time(
-        &self,
-        entry: &Entry,
-        wait: Millis,
-        now: Millis,
-    ) -> Option<Millis> {
-        let may_return = self.caller_try == CallerTry::First
-            && self.certainty == Certainty::NotRun;
-        let open = entry.expected_open(&self.service, now);
-        let open = open.filter(|_| may_return)?;
-        let (arrived, left) = (self.arrived, self.left());
-        let expected = Expected { open, arrived, waits_until: wait, left };
-        expected.return_time(now, entry.draw())
-    }
-
     /// Whether its route allows it to be sent to one more target.
     fn may_go_elsewhere(&self) -> bool {
         self.sent.len() < self.route.attempts as usize
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -39,8 +39,6 @@
     NoTarget(&'static str),
     /// It waited so long that no first event can reach its caller in time.
     TooLate(Millis),
-    /// Its group is closed, and is expected to be open by then.
-    GroupClosed(Millis),
     /// Its targets take no more, by their own word, before so long.
     Busy(Millis),
     /// Targets crashed each time they ran it.
@@ -149,7 +147,6 @@
             Reason::TooLate(after) => {
                 ("not run: too late for a first event\n", after)
             }
-            Reason::GroupClosed(after) => ("not run: no target\n", after),
             Reason::Busy(after) => {
                 entry.measure.limited("refused");
                 let after = after.clamp(MIN_RETURN, MAX_RETURN);
@@ -183,11 +180,6 @@
     fn come_back(&self, entry: &Entry) -> Millis {
         // Callers wait for a third of what they have left at most.
         let longest = Millis(self.left().0 / 3);
-        let now = Millis::now();
-        if let Some(open) = entry.expected_open(&self.service, now) {
-            let after = patience::spread_return(open.since(now), entry.draw());
-            return longest.min(after);
-        }
         if self.route.streams() {
             return longest;
         }
--- a/cowsliproad-direct/src/entry/groups.rs
+++ b/cowsliproad-direct/src/entry/groups.rs
@@ -21,14 +21,12 @@
     /// ranks: were each waited for, the first to say so would be sent all
     /// that waited.
     pub fn note_formation(&self, group: &Name, epoch: u64, open: bool) {
-        let now = Millis::now();
         let mut formations = self.formations.borrow_mut();
         let new = Formation::new(epoch, open);
         let known = formations.entry(group.clone()).or_insert(new);
-        if known.learn(epoch, open, now) {
+        if known.learn(epoch, open) {
             info!(self.log, "group_stands"; "group" => &**group,
-                "epoch" => epoch, "open" => open,
-                "downtime" => known.downtime().map(|it| it.0));
+                "epoch" => epoch, "open" => open);
         }
     }
 
@@ -61,21 +59,6 @@
         newest.map_or(group.open, |it| it.is_open(now))
     }
 
-    /// When the first group of a service is expected to take requests again;
-    /// nothing if that is not known of all. Targets that no agent has spoken of
-    /// yet are starting.
-    pub fn expected_open(&self, service: &str, now: Millis) -> Option<Millis> {
-        let formations = self.formations.borrow();
-        let mut expected = Some(Millis(u64::MAX));
-        self.each_group(service, |group| {
-            let Some(group) = group else { return };
-            let formation = formations.get(&group.name);
-            let open = formation.and_then(|it| it.expected_open(now));
-            expected = expected.zip(open).map(|(one, other)| one.min(other));
-        });
-        expected.filter(|it| *it < Millis(u64::MAX))
-    }
-
     /// Whether the agent beside a target spoke lately.
     pub fn hears_of(&self, choice: &Choice) -> bool {
         let now = Millis::now();
