--- a/cowsliproad-placement/src/demand.rs
+++ b/cowsliproad-placement/src/demand.rs
@@ -9,9 +9,7 @@
 //! the tokens of two passes; a small one only once many requests have been
 //! averaged, since each has likes of its own. Within the span that showed
 //! it, the shift is taken to be where the two sides differ most: what was
-//! counted before it would otherwise be planned for too. The first counts that
-//! show a shift are of both sides, as ranks report one after the other, so the
-//! place is looked for again for some time, beside the same demand of before.
+//! counted before it would otherwise be planned for too.
 
 use std::collections::VecDeque;
 
@@ -28,12 +26,6 @@
 pub const SPANS: [(Millis, f64); 3] =
     [(Millis(50), 0.3), (Millis(100), 0.25), (Millis(250), 0.15)];
 
-/// For how long the place of a shift is looked for again.
-const REFINING_PERIOD: Millis = Millis(250);
-
-/// How much more the two sides have to differ at a later place.
-const REFINING_GAIN: f64 = 0.02;
-
 /// Counts by set and expert.
 pub type Counts = Vec<Vec<u64>>;
 
@@ -43,9 +35,6 @@
     samples: VecDeque<(Millis, Counts)>,
     /// Demand before this moment is of another kind.
     shifted: Millis,
-    /// The shift before, and when this one was first seen.
-    before: Millis,
-    seen: Millis,
 }
 
 impl Demand {
@@ -70,9 +59,6 @@
             self.samples.pop_front();
         }
         if let Some(at) = self.shift() {
-            (self.before, self.shifted) = (self.shifted, at);
-            self.seen = now;
-        } else if let Some(at) = self.later_place(now) {
             self.shifted = at;
         }
     }
@@ -94,51 +80,34 @@
     /// When the demand shifted, if the newest counts show that it did.
     fn shift(&self) -> Option<Millis> {
         let (now, _) = self.samples.back()?;
-        let first = self.first();
         let shows = |&(span, least): &(Millis, f64)| {
             let old = |it: &(Millis, Counts)| now.since(it.0) >= span;
             let split = self.samples.iter().rposition(old)?;
             // Little was counted before, and differs by chance.
-            let before = self.samples.get(first)?.0;
+            let before = self.samples.get(self.first())?.0;
             if self.samples[split].0.since(before) < span {
                 return None;
             }
-            (self.differs(first, split)? > least).then_some(split)
+            (self.differs(split)? > least).then_some(split)
         };
         let earliest = SPANS.iter().find_map(shows)?;
-        let (split, _) = self.widest(first, earliest)?;
-        Some(self.samples[split].0)
-    }
-
-    /// A place after that of the last shift where the sides differ more.
-    fn later_place(&self, now: Millis) -> Option<Millis> {
-        if self.shifted == Millis(0) || now.since(self.seen) > REFINING_PERIOD
-        {
-            return None;
-        }
-        let (first, present) = (self.place(self.before), self.first());
-        let known = self.differs(first, present)?;
-        let (split, differs) = self.widest(first, present + 1)?;
-        let is_better = differs > known + REFINING_GAIN;
-        is_better.then(|| self.samples[split].0)
-    }
-
-    /// Where the demand since `first` and that after differ most, from a place
-    /// on, and by how much.
-    fn widest(&self, first: usize, earliest: usize) -> Option<(usize, f64)> {
         let splits = earliest..self.samples.len() - 1;
-        let differs = |it| (it, self.differs(first, it).unwrap_or(0.0));
-        splits.map(differs).max_by(|a, b| a.1.total_cmp(&b.1))
+        let differs = |split: &usize| self.differs(*split).unwrap_or(0.0);
+        let by_difference =
+            |a: &usize, b: &usize| differs(a).total_cmp(&differs(b));
+        let split = splits.max_by(by_difference)?;
+        Some(self.samples[split].0)
     }
 
     /// The share of the demand that went elsewhere after a sample, less what
     /// may have by chance; `None` if there is nothing to compare.
-    fn differs(&self, first: usize, split: usize) -> Option<f64> {
+    fn differs(&self, split: usize) -> Option<f64> {
+        let first = self.first();
         if split <= first {
             return None;
         }
         let (_, newest) = self.samples.back()?;
-        let (_, middle) = self.samples.get(split)?;
+        let (_, middle) = &self.samples[split];
         let (_, oldest) = self.samples.get(first)?;
         let (after, before) =
             (difference(newest, middle), difference(middle, oldest));
@@ -147,12 +116,7 @@
 
     /// The first sample of the present demand.
     fn first(&self) -> usize {
-        self.place(self.shifted)
-    }
-
-    /// The first sample from a moment on.
-    fn place(&self, from: Millis) -> usize {
-        let since = |it: &(Millis, Counts)| it.0 >= from;
+        let since = |it: &(Millis, Counts)| it.0 >= self.shifted;
         self.samples.iter().position(since).unwrap_or(self.samples.len())
     }
 }
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -52,8 +52,6 @@
     demand: Demand,
     sampled: Millis,
     planned: Millis,
-    /// The shift whose demand was planned for last.
-    planned_for: Millis,
     plan: Option<Plan>,
     /// The plan that was made before this one.
     before: Option<Plan>,
@@ -91,7 +89,6 @@
             demand: Demand::new(),
             sampled: Millis(0),
             planned: Millis(0),
-            planned_for: Millis(0),
             plan: None,
             before: None,
             used: None,
@@ -276,7 +273,7 @@
     /// for it. Its copies would be waited for, and its map be out of date when
     /// it comes.
     fn drop_overtaken(&mut self) {
-        if self.demand.shifted() <= self.planned_for {
+        if self.demand.shifted() < self.planned {
             return;
         }
         if let Some(version) = self.coordinator.drop_plan() {
@@ -307,7 +304,6 @@
         now: Millis,
     ) {
         let Some(loads) = self.demand.loads() else { return };
-        self.planned_for = self.demand.shifted();
         let shape_of_map = Shape {
             ranks: snapshots.len(),
             experts: usize::from(shape.experts),
