--- a/cowsliproad-direct/tests/entry/group_crashes.rs
+++ b/cowsliproad-direct/tests/entry/group_crashes.rs
@@ -28,6 +28,9 @@
 /// By then a group whose rank is gone is known to stand.
 const BOUND: Duration = Duration::from_millis(300);
 
+/// By then entries no longer tell of what is new to them.
+const NEWS_TIME: Duration = Duration::from_millis(5_000);
+
 /// The longest that work is rejected that ran on one crashed rank.
 const MAX_SUSPENSION_S: f64 = 30.0;
 
@@ -227,3 +230,24 @@
     let most = Duration::from_secs(2) + PAUSE * EVENTS as u32;
     assert!(told.elapsed() < most, "{:?}", told.elapsed());
 }
+
+/// Guards against an entry that starts while others suspend a request, and
+/// sends it to the group again: the news of it is over by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_later_suspends_it_too() {
+    let mut scene = Scene::start(5).await;
+    scene.crash().await;
+    sleep(NEWS_TIME).await;
+    let last = scene.entries.pop().expect("three entries");
+    let settings = last.settings.clone();
+    drop(last);
+    let started = Entry::start(settings);
+    until("it is used", async || {
+        started.status("/stream/a", KEY).await == Some(StatusCode::OK)
+    })
+    .await;
+    let answer = started.ask_with("/stream/a", KEY, POISON).await;
+    assert_eq!(scene.ended().len(), 1);
+    let status = answer.expect("an answer").status();
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+}
