entry: tell entries that start what is suspended

Cause: entries tell of a suspension for 4 s, as of any news, and one that starts later heard nothing of it. It is now in what an entry is told as it is met, and in every eighth digest, as limits are. A suspension is taken from others once for each end: a word that waited in a frozen process doesn't prolong it.

--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -259,9 +259,7 @@
             let longest = (since + REJECT_TTL).since(now);
             return Verdict::Refused(SUSPECT_TTL.min(longest));
         }
-        let left = case.suspended_until.map(|it| it.since(now));
-        let left = left.filter(|it| *it > Millis(0));
-        left.map_or(Verdict::Free, Verdict::Suspended)
+        case.suspension(now).map_or(Verdict::Free, Verdict::Suspended)
     }
 
     /// Suspends work under which a rank of a group ended, unless some target
@@ -381,7 +379,11 @@
             }
         }
         let after = (case.ends.len(), case.excused.len(), case.proven);
-        let suspends = case.hear_suspension(told.suspended, now);
+        let ends = match after.0 > before.0 {
+            true => Change::Suspected,
+            false => Change::None,
+        };
+        let suspends = case.hear_suspension(told.suspended, ends, now);
         let is_news = after != before || suspends;
         let is_passed_on =
             case.ends.len() >= PASSED_ON_ENDS || case.proven || suspends;
@@ -468,9 +470,24 @@
 
     /// What others are told: what is refused, and news.
     pub fn updates(&self, now: Millis) -> Vec<Suspect> {
+        self.told(now, |case, now| case.is_news(now))
+    }
+
+    /// The same, and what is suspended, for others that may have missed it.
+    pub fn renewals(&self, now: Millis) -> Vec<Suspect> {
+        self.told(now, |case, now| {
+            case.is_news(now) || case.suspension(now).is_some()
+        })
+    }
+
+    fn told(
+        &self,
+        now: Millis,
+        is_told: impl Fn(&Case, Millis) -> bool,
+    ) -> Vec<Suspect> {
         let now = now + BEFORE;
         let mut told: Vec<(&Work, &Case)> =
-            self.cases.iter().filter(|it| it.1.is_news(now)).collect();
+            self.cases.iter().filter(|it| is_told(it.1, now)).collect();
         // Own news lasts longer than what is passed on.
         told.sort_by_key(|(_, case)| {
             let ends = Reverse(case.ends.len());
@@ -542,14 +559,22 @@
         }
     }
 
-    /// Takes in how long others suspend it. Returns whether that is longer
-    /// than was known, by more than the words take on their way: each telling
-    /// would prolong it.
-    fn hear_suspension(&mut self, told: Option<Millis>, now: Millis) -> bool {
+    /// Takes in how long others suspend it, once for each end: later words of
+    /// the same may have waited in a process that stood still. Returns whether
+    /// it is suspended for longer now.
+    fn hear_suspension(
+        &mut self,
+        told: Option<Millis>,
+        ends: Change,
+        now: Millis,
+    ) -> bool {
         let Some(told) = told.filter(|_| !self.proven) else { return false };
+        let is_known = self.suspended_until.is_some() && ends == Change::None;
+        if is_known || self.ends.is_empty() {
+            return false;
+        }
         let until = now + told.min(MAX_SUSPENSION);
-        let known = self.suspended_until.unwrap_or_default();
-        let is_longer = until > known + MAX_LATENCY && !self.ends.is_empty();
+        let is_longer = self.suspended_until.is_none_or(|it| until > it);
         if is_longer {
             self.suspended_until = Some(until);
         }
@@ -592,6 +617,12 @@
         !self.is_over(now) && (self.since.is_some() || now < self.told_until)
     }
 
+    /// For how long it is still suspended.
+    fn suspension(&self, now: Millis) -> Option<Millis> {
+        let left = self.suspended_until.map(|it| it.since(now));
+        left.filter(|it| *it > Millis(0))
+    }
+
     fn suspect(&self, work: Work, now: Millis) -> Suspect {
         Suspect {
             work: work.0,
@@ -600,10 +631,7 @@
             proven: self.proven,
             idle: now.since(self.seen),
             refused: self.since.map(|it| now.since(it)),
-            suspended: self
-                .suspended_until
-                .map(|it| it.since(now))
-                .filter(|it| *it > Millis(0)),
+            suspended: self.suspension(now),
         }
     }
 }
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -74,12 +74,12 @@
 /// targets change them.
 const MIN_BROADCAST_INTERVAL: Millis = Millis(100);
 
-/// Which limits others are told of.
+/// How much others are told of limits and of suspended work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Update {
-    /// Those that have changed lately.
+    /// What has changed lately.
     Changed,
-    /// All.
+    /// All of it.
     All,
 }
 
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -52,8 +52,9 @@
 /// there are new ones: after a restart of everything they wait for it.
 const ASK_EVERY: u32 = 2;
 
-/// Every so many digests tell all limits, the others those that have changed.
-const LIMITS_EVERY: u32 = 8;
+/// Every so many digests tell all limits and all suspended work, the others
+/// what has changed.
+const RENEW_EVERY: u32 = 8;
 
 /// Entries told at a time. With more of them news travels on by digests.
 const MAX_RECIPIENTS: usize = 16;
@@ -244,7 +245,7 @@
         let now = Millis::now();
         entry.quarantine.borrow_mut().sweep(now);
         let recipients = entry.peers.borrow_mut().recipients(now);
-        let all = round % LIMITS_EVERY == 0;
+        let all = round % RENEW_EVERY == 0;
         let which = if all { Update::All } else { Update::Changed };
         let digest =
             gossip::encode(&Datagram::Digest(digest(&entry, which, now)));
@@ -270,10 +271,10 @@
     }
 }
 
-fn digest(entry: &Entry, limits: Update, now: Millis) -> Digest {
+fn digest(entry: &Entry, update: Update, now: Millis) -> Digest {
     let since = now - entry.rollbacks.departures(now).unwrap_or(DEPARTURE_TTL);
     let fleet = entry.fleet.borrow();
-    let (suspects, lives) = entry.quarantine.borrow().updates(now);
+    let (suspects, lives) = entry.quarantine.borrow().updates(update, now);
     let (mut left, mut withdrawn) = (Vec::new(), Vec::new());
     for (id, parting) in fleet.left_since(since) {
         match parting {
@@ -296,7 +297,7 @@
         zone: entry.settings().zone.clone(),
         suspects,
         lives,
-        limits: entry.limit_updates(limits, now),
+        limits: entry.limit_updates(update, now),
     }
 }
 
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -32,6 +32,7 @@
     ends::MAX_LATENCY,
     entry::{Entry, Source},
     follow::{Contact, Reader, Scope},
+    limits::Update,
 };
 
 /// Ends from which on work is written to the log. After the first, one end
@@ -131,9 +132,16 @@
     }
 
     /// What other entries are told.
-    pub fn updates(&self, now: Millis) -> (Suspects, Vec<u64>) {
-        let suspects = Suspects::pack(self.ledger.updates(now));
-        (suspects, self.ledger.taken_back(now))
+    pub fn updates(
+        &self,
+        update: Update,
+        now: Millis,
+    ) -> (Suspects, Vec<u64>) {
+        let suspects = match update {
+            Update::Changed => self.ledger.updates(now),
+            Update::All => self.ledger.renewals(now),
+        };
+        (Suspects::pack(suspects), self.ledger.taken_back(now))
     }
 
     fn note(&mut self, work: Work) {
--- a/tests/properties/quarantine.rs
+++ b/tests/properties/quarantine.rs
@@ -85,29 +85,44 @@
     assert!(!is_refused(&ledger, rare, NOW));
 }
 
-/// Guards against suspensions that entries prolong by telling one another.
+/// Guards against suspensions that entries prolong by telling one another, also
+/// by words that waited in a process that stood still.
 #[test]
 fn a_suspension_ends_at_all_entries_at_once() {
     let poison = work("poison");
     let mut ledgers = [after(1, poison), Ledger::new(), Ledger::new()];
     ledgers[0].suspend(poison, NOW);
+    let first = ledgers[0].renewals(NOW);
+    let over = NOW + SUSPENSION_TTL;
     let mut now = NOW;
-    while now < NOW + SUSPENSION_TTL {
+    while now < over {
         for from in 0..ledgers.len() {
-            let told = Suspects::pack(ledgers[from].updates(now));
+            let told = Suspects::pack(ledgers[from].renewals(now));
             now = now + Millis(20);
             for ledger in &mut ledgers {
-                told.unpack().for_each(|it| {
+                told.unpack().chain(first.clone()).for_each(|it| {
                     ledger.hear(&it, now);
                 });
             }
         }
         let all = ledgers.iter().all(|it| is_refused(it, poison, now));
-        assert!(all || now + Millis(200) >= NOW + SUSPENSION_TTL);
+        assert!(all || now >= over);
         now = now + Millis(500);
     }
-    let late = now + Millis(2_000);
-    assert!(ledgers.iter().all(|it| !is_refused(it, poison, late)));
+    let late = over + Millis(100);
+    for ledger in &mut ledgers {
+        first.iter().for_each(|it| {
+            ledger.hear(it, late);
+        });
+        assert!(!is_refused(ledger, poison, late));
+    }
+    // A further end counts anew.
+    assert_eq!(ledgers[1].ended(poison, end(7), late), Change::Suspected);
+    ledgers[1].suspend(poison, late);
+    for told in ledgers[1].updates(late) {
+        ledgers[2].hear(&told, late);
+    }
+    assert!(is_refused(&ledgers[2], poison, late + SUSPENSION_TTL));
 }
 
 /// Several requests of one target tell of the same end.
