entry: split what agents and states say from peers

Moves only: reports of agents and what they are asked go to peers/agents.rs, the state that an entry fetches from another to peers/state.rs. The pause after a datagram that can't be received has a name of its own.

--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -1,35 +1,24 @@
-//! What entries and agents tell one another.
+//! What entries tell one another, and what they hear.
 //!
 //! Each entry sends a short digest to the others twice a second, and at once
 //! when something changed: the version of its configuration and the targets
 //! that it saw leave. One that the platform's log turns away so learns of a
 //! new version, fetches it from whoever has it, and stops using a target in
 //! time. Entries meet through seeds and then through one another.
-//!
-//! Agents beside model engines report to whoever asks them to, so a new
-//! entry hears from all of them within a second, and nobody keeps a list.
 
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
-use bytes::Bytes;
 use cowsliproad_kernel::{
     Name,
     clock::Millis,
-    gossip::{self, Datagram, Digest, Load, Lost, Subscribe},
-    position::{Era, Position},
+    gossip::{self, Datagram, Digest},
+    position::Position,
 };
-use cowsliproad_net::client::Client;
-use cowsliproad_platform::{catalog, log::Record};
 use cowsliproad_routing::{
-    catalog::{Engine, Service},
     fleet::{Parting, Start, Target},
     owner::{self, Member, Owner, Presence},
 };
-use http::{Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::Incoming;
 use rand::seq::IteratorRandom;
-use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::{
     net::UdpSocket,
@@ -38,12 +27,16 @@
 
 use crate::{
     call::{MAX_STAGGER, PROBE_PERIOD},
-    entry::{Entry, Group, Source},
-    follow,
+    entry::{Entry, Source},
     limits::{self, Update},
     settings::Settings,
 };
 
+mod agents;
+mod state;
+
+pub use self::state::state;
+
 /// How often other entries are told. Two digests may be lost before an entry
 /// that the log turns away misses a change for longer than its bound.
 const BROADCAST_INTERVAL: Millis = Millis(500);
@@ -71,20 +64,8 @@
 /// How long it waits for a newer configuration that another one told of.
 const NEWER_TIMEOUT: Millis = Millis(2_000);
 
-/// What the own reading of the log is given before a peer is asked.
-const OWN_READ_DELAY: Millis = Millis(120);
-
-/// The time for fetching a peer's state.
-const FETCH_TIMEOUT: Millis = Millis(1_000);
-
-/// The largest state that is fetched.
-const MAX_STATE_BYTES: usize = 16 << 20;
-
-/// Steps of a target's pace that are news to requests under way, in percent.
-const NEWS_PERCENT: u32 = 100;
-
-/// The path of an entry's state.
-const STATE_PATH: &str = "/state";
+/// The pause after a datagram that could not be received.
+const ERROR_BACKOFF: Millis = Millis(120);
 
 /// Other entries.
 #[derive(Debug)]
@@ -106,21 +87,6 @@
     mute_until: Millis,
 }
 
-/// What an entry that starts without the log takes from another.
-#[derive(Debug, Deserialize, Serialize)]
-struct State {
-    #[serde(with = "serde_bytes")]
-    catalog: Vec<u8>,
-    targets: Vec<Announcement>,
-}
-
-#[derive(Debug, Deserialize, Serialize)]
-struct Announcement {
-    id: String,
-    #[serde(with = "serde_bytes")]
-    value: Vec<u8>,
-}
-
 impl Peers {
     /// Nobody met yet.
     pub fn new(settings: &Settings) -> Peers {
@@ -262,7 +228,7 @@
         let joined = entry.joined.get();
         if round % ASK_EVERY == 0 || joined != asked {
             asked = joined;
-            ask_agents(&entry, &socket).await;
+            agents::ask_agents(&entry, &socket).await;
         }
         round += 1;
         let _ =
@@ -301,61 +267,6 @@
     }
 }
 
-async fn ask_agents(entry: &Entry, socket: &UdpSocket) {
-    for whole in subscriptions(entry) {
-        let named = Subscribe { targets: Vec::new(), ..whole.clone() };
-        let (list, targets) = (whole.list, whole.targets.clone());
-        let (whole, named) = (gossip::encode(&whole), gossip::encode(&named));
-        for target in targets {
-            let agent = agent_of(entry, target);
-            let knows = entry.lists.borrow().get(&target) == Some(&list);
-            let message = if knows { &named } else { &whole };
-            send(entry, socket, message, agent).await;
-        }
-    }
-}
-
-/// Tells an agent that has just started of the others: it can do nothing
-/// before it knows them.
-async fn introduce(entry: &Entry, socket: &UdpSocket, target: SocketAddr) {
-    let mut subscriptions = subscriptions(entry).into_iter();
-    let whole = subscriptions.find(|it| it.targets.contains(&target));
-    if let Some(whole) = whole {
-        let message = gossip::encode(&whole);
-        send(entry, socket, &message, agent_of(entry, target)).await;
-    }
-}
-
-fn agent_of(entry: &Entry, target: SocketAddr) -> SocketAddr {
-    SocketAddr::new(target.ip(), entry.settings().peer_port)
-}
-
-/// What the agents of each service of engines are told.
-fn subscriptions(entry: &Entry) -> Vec<Subscribe> {
-    let Some(catalog) = entry.catalog() else { return Vec::new() };
-    let fleet = entry.fleet.borrow();
-    let subscription = |service: &Service| {
-        let engine = service.engine.as_ref()?;
-        let own = fleet.ready().filter(|it| it.service == service.name);
-        let targets: Vec<SocketAddr> = own.map(|it| it.address).collect();
-        Some(subscribe(engine, &targets, entry.rollbacks.era()))
-    };
-    catalog.services().filter_map(subscription).collect()
-}
-
-fn subscribe(engine: &Engine, targets: &[SocketAddr], era: Era) -> Subscribe {
-    Subscribe {
-        list: gossip::list_of(targets),
-        targets: targets.to_vec(),
-        sets: engine.sets as u16,
-        experts: engine.experts as u16,
-        places: engine.places as u16,
-        spare: engine.spare as u16,
-        copy_ms: engine.copy_time.0,
-        era,
-    }
-}
-
 async fn send(
     entry: &Entry,
     socket: &UdpSocket,
@@ -373,7 +284,7 @@
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // An unreachable peer shows here; the next datagram may be good.
-            sleep(OWN_READ_DELAY.duration()).await;
+            sleep(ERROR_BACKOFF.duration()).await;
             continue;
         };
         match gossip::decode::<Datagram>(&buffer[..length]) {
@@ -381,12 +292,12 @@
                 hear(&entry, &socket, digest).await;
             }
             Some(Datagram::Load(load)) => {
-                take_load(&entry, &load);
+                agents::take_load(&entry, &load);
                 if load.list == 0 {
-                    introduce(&entry, &socket, load.target).await;
+                    agents::introduce(&entry, &socket, load.target).await;
                 }
             }
-            Some(Datagram::Lost(lost)) => take_lost(&entry, &lost),
+            Some(Datagram::Lost(lost)) => agents::take_lost(&entry, &lost),
             Some(Datagram::Ask(ask)) => limits::answer(&entry, ask, from),
             Some(Datagram::Reply(reply)) => entry.hear_reply(reply),
             None => warn!(entry.log, "strange_datagram"; "bytes" => length),
@@ -437,7 +348,7 @@
         entry.peers.borrow_mut().fetching = true;
         let entry = entry.clone();
         tokio::task::spawn_local(async move {
-            catch_up(&entry, &heard).await;
+            state::catch_up(&entry, &heard).await;
             entry.peers.borrow_mut().fetching = false;
         });
     }
@@ -468,145 +379,3 @@
         let _ = timeout(left.duration(), entry.met.notified()).await;
     }
 }
-
-/// Fetches a peer's state if the log doesn't bring it in time.
-async fn catch_up(entry: &Rc<Entry>, heard: &Digest) {
-    sleep(OWN_READ_DELAY.duration()).await;
-    let knows = entry.version() >= heard.version && entry.is_ready();
-    if knows && !entry.readings.borrow().needs_peer() {
-        return;
-    }
-    let uri = format!("http://{}{STATE_PATH}", heard.address);
-    let Ok(request) = Request::get(uri).body(Full::new(Bytes::new())) else {
-        return;
-    };
-    let client = Client::new();
-    let call = client.call(request, MAX_STATE_BYTES, FETCH_TIMEOUT.duration());
-    let body = match call.await {
-        Ok(answer) => answer.into_body(),
-        Err(error) => {
-            warn!(entry.log, "peer_gave_no_state"; "peer" => &*heard.vm,
-                "error" => %error);
-            return;
-        }
-    };
-    let Some(state) = gossip::decode::<State>(&body) else {
-        warn!(entry.log, "strange_state"; "peer" => &*heard.vm);
-        return;
-    };
-    take_state(entry, state);
-}
-
-fn take_state(entry: &Entry, state: State) {
-    let raw = Bytes::from(state.catalog);
-    match catalog::decode(&raw) {
-        Ok(catalog) => entry.adopt(catalog, raw, Source::Peer),
-        Err(error) => warn!(entry.log, "catalog_refused"; "error" => %error),
-    }
-    // Own knowledge of the targets goes first, as long as the log tells more.
-    let knows = entry.fleet.borrow().ready().next().is_some();
-    if knows && !entry.readings.borrow().needs_peer() {
-        return;
-    }
-    let now = Millis::now();
-    for announcement in state.targets {
-        let value = Some(announcement.value.into());
-        let record = Record { key: announcement.id, value };
-        follow::announce(entry, &record, now, Source::Peer);
-    }
-    entry.readings.borrow_mut().merged();
-}
-
-/// Takes an agent's report in.
-fn take_load(entry: &Entry, load: &Load) {
-    entry.lists.borrow_mut().insert(load.target, load.list);
-    let now = Millis::now();
-    let Some(target) = target_at(entry, load.target, load.start) else {
-        return;
-    };
-    entry.heard_from(&target.zone, now);
-    entry.note_report(&target, Start(load.start), now);
-    if load.leaving && target.start == Start(load.start) {
-        info!(entry.log, "target_leaving"; "target" => &*target.id,
-            "source" => ?Source::Peer);
-        return entry.note_left(&target);
-    }
-    let id = target.id;
-    let endpoint = entry.endpoint(&id);
-    let mut endpoint = endpoint.borrow_mut();
-    let stands = |it: &Group| (it.epoch, it.open, it.pace / NEWS_PERCENT);
-    let before = endpoint.group.as_ref().map(stands);
-    endpoint.record.report(load.running.saturating_add(load.queued), now);
-    endpoint.lived = Some(now);
-    endpoint.lost = None;
-    let group = Group {
-        name: load.group.clone(),
-        epoch: load.epoch,
-        open: load.open,
-        step: load.step,
-        pace: load.pace,
-        heard: now,
-    };
-    let after = stands(&group);
-    entry.note_formation(&group.name, group.epoch, group.open);
-    entry.note_step(&group.name, group.epoch, group.step, now);
-    endpoint.group = Some(group);
-    drop(endpoint);
-    if before != Some(after) {
-        info!(entry.log, "group"; "target" => &*id, "epoch" => load.epoch,
-            "open" => load.open, "step" => load.step, "pace" => load.pace);
-        entry.tell_news();
-    }
-}
-
-/// Takes in that an agent finds no process of its engine.
-fn take_lost(entry: &Entry, lost: &Lost) {
-    let now = Millis::now();
-    let Some(target) = target_at(entry, lost.target, lost.start) else {
-        return;
-    };
-    entry.heard_from(&target.zone, now);
-    let endpoint = entry.endpoint(&target.id);
-    let before = endpoint.borrow_mut().lost.replace(now);
-    if before.is_none() {
-        info!(entry.log, "target_lost"; "target" => &*target.id);
-        if let Some(group) = &endpoint.borrow().group {
-            entry.note_lost_rank(group, now);
-        }
-        entry.tell_news();
-    }
-}
-
-/// The target that listens at an address, of the start that its agent saw.
-/// One that took the place of another is announced before that one lapses.
-fn target_at(
-    entry: &Entry,
-    address: SocketAddr,
-    start: u64,
-) -> Option<Target> {
-    let same = |it: &Target| {
-        it.address == address
-            && (start == 0 || it.start.0 == 0 || it.start.0 == start)
-    };
-    entry.fleet.borrow().ready().find(|it| same(it)).cloned()
-}
-
-/// The entry's state, for one that starts or is turned away by the log.
-pub fn state(
-    entry: &Entry,
-    request: &Request<Incoming>,
-) -> Response<Full<Bytes>> {
-    let raw = entry.raw_catalog();
-    let (Some(raw), STATE_PATH) = (raw, request.uri().path()) else {
-        let mut answer = Response::new(Full::new(Bytes::new()));
-        *answer.status_mut() = StatusCode::NOT_FOUND;
-        return answer;
-    };
-    let announced = entry.announced.borrow();
-    let targets = announced.iter().map(|(id, value)| Announcement {
-        id: id.to_string(),
-        value: value.to_vec(),
-    });
-    let state = State { catalog: raw.to_vec(), targets: targets.collect() };
-    Response::new(Full::new(gossip::encode(&state).into()))
-}
--- /dev/null
+++ b/cowsliproad-direct/src/peers/agents.rs
@@ -0,0 +1,158 @@
+//! What entries and the agents beside model engines tell one another.
+//!
+//! Agents report to whoever asks them to, so a new entry hears from all of
+//! them within a second, and nobody keeps a list.
+
+use std::net::SocketAddr;
+
+use cowsliproad_kernel::{
+    clock::Millis,
+    gossip::{self, Load, Lost, Subscribe},
+    position::Era,
+};
+use cowsliproad_routing::{
+    catalog::{Engine, Service},
+    fleet::{Start, Target},
+};
+use slog::info;
+use tokio::net::UdpSocket;
+
+use super::send;
+use crate::entry::{Entry, Group, Source};
+
+/// Steps of a target's pace that are news to requests under way, in percent.
+const NEWS_PERCENT: u32 = 100;
+
+/// Asks all agents to report.
+pub(super) async fn ask_agents(entry: &Entry, socket: &UdpSocket) {
+    for whole in subscriptions(entry) {
+        let named = Subscribe { targets: Vec::new(), ..whole.clone() };
+        let (list, targets) = (whole.list, whole.targets.clone());
+        let (whole, named) = (gossip::encode(&whole), gossip::encode(&named));
+        for target in targets {
+            let agent = agent_of(entry, target);
+            let knows = entry.lists.borrow().get(&target) == Some(&list);
+            let message = if knows { &named } else { &whole };
+            send(entry, socket, message, agent).await;
+        }
+    }
+}
+
+/// Tells an agent that has just started of the others: it can do nothing
+/// before it knows them.
+pub(super) async fn introduce(
+    entry: &Entry,
+    socket: &UdpSocket,
+    target: SocketAddr,
+) {
+    let mut subscriptions = subscriptions(entry).into_iter();
+    let whole = subscriptions.find(|it| it.targets.contains(&target));
+    if let Some(whole) = whole {
+        let message = gossip::encode(&whole);
+        send(entry, socket, &message, agent_of(entry, target)).await;
+    }
+}
+
+fn agent_of(entry: &Entry, target: SocketAddr) -> SocketAddr {
+    SocketAddr::new(target.ip(), entry.settings().peer_port)
+}
+
+/// What the agents of each service of engines are told.
+fn subscriptions(entry: &Entry) -> Vec<Subscribe> {
+    let Some(catalog) = entry.catalog() else { return Vec::new() };
+    let fleet = entry.fleet.borrow();
+    let subscription = |service: &Service| {
+        let engine = service.engine.as_ref()?;
+        let own = fleet.ready().filter(|it| it.service == service.name);
+        let targets: Vec<SocketAddr> = own.map(|it| it.address).collect();
+        Some(subscribe(engine, &targets, entry.rollbacks.era()))
+    };
+    catalog.services().filter_map(subscription).collect()
+}
+
+fn subscribe(engine: &Engine, targets: &[SocketAddr], era: Era) -> Subscribe {
+    Subscribe {
+        list: gossip::list_of(targets),
+        targets: targets.to_vec(),
+        sets: engine.sets as u16,
+        experts: engine.experts as u16,
+        places: engine.places as u16,
+        spare: engine.spare as u16,
+        copy_ms: engine.copy_time.0,
+        era,
+    }
+}
+
+/// Takes an agent's report in.
+pub(super) fn take_load(entry: &Entry, load: &Load) {
+    entry.lists.borrow_mut().insert(load.target, load.list);
+    let now = Millis::now();
+    let Some(target) = target_at(entry, load.target, load.start) else {
+        return;
+    };
+    entry.heard_from(&target.zone, now);
+    entry.note_report(&target, Start(load.start), now);
+    if load.leaving && target.start == Start(load.start) {
+        info!(entry.log, "target_leaving"; "target" => &*target.id,
+            "source" => ?Source::Peer);
+        return entry.note_left(&target);
+    }
+    let id = target.id;
+    let endpoint = entry.endpoint(&id);
+    let mut endpoint = endpoint.borrow_mut();
+    let stands = |it: &Group| (it.epoch, it.open, it.pace / NEWS_PERCENT);
+    let before = endpoint.group.as_ref().map(stands);
+    endpoint.record.report(load.running.saturating_add(load.queued), now);
+    endpoint.lived = Some(now);
+    endpoint.lost = None;
+    let group = Group {
+        name: load.group.clone(),
+        epoch: load.epoch,
+        open: load.open,
+        step: load.step,
+        pace: load.pace,
+        heard: now,
+    };
+    let after = stands(&group);
+    entry.note_formation(&group.name, group.epoch, group.open);
+    entry.note_step(&group.name, group.epoch, group.step, now);
+    endpoint.group = Some(group);
+    drop(endpoint);
+    if before != Some(after) {
+        info!(entry.log, "group"; "target" => &*id, "epoch" => load.epoch,
+            "open" => load.open, "step" => load.step, "pace" => load.pace);
+        entry.tell_news();
+    }
+}
+
+/// Takes in that an agent finds no process of its engine.
+pub(super) fn take_lost(entry: &Entry, lost: &Lost) {
+    let now = Millis::now();
+    let Some(target) = target_at(entry, lost.target, lost.start) else {
+        return;
+    };
+    entry.heard_from(&target.zone, now);
+    let endpoint = entry.endpoint(&target.id);
+    let before = endpoint.borrow_mut().lost.replace(now);
+    if before.is_none() {
+        info!(entry.log, "target_lost"; "target" => &*target.id);
+        if let Some(group) = &endpoint.borrow().group {
+            entry.note_lost_rank(group, now);
+        }
+        entry.tell_news();
+    }
+}
+
+/// The target that listens at an address, of the start that its agent saw.
+/// One that took the place of another is announced before that one lapses.
+fn target_at(
+    entry: &Entry,
+    address: SocketAddr,
+    start: u64,
+) -> Option<Target> {
+    let same = |it: &Target| {
+        it.address == address
+            && (start == 0 || it.start.0 == 0 || it.start.0 == start)
+    };
+    entry.fleet.borrow().ready().find(|it| same(it)).cloned()
+}
