routing: halt a group again after a halt that lapsed

Found by reading: a wrong word that a rank is gone, which an idle group can't refute, ends by time but was kept, so that a later, true one halted nothing in the same formation. A test shows it. Also what others say of a suspension is taken in by a function without a flag.

--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -379,11 +379,10 @@
             }
         }
         let after = (case.ends.len(), case.excused.len(), case.proven);
-        let ends = match after.0 > before.0 {
-            true => Change::Suspected,
-            false => Change::None,
-        };
-        let suspends = case.hear_suspension(told.suspended, ends, now);
+        // Once for each end: later words of it may have waited in a process
+        // that stood still.
+        let may_extend = after.0 > before.0 || case.suspended_until.is_none();
+        let suspends = may_extend && case.extend(told.suspended, now);
         let is_news = after != before || suspends;
         let is_passed_on =
             case.ends.len() >= PASSED_ON_ENDS || case.proven || suspends;
@@ -559,26 +558,16 @@
         }
     }
 
-    /// Takes in how long others suspend it, once for each end: later words of
-    /// the same may have waited in a process that stood still. Returns whether
-    /// it is suspended for longer now.
-    fn hear_suspension(
-        &mut self,
-        told: Option<Millis>,
-        ends: Change,
-        now: Millis,
-    ) -> bool {
-        let Some(told) = told.filter(|_| !self.proven) else { return false };
-        let is_known = self.suspended_until.is_some() && ends == Change::None;
-        if is_known || self.ends.is_empty() {
-            return false;
-        }
+    /// Suspends it for as long as others do, if that is longer than known.
+    fn extend(&mut self, told: Option<Millis>, now: Millis) -> bool {
+        let Some(told) = told else { return false };
         let until = now + told.min(MAX_SUSPENSION);
         let is_longer = self.suspended_until.is_none_or(|it| until > it);
-        if is_longer {
+        let extends = is_longer && !self.proven && !self.ends.is_empty();
+        if extends {
             self.suspended_until = Some(until);
         }
-        is_longer
+        extends
     }
 
     /// Sees whether it is to be refused. What no end is held against is not
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -269,10 +269,8 @@
     // mostly does so before that.
     let in_group = choice.endpoint.borrow().group.is_some();
     let is_likely = !suspect.has_progress && !suspect.is_given_up();
-    let extent = match in_group && is_likely {
-        true => Extent::Group,
-        false => Extent::Target,
-    };
+    let extent =
+        if in_group && is_likely { Extent::Group } else { Extent::Target };
     info!(entry.log, "ended_under"; "target" => &*choice.target.id,
         "request" => &*suspect.request, "work" => %suspect.work,
         "known_after" => age.0, "extent" => ?extent);
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -363,9 +363,10 @@
                 self.tell_news();
             }
             Change::Suspended => {
-                let until = self.quarantine.borrow().ledger.verdict(work, now);
+                let verdict =
+                    self.quarantine.borrow().ledger.verdict(work, now);
                 info!(self.log, "work_suspended"; "work" => %work,
-                    "ends" => ends, "verdict" => ?until,
+                    "ends" => ends, "verdict" => ?verdict,
                     "source" => ?source);
                 self.measure.quarantined("suspended");
                 self.tell_news();
--- a/cowsliproad-routing/src/formation.rs
+++ b/cowsliproad-routing/src/formation.rs
@@ -56,7 +56,7 @@
     /// Takes in that a rank's process is gone. Returns whether that halts the
     /// group.
     pub fn halt(&mut self, epoch: u64, now: Millis) -> bool {
-        let halts = self.epoch == epoch && self.open && self.halt.is_none();
+        let halts = self.epoch == epoch && self.is_open(now);
         if halts {
             self.halt = Some(Halt { at: now, step: None });
         }
--- a/tests/properties/direct.rs
+++ b/tests/properties/direct.rs
@@ -285,5 +285,10 @@
     assert!(!group.learn(1, true), "it stays broken in its formation");
     assert!(group.learn(2, true));
     assert!(group.is_open(now));
-    assert!(halted(1).is_open(now + Millis(60_000)));
+    // A wrong word that nothing refuted doesn't hide a later one.
+    let mut group = halted(1);
+    let later = now + Millis(60_000);
+    assert!(group.is_open(later));
+    assert!(group.halt(1, later));
+    assert!(!group.is_open(later));
 }
