--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -33,86 +33,15 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeSet, HashMap, HashSet},
-    fmt,
 };
 
 use cowsliproad_kernel::{clock::Millis, gossip::Suspect};
 
-/// What tells a piece of work from others, whatever its id: 64 bits of a
-/// digest, shared by all entries. Two different pieces are alike by chance
-/// once in 10^11 pairs of a million.
-#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct Work(pub u64);
-
-impl Work {
-    /// The work of a request, by everything that a target could run
-    /// differently: its parts in a fixed order, such as who asks, the method,
-    /// the path and the body.
-    pub fn new(parts: &[&[u8]]) -> Work {
-        Work(digest(parts))
-    }
+use self::case::Case;
+pub use self::work::{End, Work};
 
-    /// The work of a submission, as agents and entries both know it.
-    pub fn submitted(
-        organisation: &str,
-        request_type: &str,
-        body: &[u8],
-    ) -> Work {
-        let parts = [organisation.as_bytes(), request_type.as_bytes(), body];
-        Work::new(&parts)
-    }
-
-    /// The same work at one of several services that don't know of others.
-    pub fn within(self, service: &str) -> Work {
-        Work(digest(&[service.as_bytes(), &self.0.to_be_bytes()]))
-    }
-}
-
-/// One start of a target, as entries tell one another of its end.
-#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct End(pub u64);
-
-impl End {
-    /// The end of what started at `start` under a name.
-    pub fn new(target: &str, start: u64) -> End {
-        End(digest(&[target.as_bytes(), &start.to_be_bytes()]))
-    }
-
-    /// The next end of the same start, once this one was taken back.
-    fn next(self) -> End {
-        End(digest(&[&self.0.to_be_bytes()]))
-    }
-}
-
-fn digest(parts: &[&[u8]]) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        // With its length, so that parts can't run into one another.
-        hasher.update(&(part.len() as u64).to_be_bytes());
-        hasher.update(part);
-    }
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_be_bytes(first)
-}
-
-impl fmt::Display for Work {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
-impl fmt::Debug for Work {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(self, f)
-    }
-}
-
-impl fmt::Debug for End {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
+mod case;
+mod work;
 
 /// Targets that may end under work that none is known to have outlived.
 /// Fewer would refuse what was there by chance when two targets were killed.
@@ -215,24 +144,6 @@
     swept: Millis,
 }
 
-/// What is known of one piece of work. Times are counted from [`BEFORE`].
-#[derive(Clone, Debug)]
-struct Case {
-    ends: BTreeSet<End>,
-    /// Ends that were before some target outlived it, the newest last.
-    excused: Vec<End>,
-    /// Whether a target is known to have outlived it.
-    proven: bool,
-    /// When it came last.
-    seen: Millis,
-    /// Since when it is refused.
-    since: Option<Millis>,
-    /// Until when it is suspended.
-    suspended_until: Option<Millis>,
-    /// Until when it is told.
-    told_until: Millis,
-}
-
 /// Work that targets outlived, of the time before and the one before that.
 #[derive(Debug, Default)]
 struct Outlived {
@@ -546,85 +457,6 @@
     }
 }
 
-impl Case {
-    /// Holds an end against it no longer.
-    fn excuse(&mut self, end: End) {
-        self.ends.remove(&end);
-        if !self.excused.contains(&end) {
-            self.excused.push(end);
-        }
-        if self.excused.len() > MAX_EXCUSED {
-            self.excused.remove(0);
-        }
-    }
-
-    /// Suspends it for as long as others do, if that is longer than known.
-    fn extend(&mut self, told: Option<Millis>, now: Millis) -> bool {
-        let Some(told) = told else { return false };
-        let until = now + told.min(MAX_SUSPENSION);
-        let is_longer = self.suspended_until.is_none_or(|it| until > it);
-        let extends = is_longer && !self.proven && !self.ends.is_empty();
-        if extends {
-            self.suspended_until = Some(until);
-        }
-        extends
-    }
-
-    /// Sees whether it is to be refused. What no end is held against is not
-    /// suspended either.
-    fn judge(&mut self, now: Millis) -> Change {
-        let was_suspended = self.suspended_until.is_some_and(|it| it > now);
-        if self.proven || self.ends.is_empty() {
-            self.suspended_until = None;
-        }
-        let most = if self.proven { PROVEN_ENDS } else { ENDS };
-        let refused = self.ends.len() >= most;
-        match (self.since, refused) {
-            (None, true) => {
-                self.since = Some(now);
-                Change::Refused
-            }
-            (Some(_), false) => {
-                self.since = None;
-                Change::Freed
-            }
-            (None, false)
-                if was_suspended && self.suspended_until.is_none() =>
-            {
-                Change::Freed
-            }
-            _ => Change::None,
-        }
-    }
-
-    fn is_over(&self, now: Millis) -> bool {
-        let longest = |since| now.since(since) >= REJECT_TTL;
-        now.since(self.seen) >= SUSPECT_TTL || self.since.is_some_and(longest)
-    }
-
-    fn is_news(&self, now: Millis) -> bool {
-        !self.is_over(now) && (self.since.is_some() || now < self.told_until)
-    }
-
-    /// For how long it is still suspended.
-    fn suspension(&self, now: Millis) -> Option<Millis> {
-        let left = self.suspended_until.map(|it| it.since(now));
-        left.filter(|it| *it > Millis(0))
-    }
-
-    fn suspect(&self, work: Work, now: Millis) -> Suspect {
-        Suspect {
-            work: work.0,
-            ends: self.ends.iter().map(|it| it.0).collect(),
-            excused: self.excused.iter().map(|it| it.0).collect(),
-            proven: self.proven,
-            idle: now.since(self.seen),
-            refused: self.since.map(|it| now.since(it)),
-            suspended: self.suspension(now),
-        }
-    }
-}
-
 impl Outlived {
     fn note(&mut self, work: Work, now: Millis) {
         let is_old = now.since(self.since) >= OUTLIVED_TTL;
