tests: show an entry that hears only the one that is behind

By reading: an entry that starts stops waiting for others at the first that knows nothing newer than the log's copy, which may stand still or be cut off from the log itself. The test shows that.

--- a/cowsliproad-direct/tests/entry/rollbacks.rs
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -34,6 +34,9 @@
 /// The longest that entries tell one another of targets that left.
 const LEFT_TIME: Duration = Duration::from_secs(9);
 
+/// Keys that the organisation has in turn.
+const KEYS: [&str; 2] = [KEY, "key-2"];
+
 /// The body of a request that crashes its target.
 const DEADLY: &str = "deadly";
 
@@ -145,6 +148,46 @@
     assert_eq!(old, Some(StatusCode::UNAUTHORIZED));
 }
 
+/// Guards against a configuration that goes back since the first of the others
+/// that an entry hears as it starts is as far behind as the copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_starting_entry_hears_all_others_before_it_serves_by_an_older_copy()
+{
+    let mut plant = Plant::start().await;
+    plant.log.set_era(Some(1));
+    plant.target("i-1", "plain").await;
+    let entries = plant.entries(2).await;
+    let (behind, ahead) = (&entries[0], &entries[1]);
+    for round in 0..5 {
+        let (old, new) = (KEYS[round % 2], KEYS[(round + 1) % 2]);
+        let copy = Instant::now();
+        behind.signal(Signal::STOP);
+        plant.catalog =
+            plant.catalog.clone().with_organisation("harju", &[new]);
+        plant.catalog.publish(&plant.log);
+        until("the new key holds", async || {
+            ahead.status("/many/a", new).await == Some(StatusCode::OK)
+        })
+        .await;
+        ahead.signal(Signal::STOP);
+        plant.log.roll_back(copy);
+        let starts = Entry::start(plant.settings(&[behind, ahead]));
+        behind.signal(Signal::CONT);
+        until("it has heard one", async || {
+            starts.metric("peers").await.is_some_and(|it| it > 0.0)
+        })
+        .await;
+        sleep(Duration::from_millis(100)).await;
+        ahead.signal(Signal::CONT);
+        until("the new key holds", async || {
+            let answer = starts.status("/many/a", old).await;
+            assert_ne!(answer, Some(StatusCode::OK), "an older configuration");
+            starts.status("/many/a", new).await == Some(StatusCode::OK)
+        })
+        .await;
+    }
+}
+
 /// Guards against requests to a target that left and is ready in the copy.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_that_left_before_a_rollback_stays_out_of_use() {
