entry: hear all others before serving by an older copy

Cause: it stopped waiting for others at the first that knew nothing newer than the log's copy, and where that one came by its state, took that. Both may be behind: one that stood still, or is cut off from the log itself.

It now waits until all that it was told of have spoken, 0.4 s at most as before, and fetches the state from whoever told of the newest version, then from who it heard. An entry whose seeds are gone starts up to 0.4 s later.

--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -73,8 +73,9 @@
     own: SocketAddr,
     seeds: Vec<SocketAddr>,
     known: BTreeMap<SocketAddr, Peer>,
-    /// The newest version of the configuration that any of them told of.
-    newest: u64,
+    /// The newest version of the configuration that any of them told of, and
+    /// who did.
+    newest: (u64, SocketAddr),
     fetching: bool,
 }
 
@@ -94,7 +95,7 @@
             own: settings.peer_address(),
             seeds: Vec::new(),
             known: BTreeMap::new(),
-            newest: 0,
+            newest: (0, settings.peer_address()),
             fetching: false,
         };
         peers.reseed(settings);
@@ -116,7 +117,7 @@
     }
 
     fn hear(&mut self, digest: &Digest, now: Millis) -> bool {
-        self.newest = self.newest.max(digest.version);
+        self.newest = self.newest.max((digest.version, digest.address));
         let known = self.known.get(&digest.address);
         let peer = Peer {
             vm: digest.vm.clone(),
@@ -327,7 +328,7 @@
         let mut peers = entry.peers.borrow_mut();
         (peers.hear(&heard, now), peers.introduce(&heard.peers))
     };
-    entry.met.notify_one();
+    entry.met.notify_waiters();
     if is_new {
         info!(entry.log, "peer_met"; "peer" => &*heard.vm,
             "address" => %heard.address);
@@ -354,28 +355,42 @@
     }
 }
 
-/// Waits, in an entry that starts, until another one has told which version
-/// of the configuration it uses, and has given it if it is newer than the one
-/// that the log gave: the log may have come back from an older copy.
+/// Waits, in an entry that starts, until all others that it was told of have
+/// said which version of the configuration they use, or as long as those that
+/// run need for that, and until it has the newest of these: the log may have
+/// come back from an older copy, and some others may be as far behind.
 pub async fn meet(entry: &Entry, version: u64) {
-    let begun = Millis::now();
-    while entry.catalog().is_none() {
-        let (newest, has_met_all) = {
-            let peers = entry.peers.borrow();
-            (peers.newest, peers.has_met_seeds())
-        };
-        let patience = match newest {
-            0 if has_met_all => return,
-            0 => MEETING_TIMEOUT,
-            newest if newest <= version => return,
-            _ => NEWER_TIMEOUT,
-        };
-        let left = (begun + patience).since(Millis::now());
+    hear_all(entry).await;
+    let has_newest =
+        |it: &Peers| entry.catalog().is_some() || it.newest.0 <= version;
+    if !hear_until(entry, NEWER_TIMEOUT, has_newest).await {
+        info!(entry.log, "nobody_met"; "version" => version,
+            "newest" => entry.peers.borrow().newest.0);
+    }
+}
+
+/// Waits until all others that an entry was told of have spoken, or as long as
+/// those that run need for that.
+async fn hear_all(entry: &Entry) {
+    hear_until(entry, MEETING_TIMEOUT, Peers::has_met_seeds).await;
+}
+
+/// Waits for others until something holds; returns whether it does in time.
+async fn hear_until(
+    entry: &Entry,
+    time: Millis,
+    holds: impl Fn(&Peers) -> bool,
+) -> bool {
+    let end = Millis::now() + time;
+    loop {
+        let met = entry.met.notified();
+        if holds(&entry.peers.borrow()) {
+            return true;
+        }
+        let left = end.since(Millis::now());
         if left == Millis(0) {
-            info!(entry.log, "nobody_met"; "newest" => newest,
-                "version" => version);
-            return;
+            return false;
         }
-        let _ = timeout(left.duration(), entry.met.notified()).await;
+        let _ = timeout(left.duration(), met).await;
     }
 }
--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -1,7 +1,7 @@
 //! The state that an entry takes from another one: the configuration and the
 //! targets, where the log doesn't bring them in time.
 
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use cowsliproad_kernel::{
@@ -17,6 +17,7 @@
 use slog::warn;
 use tokio::time::sleep;
 
+use super::hear_all;
 use crate::{
     entry::{Entry, Source},
     follow,
@@ -56,25 +57,36 @@
     if knows && !entry.readings.borrow().needs_peer() {
         return;
     }
-    let uri = format!("http://{}{STATE_PATH}", heard.address);
-    let Ok(request) = Request::get(uri).body(Full::new(Bytes::new())) else {
-        return;
-    };
+    if entry.catalog().is_none() {
+        hear_all(entry).await;
+    }
+    let (newest, ahead) = entry.peers.borrow().newest;
+    let ahead = (newest > heard.version).then_some(ahead);
+    for address in ahead.into_iter().chain([heard.address]) {
+        if let Some(state) = fetch(entry, address).await {
+            return take_state(entry, state);
+        }
+    }
+}
+
+async fn fetch(entry: &Entry, peer: SocketAddr) -> Option<State> {
+    let uri = format!("http://{peer}{STATE_PATH}");
+    let request = Request::get(uri).body(Full::new(Bytes::new())).ok()?;
     let client = Client::new();
     let call = client.call(request, MAX_STATE_BYTES, FETCH_TIMEOUT.duration());
     let body = match call.await {
         Ok(answer) => answer.into_body(),
         Err(error) => {
-            warn!(entry.log, "peer_gave_no_state"; "peer" => &*heard.vm,
+            warn!(entry.log, "peer_gave_no_state"; "peer" => %peer,
                 "error" => %error);
-            return;
+            return None;
         }
     };
-    let Some(state) = gossip::decode::<State>(&body) else {
-        warn!(entry.log, "strange_state"; "peer" => &*heard.vm);
-        return;
-    };
-    take_state(entry, state);
+    let state = gossip::decode::<State>(&body);
+    if state.is_none() {
+        warn!(entry.log, "strange_state"; "peer" => %peer);
+    }
+    state
 }
 
 fn take_state(entry: &Entry, state: State) {
--- a/cowsliproad-direct/tests/entry/rollbacks.rs
+++ b/cowsliproad-direct/tests/entry/rollbacks.rs
@@ -171,20 +171,19 @@
         .await;
         ahead.signal(Signal::STOP);
         plant.log.roll_back(copy);
-        let starts = Entry::start(plant.settings(&[behind, ahead]));
         behind.signal(Signal::CONT);
-        until("it has heard one", async || {
-            starts.metric("peers").await.is_some_and(|it| it > 0.0)
-        })
-        .await;
-        sleep(Duration::from_millis(100)).await;
-        ahead.signal(Signal::CONT);
-        until("the new key holds", async || {
+        let starts = Entry::start(plant.settings(&[behind, ahead]));
+        // Well within the time that an entry waits for others.
+        let waking = async {
+            sleep(Duration::from_millis(200)).await;
+            ahead.signal(Signal::CONT);
+        };
+        let holding = until("the new key holds", async || {
             let answer = starts.status("/many/a", old).await;
             assert_ne!(answer, Some(StatusCode::OK), "an older configuration");
             starts.status("/many/a", new).await == Some(StatusCode::OK)
-        })
-        .await;
+        });
+        tokio::join!(waking, holding);
     }
 }
 
