entry: say whenever a starting entry has not heard all others

The line that told of an entry that waited in vain was left out where nobody spoke at all; it is named by what it says now.

--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -360,19 +360,20 @@
 /// run need for that, and until it has the newest of these: the log may have
 /// come back from an older copy, and some others may be as far behind.
 pub async fn meet(entry: &Entry, version: u64) {
-    hear_all(entry).await;
+    let has_heard_all = hear_all(entry).await;
     let has_newest =
         |it: &Peers| entry.catalog().is_some() || it.newest.0 <= version;
-    if !hear_until(entry, NEWER_TIMEOUT, has_newest).await {
-        info!(entry.log, "nobody_met"; "version" => version,
+    let has_newest = hear_until(entry, NEWER_TIMEOUT, has_newest).await;
+    if !(has_heard_all && has_newest) {
+        info!(entry.log, "not_all_met"; "version" => version,
             "newest" => entry.peers.borrow().newest.0);
     }
 }
 
 /// Waits until all others that an entry was told of have spoken, or as long as
-/// those that run need for that.
-async fn hear_all(entry: &Entry) {
-    hear_until(entry, MEETING_TIMEOUT, Peers::has_met_seeds).await;
+/// those that run need for that. Returns whether they have.
+async fn hear_all(entry: &Entry) -> bool {
+    hear_until(entry, MEETING_TIMEOUT, Peers::has_met_seeds).await
 }
 
 /// Waits for others until something holds; returns whether it does in time.
--- a/cowsliproad-direct/tests/entry/rollback_siege.rs
+++ b/cowsliproad-direct/tests/entry/rollback_siege.rs
@@ -568,3 +568,11 @@
 async fn a_siege_that_hid_a_target_from_some_entries_hides_none() {
     play(336).await;
 }
+
+/// Guards against a starting entry that hears only another one that is as far
+/// behind as the log's copy.
+#[tokio::test]
+async fn a_siege_that_started_an_entry_beside_one_that_was_behind_reverts_nothing()
+ {
+    play(620).await;
+}
