--- a/cowsliproad-direct/tests/entry/group_crashes.rs
+++ b/cowsliproad-direct/tests/entry/group_crashes.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    harness::{Entry, KEY, Plant, numbers, tell_lost, until},
+    harness::{Entry, KEY, Plant, numbers, report, tell_lost, until},
     streams::Agents,
 };
 
@@ -57,11 +57,7 @@
             scene.agents.push(Agents::start(entry, &targets).await);
         }
         for entry in &scene.entries {
-            until("the ranks are used", async || {
-                let answer = entry.status("/stream/a", KEY).await;
-                answer == Some(StatusCode::OK)
-            })
-            .await;
+            until_served(entry).await;
         }
         scene
     }
@@ -70,6 +66,11 @@
         self.ranks.iter().filter(|it| it.has_ended()).collect()
     }
 
+    /// Requests that came to any rank.
+    fn arrivals(&self) -> u64 {
+        self.ranks.iter().map(|it| it.arrivals()).sum()
+    }
+
     /// Has a rank end by its agent's word.
     async fn lose(&self, rank: &Target) {
         let address = rank.address().expect("it listened");
@@ -96,11 +97,7 @@
     async fn form_again(&self) {
         self.report(2, true);
         for entry in &self.entries {
-            until("the group is used again", async || {
-                let answer = entry.status("/stream/a", KEY).await;
-                answer == Some(StatusCode::OK)
-            })
-            .await;
+            until_served(entry).await;
         }
     }
 
@@ -119,6 +116,14 @@
     }
 }
 
+/// Waits until the group serves a request through an entry.
+async fn until_served(entry: &Entry) {
+    until("the group is used", async || {
+        entry.status("/stream/a", KEY).await == Some(StatusCode::OK)
+    })
+    .await;
+}
+
 async fn rank(plant: &mut Plant, number: usize) -> Arc<Target> {
     let config = Config::new(&format!("i-{number}"), "model", "a")
         .with_events(EVENTS, PAUSE)
@@ -161,7 +166,7 @@
     let second = rank(&mut scene.plant, 1).await;
     scene.ranks.push(second);
     for (entry, agents) in scene.entries.iter().zip(&scene.agents) {
-        let more = crate::harness::report(&scene.ranks[1]);
+        let more = report(&scene.ranks[1]);
         agents.change(|loads| loads.push(more));
         until("both ranks are known", async || {
             entry.metric("targets").await == Some(2.0)
@@ -190,7 +195,7 @@
     scene.lose(&scene.ranks[0]).await;
     let lost = Instant::now();
     sleep(BOUND).await;
-    let before: u64 = scene.ranks.iter().map(|it| it.arrivals()).sum();
+    let before = scene.arrivals();
     let requests =
         scene.entries.iter().map(|it| it.request("/stream/a", KEY, ""));
     let requests = requests.map(|it| async move {
@@ -199,8 +204,7 @@
     let waiting = tokio::spawn(join_all(requests.collect::<Vec<_>>()));
     while lost.elapsed() < Duration::from_millis(1_000) {
         sleep(Duration::from_millis(20)).await;
-        let now: u64 = scene.ranks.iter().map(|it| it.arrivals()).sum();
-        assert_eq!(now, before, "{:?}", lost.elapsed());
+        assert_eq!(scene.arrivals(), before, "{:?}", lost.elapsed());
     }
     scene.form_again().await;
     for answer in waiting.await.expect("no panic") {
@@ -219,14 +223,7 @@
     }
     let told = Instant::now();
     sleep(BOUND).await;
-    let served = scene.entries.iter().map(async |entry| {
-        until("the group is used again", async || {
-            let answer = entry.status("/stream/a", KEY).await;
-            answer == Some(StatusCode::OK)
-        })
-        .await;
-    });
-    join_all(served).await;
+    join_all(scene.entries.iter().map(until_served)).await;
     let most = Duration::from_secs(2) + PAUSE * EVENTS as u32;
     assert!(told.elapsed() < most, "{:?}", told.elapsed());
 }
@@ -242,10 +239,7 @@
     let settings = last.settings.clone();
     drop(last);
     let started = Entry::start(settings);
-    until("it is used", async || {
-        started.status("/stream/a", KEY).await == Some(StatusCode::OK)
-    })
-    .await;
+    until_served(&started).await;
     let answer = started.ask_with("/stream/a", KEY, POISON).await;
     assert_eq!(scene.ended().len(), 1);
     let status = answer.expect("an answer").status();
