--- a/cowsliproad-direct/tests/entry/cooldown_siege.rs
+++ b/cowsliproad-direct/tests/entry/cooldown_siege.rs
@@ -223,10 +223,7 @@
         place.target.borrow().end();
         sleep(Duration::from_millis(300)).await;
         let config = config(number.unwrap_or(0), place.starts.get());
-        let (address, log) = {
-            let mut plant = self.plant.borrow_mut();
-            ((plant.vm(), 18_083).into(), plant.log.clone())
-        };
+        let (address, log) = self.plant.borrow_mut().target_site();
         let target = target::start(address, config, &log).await;
         let target = target.expect("a target");
         self.targets.borrow_mut().push(target.clone());
--- a/cowsliproad-direct/tests/entry/cooldowns.rs
+++ b/cowsliproad-direct/tests/entry/cooldowns.rs
@@ -3,7 +3,6 @@
 
 use std::{
     collections::BTreeSet,
-    net::SocketAddr,
     time::{Duration, Instant, SystemTime},
 };
 
@@ -263,7 +262,7 @@
         assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
         first.end();
         let address = match id {
-            "i-1" => SocketAddr::from((plant.vm(), 18_083)),
+            "i-1" => plant.target_site().0,
             _ => first.address().expect("an address"),
         };
         if id != "i-1" {
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -104,6 +104,11 @@
         Ipv4Addr::new(127, self.net.0, self.net.1, self.next)
     }
 
+    /// Where one more target may listen, and the log that it is announced in.
+    pub fn target_site(&mut self) -> (SocketAddr, Arc<Log>) {
+        (SocketAddr::from((self.vm(), TARGETS)), self.log.clone())
+    }
+
     /// One more target.
     pub async fn target(&mut self, id: &str, service: &str) -> Arc<Target> {
         let config = Config::new(id, service, "a");
@@ -112,8 +117,8 @@
 
     /// One more target of a kind.
     pub async fn target_with(&mut self, config: Config) -> Arc<Target> {
-        let address = SocketAddr::from((self.vm(), TARGETS));
-        target::start(address, config, &self.log).await.expect("a target")
+        let (address, log) = self.target_site();
+        target::start(address, config, &log).await.expect("a target")
     }
 
     /// A quick target, which gets most requests, and two slower ones.
--- a/cowsliproad-direct/tests/entry/rollback_siege.rs
+++ b/cowsliproad-direct/tests/entry/rollback_siege.rs
@@ -275,10 +275,7 @@
         let place = &self.places[number];
         place.starts.set(place.starts.get() + 1);
         let config = config(number, place.starts.get());
-        let (address, log) = {
-            let mut plant = self.plant.borrow_mut();
-            ((plant.vm(), 18_083).into(), plant.log.clone())
-        };
+        let (address, log) = self.plant.borrow_mut().target_site();
         let target = target::start(address, config, &log).await;
         place.target.replace(target.expect("a target"));
         place.leaving.set(false);
