kernel: state the time in each log line

Operators who compare the lines of several processes saw no order in them: a line stated its event and process, but no time.

Each line now has `unix_ms`. The time is read where the event is logged, since a background thread writes the line later.

--- a/cowsliproad-kernel/src/log.rs
+++ b/cowsliproad-kernel/src/log.rs
@@ -1,9 +1,13 @@
-//! Structured logs: one line of `key=value` pairs for each event.
+//! Structured logs: one line of `key=value` pairs for each event. Every line
+//! states when its event was logged, as a Unix time in milliseconds, so that
+//! the lines of several processes can be ordered.
 //!
 //! A background thread writes the lines to standard output from a bounded
 //! queue. If the queue is full, lines are dropped and counted, so that logging
 //! never blocks request processing.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use serde::{Deserialize, Serialize};
 use slog::{Drain, Logger, o};
 
@@ -42,7 +46,38 @@
         .chan_size(MAX_QUEUED_LINES)
         .build()
         .fuse();
-    Logger::root(slog::LevelFilter::new(lines, min_level).fuse(), keys)
+    let lines = slog::LevelFilter::new(TimestampDrain { lines }, min_level);
+    Logger::root(lines.fuse(), keys)
+}
+
+/// Adds the current time to each event. The lines are written later, by a
+/// background thread.
+struct TimestampDrain<D> {
+    lines: D,
+}
+
+impl<D: Drain> Drain for TimestampDrain<D> {
+    type Ok = D::Ok;
+    type Err = D::Err;
+
+    fn log(
+        &self,
+        record: &slog::Record,
+        keys: &slog::OwnedKVList,
+    ) -> Result<D::Ok, D::Err> {
+        let pairs = (record.kv(), slog::SingleKV("unix_ms", unix_ms()));
+        let metadata = slog::RecordStatic {
+            location: record.location(),
+            tag: record.tag(),
+            level: record.level(),
+        };
+        let timestamped = slog::Record::new(
+            &metadata,
+            record.msg(),
+            slog::BorrowedKV(&pairs),
+        );
+        self.lines.log(&timestamped, keys)
+    }
 }
 
 /// Writes the level and the event at the start of a line, as `key=value`
@@ -56,6 +91,13 @@
     Ok(())
 }
 
+/// Returns the current Unix time in milliseconds, or 0 if the system's clock is
+/// set before 1970.
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |it| it.as_millis() as u64)
+}
+
 fn min_slog_level(level: Level) -> Option<slog::Level> {
     match level {
         Level::Off => None,
