rank: log searches that find no better map

Operators could not tell a group whose map is balanced from one whose coordinator finds no better map, or has no coordinator at all: a search without a result was silent and the skew that the coordinator estimates was in no metric.

`no_better_map` states the skew, the bound, and what a search without cost and limits would find, so that a dead end, a limit and a price can be told apart. It is logged at the first such search after a plan and then every five seconds. At `debug`, `map_in_use` has the map and the demand. Entries show the coordinator's estimate as `expert_map_skew_percent` by group. `map_planned` states the newest pass that any rank reported and the time over which the demand was counted.

--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -26,6 +26,7 @@
     caught_up: Histogram<u64>,
     peers: Gauge<u64>,
     targets: Gauge<u64>,
+    expert_map_skew: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -48,6 +49,9 @@
             crash_suspicions: meter.u64_counter("doubts").build(),
             peers: meter.u64_gauge("peers").build(),
             targets: meter.u64_gauge("targets").build(),
+            expert_map_skew: meter
+                .u64_gauge("expert_map_skew_percent")
+                .build(),
             metrics,
         }
     }
@@ -123,6 +127,13 @@
         self.targets.record(targets as u64, &[]);
     }
 
+    /// Sets the step time of a group under its expert map, in percent of the
+    /// step time under perfect balance.
+    pub fn set_expert_map_skew(&self, group: &str, skew_percent: u32) {
+        let group = KeyValue::new("group", group.to_string());
+        self.expert_map_skew.record(u64::from(skew_percent), &[group]);
+    }
+
     /// Renders all metrics as text.
     pub fn render_text(&self) -> String {
         self.metrics.text()
--- a/cowsliproad-direct/src/peers/agents.rs
+++ b/cowsliproad-direct/src/peers/agents.rs
@@ -118,6 +118,9 @@
         return;
     };
     entry.record_zone_contact(&target.zone, now);
+    if let Some(skew_percent) = load.expert_map_skew_percent {
+        entry.metrics.set_expert_map_skew(&load.group_name, skew_percent);
+    }
     entry.retract_crash_on_agent_report(
         &target,
         ProcessStartUnixMs(load.engine_start_unix_ms),
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -384,6 +384,7 @@
         target_list_id: 0,
         engine_start_unix_ms: 0,
         draining: false,
+        expert_map_skew_percent: None,
     }
 }
 
--- a/cowsliproad-direct/tests/entry/news.rs
+++ b/cowsliproad-direct/tests/entry/news.rs
@@ -2,12 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use cowsliproad_kernel::clock::Millis;
+use cowsliproad_kernel::{
+    clock::Millis,
+    gossip::{self, Datagram, EngineLoad},
+};
 use cowsliproad_platform::log::{CONFIG_TOPIC, TARGETS_TOPIC};
 use cowsliproad_platform_standin::{catalog::RouteKind, log::Fault, target};
 use http::StatusCode;
+use tokio::net::UdpSocket;
 
-use crate::harness::{Entry, KEY, Plant, until};
+use crate::harness::{Entry, KEY, Plant, report, until};
 
 /// The time in which news has to be in force.
 const BOUND: Duration = Duration::from_millis(2_000);
@@ -305,3 +309,22 @@
     // 20 for the configuration and 2 for the targets, each second.
     assert!(calls <= 22 * seconds, "{calls} calls in {seconds} s");
 }
+
+/// Guards against an operator who can't see from an entry's metrics how far a
+/// group's expert map is from balance.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_skew_of_a_groups_expert_map_is_a_metric() {
+    let mut plant = Plant::start().await;
+    let target = plant.target("i-1", "model").await;
+    let entry = plant.entry().await;
+    let load =
+        EngineLoad { expert_map_skew_percent: Some(168), ..report(&target) };
+    let bytes = gossip::encode(&Datagram::Load(load));
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let to = entry.settings.own_peer_address();
+    socket.send_to(&bytes, to).await.expect("the report is sent");
+    until("the metric shows the skew", async || {
+        entry.metric("expert_map_skew_percent").await == Some(168.0)
+    })
+    .await;
+}
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -292,6 +292,11 @@
     /// agent.
     #[serde(rename = "x", default, skip_serializing_if = "is_false")]
     pub draining: bool,
+    /// The step time of the group under the expert map in use, in percent of
+    /// the step time under perfect balance, as the group's coordinator
+    /// estimates it; `None` from all other agents.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub expert_map_skew_percent: Option<u32>,
 }
 
 fn is_false(value: &bool) -> bool {
--- a/cowsliproad-placement/src/demand.rs
+++ b/cowsliproad-placement/src/demand.rs
@@ -78,15 +78,26 @@
     /// if the samples don't show any demand yet.
     pub fn current_loads(&self) -> Option<Vec<Vec<f64>>> {
         let (_, newest) = self.samples.back()?;
-        let oldest = self
-            .samples
-            .get(self.first_sample_index_since_shift())
-            .or(self.samples.front())?;
-        let loads = increase_of_counts(newest, &oldest.1);
+        let (_, oldest) = self.oldest_current_sample()?;
+        let loads = increase_of_counts(newest, oldest);
         let counted: f64 = loads.iter().flatten().sum();
         (counted > 0.0).then_some(loads)
     }
 
+    /// Returns the time over which the current demand was counted.
+    pub fn counting_duration(&self) -> Millis {
+        match (self.oldest_current_sample(), self.samples.back()) {
+            (Some(oldest), Some(newest)) => newest.0.since(oldest.0),
+            _ => Millis(0),
+        }
+    }
+
+    /// Returns the first sample since the demand last shifted.
+    fn oldest_current_sample(&self) -> Option<&(Millis, CumulativeCounts)> {
+        let first = self.first_sample_index_since_shift();
+        self.samples.get(first).or(self.samples.front())
+    }
+
     /// Returns when the demand last shifted, or zero before its first shift.
     pub fn demand_shifted_at(&self) -> Millis {
         self.demand_shifted_at
--- a/cowsliproad-rank/src/agent/words.rs
+++ b/cowsliproad-rank/src/agent/words.rs
@@ -49,6 +49,10 @@
             target_list_id: self.target_list_id(),
             engine_start_unix_ms: state.start_unix_ms,
             draining: self.engine_client.is_engine_leaving(),
+            expert_map_skew_percent: self
+                .coordinator
+                .as_ref()
+                .and_then(GroupCoordinator::expert_map_skew_percent),
         });
         self.send_to_entry_processes(&load).await;
     }
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -20,7 +20,7 @@
     live,
     map::{Map, Shape, ideal_step_time},
 };
-use slog::{Logger, info};
+use slog::{Logger, debug, info};
 
 use crate::{
     plan::{MapPlan, PlanUpdate},
@@ -41,6 +41,10 @@
 /// The minimum interval between two searches for a better map.
 const MIN_MAP_SEARCH_INTERVAL: Millis = Millis(50);
 
+/// The interval at which a coordinator logs that its searches find no better
+/// map. The first such search after a change of the map is logged at once.
+const FRUITLESS_SEARCH_LOG_INTERVAL: Millis = Millis(5_000);
+
 /// The coordinator of a group, with its view of the ranks.
 #[derive(Debug)]
 pub struct GroupCoordinator {
@@ -55,6 +59,12 @@
     demand_estimator: DemandEstimator,
     last_sample_time: Millis,
     last_map_search_time: Millis,
+    /// The step time under the map in use relative to perfect balance, as of
+    /// the last search for a better map.
+    expert_map_skew: Option<f64>,
+    /// When a search without a better map was last logged; `None` since the
+    /// last plan.
+    fruitless_search_logged_at: Option<Millis>,
     current_plan: Option<MapPlan>,
     /// The plan that preceded the current plan.
     previous_plan: Option<MapPlan>,
@@ -98,6 +108,8 @@
             demand_estimator: DemandEstimator::new(),
             last_sample_time: Millis(0),
             last_map_search_time: Millis(0),
+            expert_map_skew: None,
+            fruitless_search_logged_at: None,
             current_plan: None,
             previous_plan: None,
             plan_in_use: None,
@@ -122,6 +134,13 @@
         self.current_plan.as_ref()
     }
 
+    /// Returns the step time of the group under the map in use, in percent of
+    /// the step time under perfect balance; `None` before the first search for
+    /// a better map.
+    pub fn expert_map_skew_percent(&self) -> Option<u32> {
+        self.expert_map_skew.map(|it| (it * 100.0).round() as u32)
+    }
+
     /// Returns the agents from which the coordinator has a status.
     pub fn reporting_agent_addresses(
         &self,
@@ -398,7 +417,7 @@
         else {
             return;
         };
-        let config = live::LivePlanConfig::new(usize::from(
+        let limits = live::LivePlanConfig::new(usize::from(
             service_shape.max_experts_added_to_rank_per_layer_set,
         ))
         .with_max_new_experts_per_rank(max_new_experts_per_rank(Millis(
@@ -407,23 +426,28 @@
         .with_copy_cost(self.expert_move_cost);
         let speeds: Vec<f64> =
             self.statuses_by_rank.values().map(relative_rank_speed).collect();
-        let plan = live::plan(shape_of_map, config, &present, &loads, &speeds);
-        let Some(plan) = plan else {
+        let ideal = ideal_step_time(&loads, &speeds);
+        let skew = live::step_time(&present, &loads, &speeds) / ideal;
+        self.expert_map_skew = Some(skew);
+        let search = MapSearch { shape: shape_of_map, present, loads, speeds };
+        let Some(plan) = search.plan(limits) else {
+            self.log_fruitless_search(&search, skew, now);
             return;
         };
+        self.fruitless_search_logged_at = None;
         let map_version = self.switch_coordinator.begin_plan(snapshots, now);
-        let ideal = ideal_step_time(&loads, &speeds);
-        let bound =
-            bound::min_step_time(shape_of_map, &loads, &speeds) / ideal;
+        let pass =
+            snapshots.iter().map(|it| it.report.latest_begun_pass).max();
         info!(self.log, "map_planned"; "version" => map_version.0,
-            "skew" => format!("{:.3}", plan.present_step_time_ratio_to_ideal),
+            "skew" => format!("{skew:.3}"),
             "expected" => format!("{:.3}",
                 plan.planned_step_time_ratio_to_ideal),
-            "bound" => format!("{bound:.3}"),
-            "slowest" => speeds.iter().copied().fold(1.0, f64::min),
+            "bound" => format!("{:.3}", search.bound()),
+            "slowest" => search.slowest_speed(),
             "copies" => plan.move_count,
-            "step" => snapshots[0].report.latest_begun_pass,
-            "counted" => loads.iter().flatten().sum::<f64>());
+            "step" => pass,
+            "counted" => search.counted(),
+            "counted_ms" => self.demand_estimator.counting_duration().0);
         let directive = self.current_directive();
         let last = self.current_plan.replace(MapPlan {
             fencing_number: directive.fencing_number,
@@ -434,6 +458,38 @@
         self.previous_plan = last.or(self.previous_plan.take());
     }
 
+    /// Logs that a search found no better map, and what a search without cost
+    /// and limits would find. If that is no better either, the search ends at
+    /// a local optimum; otherwise the cost or a limit keeps the map.
+    fn log_fruitless_search(
+        &mut self,
+        search: &MapSearch,
+        skew: f64,
+        now: Millis,
+    ) {
+        if self.fruitless_search_logged_at.is_some_and(|last_time| {
+            now.since(last_time) < FRUITLESS_SEARCH_LOG_INTERVAL
+        }) {
+            return;
+        }
+        self.fruitless_search_logged_at = Some(now);
+        let without_limits =
+            live::LivePlanConfig::new(search.shape.slots_per_rank)
+                .with_copy_cost(0.0);
+        let unlimited = search
+            .plan(without_limits)
+            .map_or(skew, |it| it.planned_step_time_ratio_to_ideal);
+        info!(self.log, "no_better_map"; "skew" => format!("{skew:.3}"),
+            "unlimited" => format!("{unlimited:.3}"),
+            "bound" => format!("{:.3}", search.bound()),
+            "slowest" => search.slowest_speed(),
+            "counted" => search.counted(),
+            "counted_ms" => self.demand_estimator.counting_duration().0);
+        debug!(self.log, "map_in_use";
+            "experts" => ?search.present.experts_by_layer_and_rank(),
+            "loads" => ?search.loads);
+    }
+
     /// Returns the map in use, assembled from the expert lists of all ranks.
     fn assemble_map_in_use(
         &self,
@@ -464,6 +520,38 @@
     }
 }
 
+/// The inputs of a search for a better map.
+struct MapSearch {
+    shape: Shape,
+    present: Map,
+    loads: Vec<Vec<f64>>,
+    speeds: Vec<f64>,
+}
+
+impl MapSearch {
+    fn plan(&self, config: live::LivePlanConfig) -> Option<live::LivePlan> {
+        let MapSearch { shape, present, loads, speeds } = self;
+        live::plan(*shape, config, present, loads, speeds)
+    }
+
+    /// Returns a lower bound on the step time over all maps, relative to
+    /// perfect balance.
+    fn bound(&self) -> f64 {
+        bound::min_step_time(self.shape, &self.loads, &self.speeds)
+            / ideal_step_time(&self.loads, &self.speeds)
+    }
+
+    fn slowest_speed(&self) -> f64 {
+        self.speeds.iter().copied().fold(1.0, f64::min)
+    }
+
+    /// Returns how often requests selected experts in the time over which the
+    /// demand was counted.
+    fn counted(&self) -> f64 {
+        self.loads.iter().flatten().sum()
+    }
+}
+
 /// Returns how many new experts a map may assign to a rank: as many as are
 /// copied in the time that the rest of a switch takes, but at least one.
 fn max_new_experts_per_rank(expert_copy_duration: Millis) -> usize {
--- a/cowsliproad-rank/tests/lead.rs
+++ b/cowsliproad-rank/tests/lead.rs
@@ -2,6 +2,8 @@
 //! tests pass statuses and counts to the coordinator and check its plan and
 //! directive.
 
+use std::sync::{Arc, Mutex};
+
 use cowsliproad_kernel::{clock::Millis, gossip::LoadSubscription};
 use cowsliproad_mapswitch::order::{
     ArmOrderStatus, CoordinatorArmingNotice, DesiredState, Epoch, RankReport,
@@ -11,7 +13,7 @@
     lead::{CoordinatorParameters, GroupCoordinator},
     wire::{RankStatus, SelectionCountIncrease},
 };
-use slog::{Discard, Logger, o};
+use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 
 const RANK_COUNT: u16 = 4;
 const EXPERTS_PER_SET: usize = 16;
@@ -20,9 +22,23 @@
 struct TestGroup {
     coordinator: GroupCoordinator,
     reports_by_rank: Vec<RankReport>,
+    events: Arc<Mutex<Vec<String>>>,
     now: Millis,
 }
 
+/// Records the names of the events that the coordinator logs.
+struct EventRecorder(Arc<Mutex<Vec<String>>>);
+
+impl Drain for EventRecorder {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record, _: &OwnedKVList) -> Result<(), Never> {
+        self.0.lock().expect("no panic").push(record.msg().to_string());
+        Ok(())
+    }
+}
+
 impl TestGroup {
     fn new() -> TestGroup {
         let start = CoordinatorParameters {
@@ -30,20 +46,30 @@
             coordinator_rank: 0,
             predecessor_vm_and_fencing_number: None,
         };
-        let coordinator =
-            GroupCoordinator::new(start, 0.03, Logger::root(Discard, o!()));
+        let events = Arc::default();
+        let log = Logger::root(EventRecorder(Arc::clone(&events)), o!());
+        let coordinator = GroupCoordinator::new(start, 0.03, log);
         let report = |rank| RankReport::new(Epoch(1), rank, RANK_COUNT);
         let reports_by_rank = (0..RANK_COUNT).map(report).collect();
-        TestGroup { coordinator, reports_by_rank, now: Millis(10_000) }
+        let now = Millis(10_000);
+        TestGroup { coordinator, reports_by_rank, events, now }
     }
 
     /// Passes the counts and the status of every rank to the coordinator. One
     /// expert is selected far more often than all others.
     fn pass_statuses_to_coordinator(&mut self, popular_expert: usize) {
+        let mut increase_units_by_expert = vec![10; EXPERTS_PER_SET];
+        increase_units_by_expert[popular_expert] = 250;
+        self.pass_counts_and_statuses_to_coordinator(increase_units_by_expert);
+    }
+
+    fn pass_counts_and_statuses_to_coordinator(
+        &mut self,
+        increase_units_by_expert: Vec<u8>,
+    ) {
         self.now = self.now + Millis(60);
         for rank in 0..RANK_COUNT {
-            let mut increase_units_by_expert = vec![10; EXPERTS_PER_SET];
-            increase_units_by_expert[popular_expert] = 250;
+            let increase_units_by_expert = increase_units_by_expert.clone();
             self.coordinator.add_selection_count_increase(
                 SelectionCountIncrease {
                     selections_per_increase_unit: 100,
@@ -89,6 +115,11 @@
         }
     }
 
+    fn count_events(&self, name: &str) -> usize {
+        let events = self.events.lock().expect("no panic");
+        events.iter().filter(|it| *it == name).count()
+    }
+
     /// Returns the number of ranks that hold an expert under the current plan.
     fn planned_rank_count(&self, expert: u16) -> usize {
         let Some(plan) = self.coordinator.current_plan() else { return 0 };
@@ -136,3 +167,21 @@
     let aim = group.coordinator.current_directive().desired_state;
     assert!(matches!(aim, DesiredState::Held { .. }), "{aim:?}");
 }
+
+/// Guards against an operator who can't see that a coordinator searches for a
+/// better map and finds none.
+#[test]
+fn searches_without_a_better_map_are_logged_now_and_then() {
+    let mut group = TestGroup::new();
+    assert_eq!(group.coordinator.expert_map_skew_percent(), None);
+    // Six seconds of an even demand, with a search every 60 ms.
+    for _ in 0..100 {
+        group.pass_counts_and_statuses_to_coordinator(vec![
+            100;
+            EXPERTS_PER_SET
+        ]);
+    }
+    assert_eq!(group.count_events("map_planned"), 0);
+    assert_eq!(group.count_events("no_better_map"), 2);
+    assert_eq!(group.coordinator.expert_map_skew_percent(), Some(100));
+}
