tests: give each run of the agents' tests its own network

The siege of log rollbacks failed with "left == right", a fencing number twice, where none was given twice, and other tests with "a log: Address already in use".

A run took its addresses from the process id modulo 200, and an agent's log file was named by its address and appended to. A run that fails leaves its files, so a later run under the same addresses read the numbers of the earlier one as its own. Two runs at once, or agents left by a run that was killed, could meet on the wire too.

A run now takes a network in which it can start its log and no agent has an address, and its files are named by its process id and begin empty. The check of the numbers is unchanged. A test that fails prints the engines' maps and counts, the log's records and the names of the agents' files.

--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -6,6 +6,7 @@
 
 use std::{
     fs,
+    io::ErrorKind,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command},
@@ -36,6 +37,16 @@
 const AGENT_DATAGRAM_PORT: u16 = 19_082;
 const RANK_COUNT: u8 = 4;
 const EXPERTS_PER_SET: usize = 16;
+const PASS_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The VM of a network on which the platform's log runs.
+const LOG_VM_NUMBER: u8 = 250;
+
+/// The first of the blocks of networks, and their number. A test program takes
+/// its networks from the block that its process id names, and from later ones
+/// while other test programs use these networks.
+const FIRST_NETWORK_BLOCK: u8 = 16;
+const NETWORK_BLOCK_COUNT: u32 = 200;
 
 /// The number of the next test's network. Each test has its own network, so
 /// that tests can run in parallel.
@@ -77,19 +88,14 @@
     /// Starts a group and its agents, without a subscription to load reports.
     async fn start_without_load_subscription() -> (TestGroup, Vec<SocketAddr>)
     {
-        let block = 16 + (std::process::id() % 200) as u8;
-        let network_octets =
-            (block, NEXT_NETWORK_NUMBER.fetch_add(1, Ordering::Relaxed));
-        let address =
-            SocketAddr::from((vm_address(network_octets, 250), ENGINE_PORT));
-        let (log, log_address) = log::start(address).await.expect("a log");
+        let (network_octets, log, log_address) = start_log_in_network().await;
         let numbers = 1..=RANK_COUNT;
         let engines: Vec<SocketAddr> = numbers
             .clone()
             .map(|it| (vm_address(network_octets, it), ENGINE_PORT).into())
             .collect();
-        let pass = Duration::from_millis(20);
-        let group = group::start(&engines, (2, EXPERTS_PER_SET), pass).await;
+        let group =
+            group::start(&engines, (2, EXPERTS_PER_SET), PASS_INTERVAL).await;
         let group = group.expect("a group");
         let mut test_group = TestGroup {
             network_octets,
@@ -118,8 +124,11 @@
             platform_log_address: self.log_address,
             ..Settings::example()
         };
-        let name = format!("cowsliproad-{vm}.json");
+        // A run that fails leaves its log files behind, and a later run may
+        // have the same addresses.
+        let name = format!("cowsliproad-{vm}-{}.json", std::process::id());
         let settings_file = std::env::temp_dir().join(name);
+        let _ = fs::remove_file(agent_log_path(&settings_file));
         let text = cowsliproad_kernel::settings::to_json(&settings);
         fs::write(&settings_file, text).expect("a settings file");
         AgentProcess {
@@ -199,6 +208,21 @@
     }
 }
 
+impl Drop for TestGroup {
+    /// Prints the engines' state, with maps and counts, and the log's records
+    /// if the test failed. The agents' own lines stay in their log files.
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("engines: {:?}", self.group);
+            eprintln!("log: {:?}", self.log);
+            let files = self.agents.iter().map(|it| &it.settings_file);
+            let files: Vec<PathBuf> =
+                files.map(|it| agent_log_path(it)).collect();
+            eprintln!("lines of the agents: {files:?}");
+        }
+    }
+}
+
 impl AgentProcess {
     /// Waits until the agent's process has ended and its address is free, and
     /// starts the agent again.
@@ -208,6 +232,37 @@
     }
 }
 
+/// Starts the platform's log in a network in which no other test program has a
+/// log or an agent. As long as the log runs, no other test program takes the
+/// network.
+async fn start_log_in_network() -> ((u8, u8), Arc<Log>, SocketAddr) {
+    let mut block = std::process::id() % NETWORK_BLOCK_COUNT;
+    for _ in 0..NETWORK_BLOCK_COUNT {
+        let number = NEXT_NETWORK_NUMBER.fetch_add(1, Ordering::Relaxed);
+        let network_octets = (FIRST_NETWORK_BLOCK + block as u8, number);
+        let address = vm_address(network_octets, LOG_VM_NUMBER);
+        match log::start((address, ENGINE_PORT).into()).await {
+            Ok((log, log_address)) if !has_agents(network_octets) => {
+                return (network_octets, log, log_address);
+            }
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+            Err(error) => panic!("a log: {error}"),
+        }
+        block = (block + 1) % NETWORK_BLOCK_COUNT;
+    }
+    panic!("every network is in use");
+}
+
+/// Returns whether an agent of another test program, which may have ended
+/// without its agents, uses a network.
+fn has_agents(network_octets: (u8, u8)) -> bool {
+    (1..=RANK_COUNT).any(|number| {
+        let address = vm_address(network_octets, number);
+        std::net::UdpSocket::bind((address, AGENT_DATAGRAM_PORT)).is_err()
+    })
+}
+
 /// Returns the path of the log file to which all processes of an agent write.
 fn agent_log_path(settings_file: &Path) -> PathBuf {
     settings_file.with_extension("log")
@@ -237,6 +292,45 @@
     }
 }
 
+/// Guards against two test programs whose agents have the same addresses and
+/// read each other's messages: the second one starts while an agent of the
+/// first is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_programs_share_no_network() {
+    let (left, log, _) = start_log_in_network().await;
+    let address = (vm_address(left, RANK_COUNT), AGENT_DATAGRAM_PORT);
+    let _agent = std::net::UdpSocket::bind(address).expect("a socket");
+    assert!(has_agents(left));
+    // The network whose log runs is taken even without agents.
+    let taken =
+        SocketAddr::from((vm_address(left, LOG_VM_NUMBER), ENGINE_PORT));
+    let second = log::start(taken).await.err().map(|it| it.kind());
+    assert_eq!(second, Some(ErrorKind::AddrInUse));
+    drop(log);
+}
+
+/// Guards against a run that takes the lines of an earlier, failed run under
+/// the same addresses for its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_logs_hold_only_lines_of_their_run() {
+    let (mut test_group, _) =
+        TestGroup::start_without_load_subscription().await;
+    let agent = test_group.agents.remove(0);
+    let (log_file, settings_file) =
+        (agent_log_path(&agent.settings_file), agent.settings_file.clone());
+    drop(agent);
+    fs::write(&log_file, "event=leads fence=7\n").expect("a log file");
+    let agent = test_group.start_agent(1);
+    assert_eq!(agent.settings_file, settings_file);
+    wait_until("the agent logs its start", || {
+        fs::read_to_string(&log_file)
+            .is_ok_and(|it| it.contains("event=started"))
+    })
+    .await;
+    let lines = fs::read_to_string(&log_file).expect("a log file");
+    assert!(!lines.contains("fence=7"), "{lines}");
+}
+
 fn vm_address(network_octets: (u8, u8), vm_number: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, network_octets.0, network_octets.1, vm_number)
 }
