placement: plan maps that only drop copies

Callers of a group saw passes a third or more above the balanced time, for as long as the demand stayed the same: the coordinator led, its ranks obeyed and counted, and no plan followed.

Cause: the search for a better map keeps the layer that saves most after the cost of its copies. Where ranks that share an expert only need to give up their share, that layer needs no copy, and `live::plan` took a plan without copies for no plan. Each later search found the same layer and discarded it again.

--- a/cowsliproad-placement/src/live.rs
+++ b/cowsliproad-placement/src/live.rs
@@ -124,7 +124,7 @@
 ) -> Option<LivePlan> {
     let (map, move_count) =
         search_better_map(shape, config, present, loads, speeds);
-    if move_count == 0 {
+    if map == *present {
         return None;
     }
     let ideal = crate::map::ideal_step_time(loads, speeds);
--- a/tests/properties/live.rs
+++ b/tests/properties/live.rs
@@ -220,6 +220,69 @@
     assert!(skew(&map, &after, &speeds) < 1.3, "planned on an old demand");
 }
 
+/// A group in which a few experts are far more popular than all others, as in
+/// the agents' tests.
+const SMALL_SHAPE: Shape = Shape {
+    rank_count: 4,
+    expert_count: 16,
+    layer_count: 2,
+    slots_per_rank: 6,
+};
+
+/// The skew below which the agents' tests call a small group's map balanced.
+const BALANCED_SKEW: f64 = 1.35;
+
+/// A demand that prefers four consecutive experts, beginning with `first`.
+fn concentrated_demand(first: usize) -> Vec<f64> {
+    let experts = SMALL_SHAPE.expert_count;
+    let weight = |expert: usize| match (expert + experts - first) % experts {
+        distance if distance < 4 => 4_000.0 / (distance as f64 + 1.0),
+        _ => 100.0,
+    };
+    (0..experts).map(weight).collect()
+}
+
+/// The map that several plans in a row lead to, until there is no better plan.
+fn plan_until_no_better(map: Map, loads: &[Vec<f64>]) -> Map {
+    let speeds = vec![1.0; SMALL_SHAPE.rank_count];
+    let config = LivePlanConfig::new(SPARE);
+    let mut map = map;
+    while let Some(plan) =
+        live::plan(SMALL_SHAPE, config, &map, loads, &speeds)
+    {
+        map = plan.map;
+    }
+    map
+}
+
+fn check_map_becomes_balanced(experts_by_rank: [&[u16]; 4], first: usize) {
+    let layer: Vec<Vec<u16>> =
+        experts_by_rank.iter().map(|it| it.to_vec()).collect();
+    let map = Map::from_experts(SMALL_SHAPE, &[layer.clone(), layer])
+        .expect("a valid map");
+    let loads = vec![concentrated_demand(first); SMALL_SHAPE.layer_count];
+    let speeds = vec![1.0; SMALL_SHAPE.rank_count];
+    assert!(skew(&map, &loads, &speeds) > BALANCED_SKEW);
+    let map = plan_until_no_better(map, &loads);
+    let skew = skew(&map, &loads, &speeds);
+    assert!(skew < BALANCED_SKEW, "{skew}: {map:?}");
+}
+
+/// Guards against a better map that is discarded because it needs no copy:
+/// rank 0 gives up its share of expert 4, and rank 3 its share of expert 5.
+#[test]
+fn a_map_that_only_drops_copies_is_planned() {
+    check_map_becomes_balanced(
+        [
+            &[4, 8, 12, 2, 3],
+            &[5, 9, 6],
+            &[10, 14, 15, 4, 1, 0],
+            &[3, 7, 11, 12, 13, 5],
+        ],
+        3,
+    );
+}
+
 proptest! {
     #![proptest_config(super::config(48))]
 
