placement: leave local optima of the map search

Callers of a group could see passes two thirds above the balanced time until the demand happened to change, though a balanced map existed.

Cause: the search applies one change at a time and ended where no single change helps. Where the most popular expert is alone at its rank, the least loaded rank is full of experts that only it holds, and every other rank would become the slowest with a copy, two or three changes together are needed.

At a local optimum the search now tries up to 16 changes that slow the layer at first, each followed by the best changes, and takes the first sequence of at most four that leaves the layer better balanced. It does so only where a better layer could pay for a copy.

--- a/cowsliproad-placement/src/bound.rs
+++ b/cowsliproad-placement/src/bound.rs
@@ -20,7 +20,11 @@
 }
 
 /// Returns a lower bound on the time of one layer over all maps.
-fn min_layer_time(shape: Shape, loads: &[f64], speeds: &[f64]) -> f64 {
+pub(crate) fn min_layer_time(
+    shape: Shape,
+    loads: &[f64],
+    speeds: &[f64],
+) -> f64 {
     let fastest = speeds.iter().copied().fold(0.0, f64::max);
     let total: f64 = loads.iter().sum();
     let balanced = total / speeds.iter().sum::<f64>();
--- a/cowsliproad-placement/src/live.rs
+++ b/cowsliproad-placement/src/live.rs
@@ -21,8 +21,11 @@
 //! step (it moves some four times as many experts), and minimizing only the
 //! slowest rank's time (the search ends at the first tie between two ranks).
 
-use self::search::{CandidateLayer, rank_times};
-use crate::map::{Layer, Map, Shape};
+use self::search::{CandidateLayer, LocalOptimum, rank_times};
+use crate::{
+    bound,
+    map::{Layer, Map, Shape},
+};
 
 mod search;
 
@@ -186,6 +189,8 @@
     copy_cost: f64,
     /// The slowest rank's time in the present layer, before any change.
     initial_time: f64,
+    /// A lower bound on the slowest rank's time over all layers.
+    min_time: f64,
     /// The mean load of a rank in the layer.
     mean_load: f64,
     /// The best layer visited so far and the number of copies of experts that
@@ -218,6 +223,7 @@
             candidate,
             copy_cost,
             initial_time,
+            min_time: bound::min_layer_time(shape, loads, speeds),
             mean_load,
             best_layer: None,
             best_net_saving,
@@ -236,13 +242,17 @@
     /// layers.
     fn relieve_slowest_rank(&mut self, new_experts_by_rank: &mut [usize]) {
         self.tried_changes += 1;
-        let Some(change) =
-            self.candidate.best_host_change(new_experts_by_rank)
-        else {
-            self.tried_changes = MAX_CHANGES_PER_LAYER;
-            return;
-        };
-        self.candidate.apply_host_change(change, new_experts_by_rank);
+        match self.candidate.best_host_change(new_experts_by_rank) {
+            Some(change) => {
+                self.candidate.apply_host_change(change, new_experts_by_rank)
+            }
+            None if self.leave_local_optimum(new_experts_by_rank)
+                == LocalOptimum::Left => {}
+            None => {
+                self.tried_changes = MAX_CHANGES_PER_LAYER;
+                return;
+            }
+        }
         let copies =
             self.candidate.present.count_added_copies(&self.candidate.layer);
         let saving = self.initial_time - self.candidate.slowest_rank_time();
@@ -253,6 +263,21 @@
             self.best_layer = Some((self.candidate.layer.clone(), copies));
         }
     }
+
+    /// Leaves a local optimum if a better layer could pay for the copy of an
+    /// expert.
+    fn leave_local_optimum(
+        &mut self,
+        new_experts_by_rank: &mut [usize],
+    ) -> LocalOptimum {
+        let max_net_saving = self.initial_time
+            - self.min_time
+            - self.copy_cost * self.mean_load;
+        if max_net_saving <= self.best_net_saving {
+            return LocalOptimum::Kept;
+        }
+        self.candidate.leave_local_optimum(new_experts_by_rank)
+    }
 }
 
 /// Returns the time of a step if the hosts of an expert share its load evenly:
--- a/cowsliproad-placement/src/live/search.rs
+++ b/cowsliproad-placement/src/live/search.rs
@@ -6,6 +6,26 @@
 /// The exponent of the ranks' times in the sum that the search minimizes.
 const RANK_TIME_EXPONENT: i32 = 8;
 
+/// The number of changes of the slowest rank from which the search tries to
+/// leave a local optimum.
+const MAX_FIRST_CHANGES: usize = 16;
+
+/// The maximum number of changes by which the search leaves a local optimum.
+const MAX_CHANGES_TO_LEAVE_OPTIMUM: usize = 4;
+
+/// The minimum decrease of the sum of powers by which the search leaves a local
+/// optimum, as a share. It exceeds rounding errors.
+const MIN_IMBALANCE_DECREASE: f64 = 1e-6;
+
+/// Whether the search left a local optimum.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum LocalOptimum {
+    /// The layer is better balanced than at the local optimum.
+    Left,
+    /// The layer is unchanged.
+    Kept,
+}
+
 /// A change of the hosts of one or two experts of a layer. A host of an expert
 /// is a rank that holds the expert.
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +76,7 @@
 }
 
 /// A layer under local search, with the times of its ranks.
+#[derive(Clone)]
 pub(super) struct CandidateLayer<'a> {
     shape: Shape,
     max_new_experts_per_layer: usize,
@@ -99,29 +120,103 @@
         self.rank_times.iter().copied().fold(0.0, f64::max)
     }
 
+    /// Returns the sum of the eighth powers of all ranks' times, which the
+    /// search minimizes.
+    fn imbalance(&self) -> f64 {
+        self.rank_times.iter().map(|it| it.powi(RANK_TIME_EXPONENT)).sum()
+    }
+
     /// Returns the change that best relieves the slowest rank, by the sum of
     /// the eighth powers of all ranks' times; `None` if no change lowers it.
     pub(super) fn best_host_change(
         &self,
         new_experts_by_rank: &[usize],
     ) -> Option<HostChange> {
+        let mut best: Option<(f64, HostChange)> = None;
+        self.for_each_host_change(new_experts_by_rank, |change| {
+            let balance_gain = self.balance_gain(change);
+            if balance_gain > best.as_ref().map_or(0.0, |it| it.0) {
+                best = Some((balance_gain, change));
+            }
+        });
+        best.map(|it| it.1)
+    }
+
+    /// Leaves a local optimum: applies a change that slows the layer at first,
+    /// and then the best changes that follow until the layer is better
+    /// balanced than before. Without such a sequence the layer stays
+    /// unchanged.
+    pub(super) fn leave_local_optimum(
+        &mut self,
+        new_experts_by_rank: &mut [usize],
+    ) -> LocalOptimum {
+        let target = self.imbalance() * (1.0 - MIN_IMBALANCE_DECREASE);
+        for first_change in self.least_harmful_changes(new_experts_by_rank) {
+            let mut candidate = self.clone();
+            let mut new_experts = new_experts_by_rank.to_vec();
+            let mut next_change = Some(first_change);
+            for _ in 0..MAX_CHANGES_TO_LEAVE_OPTIMUM {
+                let Some(change) = next_change else { break };
+                candidate.apply_host_change(change, &mut new_experts);
+                if candidate.imbalance() < target {
+                    *self = candidate;
+                    new_experts_by_rank.copy_from_slice(&new_experts);
+                    return LocalOptimum::Left;
+                }
+                next_change = candidate.best_host_change(&new_experts);
+            }
+        }
+        LocalOptimum::Kept
+    }
+
+    /// Returns the least harmful changes, least harm first: for each expert of
+    /// the slowest rank and each receiver at most one.
+    fn least_harmful_changes(
+        &self,
+        new_experts_by_rank: &[usize],
+    ) -> Vec<HostChange> {
+        let mut changes: Vec<(f64, HostChange)> = Vec::new();
+        // The changes of an expert and a receiver follow one another.
+        self.for_each_host_change(new_experts_by_rank, |change| {
+            let balance_gain = self.balance_gain(change);
+            match changes.last_mut() {
+                Some((known_gain, known))
+                    if known.expert == change.expert
+                        && known.receiver == change.receiver =>
+                {
+                    if balance_gain > *known_gain {
+                        (*known_gain, *known) = (balance_gain, change);
+                    }
+                }
+                _ => changes.push((balance_gain, change)),
+            }
+        });
+        changes.sort_by(|a, b| b.0.total_cmp(&a.0));
+        changes.truncate(MAX_FIRST_CHANGES);
+        changes.into_iter().map(|it| it.1).collect()
+    }
+
+    /// Calls `consider` with every allowed change that relieves the slowest
+    /// rank.
+    fn for_each_host_change(
+        &self,
+        new_experts_by_rank: &[usize],
+        mut consider: impl FnMut(HostChange),
+    ) {
         let ranks = 0..self.shape.rank_count as Rank;
         let by_time = |a: &Rank, b: &Rank| {
             self.rank_time(*a).total_cmp(&self.rank_time(*b))
         };
-        let relieved = ranks.clone().max_by(by_time)?;
-        let mut best: Option<(f64, HostChange)> = None;
+        let Some(relieved) = ranks.clone().max_by(by_time) else { return };
         for &expert in self.layer.experts_at(relieved) {
             if self.layer.hosts(expert).len() > 1 {
-                let kind = ChangeKind::Drop;
-                let drop = HostChange {
+                consider(HostChange {
                     relieved,
                     expert,
                     receiver: relieved,
                     replaced: None,
-                    kind,
-                };
-                keep_better_change(self, drop, &mut best);
+                    kind: ChangeKind::Drop,
+                });
             }
             for receiver in ranks.clone() {
                 if receiver == relieved || self.layer.holds(receiver, expert) {
@@ -135,43 +230,44 @@
                 {
                     continue;
                 }
-                self.consider_changes_to_receiver(
+                self.for_each_change_to_receiver(
                     relieved,
                     expert,
                     receiver,
                     new_experts_by_rank,
-                    &mut best,
+                    &mut consider,
                 );
             }
         }
-        best.map(|it| it.1)
     }
 
-    /// Compares every change that brings `expert` to rank `receiver` with the
-    /// best change so far.
-    fn consider_changes_to_receiver(
+    /// Calls `consider` with every allowed change that brings `expert` to rank
+    /// `receiver`.
+    fn for_each_change_to_receiver(
         &self,
         relieved: Rank,
         expert: Expert,
         receiver: Rank,
         new_experts_by_rank: &[usize],
-        best: &mut Option<(f64, HostChange)>,
+        consider: &mut impl FnMut(HostChange),
     ) {
-        let mut keep_better_change = |kind, replaced| {
-            keep_better_change(
-                self,
-                HostChange { relieved, expert, receiver, replaced, kind },
-                best,
-            );
+        let mut consider_kind = |kind, replaced| {
+            consider(HostChange {
+                relieved,
+                expert,
+                receiver,
+                replaced,
+                kind,
+            });
         };
         if self.layer.experts_at(receiver).len() < self.shape.slots_per_rank {
-            keep_better_change(ChangeKind::Copy, None);
-            keep_better_change(ChangeKind::Move, None);
+            consider_kind(ChangeKind::Copy, None);
+            consider_kind(ChangeKind::Move, None);
             return;
         }
         for &replaced in self.layer.experts_at(receiver) {
             if self.layer.hosts(replaced).len() > 1 {
-                keep_better_change(ChangeKind::Copy, Some(replaced));
+                consider_kind(ChangeKind::Copy, Some(replaced));
             }
             let can_return = !self.layer.holds(relieved, replaced)
                 && self.remaining_new_expert_quota(
@@ -180,7 +276,7 @@
                     new_experts_by_rank,
                 ) > 0;
             if can_return {
-                keep_better_change(ChangeKind::Swap, Some(replaced));
+                consider_kind(ChangeKind::Swap, Some(replaced));
             }
         }
     }
@@ -299,19 +395,6 @@
     }
 }
 
-/// Replaces the best change so far by `change` if `change` lowers the sum of
-/// the powers of all ranks' times more.
-fn keep_better_change(
-    candidate: &CandidateLayer,
-    change: HostChange,
-    best: &mut Option<(f64, HostChange)>,
-) {
-    let balance_gain = candidate.balance_gain(change);
-    if balance_gain > best.as_ref().map_or(0.0, |it| it.0) {
-        *best = Some((balance_gain, change));
-    }
-}
-
 /// The differences that a change of a layer makes to the times of the affected
 /// ranks.
 struct RankTimeDeltas<'a> {
--- a/tests/properties/live.rs
+++ b/tests/properties/live.rs
@@ -12,6 +12,7 @@
     },
 };
 use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const SHAPE: Shape = Shape {
     rank_count: 16,
@@ -283,6 +284,53 @@
     );
 }
 
+/// Guards against a search that ends because no single change helps: the most
+/// popular expert is alone at its rank, the least loaded rank is full, and
+/// every other receiver would become slower than the rank to be relieved.
+#[test]
+fn a_popular_expert_alone_at_its_rank_is_copied() {
+    check_map_becomes_balanced(
+        [&[0, 8, 12, 7, 2, 10], &[5, 13, 6, 1], &[3], &[15, 4, 14, 9, 11]],
+        3,
+    );
+}
+
+/// Guards against maps from which no plan leads on, whatever demands came
+/// before: estimates of the demand may mix two demands, and a demand may shift
+/// before its last plan is made.
+#[test]
+fn no_history_of_demands_ends_in_an_unbalanced_map() {
+    let mut random = StdRng::seed_from_u64(11);
+    let speeds = vec![1.0; SMALL_SHAPE.rank_count];
+    for history in 0..HISTORY_COUNT {
+        let mut map = Map::round_robin(SMALL_SHAPE);
+        for _ in 0..random.random_range(1..5) {
+            let [one, other] = [(); 2]
+                .map(|()| concentrated_demand(random.random_range(0..16)));
+            let share: f64 = random.random_range(0.0..1.0);
+            let mixed = one.iter().zip(&other);
+            let mixed =
+                mixed.map(|(a, b)| share * a + (1.0 - share) * b).collect();
+            let loads = vec![mixed; SMALL_SHAPE.layer_count];
+            map = if history % 2 == 0 {
+                plan_until_no_better(map, &loads)
+            } else {
+                let config = LivePlanConfig::new(SPARE);
+                live::plan(SMALL_SHAPE, config, &map, &loads, &speeds)
+                    .map_or(map, |it| it.map)
+            };
+        }
+        let loads = vec![concentrated_demand(3); SMALL_SHAPE.layer_count];
+        let map = plan_until_no_better(map, &loads);
+        let skew = skew(&map, &loads, &speeds);
+        assert!(skew < BALANCED_SKEW, "history {history}: {skew}: {map:?}");
+    }
+}
+
+/// The number of drawn histories. About one in a thousand leads to a map like
+/// those of the two tests above.
+const HISTORY_COUNT: usize = 2_000;
+
 proptest! {
     #![proptest_config(super::config(48))]
 
