rank: report no counts of a window that lasted too long

After an agent's VM was frozen, or its engine did not answer for a while, the group's map could follow a demand that was over, for up to two seconds.

Cause: an agent reports how much its engine's counts grew since it last read them, and the coordinator takes the growth for recent. Nothing checked how long ago the last reading was, so a frozen agent, a failed reading or a pause between two directives made one report of all that time.

Evidence: an agent frozen for 1.5 s beside passes of 20 ms reported the selections of 2 or 3 passes, then of 72 in one report, then of 2 or 3 again; one whose engine did not answer for as long reported 79.

An agent now drops the growth over more than 0.4 s, twice the longest planned window, says so (`old_counts_dropped`) and counts on from its new reading. The two tests failed before; they play the coordinator of one agent.

--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -107,7 +107,7 @@
     /// The engines of the service that belong to other groups.
     engines_of_other_groups: BTreeSet<SocketAddr>,
     expert_lists_of_map_in_use: Option<(Epoch, order::Version, Vec<Vec<u16>>)>,
-    last_selection_counts: Option<(Epoch, Vec<Vec<u64>>)>,
+    last_selection_counts: Option<SelectionCountReading>,
     selection_count_report_schedule: Option<SelectionCountReportSchedule>,
     held_plan: Option<MapPlan>,
     /// The last received directive, the address of the coordinator that sent
@@ -143,6 +143,17 @@
     NotKnownEnded,
 }
 
+/// The selection counts that the agent read from its engine.
+#[derive(Clone)]
+struct SelectionCountReading {
+    /// When the agent requested the counts. The engine may have counted later
+    /// selections, too, but none that were made before that time are missing.
+    requested_at: Millis,
+    epoch: Epoch,
+    /// How often requests selected each expert, by layer set and expert.
+    counts: Vec<Vec<u64>>,
+}
+
 /// An *arm* order that the engine didn't answer.
 #[derive(Clone, Copy)]
 struct UnansweredArmOrder {
--- a/cowsliproad-rank/src/agent/readings.rs
+++ b/cowsliproad-rank/src/agent/readings.rs
@@ -6,9 +6,12 @@
 use cowsliproad_placement::growth::CountGrowth;
 use slog::info;
 
-use super::{Agent, EngineProcessState};
+use super::{Agent, EngineProcessState, SelectionCountReading};
 use crate::{
-    rota::{SelectionCountReportAction, SelectionCountReportSchedule},
+    rota::{
+        MAX_REPORTED_COUNTING_WINDOW, SelectionCountReportAction,
+        SelectionCountReportSchedule,
+    },
     wire::{AgentMessage, SelectionCountIncrease},
 };
 
@@ -120,21 +123,32 @@
         if due == SelectionCountReportAction::Nothing {
             return;
         }
-        let counts =
+        let requested_at = Millis::now();
+        let reading =
             match self.engine_client.fetch_selection_counts(experts).await {
-                Ok(counts) => (counts.epoch, counts.selections_by_set),
+                Ok(counts) => SelectionCountReading {
+                    requested_at,
+                    epoch: counts.epoch,
+                    counts: counts.selections_by_set,
+                },
                 Err(error) => {
                     info!(self.log, "no_counts"; "error" => %error);
                     return;
                 }
             };
-        let before = self.last_selection_counts.replace(counts.clone());
-        let growth = before
-            .filter(|it| {
-                due == SelectionCountReportAction::ReportIncrease
-                    && it.0 == counts.0
-            })
-            .and_then(|it| CountGrowth::from_counts(&it.1, &counts.1));
+        let before = self.last_selection_counts.replace(reading.clone());
+        let Some(before) = before.filter(|it| {
+            due == SelectionCountReportAction::ReportIncrease
+                && it.epoch == reading.epoch
+        }) else {
+            return;
+        };
+        let window = Millis::now().since(before.requested_at);
+        if window > MAX_REPORTED_COUNTING_WINDOW {
+            info!(self.log, "old_counts_dropped"; "window" => window.0);
+            return;
+        }
+        let growth = CountGrowth::from_counts(&before.counts, &reading.counts);
         let Some(CountGrowth {
             counts_per_unit: scale,
             quantized_growth_by_layer_and_expert: units,
--- a/cowsliproad-rank/src/rota.rs
+++ b/cowsliproad-rank/src/rota.rs
@@ -19,6 +19,13 @@
 /// its counts once a pass, and the passes of a busy group take 50 ms and more.
 pub const MIN_SELECTION_COUNTING_WINDOW: Millis = Millis(45);
 
+/// The longest time over which a rank reports an increase of its selection
+/// counts. A rank that could not read its counts for longer, as after its VM
+/// was frozen, starts a new window: the coordinator would take the counts of
+/// an earlier demand for recent ones.
+pub const MAX_REPORTED_COUNTING_WINDOW: Millis =
+    Millis(2 * MAX_SELECTION_COUNTING_WINDOW.0);
+
 /// The times at which a rank reads and reports its selection counts.
 #[derive(Clone, Copy, Debug)]
 pub struct SelectionCountReportSchedule {
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -20,12 +20,17 @@
 use cowsliproad_kernel::gossip::{
     self, Datagram, EngineExit, EngineLoad, LoadSubscription,
 };
+use cowsliproad_mapswitch::order::{DesiredState, Directive, Epoch};
 use cowsliproad_platform::{SETTINGS_VARIABLE, log::COORDINATORS_TOPIC};
 use cowsliproad_platform_standin::{
     group::{self, Group, VmState},
     log::{self, Log},
 };
-use cowsliproad_rank::settings::Settings;
+use cowsliproad_rank::{
+    rota::MAX_REPORTED_COUNTING_WINDOW,
+    settings::Settings,
+    wire::{AgentMessage, GroupMessage, SelectionCountIncrease},
+};
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::{net::UdpSocket, time::sleep};
 
@@ -681,3 +686,109 @@
         }
     }
 }
+
+/// Guards against counts of an earlier demand that an agent reports as recent:
+/// the agent itself was frozen.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_agent_reports_no_old_counts() {
+    check_reported_counts_are_recent(async |test_group| {
+        test_group.send_signal_to_agent(0, Signal::STOP);
+        sleep(Duration::from_millis(1_500)).await;
+        test_group.send_signal_to_agent(0, Signal::CONT);
+    })
+    .await;
+}
+
+/// Guards against counts of an earlier demand that an agent reports as recent:
+/// its engine did not answer for a while.
+#[tokio::test(flavor = "multi_thread")]
+async fn counts_from_before_an_engine_outage_are_not_reported() {
+    check_reported_counts_are_recent(async |test_group| {
+        let last = usize::from(RANK_COUNT) - 1;
+        test_group.group.set_vm_state(last, VmState::Frozen);
+        sleep(Duration::from_millis(1_500)).await;
+        test_group.group.set_vm_state(last, VmState::Responsive);
+    })
+    .await;
+}
+
+/// Plays the coordinator of a group of which one agent is left, and checks
+/// that each of the agent's reports of counts covers only a few passes.
+async fn check_reported_counts_are_recent(
+    disturb: impl AsyncFnOnce(&TestGroup),
+) {
+    let (mut test_group, engines) =
+        TestGroup::start_without_load_subscription().await;
+    test_group.subscribe_to_agents(engines.clone()).await;
+    // Only the agent of the last rank runs on.
+    test_group.agents.drain(..usize::from(RANK_COUNT) - 1);
+    let increases = lead_without_plans(&test_group).await;
+    let count = || increases.lock().expect("no panic").len();
+    wait_until("the agent reports counts", || count() > 5).await;
+    disturb(&test_group).await;
+    let before = count();
+    wait_until("the agent reports counts again", || count() > before + 10)
+        .await;
+    // Each pass selects each of the experts of both sets once.
+    let passes = |increase: &SelectionCountIncrease| {
+        let units = increase.increase_units_by_expert.iter();
+        let units: u64 = units.map(|it| u64::from(*it)).sum();
+        units * increase.selections_per_increase_unit
+            / (2 * EXPERTS_PER_SET as u64)
+    };
+    let increases = increases.lock().expect("no panic");
+    let passes: Vec<u64> = increases.iter().map(passes).collect();
+    let most =
+        1 + MAX_REPORTED_COUNTING_WINDOW.0 / PASS_INTERVAL.as_millis() as u64;
+    assert!(passes.iter().all(|it| *it <= most), "{passes:?}");
+}
+
+/// Sends directives that require nothing, in place of the agent of rank 0, and
+/// collects the counts that agents report.
+async fn lead_without_plans(
+    test_group: &TestGroup,
+) -> Arc<std::sync::Mutex<Vec<SelectionCountIncrease>>> {
+    let octets = test_group.network_octets;
+    let address = move |vm| {
+        SocketAddr::from((vm_address(octets, vm), AGENT_DATAGRAM_PORT))
+    };
+    let own = address(1);
+    let mut socket = UdpSocket::bind(own).await;
+    while socket.is_err() {
+        sleep(Duration::from_millis(20)).await;
+        socket = UdpSocket::bind(own).await;
+    }
+    let socket = Arc::new(socket.expect("a socket"));
+    let directive = Directive {
+        fencing_number: 1 << 40,
+        epoch: Epoch(1),
+        desired_state: DesiredState::Rest,
+    };
+    let message = gossip::encode(&GroupMessage {
+        group_name: "g".into(),
+        agent_message: AgentMessage::Directive(directive, own),
+    });
+    let sender = socket.clone();
+    tokio::spawn(async move {
+        loop {
+            let _ = sender.send_to(&message, address(RANK_COUNT)).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+    let increases: Arc<std::sync::Mutex<Vec<_>>> = Arc::default();
+    let received = increases.clone();
+    tokio::spawn(async move {
+        let mut buffer = [0; 2_048];
+        while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
+            let message = gossip::decode::<GroupMessage<AgentMessage>>(
+                &buffer[..length],
+            );
+            if let Some(AgentMessage::SelectionCountIncrease(increase)) =
+                message.map(|it| it.agent_message)
+            {
+                received.lock().expect("no panic").push(increase);
+            }
+        }
+    });
+    increases
+}
