tests: shift the demand while nobody leads and with a new epoch

Looks elsewhere for the fault of the map that does not follow its demand: a demand that shifts while no agent can get a fencing number, and one that shifts as the group forms anew. No fault was found; both pass, on this code.

--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -420,6 +420,35 @@
     test_group.wait_until_load_is_balanced().await;
 }
 
+/// Guards against a new epoch's map that is planned for the demand of the epoch
+/// before.
+#[tokio::test(flavor = "multi_thread")]
+async fn demand_that_shifts_with_a_new_group_epoch_is_followed() {
+    let test_group = TestGroup::start_with_balanced_load().await;
+    for first in [8, 3, 11] {
+        test_group.group.concentrate_demand(first);
+        test_group.group.start_new_epoch();
+        test_group.wait_until_load_is_balanced().await;
+    }
+}
+
+/// Guards against a new coordinator that plans for a demand from before the
+/// group had none: nobody gets a fencing number while the log is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn demand_that_shifts_without_a_coordinator_is_followed() {
+    let mut test_group = TestGroup::start_with_balanced_load().await;
+    test_group.log.set_fault(log::Fault::Refusing);
+    test_group.send_signal_to_agent(0, Signal::KILL);
+    test_group.agents[0].restart_agent_after_exit();
+    for first in [8, 3] {
+        test_group.group.concentrate_demand(first);
+        sleep(Duration::from_millis(1_500)).await;
+    }
+    test_group.log.set_fault(log::Fault::None);
+    test_group.wait_until_load_is_balanced().await;
+    assert!(test_group.log.record_count(COORDINATORS_TOPIC) >= 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn agents_report_load_without_the_platform_log() {
     let test_group = TestGroup::start_and_subscribe_to_load_reports().await;
