--- a/cowsliproad-placement/src/live.rs
+++ b/cowsliproad-placement/src/live.rs
@@ -4,10 +4,11 @@
 //! A local search starts from the present layer. It repeatedly relieves the
 //! most loaded rank by the change that most lowers the sum of the eighth
 //! powers of all ranks' times. This sum is nearly determined by the maximum,
-//! but it also ranks changes that leave the maximum unchanged. Of all layers
-//! visited, the search keeps the one that saves most of the slowest rank's
-//! time after the cost of its copies. A layer that saves too little stays
-//! unchanged, so noise moves no experts.
+//! but it also ranks changes that leave the maximum unchanged. Where no single
+//! change helps, a short sequence of changes may. Of all layers visited, the
+//! search keeps the one that saves most of the slowest rank's time after the
+//! cost of its copies. A layer that saves too little stays unchanged, so noise
+//! moves no experts.
 //!
 //! A rank copies one expert after the other, and a new map waits for the rank
 //! with the most copies. Where a copy takes long, a map therefore assigns each
--- a/cowsliproad-placement/src/live/search.rs
+++ b/cowsliproad-placement/src/live/search.rs
@@ -1,4 +1,10 @@
-//! Finds the change of a layer that best relieves its most loaded rank.
+//! Finds the changes of a layer that best relieve its most loaded rank.
+//!
+//! At a local optimum no single change lowers the sum of the eighth powers of
+//! all ranks' times. An example is a popular expert alone at its rank, if the
+//! least loaded rank has no slot for a copy. Two or three changes together may
+//! still help, of which the first one does harm. The search tries the least
+//! harmful first changes, each followed by the best changes.
 
 use super::LivePlanConfig;
 use crate::map::{Expert, Layer, Rank, Shape};
@@ -6,15 +12,16 @@
 /// The exponent of the ranks' times in the sum that the search minimizes.
 const RANK_TIME_EXPONENT: i32 = 8;
 
-/// The number of changes of the slowest rank from which the search tries to
-/// leave a local optimum.
+/// The maximum number of first changes that the search tries at a local
+/// optimum.
 const MAX_FIRST_CHANGES: usize = 16;
 
-/// The maximum number of changes by which the search leaves a local optimum.
+/// The maximum number of changes, the first one included, that lead from a local
+/// optimum to a better layer.
 const MAX_CHANGES_TO_LEAVE_OPTIMUM: usize = 4;
 
-/// The minimum decrease of the sum of powers by which the search leaves a local
-/// optimum, as a share. It exceeds rounding errors.
+/// The minimum decrease of the sum of powers, as a share, that counts as a
+/// better layer. It exceeds rounding errors.
 const MIN_IMBALANCE_DECREASE: f64 = 1e-6;
 
 /// Whether the search left a local optimum.
