rank: log that the map in use is not known

A coordinator that has not all expert lists of the map in use doesn't search for a better one. `map_unknown` states the versions that the ranks use, as seldom as `no_better_map`.

--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -415,6 +415,11 @@
         };
         let Some(present) = self.assemble_map_in_use(shape_of_map, snapshots)
         else {
+            if self.is_search_log_due(now) {
+                let versions: Vec<u64> =
+                    snapshots.iter().map(|it| it.report.map.0).collect();
+                info!(self.log, "map_unknown"; "versions" => ?versions);
+            }
             return;
         };
         let limits = live::LivePlanConfig::new(usize::from(
@@ -458,6 +463,17 @@
         self.previous_plan = last.or(self.previous_plan.take());
     }
 
+    /// Returns whether a search without a better map is to be logged now.
+    fn is_search_log_due(&mut self, now: Millis) -> bool {
+        let is_due = self.fruitless_search_logged_at.is_none_or(|last_time| {
+            now.since(last_time) >= FRUITLESS_SEARCH_LOG_INTERVAL
+        });
+        if is_due {
+            self.fruitless_search_logged_at = Some(now);
+        }
+        is_due
+    }
+
     /// Logs that a search found no better map, and what a search without cost
     /// and limits would find. If that is no better either, the search ends at
     /// a local optimum; otherwise the cost or a limit keeps the map.
@@ -467,12 +483,9 @@
         skew: f64,
         now: Millis,
     ) {
-        if self.fruitless_search_logged_at.is_some_and(|last_time| {
-            now.since(last_time) < FRUITLESS_SEARCH_LOG_INTERVAL
-        }) {
+        if !self.is_search_log_due(now) {
             return;
         }
-        self.fruitless_search_logged_at = Some(now);
         let without_limits =
             live::LivePlanConfig::new(search.shape.slots_per_rank)
                 .with_copy_cost(0.0);
--- a/cowsliproad-rank/tests/lead.rs
+++ b/cowsliproad-rank/tests/lead.rs
@@ -23,6 +23,8 @@
     coordinator: GroupCoordinator,
     reports_by_rank: Vec<RankReport>,
     events: Arc<Mutex<Vec<String>>>,
+    /// Whether statuses list the experts of their rank.
+    statuses_list_experts: bool,
     now: Millis,
 }
 
@@ -51,8 +53,13 @@
         let coordinator = GroupCoordinator::new(start, 0.03, log);
         let report = |rank| RankReport::new(Epoch(1), rank, RANK_COUNT);
         let reports_by_rank = (0..RANK_COUNT).map(report).collect();
-        let now = Millis(10_000);
-        TestGroup { coordinator, reports_by_rank, events, now }
+        TestGroup {
+            coordinator,
+            reports_by_rank,
+            events,
+            statuses_list_experts: true,
+            now: Millis(10_000),
+        }
     }
 
     /// Passes the counts and the status of every rank to the coordinator. One
@@ -103,10 +110,9 @@
             agent_address: ([127, 0, 0, 1 + rank as u8], 1).into(),
             max_known_fencing_number: 1,
             held_plan_version: None,
-            map_version_and_experts_by_layer_set: Some((
-                Version(0),
-                vec![experts_of_rank.collect()],
-            )),
+            map_version_and_experts_by_layer_set: self
+                .statuses_list_experts
+                .then(|| (Version(0), vec![experts_of_rank.collect()])),
             slowdown_factor: 1.0,
             arm_order_status: ArmOrderStatus::Answered,
             coordinator_arming_notice_receipt:
@@ -185,3 +191,16 @@
     assert_eq!(group.count_events("no_better_map"), 2);
     assert_eq!(group.coordinator.expert_map_skew_percent(), Some(100));
 }
+
+/// Guards against an operator who can't see that a coordinator doesn't search,
+/// as it doesn't know the map in use.
+#[test]
+fn a_map_that_is_not_known_is_logged_now_and_then() {
+    let mut group = TestGroup::new();
+    group.statuses_list_experts = false;
+    for _ in 0..100 {
+        group.pass_statuses_to_coordinator(0);
+    }
+    assert_eq!(group.count_events("map_planned"), 0);
+    assert_eq!(group.count_events("map_unknown"), 2);
+}
