--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -420,6 +420,47 @@
     test_group.wait_until_load_is_balanced().await;
 }
 
+/// Guards against a group that keeps an unbalanced map because the better one
+/// needs no copy: rank 0 gives up its share of expert 4, and rank 3 its share of
+/// expert 5. A group in the siege of log rollbacks came to this map.
+#[tokio::test(flavor = "multi_thread")]
+async fn map_that_only_drops_copies_comes_in_force() {
+    check_map_becomes_balanced([
+        &[4, 8, 12, 2, 3],
+        &[5, 9, 6],
+        &[10, 14, 15, 4, 1, 0],
+        &[3, 7, 11, 12, 13, 5],
+    ])
+    .await;
+}
+
+/// Guards against a group that keeps an unbalanced map because no single change
+/// helps: the most popular expert is alone at its rank.
+#[tokio::test(flavor = "multi_thread")]
+async fn popular_expert_alone_at_its_rank_is_copied() {
+    check_map_becomes_balanced([
+        &[0, 8, 12, 7, 2, 10],
+        &[5, 13, 6, 1],
+        &[3],
+        &[15, 4, 14, 9, 11],
+    ])
+    .await;
+}
+
+/// Starts a group with a map and the last demand of the siege of log rollbacks.
+async fn check_map_becomes_balanced(
+    experts_by_rank: [&[u16]; RANK_COUNT as usize],
+) {
+    let (test_group, engines) =
+        TestGroup::start_without_load_subscription().await;
+    test_group.group.set_experts_by_rank(&experts_by_rank);
+    test_group.group.concentrate_demand(3);
+    assert!(test_group.group.load_skew() > 1.35);
+    // Agents don't plan before an entry process has told them the group's shape.
+    test_group.subscribe_to_agents(engines).await;
+    test_group.wait_until_load_is_balanced().await;
+}
+
 /// Guards against a new epoch's map that is planned for the demand of the epoch
 /// before.
 #[tokio::test(flavor = "multi_thread")]
