--- a/tests/properties/live.rs
+++ b/tests/properties/live.rs
@@ -269,8 +269,9 @@
     assert!(skew < BALANCED_SKEW, "{skew}: {map:?}");
 }
 
-/// Guards against a better map that is discarded because it needs no copy:
-/// rank 0 gives up its share of expert 4, and rank 3 its share of expert 5.
+/// Guards against a better map that is discarded because it needs no copy. In
+/// the first map rank 0 gives up its share of expert 4, and rank 3 its share of
+/// expert 5; in the second one rank 0 gives up its share of expert 3.
 #[test]
 fn a_map_that_only_drops_copies_is_planned() {
     check_map_becomes_balanced(
@@ -282,6 +283,15 @@
         ],
         3,
     );
+    check_map_becomes_balanced(
+        [
+            &[0, 4, 8, 12, 1, 3],
+            &[5, 6, 2],
+            &[2, 10, 14, 3, 9, 13],
+            &[3, 7, 11, 15, 2],
+        ],
+        3,
+    );
 }
 
 /// Guards against a search that ends because no single change helps: the most
