--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -17,14 +17,13 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     rc::Rc,
-    time::{SystemTime, UNIX_EPOCH},
 };
 
 use cowsliproad_admission::quarantine::{
     CrashId, CrashLedger, QuarantineChange, QuarantineVerdict, WorkDigest,
 };
 use cowsliproad_kernel::{
-    clock::Millis,
+    clock::{Millis, unix_now_ms},
     gossip::{self, CrashSuspectRequest, CrashSuspectRequests},
 };
 use cowsliproad_platform::log::{self, Client, Record};
@@ -677,10 +676,3 @@
     });
     kept.map(|it| gossip::encode(&it)).unwrap_or_default()
 }
-
-/// The Unix time in milliseconds, for records that are kept beyond this
-/// process's lifetime.
-fn unix_now_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |it| it.as_millis() as u64)
-}
--- a/cowsliproad-kernel/src/clock.rs
+++ b/cowsliproad-kernel/src/clock.rs
@@ -9,7 +9,7 @@
 use std::{
     ops::{Add, Sub},
     sync::OnceLock,
-    time::Instant,
+    time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
 use serde::{Deserialize, Serialize};
@@ -71,6 +71,14 @@
     }
 }
 
+/// Returns the current Unix time in milliseconds, for what outlives this
+/// process, such as records and log lines; 0 if the system's clock is set
+/// before 1970.
+pub fn unix_now_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |it| it.as_millis() as u64)
+}
+
 /// The first time that this process read the clock, from which [`Millis::now`]
 /// counts.
 fn process_start() -> Instant {
--- a/cowsliproad-kernel/src/log.rs
+++ b/cowsliproad-kernel/src/log.rs
@@ -6,11 +6,11 @@
 //! queue. If the queue is full, lines are dropped and counted, so that logging
 //! never blocks request processing.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use serde::{Deserialize, Serialize};
 use slog::{Drain, Logger, o};
 
+use crate::clock;
+
 /// The capacity of the queue to the thread that writes log lines.
 const MAX_QUEUED_LINES: usize = 4096;
 
@@ -65,7 +65,8 @@
         record: &slog::Record,
         keys: &slog::OwnedKVList,
     ) -> Result<D::Ok, D::Err> {
-        let pairs = (record.kv(), slog::SingleKV("unix_ms", unix_ms()));
+        let pairs =
+            (record.kv(), slog::SingleKV("unix_ms", clock::unix_now_ms()));
         let metadata = slog::RecordStatic {
             location: record.location(),
             tag: record.tag(),
@@ -91,13 +92,6 @@
     Ok(())
 }
 
-/// Returns the current Unix time in milliseconds, or 0 if the system's clock is
-/// set before 1970.
-fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |it| it.as_millis() as u64)
-}
-
 fn min_slog_level(level: Level) -> Option<slog::Level> {
     match level {
         Level::Off => None,
