placement: decide in one place whether a search gives a plan

`live::plan` had two conditions for a plan: that the map differs, and that it saves enough. The first one, in its earlier form, discarded maps that move no copies, and nothing outside could see what had been discarded.

A search now returns the best map that it found. Whether that is planned follows from its saving alone (`LiveSearch::into_plan`), which a map that is the present one doesn't have. The planner of the own path asks whether the map differs instead of whether copies move; no input is known that shows the difference there.

--- a/cowsliproad-bench/src/experiment/pace/group.rs
+++ b/cowsliproad-bench/src/experiment/pace/group.rs
@@ -12,7 +12,7 @@
 use cowsliproad_placement::{
     demand::{CumulativeCounts, DemandEstimator},
     live,
-    map::{Map, Shape, ideal_step_time},
+    map::{Map, Shape},
 };
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -311,11 +311,7 @@
             return 1.0;
         }
         let speeds = vec![1.0; self.plant.shape.rank_count];
-        let ideal = ideal_step_time(loads, &speeds);
-        if ideal == 0.0 {
-            return 1.0;
-        }
-        live::step_time(&self.map, loads, &speeds) / ideal
+        live::step_time_ratio_to_ideal(&self.map, loads, &speeds)
     }
 
     fn change_map(&mut self) {
--- a/cowsliproad-placement/src/live.rs
+++ b/cowsliproad-placement/src/live.rs
@@ -25,7 +25,7 @@
 use self::search::{CandidateLayer, LocalOptimum, rank_times};
 use crate::{
     bound,
-    map::{Layer, Map, Shape},
+    map::{Layer, Map, Shape, ideal_step_time},
 };
 
 mod search;
@@ -111,12 +111,38 @@
     pub map: Map,
     /// The number of copies of experts to be moved to other ranks.
     pub move_count: usize,
-    /// The step time under the present map, relative to perfect balance.
-    pub present_step_time_ratio_to_ideal: f64,
     /// The expected step time under the new map, relative to perfect balance.
     pub planned_step_time_ratio_to_ideal: f64,
 }
 
+/// The best map that a search found, whether or not it saves enough step time.
+#[derive(Clone, Debug)]
+pub struct LiveSearch {
+    /// The best map found; the present map if no change saves enough in its
+    /// layer.
+    best: LivePlan,
+    /// The step time under the present map, relative to perfect balance.
+    pub present_step_time_ratio_to_ideal: f64,
+    /// The minimum saving of all changed layers, as a share of the step time.
+    min_total_saving: f64,
+}
+
+impl LiveSearch {
+    /// Returns the best map found, also if it saves too little to be planned.
+    pub fn best(&self) -> &LivePlan {
+        &self.best
+    }
+
+    /// Returns the best map found if it saves enough step time to be planned.
+    /// A map that moves no copies may save enough, too: ranks may only give up
+    /// experts that others hold.
+    pub fn into_plan(self) -> Option<LivePlan> {
+        let present = self.present_step_time_ratio_to_ideal;
+        let saving = present - self.best.planned_step_time_ratio_to_ideal;
+        (saving > self.min_total_saving * present).then_some(self.best)
+    }
+}
+
 /// Plans a small change of the present expert map; `None` if no change saves
 /// enough step time.
 pub fn plan(
@@ -126,24 +152,32 @@
     loads: &[Vec<f64>],
     speeds: &[f64],
 ) -> Option<LivePlan> {
+    search(shape, config, present, loads, speeds).into_plan()
+}
+
+/// Searches for a better map that is a small change of the present one.
+pub fn search(
+    shape: Shape,
+    config: LivePlanConfig,
+    present: &Map,
+    loads: &[Vec<f64>],
+    speeds: &[f64],
+) -> LiveSearch {
     let (map, move_count) =
         search_better_map(shape, config, present, loads, speeds);
-    if map == *present {
-        return None;
+    LiveSearch {
+        present_step_time_ratio_to_ideal: step_time_ratio_to_ideal(
+            present, loads, speeds,
+        ),
+        best: LivePlan {
+            planned_step_time_ratio_to_ideal: step_time_ratio_to_ideal(
+                &map, loads, speeds,
+            ),
+            map,
+            move_count,
+        },
+        min_total_saving: config.min_total_saving,
     }
-    let ideal = crate::map::ideal_step_time(loads, speeds);
-    let relative_time = |map: &Map| step_time(map, loads, speeds) / ideal;
-    let (present_step_time_ratio_to_ideal, planned_step_time_ratio_to_ideal) =
-        (relative_time(present), relative_time(&map));
-    let saves_enough = present_step_time_ratio_to_ideal
-        - planned_step_time_ratio_to_ideal
-        > config.min_total_saving * present_step_time_ratio_to_ideal;
-    saves_enough.then_some(LivePlan {
-        move_count,
-        present_step_time_ratio_to_ideal,
-        planned_step_time_ratio_to_ideal,
-        map,
-    })
 }
 
 /// Returns the best map found by local search, and the number of copies of
@@ -281,6 +315,16 @@
     }
 }
 
+/// Returns the time of a step relative to perfect balance; 1 without load.
+pub fn step_time_ratio_to_ideal(
+    map: &Map,
+    loads: &[Vec<f64>],
+    speeds: &[f64],
+) -> f64 {
+    let ideal = ideal_step_time(loads, speeds);
+    if ideal > 0.0 { step_time(map, loads, speeds) / ideal } else { 1.0 }
+}
+
 /// Returns the time of a step if the hosts of an expert share its load evenly:
 /// the sum over all layers of the slowest rank's time.
 pub fn step_time(map: &Map, loads: &[Vec<f64>], speeds: &[f64]) -> f64 {
--- a/cowsliproad-placement/src/plan.rs
+++ b/cowsliproad-placement/src/plan.rs
@@ -144,7 +144,7 @@
         saving += change.saving;
         map.layers[change.layer_index] = change.layer;
     }
-    (move_count > 0).then(|| Plan {
+    (map != *present).then(|| Plan {
         map,
         move_count,
         saved_step_time_share: saving / total,
--- a/tests/properties/live.rs
+++ b/tests/properties/live.rs
@@ -7,7 +7,7 @@
         demand::{
             DEMAND_SHIFT_THRESHOLDS, DemandEstimator, MAX_DEMAND_WINDOW,
         },
-        live::{self, LivePlanConfig},
+        live::{self, LivePlanConfig, step_time_ratio_to_ideal as skew},
         map::{Map, Shape},
     },
 };
@@ -33,11 +33,6 @@
     vec![layer; SHAPE.layer_count]
 }
 
-fn skew(map: &Map, loads: &[Vec<f64>], speeds: &[f64]) -> f64 {
-    let ideal = cowsliproad::placement::map::ideal_step_time(loads, speeds);
-    live::step_time(map, loads, speeds) / ideal
-}
-
 fn check_step(before: &Map, after: &Map) {
     for (old, new) in before.layers.iter().zip(&after.layers) {
         assert!(new.is_valid(SHAPE));
@@ -223,12 +218,8 @@
 
 /// A group in which a few experts are far more popular than all others, as in
 /// the agents' tests.
-const SMALL_SHAPE: Shape = Shape {
-    rank_count: 4,
-    expert_count: 16,
-    layer_count: 2,
-    slots_per_rank: 6,
-};
+const SMALL_SHAPE: Shape =
+    Shape { rank_count: 4, expert_count: 16, slots_per_rank: 6, ..SHAPE };
 
 /// The skew below which the agents' tests call a small group's map balanced.
 const BALANCED_SKEW: f64 = 1.35;
@@ -294,6 +285,27 @@
     );
 }
 
+/// Guards against a search whose result is lost if it is not planned: an
+/// operator could not tell it from one that finds nothing.
+#[test]
+fn a_search_states_what_it_found_and_did_not_plan() {
+    let mut loads =
+        vec![vec![100.0; SMALL_SHAPE.expert_count]; SMALL_SHAPE.layer_count];
+    // Both experts are at rank 0. Relieving it saves less than 4% of the step.
+    (loads[1][0], loads[1][4]) = (120.0, 120.0);
+    let speeds = vec![1.0; SMALL_SHAPE.rank_count];
+    let map = Map::round_robin(SMALL_SHAPE);
+    let config = LivePlanConfig::new(SPARE).with_copy_cost(0.0);
+    let search = live::search(SMALL_SHAPE, config, &map, &loads, &speeds);
+    let present = search.present_step_time_ratio_to_ideal;
+    assert_eq!(present, skew(&map, &loads, &speeds));
+    let found = search.best().planned_step_time_ratio_to_ideal;
+    assert_eq!(found, skew(&search.best().map, &loads, &speeds));
+    assert!(found < present, "{found}, {present}");
+    assert!(search.best().move_count > 0);
+    assert!(search.into_plan().is_none());
+}
+
 /// Guards against a search that ends because no single change helps: the most
 /// popular expert is alone at its rank, the least loaded rank is full, and
 /// every other receiver would become slower than the rank to be relieved.
