rank: tell apart why a search leads to no plan

With `no_better_map` as it was, an operator would have named the wrong cause of the siege's timeouts: `skew=1.366 unlimited=1.005` says that the cost of copies or the limit of new experts keeps the map, and it was neither.

The line now states the best map that the search itself found and its copies, and what searches without cost, without limits and without both find. A test holds cost, limit and balance apart.

--- a/cowsliproad-placement/src/demand.rs
+++ b/cowsliproad-placement/src/demand.rs
@@ -84,12 +84,12 @@
         (counted > 0.0).then_some(loads)
     }
 
-    /// Returns the time over which the current demand was counted.
-    pub fn counting_duration(&self) -> Millis {
-        match (self.oldest_current_sample(), self.samples.back()) {
-            (Some(oldest), Some(newest)) => newest.0.since(oldest.0),
-            _ => Millis(0),
-        }
+    /// Returns the time over which the current demand was counted; `None`
+    /// without samples.
+    pub fn counting_duration(&self) -> Option<Millis> {
+        let (newest, _) = self.samples.back()?;
+        let (oldest, _) = self.oldest_current_sample()?;
+        Some(newest.since(*oldest))
     }
 
     /// Returns the first sample since the demand last shifted.
--- a/cowsliproad-rank/src/lead.rs
+++ b/cowsliproad-rank/src/lead.rs
@@ -422,21 +422,17 @@
             }
             return;
         };
-        let limits = live::LivePlanConfig::new(usize::from(
-            service_shape.max_experts_added_to_rank_per_layer_set,
-        ))
-        .with_max_new_experts_per_rank(max_new_experts_per_rank(Millis(
-            service_shape.expert_copy_ms,
-        )))
-        .with_copy_cost(self.expert_move_cost);
-        let speeds: Vec<f64> =
+        let speeds =
             self.statuses_by_rank.values().map(relative_rank_speed).collect();
-        let ideal = ideal_step_time(&loads, &speeds);
-        let skew = live::step_time(&present, &loads, &speeds) / ideal;
+        let inputs =
+            SearchInputs { shape: shape_of_map, present, loads, speeds };
+        let limits = SearchLimits::new(service_shape, self.expert_move_cost);
+        let search = inputs.search(limits.config());
+        let skew = search.present_step_time_ratio_to_ideal;
         self.expert_map_skew = Some(skew);
-        let search = MapSearch { shape: shape_of_map, present, loads, speeds };
-        let Some(plan) = search.plan(limits) else {
-            self.log_fruitless_search(&search, skew, now);
+        let best = search.best().clone();
+        let Some(plan) = search.into_plan() else {
+            self.log_fruitless_search(&inputs, limits, skew, &best, now);
             return;
         };
         self.fruitless_search_logged_at = None;
@@ -447,12 +443,12 @@
             "skew" => format!("{skew:.3}"),
             "expected" => format!("{:.3}",
                 plan.planned_step_time_ratio_to_ideal),
-            "bound" => format!("{:.3}", search.bound()),
-            "slowest" => search.slowest_speed(),
+            "bound" => format!("{:.3}", inputs.bound()),
+            "slowest" => inputs.slowest_speed(),
             "copies" => plan.move_count,
             "step" => pass,
-            "counted" => search.counted(),
-            "counted_ms" => self.demand_estimator.counting_duration().0);
+            "counted" => inputs.counted(),
+            "counted_ms" => self.counting_duration_ms());
         let directive = self.current_directive();
         let last = self.current_plan.replace(MapPlan {
             fencing_number: directive.fencing_number,
@@ -474,33 +470,43 @@
         is_due
     }
 
-    /// Logs that a search found no better map, and what a search without cost
-    /// and limits would find. If that is no better either, the search ends at
-    /// a local optimum; otherwise the cost or a limit keeps the map.
+    /// Logs that a search led to no plan, with what tells the reasons apart:
+    /// the best map that it found, and what searches without the cost of
+    /// copies, without the limits of new experts and without both find.
     fn log_fruitless_search(
         &mut self,
-        search: &MapSearch,
+        inputs: &SearchInputs,
+        limits: SearchLimits,
         skew: f64,
+        best: &live::LivePlan,
         now: Millis,
     ) {
         if !self.is_search_log_due(now) {
             return;
         }
-        let without_limits =
-            live::LivePlanConfig::new(search.shape.slots_per_rank)
-                .with_copy_cost(0.0);
-        let unlimited = search
-            .plan(without_limits)
-            .map_or(skew, |it| it.planned_step_time_ratio_to_ideal);
+        let best_skew = |limits: SearchLimits| {
+            let search = inputs.search(limits.config());
+            format!("{:.3}", search.best().planned_step_time_ratio_to_ideal)
+        };
         info!(self.log, "no_better_map"; "skew" => format!("{skew:.3}"),
-            "unlimited" => format!("{unlimited:.3}"),
-            "bound" => format!("{:.3}", search.bound()),
-            "slowest" => search.slowest_speed(),
-            "counted" => search.counted(),
-            "counted_ms" => self.demand_estimator.counting_duration().0);
+            "found" =>
+                format!("{:.3}", best.planned_step_time_ratio_to_ideal),
+            "copies" => best.move_count,
+            "without_cost" => best_skew(limits.without_cost()),
+            "without_limits" => best_skew(limits.without_limits()),
+            "without_both" =>
+                best_skew(limits.without_cost().without_limits()),
+            "bound" => format!("{:.3}", inputs.bound()),
+            "slowest" => inputs.slowest_speed(),
+            "counted" => inputs.counted(),
+            "counted_ms" => self.counting_duration_ms());
         debug!(self.log, "map_in_use";
-            "experts" => ?search.present.experts_by_layer_and_rank(),
-            "loads" => ?search.loads);
+            "experts" => ?inputs.present.experts_by_layer_and_rank(),
+            "loads" => ?inputs.loads);
+    }
+
+    fn counting_duration_ms(&self) -> Option<u64> {
+        self.demand_estimator.counting_duration().map(|it| it.0)
     }
 
     /// Returns the map in use, assembled from the expert lists of all ranks.
@@ -534,17 +540,17 @@
 }
 
 /// The inputs of a search for a better map.
-struct MapSearch {
+struct SearchInputs {
     shape: Shape,
     present: Map,
     loads: Vec<Vec<f64>>,
     speeds: Vec<f64>,
 }
 
-impl MapSearch {
-    fn plan(&self, config: live::LivePlanConfig) -> Option<live::LivePlan> {
-        let MapSearch { shape, present, loads, speeds } = self;
-        live::plan(*shape, config, present, loads, speeds)
+impl SearchInputs {
+    fn search(&self, config: live::LivePlanConfig) -> live::LiveSearch {
+        let SearchInputs { shape, present, loads, speeds } = self;
+        live::search(*shape, config, present, loads, speeds)
     }
 
     /// Returns a lower bound on the step time over all maps, relative to
@@ -565,6 +571,46 @@
     }
 }
 
+/// What keeps a search from maps that would be better balanced.
+#[derive(Clone, Copy)]
+struct SearchLimits {
+    max_new_experts_per_rank_and_layer: usize,
+    max_new_experts_per_rank: usize,
+    copy_cost: f64,
+}
+
+impl SearchLimits {
+    fn new(service_shape: &LoadSubscription, copy_cost: f64) -> SearchLimits {
+        SearchLimits {
+            max_new_experts_per_rank_and_layer: usize::from(
+                service_shape.max_experts_added_to_rank_per_layer_set,
+            ),
+            max_new_experts_per_rank: max_new_experts_per_rank(Millis(
+                service_shape.expert_copy_ms,
+            )),
+            copy_cost,
+        }
+    }
+
+    fn without_cost(self) -> SearchLimits {
+        SearchLimits { copy_cost: 0.0, ..self }
+    }
+
+    fn without_limits(self) -> SearchLimits {
+        SearchLimits {
+            max_new_experts_per_rank_and_layer: usize::MAX,
+            max_new_experts_per_rank: usize::MAX,
+            ..self
+        }
+    }
+
+    fn config(self) -> live::LivePlanConfig {
+        live::LivePlanConfig::new(self.max_new_experts_per_rank_and_layer)
+            .with_max_new_experts_per_rank(self.max_new_experts_per_rank)
+            .with_copy_cost(self.copy_cost)
+    }
+}
+
 /// Returns how many new experts a map may assign to a rank: as many as are
 /// copied in the time that the rest of a switch takes, but at least one.
 fn max_new_experts_per_rank(expert_copy_duration: Millis) -> usize {
--- a/cowsliproad-rank/tests/lead.rs
+++ b/cowsliproad-rank/tests/lead.rs
@@ -2,7 +2,11 @@
 //! tests pass statuses and counts to the coordinator and check its plan and
 //! directive.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    collections::BTreeMap,
+    fmt,
+    sync::{Arc, Mutex},
+};
 
 use cowsliproad_kernel::{clock::Millis, gossip::LoadSubscription};
 use cowsliproad_mapswitch::order::{
@@ -13,7 +17,7 @@
     lead::{CoordinatorParameters, GroupCoordinator},
     wire::{RankStatus, SelectionCountIncrease},
 };
-use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
+use slog::{Drain, KV, Key, Logger, Never, OwnedKVList, Record, o};
 
 const RANK_COUNT: u16 = 4;
 const EXPERTS_PER_SET: usize = 16;
@@ -22,27 +26,54 @@
 struct TestGroup {
     coordinator: GroupCoordinator,
     reports_by_rank: Vec<RankReport>,
-    events: Arc<Mutex<Vec<String>>>,
+    events: Arc<Mutex<Vec<Event>>>,
     /// Whether statuses list the experts of their rank.
     statuses_list_experts: bool,
+    max_new_experts_per_rank: u16,
     now: Millis,
 }
 
-/// Records the names of the events that the coordinator logs.
-struct EventRecorder(Arc<Mutex<Vec<String>>>);
+/// A logged event: its name, and its values by key.
+type Event = (String, BTreeMap<Key, String>);
+
+/// Records the events that the coordinator logs.
+struct EventRecorder(Arc<Mutex<Vec<Event>>>);
 
 impl Drain for EventRecorder {
     type Ok = ();
     type Err = Never;
 
     fn log(&self, record: &Record, _: &OwnedKVList) -> Result<(), Never> {
-        self.0.lock().expect("no panic").push(record.msg().to_string());
+        let mut values = ValueRecorder::default();
+        let recorded = record.kv().serialize(record, &mut values);
+        recorded.expect("values that can be written");
+        let mut events = self.0.lock().expect("no panic");
+        events.push((record.msg().to_string(), values.0));
+        Ok(())
+    }
+}
+
+/// Records the values of an event as text.
+#[derive(Default)]
+struct ValueRecorder(BTreeMap<Key, String>);
+
+impl slog::Serializer for ValueRecorder {
+    fn emit_arguments(
+        &mut self,
+        key: Key,
+        value: &fmt::Arguments,
+    ) -> slog::Result {
+        self.0.insert(key, value.to_string());
         Ok(())
     }
 }
 
 impl TestGroup {
     fn new() -> TestGroup {
+        TestGroup::with_expert_move_cost(0.03)
+    }
+
+    fn with_expert_move_cost(expert_move_cost: f64) -> TestGroup {
         let start = CoordinatorParameters {
             fencing_number: 1,
             coordinator_rank: 0,
@@ -50,7 +81,7 @@
         };
         let events = Arc::default();
         let log = Logger::root(EventRecorder(Arc::clone(&events)), o!());
-        let coordinator = GroupCoordinator::new(start, 0.03, log);
+        let coordinator = GroupCoordinator::new(start, expert_move_cost, log);
         let report = |rank| RankReport::new(Epoch(1), rank, RANK_COUNT);
         let reports_by_rank = (0..RANK_COUNT).map(report).collect();
         TestGroup {
@@ -58,6 +89,7 @@
             reports_by_rank,
             events,
             statuses_list_experts: true,
+            max_new_experts_per_rank: 2,
             now: Millis(10_000),
         }
     }
@@ -95,7 +127,8 @@
             layer_set_count: 1,
             experts_per_layer_set: EXPERTS_PER_SET as u16,
             expert_slots_per_layer_set: 8,
-            max_experts_added_to_rank_per_layer_set: 2,
+            max_experts_added_to_rank_per_layer_set: self
+                .max_new_experts_per_rank,
             log_era: Default::default(),
             expert_copy_ms: 400,
         };
@@ -123,7 +156,20 @@
 
     fn count_events(&self, name: &str) -> usize {
         let events = self.events.lock().expect("no panic");
-        events.iter().filter(|it| *it == name).count()
+        events.iter().filter(|it| it.0 == name).count()
+    }
+
+    /// Returns the values of a search that led to no plan: the skew of the map
+    /// in use, what the search found, and what searches without cost, limits
+    /// and both found.
+    fn fruitless_search_skews(&self) -> [f64; 5] {
+        let events = self.events.lock().expect("no panic");
+        let (_, values) = events
+            .iter()
+            .find(|it| it.0 == "no_better_map")
+            .expect("a search without a plan");
+        ["skew", "found", "without_cost", "without_limits", "without_both"]
+            .map(|key| values[key].parse().expect("a number"))
     }
 
     /// Returns the number of ranks that hold an expert under the current plan.
@@ -204,3 +250,31 @@
     assert_eq!(group.count_events("map_planned"), 0);
     assert_eq!(group.count_events("map_unknown"), 2);
 }
+
+/// Guards against an operator who can't tell a map that the cost of copies
+/// keeps from one that the limit of new experts keeps, and both from a search
+/// that finds nothing better.
+#[test]
+fn reasons_of_searches_without_a_plan_are_told_apart() {
+    let even = vec![100; EXPERTS_PER_SET];
+    let mut uneven = even.clone();
+    uneven[0] = 250;
+    let mut costly = TestGroup::with_expert_move_cost(1.0);
+    let mut limited = TestGroup::new();
+    limited.max_new_experts_per_rank = 0;
+    let mut balanced = TestGroup::new();
+    for _ in 0..4 {
+        costly.pass_counts_and_statuses_to_coordinator(uneven.clone());
+        limited.pass_counts_and_statuses_to_coordinator(uneven.clone());
+        balanced.pass_counts_and_statuses_to_coordinator(even.clone());
+    }
+    let [skew, found, without_cost, without_limits, without_both] =
+        costly.fruitless_search_skews();
+    assert!(found == skew && without_limits == skew);
+    assert!(without_cost < 0.9 * skew && without_both < 0.9 * skew);
+    let [skew, found, without_cost, without_limits, without_both] =
+        limited.fruitless_search_skews();
+    assert!(found == skew && without_cost == skew);
+    assert!(without_limits < 0.9 * skew && without_both < 0.9 * skew);
+    assert_eq!(balanced.fruitless_search_skews(), [1.0; 5]);
+}
