tests: take networks by one rule in both test programs

The tests of agents got a rule of their own for the addresses that a run may take, beside the one that the tests of entries had, and these did not look for processes that a killed run left. The rule is now in the stand-ins, and both use it: a test takes a network by starting its log there, unless a VM's datagram port is in use.

--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -2,13 +2,12 @@
 
 use std::{
     fs,
-    io::ErrorKind,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
     sync::{
         Arc,
-        atomic::{AtomicU8, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -25,7 +24,8 @@
 };
 use cowsliproad_platform_standin::{
     catalog::{OperatorConfig, RouteKind},
-    log::{self, Log},
+    log::Log,
+    network::Network,
     target::{self, Announcement, Target, TargetConfig},
 };
 use http::{Request, Response, StatusCode};
@@ -50,7 +50,7 @@
 
 /// A platform with targets and entries.
 pub struct Plant {
-    net: (u8, u8),
+    net: Network,
     pub log: Arc<Log>,
     pub log_address: SocketAddr,
     pub catalog: OperatorConfig,
@@ -64,9 +64,6 @@
     child: Child,
 }
 
-/// Networks of this test program, so that its tests can run at once.
-static NETWORK: AtomicU8 = AtomicU8::new(1);
-
 /// Numbers requests.
 static REQUEST: AtomicU64 = AtomicU64::new(1);
 
@@ -74,18 +71,8 @@
     /// A platform whose configuration has a route of each kind and two
     /// services, `plain` and `model`.
     pub async fn start() -> Plant {
-        let block = 16 + (std::process::id() % 200) as u8;
-        let (net, log, log_address) = loop {
-            let net = (block, NETWORK.fetch_add(1, Ordering::Relaxed));
-            let address = Ipv4Addr::new(127, net.0, net.1, 250);
-            let address = SocketAddr::from((address, TARGETS));
-            match log::start(address).await {
-                Ok((log, address)) => break (net, log, address),
-                // Another process that tests now has the same block.
-                Err(error) if error.kind() == ErrorKind::AddrInUse => {}
-                Err(error) => panic!("a log: {error}"),
-            }
-        };
+        let (net, log, log_address) =
+            Network::start_with_log(TARGETS, PEERS).await.expect("a network");
         let mut catalog = OperatorConfig::new()
             .with_service("plain")
             .with_service("model")
@@ -101,7 +88,7 @@
     /// An address for one more VM.
     pub fn vm(&mut self) -> Ipv4Addr {
         self.next += 1;
-        Ipv4Addr::new(127, self.net.0, self.net.1, self.next)
+        self.net.vm_address(self.next)
     }
 
     /// Where one more target may listen, and the log that it is announced in.
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -6,14 +6,10 @@
 
 use std::{
     fs,
-    io::ErrorKind,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command},
-    sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -25,6 +21,7 @@
 use cowsliproad_platform_standin::{
     group::{self, Group, VmState},
     log::{self, Log},
+    network::Network,
 };
 use cowsliproad_rank::{
     rota::MAX_REPORTED_COUNTING_WINDOW,
@@ -44,21 +41,8 @@
 const EXPERTS_PER_SET: usize = 16;
 const PASS_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The VM of a network on which the platform's log runs.
-const LOG_VM_NUMBER: u8 = 250;
-
-/// The first of the blocks of networks, and their number. A test program takes
-/// its networks from the block that its process id names, and from later ones
-/// while other test programs use these networks.
-const FIRST_NETWORK_BLOCK: u8 = 16;
-const NETWORK_BLOCK_COUNT: u32 = 200;
-
-/// The number of the next test's network. Each test has its own network, so
-/// that tests can run in parallel.
-static NEXT_NETWORK_NUMBER: AtomicU8 = AtomicU8::new(1);
-
 struct TestGroup {
-    network_octets: (u8, u8),
+    network: Network,
     group: Arc<Group>,
     log: Arc<Log>,
     log_address: SocketAddr,
@@ -93,17 +77,20 @@
     /// Starts a group and its agents, without a subscription to load reports.
     async fn start_without_load_subscription() -> (TestGroup, Vec<SocketAddr>)
     {
-        let (network_octets, log, log_address) = start_log_in_network().await;
+        let (network, log, log_address) =
+            Network::start_with_log(ENGINE_PORT, AGENT_DATAGRAM_PORT)
+                .await
+                .expect("a network");
         let numbers = 1..=RANK_COUNT;
         let engines: Vec<SocketAddr> = numbers
             .clone()
-            .map(|it| (vm_address(network_octets, it), ENGINE_PORT).into())
+            .map(|it| (network.vm_address(it), ENGINE_PORT).into())
             .collect();
         let group =
             group::start(&engines, (2, EXPERTS_PER_SET), PASS_INTERVAL).await;
         let group = group.expect("a group");
         let mut test_group = TestGroup {
-            network_octets,
+            network,
             group,
             log,
             log_address,
@@ -119,7 +106,7 @@
     }
 
     fn start_agent(&self, number: u8) -> AgentProcess {
-        let vm = vm_address(self.network_octets, number);
+        let vm = self.network.vm_address(number);
         let settings = Settings {
             vm_name: format!("agent-{number}").into(),
             vm_address: vm.into(),
@@ -146,7 +133,7 @@
     /// and records the received datagrams.
     async fn subscribe_to_agents(&self, targets: Vec<SocketAddr>) {
         let own = SocketAddr::from((
-            vm_address(self.network_octets, 200),
+            self.network.vm_address(200),
             ENTRY_DATAGRAM_PORT,
         ));
         let socket = Arc::new(UdpSocket::bind(own).await.expect("a socket"));
@@ -237,37 +224,6 @@
     }
 }
 
-/// Starts the platform's log in a network in which no other test program has a
-/// log or an agent. As long as the log runs, no other test program takes the
-/// network.
-async fn start_log_in_network() -> ((u8, u8), Arc<Log>, SocketAddr) {
-    let mut block = std::process::id() % NETWORK_BLOCK_COUNT;
-    for _ in 0..NETWORK_BLOCK_COUNT {
-        let number = NEXT_NETWORK_NUMBER.fetch_add(1, Ordering::Relaxed);
-        let network_octets = (FIRST_NETWORK_BLOCK + block as u8, number);
-        let address = vm_address(network_octets, LOG_VM_NUMBER);
-        match log::start((address, ENGINE_PORT).into()).await {
-            Ok((log, log_address)) if !has_agents(network_octets) => {
-                return (network_octets, log, log_address);
-            }
-            Ok(_) => {}
-            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
-            Err(error) => panic!("a log: {error}"),
-        }
-        block = (block + 1) % NETWORK_BLOCK_COUNT;
-    }
-    panic!("every network is in use");
-}
-
-/// Returns whether an agent of another test program, which may have ended
-/// without its agents, uses a network.
-fn has_agents(network_octets: (u8, u8)) -> bool {
-    (1..=RANK_COUNT).any(|number| {
-        let address = vm_address(network_octets, number);
-        std::net::UdpSocket::bind((address, AGENT_DATAGRAM_PORT)).is_err()
-    })
-}
-
 /// Returns the path of the log file to which all processes of an agent write.
 fn agent_log_path(settings_file: &Path) -> PathBuf {
     settings_file.with_extension("log")
@@ -297,23 +253,6 @@
     }
 }
 
-/// Guards against two test programs whose agents have the same addresses and
-/// read each other's messages: the second one starts while an agent of the
-/// first is left.
-#[tokio::test(flavor = "multi_thread")]
-async fn test_programs_share_no_network() {
-    let (left, log, _) = start_log_in_network().await;
-    let address = (vm_address(left, RANK_COUNT), AGENT_DATAGRAM_PORT);
-    let _agent = std::net::UdpSocket::bind(address).expect("a socket");
-    assert!(has_agents(left));
-    // The network whose log runs is taken even without agents.
-    let taken =
-        SocketAddr::from((vm_address(left, LOG_VM_NUMBER), ENGINE_PORT));
-    let second = log::start(taken).await.err().map(|it| it.kind());
-    assert_eq!(second, Some(ErrorKind::AddrInUse));
-    drop(log);
-}
-
 /// Guards against a run that takes the lines of an earlier, failed run under
 /// the same addresses for its own.
 #[tokio::test(flavor = "multi_thread")]
@@ -336,10 +275,6 @@
     assert!(!lines.contains("fence=7"), "{lines}");
 }
 
-fn vm_address(network_octets: (u8, u8), vm_number: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, network_octets.0, network_octets.1, vm_number)
-}
-
 async fn wait_until(
     condition_name: &str,
     mut condition_holds: impl FnMut() -> bool,
@@ -818,9 +753,9 @@
 async fn lead_without_plans(
     test_group: &TestGroup,
 ) -> Arc<std::sync::Mutex<Vec<SelectionCountIncrease>>> {
-    let octets = test_group.network_octets;
+    let network = test_group.network;
     let address = move |vm| {
-        SocketAddr::from((vm_address(octets, vm), AGENT_DATAGRAM_PORT))
+        SocketAddr::from((network.vm_address(vm), AGENT_DATAGRAM_PORT))
     };
     let own = address(1);
     let mut socket = UdpSocket::bind(own).await;
