--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -204,6 +204,8 @@
     pub log_read_schedule: RefCell<LogReadSchedule>,
     /// Wakes the task that reads the targets topic.
     pub targets_read_wakeup: Notify,
+    /// When the platform's log last answered a read of each topic.
+    pub log_answer_times: RefCell<HashMap<&'static str, Millis>>,
     /// Rollbacks of the platform's log to an older copy.
     pub rollbacks: LogRollbacks,
     /// Wakes the task that waits at startup for digests of other entry
@@ -269,6 +271,7 @@
             agent_target_list_ids: RefCell::new(HashMap::new()),
             log_read_schedule: RefCell::new(log_read_schedule),
             targets_read_wakeup: Notify::new(),
+            log_answer_times: RefCell::new(HashMap::new()),
             rollbacks: LogRollbacks::new(),
             digest_received: Notify::new(),
             joined_target_count: Cell::new(0),
@@ -341,6 +344,11 @@
     ) {
         let before = self.catalog_version();
         if before >= catalog.config_version() {
+            if before > catalog.config_version() {
+                info!(self.log, "catalog_outdated";
+                    "version" => catalog.config_version(),
+                    "in_force" => before, "source" => ?source);
+            }
             return;
         }
         info!(self.log, "catalog_in_force"; "version" => catalog.config_version(),
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -67,6 +67,7 @@
     /// Records a successful call to the log and resets the backoff.
     pub fn record_success(&mut self, entry: &Entry) {
         let now = Millis::now();
+        entry.log_answer_times.borrow_mut().insert(self.topic, now);
         let away = now.since(self.last_success);
         if self.failures > 0 {
             info!(entry.log, "log_regained"; "topic" => self.topic,
@@ -83,8 +84,9 @@
         error: &Error,
     ) {
         if self.failures == 0 {
+            let away = Millis::now().since(self.last_success);
             warn!(entry.log, "log_lost"; "topic" => self.topic,
-                "error" => %error);
+                "away" => away.0, "error" => %error);
         }
         let doubled = MIN_LOG_CALL_BACKOFF.0 << self.failures.min(4);
         self.failures += 1;
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -27,6 +27,9 @@
     peers: Gauge<u64>,
     targets: Gauge<u64>,
     expert_map_skew: Gauge<u64>,
+    config_version: Gauge<u64>,
+    newest_config_version: Gauge<u64>,
+    log_answer_age: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -52,6 +55,11 @@
             expert_map_skew: meter
                 .u64_gauge("expert_map_skew_percent")
                 .build(),
+            config_version: meter.u64_gauge("config_version").build(),
+            newest_config_version: meter
+                .u64_gauge("newest_config_version")
+                .build(),
+            log_answer_age: meter.u64_gauge("log_answer_age_ms").build(),
             metrics,
         }
     }
@@ -134,6 +142,18 @@
         self.expert_map_skew.record(u64::from(skew_percent), &[group]);
     }
 
+    /// Sets the version of the configuration in force, and the newest version
+    /// that this entry process or another one has announced.
+    pub fn set_config_versions(&self, in_force: u64, newest: u64) {
+        self.config_version.record(in_force, &[]);
+        self.newest_config_version.record(newest, &[]);
+    }
+
+    /// Sets the time since the log last answered a read of a topic.
+    pub fn set_log_answer_age(&self, topic: &'static str, age: Millis) {
+        self.log_answer_age.record(age.0, &[KeyValue::new("topic", topic)]);
+    }
+
     /// Renders all metrics as text.
     pub fn render_text(&self) -> String {
         self.metrics.text()
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -266,6 +266,7 @@
             entry.fleet.borrow().ready_targets().count(),
         );
         entry.metrics.set_limited_targets(entry.limited_target_count());
+        record_config_metrics(&entry, now);
         // Expired cooldowns are kept a while, since some requests avoid a
         // target beyond the end of its cooldown.
         let over = now - MAX_COOLDOWN_STAGGER - COOLDOWN_PROBE_PERIOD;
@@ -289,6 +290,15 @@
     }
 }
 
+fn record_config_metrics(entry: &Entry, now: Millis) {
+    let in_force = entry.catalog_version();
+    let announced = entry.peers.borrow().newest_config.0;
+    entry.metrics.set_config_versions(in_force, in_force.max(announced));
+    for (topic, answered_at) in entry.log_answer_times.borrow().iter() {
+        entry.metrics.set_log_answer_age(topic, now.since(*answered_at));
+    }
+}
+
 fn build_digest(
     entry: &Entry,
     scope: DigestScope,
--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use slog::warn;
+use slog::{info, warn};
 use tokio::time::sleep;
 
 use super::wait_for_seed_digests;
@@ -64,6 +64,12 @@
     if knows && !entry.log_read_schedule.borrow().needs_peer_state() {
         return;
     }
+    if entry.catalog_version() < received_digest.config_version {
+        info!(entry.log, "config_behind";
+            "version" => received_digest.config_version,
+            "peer" => &*received_digest.sender_vm,
+            "in_force" => entry.catalog_version());
+    }
     if entry.catalog().is_none() {
         wait_for_seed_digests(entry).await;
     }
