--- a/cowsliproad-direct/tests/entry/processes.rs
+++ b/cowsliproad-direct/tests/entry/processes.rs
@@ -20,7 +20,7 @@
 pub const ON_ITS_WAY: Duration = Duration::from_millis(100);
 
 /// Where the way to the log begins on an entry's VM.
-const LOG_PORT: u16 = 18_085;
+pub const LOG_PORT: u16 = 18_085;
 
 /// An entry's process: a number that no other has.
 pub type Process = usize;
--- /dev/null
+++ b/cowsliproad-direct/tests/entry/silent_log.rs
@@ -0,0 +1,187 @@
+//! Connections to the platform's log that stay open and carry nothing any
+//! more, while new ones work, and a log that takes calls and answers none for
+//! a moment.
+
+use std::time::{Duration, Instant};
+
+use cowsliproad_platform_standin::{
+    catalog::RouteKind,
+    log::Fault,
+    proxy::{LinkState, Proxy},
+};
+use http::StatusCode;
+use tokio::time::sleep;
+
+use crate::{
+    harness::{Entry, KEY, Plant, until},
+    processes::LOG_PORT,
+};
+
+/// The time in which a change is in force (`config_apply_ms`, `drain_ms`).
+const BOUND: Duration = Duration::from_millis(2_000);
+
+/// How long entries need to send their next long poll.
+const POLL_SENT: Duration = Duration::from_millis(800);
+
+/// How long the log needs at most to answer a read.
+const READ_ANSWERED: Duration = Duration::from_millis(50);
+
+/// Entries that reach the log each through a link of its own.
+struct Fleet {
+    plant: Plant,
+    entries: Vec<Entry>,
+    links: Vec<Proxy>,
+}
+
+impl Fleet {
+    async fn start(count: usize) -> Fleet {
+        let mut plant = Plant::start().await;
+        plant.target("i-1", "plain").await;
+        let mut links = Vec::new();
+        let mut entries: Vec<Entry> = Vec::new();
+        for _ in 0..count {
+            let seeds: Vec<&Entry> = entries.iter().take(3).collect();
+            let mut settings = plant.settings(&seeds);
+            let listen = settings.caller_listen_address.ip();
+            let link =
+                Proxy::start((listen, LOG_PORT).into(), plant.log_address);
+            let link = link.await.expect("a proxy");
+            settings.log_address = link.listen_address();
+            links.push(link);
+            entries.push(Entry::start(settings));
+        }
+        for entry in &entries {
+            entry.until_ready().await;
+        }
+        until("they have met", async || {
+            for entry in &entries {
+                let peers = entry.metric("peers").await;
+                if peers != Some((count - 1) as f64) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+        Fleet { plant, entries, links }
+    }
+
+    fn silence(&self, cut: LinkState) {
+        for link in &self.links {
+            link.silence_open_connections(cut);
+        }
+    }
+
+    /// Publishes a configuration with one more route, and waits until every
+    /// entry serves it.
+    async fn check_new_route(&mut self, path: &str) {
+        self.publish_route(path);
+        self.check_route_in_force(path).await;
+    }
+
+    fn publish_route(&mut self, path: &str) {
+        let catalog = self.plant.catalog.clone();
+        self.plant.catalog =
+            catalog.with_route(path, RouteKind::Idempotent, "plain", 1_000);
+        self.plant.catalog.publish(&self.plant.log);
+    }
+
+    async fn check_route_in_force(&self, path: &str) {
+        let published = Instant::now();
+        for (number, entry) in self.entries.iter().enumerate() {
+            until("the route is served", async || {
+                entry.status(path, KEY).await == Some(StatusCode::OK)
+            })
+            .await;
+            let took = published.elapsed();
+            assert!(took < BOUND, "entry {number}: {took:?}");
+        }
+    }
+}
+
+/// Guards against long polls whose silence is noticed only after their hold:
+/// all entries then miss a configuration for seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_though_all_polls_went_silent() {
+    for cut in
+        [LinkState::Cut, LinkState::CutFromServer, LinkState::CutToServer]
+    {
+        let mut fleet = Fleet::start(3).await;
+        sleep(POLL_SENT).await;
+        fleet.silence(cut);
+        fleet.check_new_route("/new/").await;
+        fleet.silence(cut);
+        fleet.check_new_route("/newer/").await;
+    }
+}
+
+/// Guards against entries that rely on others to hear of a configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lone_entry_whose_poll_went_silent_learns_of_a_configuration() {
+    let mut fleet = Fleet::start(1).await;
+    sleep(POLL_SENT).await;
+    fleet.silence(LinkState::Cut);
+    fleet.check_new_route("/new/").await;
+}
+
+/// Guards against polls that were sent as the log took calls and answered
+/// none, and that wait on when it answers all others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_after_the_log_was_silent_for_a_moment() {
+    for fault in [Fault::Silent, Fault::LosingAnswers] {
+        let mut fleet = Fleet::start(3).await;
+        sleep(POLL_SENT).await;
+        fleet.plant.log.set_fault(fault);
+        fleet.publish_route("/missed/");
+        sleep(Duration::from_millis(300)).await;
+        fleet.plant.log.set_fault(Fault::None);
+        sleep(Duration::from_millis(2_500)).await;
+        fleet.check_new_route("/new/").await;
+    }
+}
+
+/// Guards against a large configuration that reaches entries with silent polls
+/// later than a small one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_configuration_is_in_force_though_all_polls_went_silent() {
+    let mut fleet = Fleet::start(4).await;
+    sleep(POLL_SENT).await;
+    for number in 0..1_650 {
+        let path = format!("/large{number}/");
+        let catalog = fleet.plant.catalog.clone();
+        fleet.plant.catalog =
+            catalog.with_route(&path, RouteKind::Idempotent, "plain", 1_000);
+    }
+    fleet.silence(LinkState::Cut);
+    fleet.check_new_route("/new/").await;
+}
+
+/// Guards against silent connections that hide a target's leaving for longer
+/// than it may get requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_target_gets_nothing_though_all_reads_went_silent() {
+    let mut fleet = Fleet::start(1).await;
+    let leaving = fleet.plant.target("i-2", "plain").await;
+    let entry = &fleet.entries[0];
+    until("the target is used", async || {
+        entry.status("/many/a", KEY).await;
+        leaving.arrival_count() > 0
+    })
+    .await;
+    // The next read comes as late as possible after the target's record.
+    let calls = fleet.plant.log.call_count();
+    until("the targets are read", async || {
+        fleet.plant.log.call_count() > calls
+    })
+    .await;
+    sleep(READ_ANSWERED).await;
+    fleet.silence(LinkState::Cut);
+    leaving.announce(&fleet.plant.log, "draining");
+    sleep(BOUND).await;
+    let before = leaving.arrival_count();
+    for _ in 0..20 {
+        let status = entry.status("/many/a", KEY).await;
+        assert_eq!(status, Some(StatusCode::OK));
+    }
+    assert_eq!(leaving.arrival_count(), before);
+}
