direct: check long polls for the configuration

Callers were handled by an old configuration for up to 16.5 s (CONFIG) and refused by entries that lacked a route or key (DENIED). Cause: a poll whose connection carries nothing any more looks like one that nothing was written for, until its hold and timeout are over, and all connections may go silent at once, so gossip had nothing to pass on. Ruled out: failed transfer between entries (all changed within 0.1 s of one another, from the log) and versions read but not adopted (no such line).

One entry now asks the log on a new connection every half of `config_apply_ms`; the others hear of the answer in digests and take over when it is too old. A version that the poll has not returned ends the poll. An entry that hears of a newer version first asks the log so, then the other entry: a log carries all of them more easily than one entry does. Polls are held 30 s instead of 15, which pays for most of the checks.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -22,6 +22,7 @@
 };
 use cowsliproad_routing::{
     catalog::RoutingCatalog,
+    confirmation::ConfigConfirmation,
     cooldown::Cooldowns,
     fleet::{Target, TargetChange, TargetFleet, TargetFleetConfig},
     formation::GroupFormation,
@@ -206,6 +207,11 @@
     pub targets_read_wakeup: Notify,
     /// When the platform's log last answered a read of each topic.
     pub log_answer_times: RefCell<HashMap<&'static str, Millis>>,
+    /// The log's latest answer about the configuration, to this entry process
+    /// or another one.
+    pub config_confirmation: RefCell<ConfigConfirmation>,
+    /// Wakes the task that checks the long poll for the configuration.
+    pub config_check_wakeup: Notify,
     /// Rollbacks of the platform's log to an older copy.
     pub rollbacks: LogRollbacks,
     /// Wakes the task that waits at startup for digests of other entry
@@ -272,6 +278,8 @@
             log_read_schedule: RefCell::new(log_read_schedule),
             targets_read_wakeup: Notify::new(),
             log_answer_times: RefCell::new(HashMap::new()),
+            config_confirmation: RefCell::new(ConfigConfirmation::new()),
+            config_check_wakeup: Notify::new(),
             rollbacks: LogRollbacks::new(),
             digest_received: Notify::new(),
             joined_target_count: Cell::new(0),
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -1,7 +1,10 @@
 //! Follows the configuration and the targets in the platform's log.
 //!
 //! The configuration changes seldom and must be in force everywhere within
-//! seconds, so its topic is read by long polling. Targets renew their records
+//! seconds, so its topic is read by long polling. A poll whose connection
+//! carries nothing any more looks like one that nothing was written for, so
+//! polls are checked by reads on other connections; see [`check`]. Targets
+//! renew their records
 //! continuously, and a long poll would return for each renewal. So the targets
 //! topic is read on a timer, well within the time in which a leaving target
 //! has to be known, and by one entry process on behalf of all.
@@ -28,10 +31,11 @@
     peers,
 };
 
-/// How long the log may hold a long poll for the configuration. A dead
-/// connection is noticed when this time is over; other entry processes send
-/// new versions sooner.
-const LONG_POLL_TIMEOUT: Millis = Millis(15_000);
+mod check;
+
+/// How long the log may hold a long poll for the configuration: the longest
+/// hold that the log allows.
+const LONG_POLL_TIMEOUT: Millis = Millis(30_000);
 
 /// The first backoff after a failed call to the log; each further failure
 /// doubles the backoff.
@@ -54,14 +58,17 @@
 #[derive(Debug)]
 pub struct LogCallStatus {
     topic: &'static str,
+    /// What the calls are for, in log lines.
+    purpose: &'static str,
     last_success: Millis,
     failures: u32,
 }
 
 impl LogCallStatus {
     /// Creates the status of a task that has made no calls to the log yet.
-    pub fn new(topic: &'static str) -> LogCallStatus {
-        LogCallStatus { topic, last_success: Millis::now(), failures: 0 }
+    pub fn new(topic: &'static str, purpose: &'static str) -> LogCallStatus {
+        let last_success = Millis::now();
+        LogCallStatus { topic, purpose, last_success, failures: 0 }
     }
 
     /// Records a successful call to the log and resets the backoff.
@@ -71,6 +78,7 @@
         let away = now.since(self.last_success);
         if self.failures > 0 {
             info!(entry.log, "log_regained"; "topic" => self.topic,
+                "call" => self.purpose,
                 "away" => away.0, "failures" => self.failures);
         }
         self.failures = 0;
@@ -86,6 +94,7 @@
         if self.failures == 0 {
             let away = Millis::now().since(self.last_success);
             warn!(entry.log, "log_lost"; "topic" => self.topic,
+                "call" => self.purpose,
                 "away" => away.0, "error" => %error);
         }
         let doubled = MIN_LOG_CALL_BACKOFF.0 << self.failures.min(4);
@@ -141,7 +150,7 @@
         TopicReader {
             topic,
             client: Client::new(entry.settings().log_address),
-            contact: LogCallStatus::new(topic),
+            contact: LogCallStatus::new(topic, "read"),
             next_position: None,
             has_read: false,
         }
@@ -185,6 +194,30 @@
         Ok(TopicReadResult { records, end_position: next, scope })
     }
 
+    /// Reads the next records by a long poll. If a check finds records that the
+    /// poll doesn't return, its connection is abandoned.
+    async fn poll_with_checks(
+        &mut self,
+        entry: &Entry,
+        max_hold: Millis,
+    ) -> Result<TopicReadResult, Error> {
+        let era = entry.rollbacks.newest_era();
+        let position = self.next_position.filter(|it| it.era >= era);
+        let Some(position) = position else {
+            return self.read_next_records(entry, max_hold).await;
+        };
+        let topic = self.topic;
+        let missed = tokio::select! {
+            read = self.read_next_records(entry, max_hold) => return read,
+            missed = check::wait_for_missed_records(entry, topic, position) => missed?,
+        };
+        self.contact.record_success(entry);
+        let end_position = missed.next_position;
+        self.next_position = Some(end_position);
+        let records = missed.records;
+        Ok(TopicReadResult { records, end_position, scope: ReadScope::New })
+    }
+
     /// Prepares the next read after a failed one; backs off unless records
     /// expired or the log was rolled back.
     pub async fn prepare_retry(&mut self, entry: &Entry, error: &Error) {
@@ -209,10 +242,15 @@
         let pause = (called + MIN_CONFIG_READ_INTERVAL).since(Millis::now());
         sleep(pause.duration()).await;
         called = Millis::now();
-        match reader.read_next_records(&entry, LONG_POLL_TIMEOUT).await {
+        match reader.poll_with_checks(&entry, LONG_POLL_TIMEOUT).await {
             Ok(reading) => {
+                let answered_at = Millis::now();
                 let before = entry.catalog_version();
                 adopt_newest_catalog(&entry, &reading.records).await;
+                entry
+                    .config_confirmation
+                    .borrow_mut()
+                    .record_poll_answer(answered_at, reading.end_position.era);
                 if reading.scope != ReadScope::New {
                     let new = usize::from(entry.catalog_version() > before);
                     let records = reading.records.len();
@@ -228,6 +266,14 @@
     }
 }
 
+impl Entry {
+    /// Has the long poll for the configuration checked at once.
+    pub fn request_config_check(&self) {
+        self.config_confirmation.borrow_mut().request_check();
+        self.config_check_wakeup.notify_one();
+    }
+}
+
 async fn adopt_newest_catalog(entry: &Entry, records: &[Record]) {
     let versions = records.iter().rev();
     for record in versions.filter(|it| it.key == catalog::CONFIG_KEY) {
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -30,6 +30,8 @@
     config_version: Gauge<u64>,
     newest_config_version: Gauge<u64>,
     log_answer_age: Gauge<u64>,
+    config_confirmed_age: Gauge<u64>,
+    silent_polls: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -59,6 +61,10 @@
             newest_config_version: meter
                 .u64_gauge("newest_config_version")
                 .build(),
+            config_confirmed_age: meter
+                .u64_gauge("config_confirmed_age_ms")
+                .build(),
+            silent_polls: meter.u64_counter("silent_polls").build(),
             log_answer_age: meter.u64_gauge("log_answer_age_ms").build(),
             metrics,
         }
@@ -154,6 +160,17 @@
         self.log_answer_age.record(age.0, &[KeyValue::new("topic", topic)]);
     }
 
+    /// Sets the time since the log last confirmed to any entry process that no
+    /// newer configuration was written.
+    pub fn set_config_confirmed_age(&self, age: Millis) {
+        self.config_confirmed_age.record(age.0, &[]);
+    }
+
+    /// Records that a long poll did not return records that the log had.
+    pub fn record_silent_poll(&self) {
+        self.silent_polls.add(1, &[]);
+    }
+
     /// Renders all metrics as text.
     pub fn render_text(&self) -> String {
         self.metrics.text()
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -119,6 +119,11 @@
         self.seeds = seeds.filter(|it| *it != own).collect();
     }
 
+    /// Whether no other entry process is known.
+    pub fn is_empty(&self) -> bool {
+        self.known_peers.is_empty()
+    }
+
     /// The number of entry processes, including this one. Entry processes that
     /// can't be reached count for a while, since they continue to serve.
     pub fn entry_process_count(&self) -> usize {
@@ -294,6 +299,9 @@
     let in_force = entry.catalog_version();
     let announced = entry.peers.borrow().newest_config.0;
     entry.metrics.set_config_versions(in_force, in_force.max(announced));
+    let confirmed = entry.config_confirmation.borrow().confirmed_at();
+    let age = now.since(confirmed.unwrap_or_default());
+    entry.metrics.set_config_confirmed_age(age);
     for (topic, answered_at) in entry.log_answer_times.borrow().iter() {
         entry.metrics.set_log_answer_age(topic, now.since(*answered_at));
     }
@@ -332,6 +340,11 @@
         sender_vm: entry.settings().vm.clone(),
         sender_address: entry.settings().own_peer_address(),
         config_version: entry.catalog_version(),
+        config_confirmed_age_ms: entry
+            .config_confirmation
+            .borrow()
+            .confirmed_at()
+            .map(|it| now.since(it).0),
         log_era: entry.rollbacks.newest_era(),
         targets_read_age_ms: now
             .since(entry.log_read_schedule.borrow().last_log_read_at())
@@ -437,6 +450,7 @@
         received_digest.last_target_change_offset,
     );
     entry.merge_peer_targets_read(at, changed, now);
+    merge_config_confirmation(entry, &received_digest, now);
     let (is_new, others) = {
         let mut peers = entry.peers.borrow_mut();
         (
@@ -476,6 +490,23 @@
     }
 }
 
+/// Merges the log's latest answer about the configuration that another entry
+/// process knows of, unless that one has a newer version: this entry process
+/// has yet to read it.
+fn merge_config_confirmation(
+    entry: &Entry,
+    digest: &GossipDigest,
+    now: Millis,
+) {
+    let Some(age) = digest.config_confirmed_age_ms else { return };
+    if digest.config_version <= entry.catalog_version() {
+        entry
+            .config_confirmation
+            .borrow_mut()
+            .merge_peer_answer(now - Millis(age), digest.log_era);
+    }
+}
+
 /// Waits, at startup, for digests of all seeds and then for the newest
 /// configuration that any digest announces; each wait has a timeout. The log
 /// may have been rolled back to an older copy, and some other entry processes
--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::wait_for_seed_digests;
 use crate::{
@@ -27,6 +27,10 @@
 /// fetches a peer's state.
 const OWN_LOG_READ_DELAY: Millis = Millis(120);
 
+/// How long this entry process waits for a check of its long poll before it
+/// fetches a peer's state.
+const LOG_CHECK_DELAY: Millis = Millis(250);
+
 /// The timeout for fetching a peer's state.
 const STATE_FETCH_TIMEOUT: Millis = Millis(1_000);
 
@@ -69,6 +73,13 @@
             "version" => received_digest.config_version,
             "peer" => &*received_digest.sender_vm,
             "in_force" => entry.catalog_version());
+        if entry.is_ready_to_serve() {
+            let version = received_digest.config_version;
+            read_version_from_log(entry, version).await;
+            if entry.catalog_version() >= version {
+                return;
+            }
+        }
     }
     if entry.catalog().is_none() {
         wait_for_seed_digests(entry).await;
@@ -82,6 +93,23 @@
     }
 }
 
+/// Reads a newer configuration from the log, by a check of the long poll, if
+/// the log answers soon. The log carries the calls of all entry processes at
+/// once more easily than one entry process does.
+async fn read_version_from_log(entry: &Entry, version: u64) {
+    entry.request_config_check();
+    let adopted = async {
+        loop {
+            let changed = entry.targets_changed.notified();
+            if entry.catalog_version() >= version {
+                return;
+            }
+            changed.await;
+        }
+    };
+    let _ = timeout(LOG_CHECK_DELAY.duration(), adopted).await;
+}
+
 async fn fetch_peer_state(
     entry: &Entry,
     peer: SocketAddr,
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -617,7 +617,7 @@
 /// Writes and deletes records of the quarantine topic; never returns.
 pub async fn write_quarantine_records(entry: Rc<Entry>) {
     let mut client = Client::new(entry.settings().log_address);
-    let mut contact = LogCallStatus::new(log::QUARANTINE_TOPIC);
+    let mut contact = LogCallStatus::new(log::QUARANTINE_TOPIC, "write");
     let write_wakeup = entry.request_quarantine.borrow().write_wakeup.clone();
     loop {
         let now = Millis::now();
--- a/cowsliproad-direct/src/settings.rs
+++ b/cowsliproad-direct/src/settings.rs
@@ -36,6 +36,8 @@
     /// How long new requests may still reach a target after it has announced
     /// its departure.
     pub drain_ms: Millis,
+    /// How soon a new configuration must be in force.
+    pub config_apply_ms: Millis,
     /// The time from SIGTERM until the process is killed.
     #[serde(rename = "grace_ms")]
     pub shutdown_grace_ms: Millis,
@@ -82,6 +84,7 @@
             log_address: local(8223),
             heartbeat_ms: Millis(1_200),
             drain_ms: Millis(2_000),
+            config_apply_ms: Millis(2_000),
             shutdown_grace_ms: Millis(8_000),
             target_wait_ms: Millis(1_500),
             retries: RetryBudgetSettings {
@@ -125,6 +128,10 @@
             let least = format!("at least {MIN_DRAIN} is needed");
             return Err(("drain_ms", least));
         }
+        if self.config_apply_ms.0 < MIN_CONFIG_APPLY.0 {
+            let least = format!("at least {MIN_CONFIG_APPLY} is needed");
+            return Err(("config_apply_ms", least));
+        }
         if self.shutdown_grace_ms.0 < MIN_GRACE.0 {
             let least = format!("at least {MIN_GRACE} is needed");
             return Err(("grace_ms", least));
@@ -150,6 +157,10 @@
 /// one read may be lost.
 const MIN_DRAIN: Millis = Millis(200);
 
+/// The least `config_apply_ms`: within this time the log is asked for a newer
+/// configuration twice, and one call may be lost.
+const MIN_CONFIG_APPLY: Millis = Millis(1_000);
+
 /// The least `grace_ms`: the load balancer needs up to three seconds to notice
 /// that this entry process isn't ready.
 const MIN_GRACE: Millis = Millis(4_000);
--- a/cowsliproad-direct/tests/entry/silent_log.rs
+++ b/cowsliproad-direct/tests/entry/silent_log.rs
@@ -156,6 +156,19 @@
     fleet.check_new_route("/new/").await;
 }
 
+/// Guards against checks of long polls that every entry makes for itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_check_their_polls_for_one_another() {
+    let fleet = Fleet::start(6).await;
+    sleep(POLL_SENT).await;
+    let calls = fleet.plant.log.call_count();
+    sleep(Duration::from_secs(6)).await;
+    let calls = fleet.plant.log.call_count() - calls;
+    // Ten reads of the targets and seven checks, and half as many for entries
+    // that read at the same moment.
+    assert!(calls <= 25, "{calls} calls");
+}
+
 /// Guards against silent connections that hide a target's leaving for longer
 /// than it may get requests.
 #[tokio::test(flavor = "multi_thread")]
--- /dev/null
+++ b/cowsliproad-routing/src/confirmation.rs
@@ -0,0 +1,120 @@
+//! When the platform's log last confirmed that no newer configuration has been
+//! written, and when that has to be confirmed again.
+//!
+//! The configuration is read by long polls. A connection may carry nothing any
+//! more without being closed, and that may happen to the connections of all
+//! entry processes at once, so a poll that has no answer does not show that
+//! nothing was written. Every answer of the log about the configuration shows
+//! it, for the moment of that answer. Entry processes gossip the latest answer
+//! that any of them got.
+//!
+//! One entry process makes checks, reads that the log answers at once, at an
+//! interval. The others wait a little longer, and one of them takes over if no
+//! answer becomes known in that time. So the checks of all entry processes
+//! cost no more calls than those of one, and none where long polls are
+//! answered often enough. An entry process that receives no gossip makes its
+//! own checks.
+
+use cowsliproad_kernel::{clock::Millis, position::LogEra};
+
+/// The latest answer of the log about the configuration, to this entry process
+/// or another one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConfigConfirmation {
+    /// The newest known era of the log.
+    era: LogEra,
+    /// The time of the latest answer in that era, if there was one.
+    confirmed_at: Option<Millis>,
+    /// The time of this entry process's latest check in that era.
+    own_check_at: Option<Millis>,
+    check_requested: bool,
+}
+
+/// The time after which a check is due.
+#[derive(Clone, Copy, Debug)]
+pub struct CheckTiming {
+    /// The time between two checks of the same entry process.
+    pub interval: Millis,
+    /// The age of the latest answer at which another entry process takes over.
+    pub takeover_age: Millis,
+}
+
+impl ConfigConfirmation {
+    /// Creates the state before any answer.
+    pub fn new() -> ConfigConfirmation {
+        ConfigConfirmation::default()
+    }
+
+    /// Records the answer to a long poll of this entry process, all of whose
+    /// records have been applied.
+    pub fn record_poll_answer(&mut self, at: Millis, era: LogEra) {
+        self.check_requested = false;
+        self.merge(at, era);
+    }
+
+    /// Records a check of this entry process that found nothing newer.
+    pub fn record_check(&mut self, at: Millis, era: LogEra) {
+        self.check_requested = false;
+        if self.merge(at, era) {
+            self.own_check_at = Some(at);
+        }
+    }
+
+    /// Merges the latest answer that another entry process knows of. That
+    /// entry process must not use a newer configuration than this one.
+    pub fn merge_peer_answer(&mut self, at: Millis, era: LogEra) {
+        self.merge(at, era);
+    }
+
+    /// Requests a check at once, since another entry process uses a newer
+    /// configuration.
+    pub fn request_check(&mut self) {
+        self.check_requested = true;
+    }
+
+    /// Whether a check was requested and the log has not answered since.
+    pub fn is_check_requested(&self) -> bool {
+        self.check_requested
+    }
+
+    /// The time of the latest answer, if there was one.
+    pub fn confirmed_at(&self) -> Option<Millis> {
+        self.confirmed_at
+    }
+
+    /// How long until this entry process has to make a check.
+    pub fn time_until_check(
+        &self,
+        timing: CheckTiming,
+        now: Millis,
+    ) -> Millis {
+        let Some(confirmed_at) = self.confirmed_at else { return Millis(0) };
+        if self.check_requested {
+            return Millis(0);
+        }
+        // An answer to another entry process that is newer by more than half an
+        // interval shows that the other one makes the checks now.
+        let half = Millis(timing.interval.0 / 2);
+        let own = self.own_check_at.filter(|it| confirmed_at <= *it + half);
+        let due = match own {
+            Some(at) => at + timing.interval,
+            None => confirmed_at + timing.takeover_age,
+        };
+        due.since(now)
+    }
+
+    /// Merges an answer unless it is of an earlier era: it says nothing of
+    /// what was written since the log came back from an older copy.
+    fn merge(&mut self, at: Millis, era: LogEra) -> bool {
+        if era < self.era {
+            return false;
+        }
+        if era > self.era {
+            self.era = era;
+            self.confirmed_at = None;
+            self.own_check_at = None;
+        }
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+        true
+    }
+}
--- a/cowsliproad-routing/src/lib.rs
+++ b/cowsliproad-routing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Chooses the target of each attempt.
 //!
 //! * [`catalog`]: routes, services and organisations in force;
+//! * [`confirmation`]: when the log last confirmed the configuration;
 //! * [`fleet`]: which targets exist and take new requests;
 //! * [`formation`]: whether a lock-step group takes requests;
 //! * [`readings`]: when an entry process reads the targets in the platform's
@@ -20,6 +21,7 @@
 
 pub mod catalog;
 pub mod choice;
+pub mod confirmation;
 pub mod cooldown;
 pub mod fleet;
 pub mod formation;
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -1,5 +1,6 @@
 //! Properties of the pure decisions, with fixed seeds.
 
+mod confirmation;
 mod cooldown;
 mod decoders;
 mod direct;
