--- a/cowsliproad-direct/src/follow/check.rs
+++ b/cowsliproad-direct/src/follow/check.rs
@@ -84,12 +84,12 @@
     let takeover_percent = rand::rng().random_range(TAKEOVER_AGE_PERCENT);
     loop {
         let bound = entry.settings().config_apply_ms;
-        let interval_percent = match entry.peers.borrow().is_empty() {
-            true => LONE_CHECK_INTERVAL_PERCENT,
-            false => shared_percent,
+        let (interval, takeover_age) = match entry.peers.borrow().is_empty() {
+            true => (LONE_CHECK_INTERVAL_PERCENT, LONE_CHECK_INTERVAL_PERCENT),
+            false => (shared_percent, takeover_percent),
         };
-        let interval = percent_of(bound, interval_percent);
-        let takeover_age = percent_of(bound, takeover_percent);
+        let interval = percent_of(bound, interval);
+        let takeover_age = percent_of(bound, takeover_age);
         let wait = entry.config_confirmation.borrow().time_until_check(
             CheckTiming { interval, takeover_age },
             Millis::now(),
