direct: repeat unanswered target reads on a new connection

A leaving target got requests for more than `drain_ms` after the log had taken its leaving. Cause: the reads go over one kept connection; if that has gone silent, the read fails after 1.5 s, up to 0.8 s after it was due, and is repeated after a backoff. A read on a connection that was open before now has 30 % of `drain_ms` and is then repeated at once on a new one; a log that is slow still has 1.5 s there.

--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -54,6 +54,11 @@
 /// a target gets requests for too long.
 const TARGETS_READ_INTERVAL_PERCENT: u64 = 40;
 
+/// How long the log may take to answer a read of the targets on a connection
+/// that was open before, in percent of the time in which a leaving target must
+/// be known. Then a new connection is used.
+const OPEN_CONNECTION_TIMEOUT_PERCENT: u64 = 30;
+
 /// Successes and failures of one task's calls to the log.
 #[derive(Debug)]
 pub struct LogCallStatus {
@@ -194,6 +199,26 @@
         Ok(TopicReadResult { records, end_position: next, scope })
     }
 
+    /// Reads the records that the log has. An open connection may have gone
+    /// silent, so if there is no answer in `open_connection_timeout`, the read
+    /// is repeated on a new one.
+    async fn read_available_records(
+        &mut self,
+        entry: &Entry,
+        open_connection_timeout: Millis,
+    ) -> Result<TopicReadResult, Error> {
+        if self.next_position.is_some() && self.client.is_connected() {
+            self.client.set_response_timeout(open_connection_timeout);
+            let read = self.read_next_records(entry, Millis(0)).await;
+            self.client.set_response_timeout(log::RESPONSE_TIMEOUT);
+            if !matches!(read, Err(Error::Timeout)) {
+                return read;
+            }
+            info!(entry.log, "connection_silent"; "topic" => self.topic);
+        }
+        self.read_next_records(entry, Millis(0)).await
+    }
+
     /// Reads the next records by a long poll. If a check finds records that the
     /// poll doesn't return, its connection is abandoned.
     async fn poll_with_checks(
@@ -304,7 +329,14 @@
     loop {
         wait_until_read_is_due(&entry).await;
         let begun = Millis::now();
-        match reader.read_next_records(&entry, Millis(0)).await {
+        let open_connection_timeout = Millis(
+            entry.settings().drain_ms.0 * OPEN_CONNECTION_TIMEOUT_PERCENT
+                / 100,
+        );
+        let read = reader
+            .read_available_records(&entry, open_connection_timeout)
+            .await;
+        match read {
             Ok(reading) => {
                 let now = Millis::now();
                 let found = entry
