direct: let the last reader of the targets read them again

Each entry waited for 75 to 100 % of the interval, so with many the shortest wait decided. Now the entry that read last waits for 85 to 90 % of it and the others for 95 to 100 %; the longest time between two reads is the same.

--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -13,7 +13,7 @@
 //! entry processes send the state that they read; see [`crate::peers`].
 //! Rollbacks of the log to an older copy are handled in [`crate::rollback`].
 
-use std::{collections::HashMap, rc::Rc};
+use std::{collections::HashMap, ops::RangeInclusive, rc::Rc};
 
 use cowsliproad_kernel::{Name, clock::Millis, position::LogPosition};
 use cowsliproad_platform::{
@@ -44,6 +44,9 @@
 /// The longest backoff after failed calls to the log.
 const MAX_LOG_CALL_BACKOFF: Millis = Millis(1_200);
 
+/// The part of a backoff that is waited for.
+const LOG_CALL_BACKOFF_PERCENT: RangeInclusive<u64> = 75..=100;
+
 /// The least time between two calls for one topic, so that a burst of new
 /// configurations costs no more than 20 calls a second; only the newest
 /// version counts.
@@ -54,6 +57,11 @@
 /// a target gets requests for too long.
 const TARGETS_READ_INTERVAL_PERCENT: u64 = 40;
 
+/// When the entry process that read the targets last reads them again, and
+/// when another one does, in percent of that interval.
+const LAST_READER_INTERVAL_PERCENT: RangeInclusive<u64> = 85..=90;
+const OTHER_READER_INTERVAL_PERCENT: RangeInclusive<u64> = 95..=100;
+
 /// How long the log may take to answer a read of the targets on a connection
 /// that was open before, in percent of the time in which a leaving target must
 /// be known. Then a new connection is used.
@@ -105,14 +113,17 @@
         let doubled = MIN_LOG_CALL_BACKOFF.0 << self.failures.min(4);
         self.failures += 1;
         let pause = doubled.min(MAX_LOG_CALL_BACKOFF.0);
-        sleep(jittered_interval(Millis(pause)).duration()).await;
+        let pause = draw_percent_of(Millis(pause), LOG_CALL_BACKOFF_PERCENT);
+        sleep(pause.duration()).await;
     }
 }
 
-/// Returns a random time from three quarters of `time` to the whole of `time`,
-/// so that the calls of entry processes spread out.
-fn jittered_interval(time: Millis) -> Millis {
-    Millis(rand::rng().random_range(time.0 * 3 / 4..=time.0))
+/// Returns a random time in a range of percentages of `time`, so that the calls
+/// of entry processes spread out.
+fn draw_percent_of(time: Millis, percent: RangeInclusive<u64>) -> Millis {
+    let part = |percent| time.0 * percent / 100;
+    let range = part(*percent.start())..=part(*percent.end());
+    Millis(rand::rng().random_range(range))
 }
 
 /// Reads one topic of the log: first the newest record of every key, then the
@@ -373,9 +384,21 @@
     let period = Millis(
         entry.settings().drain_ms.0 * TARGETS_READ_INTERVAL_PERCENT / 100,
     );
-    let max_age = jittered_interval(period);
+    let last_reader_max_age =
+        draw_percent_of(period, LAST_READER_INTERVAL_PERCENT);
+    let other_reader_max_age =
+        draw_percent_of(period, OTHER_READER_INTERVAL_PERCENT);
     loop {
         let now = Millis::now();
+        let is_last = entry
+            .log_read_schedule
+            .borrow()
+            .is_last_reader(Millis(period.0 / 2));
+        let is_lone = entry.peers.borrow().is_empty();
+        let max_age = match is_last && !is_lone {
+            true => last_reader_max_age,
+            false => other_reader_max_age,
+        };
         let wait = entry
             .log_read_schedule
             .borrow()
--- a/cowsliproad-direct/src/follow/check.rs
+++ b/cowsliproad-direct/src/follow/check.rs
@@ -10,11 +10,10 @@
 use cowsliproad_kernel::{clock::Millis, position::LogPosition};
 use cowsliproad_platform::log::{Client, Error, Page};
 use cowsliproad_routing::confirmation::CheckTiming;
-use rand::Rng;
 use slog::warn;
 use tokio::time::sleep;
 
-use super::LogCallStatus;
+use super::{LogCallStatus, draw_percent_of};
 use crate::entry::{Entry, StateChangeSource};
 
 /// The time between two checks of the entry process that makes them, in
@@ -80,20 +79,23 @@
 }
 
 async fn wait_until_check_is_due(entry: &Entry) {
-    let shared_percent = rand::rng().random_range(CHECK_INTERVAL_PERCENT);
-    let takeover_percent = rand::rng().random_range(TAKEOVER_AGE_PERCENT);
+    let bound = entry.settings().config_apply_ms;
+    let shared = CheckTiming {
+        interval: draw_percent_of(bound, CHECK_INTERVAL_PERCENT),
+        takeover_age: draw_percent_of(bound, TAKEOVER_AGE_PERCENT),
+    };
+    let lone_interval = percent_of(bound, LONE_CHECK_INTERVAL_PERCENT);
+    let lone =
+        CheckTiming { interval: lone_interval, takeover_age: lone_interval };
     loop {
-        let bound = entry.settings().config_apply_ms;
-        let (interval, takeover_age) = match entry.peers.borrow().is_empty() {
-            true => (LONE_CHECK_INTERVAL_PERCENT, LONE_CHECK_INTERVAL_PERCENT),
-            false => (shared_percent, takeover_percent),
+        let timing = match entry.peers.borrow().is_empty() {
+            true => lone,
+            false => shared,
         };
-        let interval = percent_of(bound, interval);
-        let takeover_age = percent_of(bound, takeover_age);
-        let wait = entry.config_confirmation.borrow().time_until_check(
-            CheckTiming { interval, takeover_age },
-            Millis::now(),
-        );
+        let wait = entry
+            .config_confirmation
+            .borrow()
+            .time_until_check(timing, Millis::now());
         if wait == Millis(0) {
             return;
         }
--- a/cowsliproad-routing/src/readings.rs
+++ b/cowsliproad-routing/src/readings.rs
@@ -3,11 +3,11 @@
 //!
 //! Calls to the log are charged, and most reads bring only heartbeats of
 //! targets. So an entry process reads only when no entry process is known to
-//! have read for an interval, and gossips its read at once. Since each entry
-//! process waits for a different part of the interval, usually one entry
-//! process reads for all. An entry process that learns of a change that it has
-//! not read itself reads at once, since only the log holds the announcements
-//! of targets.
+//! have read for an interval, and gossips its read at once. The entry process
+//! that read last waits for a shorter part of the interval than the others, and
+//! each of these for a different one, so usually one entry process reads for
+//! all. An entry process that learns of a change that it has not read itself
+//! reads at once, since only the log holds the announcements of targets.
 //!
 //! An entry process that receives no gossip reads by itself, so no entry
 //! process depends on another.
@@ -30,6 +30,8 @@
     max_read_gap: Millis,
     /// When any entry process last read the log in the newest era.
     last_log_read_at: Millis,
+    /// When this entry process last read the log in the newest era.
+    own_log_read_at: Millis,
     /// The log position of the last known change of a target. Its era is the
     /// newest known era: a new era begins when the log comes back from an
     /// older copy.
@@ -65,6 +67,7 @@
         LogReadSchedule {
             max_read_gap: Millis(heartbeat_interval.0 * 2),
             last_log_read_at: Millis(0),
+            own_log_read_at: Millis(0),
             last_target_change_log_position: LogPosition::default(),
             read_position: LogPosition::default(),
             log_status: LogStatus::Reachable,
@@ -86,6 +89,7 @@
         if era > self.last_target_change_log_position.era {
             self.last_target_change_log_position = LogPosition::start_of(era);
             self.last_log_read_at = Millis(0);
+            self.own_log_read_at = Millis(0);
         }
     }
 
@@ -120,9 +124,17 @@
         if position.era < self.last_target_change_log_position.era {
             return LogReadContinuity::Continuous;
         }
+        self.own_log_read_at = read_at;
         self.advance_last_log_read(read_at)
     }
 
+    /// Whether no other entry process has read the log by `margin` later than
+    /// this one. This entry process's own read, as gossiped back to it, seems
+    /// to be a little later than it was.
+    pub fn is_last_reader(&self, margin: Millis) -> bool {
+        self.last_log_read_at <= self.own_log_read_at + margin
+    }
+
     /// Records that the last read of the log brought a change of a target.
     pub fn record_target_change(&mut self) {
         self.last_target_change_log_position =
--- a/tests/properties/readings.rs
+++ b/tests/properties/readings.rs
@@ -142,3 +142,17 @@
     own.record_merged_peer_state();
     assert!(!own.needs_peer_state());
 }
+
+#[test]
+fn the_entry_that_read_last_is_known_though_its_read_is_told_back() {
+    let margin = Millis(400);
+    let mut own = readings();
+    own.record_own_log_read(Millis(1_000), place(7));
+    own.merge_peer_log_read(Millis(1_020), place(7));
+    assert!(own.is_last_reader(margin));
+    own.merge_peer_log_read(Millis(1_700), place(7));
+    assert!(!own.is_last_reader(margin));
+    let mut other = readings();
+    other.merge_peer_log_read(Millis(1_000), place(7));
+    assert!(!other.is_last_reader(margin));
+}
