direct: ask several entries for a newer configuration

An entry that the log turns away used an old configuration for 8 s and longer. Cause: it asks only the entry that announced the newest version, for up to 1 s, and first again at the next digest; if that one is frozen or cut off, the entries that have a version between get no turn. It now asks those with newer versions than its own, the newest first, the next one after 0.25 s without an answer, three at most. An entry that starts still prefers the newest.

--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -8,7 +8,7 @@
 //! it, and stops using a target in time. Entry processes find one another
 //! through the seeds in their settings, then through the addresses in digests.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, rc::Rc};
 
 use cowsliproad_kernel::{
     Name,
@@ -23,7 +23,7 @@
         RateLimiterOwnerCandidate,
     },
 };
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use slog::{info, warn};
 use tokio::{
     net::UdpSocket,
@@ -82,9 +82,8 @@
     own_address: SocketAddr,
     seeds: Vec<SocketAddr>,
     known_peers: BTreeMap<SocketAddr, Peer>,
-    /// The newest configuration version in any digest, and the entry process
-    /// that sent it.
-    newest_config: (u64, SocketAddr),
+    /// The newest configuration version in any digest.
+    newest_config_version: u64,
     fetching_state: bool,
 }
 
@@ -92,6 +91,7 @@
 struct Peer {
     vm: Name,
     zone: Name,
+    config_version: u64,
     last_digest_at: Millis,
     /// Until when the entry process counts as unresponsive to permit requests.
     unresponsive_until: Millis,
@@ -104,7 +104,7 @@
             own_address: settings.own_peer_address(),
             seeds: Vec::new(),
             known_peers: BTreeMap::new(),
-            newest_config: (0, settings.own_peer_address()),
+            newest_config_version: 0,
             fetching_state: false,
         };
         peers.replace_seeds(settings);
@@ -119,6 +119,19 @@
         self.seeds = seeds.filter(|it| *it != own).collect();
     }
 
+    /// Other entry processes with a newer configuration than `version`, those
+    /// with the newest first, otherwise in random order.
+    fn with_newer_config(&self, version: u64) -> Vec<SocketAddr> {
+        let known = self.known_peers.iter();
+        let mut found: Vec<(u64, SocketAddr)> = known
+            .map(|(address, peer)| (peer.config_version, *address))
+            .filter(|it| it.0 > version)
+            .collect();
+        found.shuffle(&mut rand::rng());
+        found.sort_by_key(|it| Reverse(it.0));
+        found.into_iter().map(|it| it.1).collect()
+    }
+
     /// Whether no other entry process is known.
     pub fn is_empty(&self) -> bool {
         self.known_peers.is_empty()
@@ -135,13 +148,13 @@
         digest: &GossipDigest,
         now: Millis,
     ) -> bool {
-        self.newest_config = self
-            .newest_config
-            .max((digest.config_version, digest.sender_address));
+        self.newest_config_version =
+            self.newest_config_version.max(digest.config_version);
         let known = self.known_peers.get(&digest.sender_address);
         let peer = Peer {
             vm: digest.sender_vm.clone(),
             zone: digest.sender_zone.clone(),
+            config_version: digest.config_version,
             last_digest_at: now,
             unresponsive_until: known
                 .map_or(Millis(0), |it| it.unresponsive_until),
@@ -297,7 +310,7 @@
 
 fn record_config_metrics(entry: &Entry, now: Millis) {
     let in_force = entry.catalog_version();
-    let announced = entry.peers.borrow().newest_config.0;
+    let announced = entry.peers.borrow().newest_config_version;
     entry.metrics.set_config_versions(in_force, in_force.max(announced));
     let confirmed = entry.config_confirmation.borrow().confirmed_at();
     let age = now.since(confirmed.unwrap_or_default());
@@ -517,13 +530,13 @@
     }
     let has_heard_all = wait_for_seed_digests(entry).await;
     let has_newest = |it: &Peers| {
-        entry.catalog().is_some() || it.newest_config.0 <= version
+        entry.catalog().is_some() || it.newest_config_version <= version
     };
     let has_newest =
         wait_for_digests_until(entry, NEWER_CONFIG_TIMEOUT, has_newest).await;
     if !(has_heard_all && has_newest) {
         info!(entry.log, "not_all_met"; "version" => version,
-            "newest" => entry.peers.borrow().newest_config.0);
+            "newest" => entry.peers.borrow().newest_config_version);
     }
 }
 
--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -15,7 +15,10 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::JoinSet,
+    time::{sleep, timeout},
+};
 
 use super::wait_for_seed_digests;
 use crate::{
@@ -31,6 +34,12 @@
 /// fetches a peer's state.
 const LOG_CHECK_DELAY: Millis = Millis(250);
 
+/// How long a peer may take to send its state before another one is asked.
+const STATE_FETCH_HEDGE_DELAY: Millis = Millis(250);
+
+/// The most peers that are asked for their state at once.
+const MAX_ASKED_PEERS: usize = 3;
+
 /// The timeout for fetching a peer's state.
 const STATE_FETCH_TIMEOUT: Millis = Millis(1_000);
 
@@ -84,12 +93,18 @@
     if entry.catalog().is_none() {
         wait_for_seed_digests(entry).await;
     }
-    let (newest, ahead) = entry.peers.borrow().newest_config;
-    let ahead = (newest > received_digest.config_version).then_some(ahead);
-    for address in ahead.into_iter().chain([received_digest.sender_address]) {
-        if let Some(state) = fetch_peer_state(entry, address).await {
-            return apply_peer_state(entry, state);
+    // The targets that this entry process lacks are known to the sender of the
+    // digest; the configuration may also come from others.
+    let lacks_only_targets =
+        entry.catalog_version() >= received_digest.config_version;
+    let peers = match lacks_only_targets {
+        true => vec![received_digest.sender_address],
+        false => {
+            entry.peers.borrow().with_newer_config(entry.catalog_version())
         }
+    };
+    if let Some(state) = fetch_state_from_any(entry, &peers).await {
+        apply_peer_state(entry, state);
     }
 }
 
@@ -110,6 +125,37 @@
     let _ = timeout(LOG_CHECK_DELAY.duration(), adopted).await;
 }
 
+/// Fetches the state of the first of several peers that answers. A peer that
+/// was frozen or cut off after its digest doesn't answer, so the next one is
+/// asked soon.
+async fn fetch_state_from_any(
+    entry: &Rc<Entry>,
+    peers: &[SocketAddr],
+) -> Option<EntryState> {
+    // An entry process that starts takes an older configuration only if the
+    // newest is not to be had.
+    let delay = match entry.catalog().is_none() {
+        true => STATE_FETCH_TIMEOUT,
+        false => STATE_FETCH_HEDGE_DELAY,
+    };
+    let mut fetches = JoinSet::new();
+    for peer in peers.iter().copied().take(MAX_ASKED_PEERS) {
+        let entry = entry.clone();
+        fetches
+            .spawn_local(async move { fetch_peer_state(&entry, peer).await });
+        let first = timeout(delay.duration(), fetches.join_next()).await;
+        if let Ok(Some(Ok(Some(state)))) = first {
+            return Some(state);
+        }
+    }
+    while let Some(fetched) = fetches.join_next().await {
+        if let Ok(Some(state)) = fetched {
+            return Some(state);
+        }
+    }
+    None
+}
+
 async fn fetch_peer_state(
     entry: &Entry,
     peer: SocketAddr,
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -16,7 +16,11 @@
 use cowsliproad_direct::settings::Settings;
 use cowsliproad_kernel::{
     clock::Millis,
-    gossip::{self, Datagram, EngineExit, EngineLoad},
+    gossip::{
+        self, CrashSuspectRequests, Datagram, EngineExit, EngineLoad,
+        GossipDigest,
+    },
+    position::LogEra,
 };
 use cowsliproad_net::client::{Client, Error};
 use cowsliproad_platform::{
@@ -357,6 +361,34 @@
     sent.expect("it is sent");
 }
 
+/// Tells an entry what another one at `sender` does whose configuration is of
+/// a version.
+pub async fn tell_version(
+    sender: SocketAddr,
+    config_version: u64,
+    entry: SocketAddr,
+) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let digest = Datagram::Digest(GossipDigest {
+        sender_vm: "teller".into(),
+        sender_address: sender,
+        config_version,
+        log_era: LogEra::default(),
+        targets_read_age_ms: 0,
+        last_target_change_offset: 0,
+        config_confirmed_age_ms: None,
+        departed_targets_with_start_unix_ms: Vec::new(),
+        withdrawn_targets_with_start_and_sequence: Vec::new(),
+        peers: Vec::new(),
+        sender_zone: "a".into(),
+        suspected_requests: CrashSuspectRequests::default(),
+        retracted_crash_ids: Vec::new(),
+        rate_limits: Vec::new(),
+    });
+    let sent = socket.send_to(&gossip::encode(&digest), entry).await;
+    sent.expect("it is sent");
+}
+
 /// What an idle engine's agent reports.
 pub fn report(target: &Target) -> EngineLoad {
     EngineLoad {
--- a/cowsliproad-direct/tests/entry/silent_log.rs
+++ b/cowsliproad-direct/tests/entry/silent_log.rs
@@ -13,10 +13,10 @@
     proxy::{LinkState, Proxy},
 };
 use http::StatusCode;
-use tokio::time::sleep;
+use tokio::{net::TcpListener, time::sleep};
 
 use crate::{
-    harness::{Entry, KEY, Plant, until},
+    harness::{Entry, KEY, Plant, tell_version, until},
     processes::LOG_PORT,
 };
 
@@ -197,6 +197,42 @@
     assert!(took < START_WAIT, "{took:?}");
 }
 
+/// Guards against waiting for an entry that told of a new configuration and
+/// was frozen or cut off then, while others have it too.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_entry_delays_no_configuration_for_one_cut_off_from_the_log()
+{
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let first = plant.entry().await;
+    let mut settings = plant.settings(&[&first]);
+    // Nobody listens there.
+    settings.log_address.set_port(1);
+    let second = Entry::start(settings);
+    second.until_ready().await;
+    // It accepts connections and sends nothing.
+    let frozen = SocketAddr::from((plant.vm(), LOG_PORT));
+    let _listener = TcpListener::bind(frozen).await.expect("a listener");
+    let told = second.settings.own_peer_address();
+    let telling = tokio::spawn(async move {
+        loop {
+            tell_version(frozen, 1_000, told).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+    sleep(Duration::from_millis(300)).await;
+    plant.catalog = plant.catalog.clone().with_organisation("harju", &["k"]);
+    plant.catalog.publish(&plant.log);
+    let published = Instant::now();
+    until("the key is good", async || {
+        second.status("/many/a", "k").await == Some(StatusCode::OK)
+    })
+    .await;
+    telling.abort();
+    let took = published.elapsed();
+    assert!(took < BOUND, "{took:?}");
+}
+
 /// Guards against silent connections that hide a target's leaving for longer
 /// than it may get requests.
 #[tokio::test(flavor = "multi_thread")]
