net: probe connections that wait for a response

A long poll for quarantined requests whose connection had gone silent was noticed 31.5 s after it was sent: the log_regained lines of the incident, away 61.6 s. The client of a single connection, used for the log and for engines, set no socket options; connections to targets and of callers did. It now sets the same ones, moved to `net::tcp`: keepalive probes after 1 s, and 1.5 s for bytes without acknowledgement; a connect takes 1 s at most, as later retransmissions of a lost SYN are seconds apart. The probes are no calls to the log. A log that acknowledges and never answers is still noticed only by the timeout, and for the configuration by a check.

Evidence: `connections_to_the_log_are_probed_while_they_wait` fails without the options.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -15,7 +15,7 @@
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_net::{
     hooked::{ConnectionHooks, HookedStream},
-    program,
+    program, tcp,
 };
 use cowsliproad_routing::catalog::RequestLimits;
 use http::{HeaderValue, Request, Response, header};
@@ -31,7 +31,6 @@
     entry::{Entry, ProcessPhase},
     forward,
     reply::Body,
-    upstream,
 };
 
 /// How long connections are accepted after SIGTERM. The load balancer checks
@@ -169,7 +168,7 @@
             )
         }
     });
-    let configured = upstream::configure_tcp_socket(&stream).and_then(|()| {
+    let configured = tcp::configure_socket(&stream).and_then(|()| {
         HookedStream::new(stream, RequestHeadWatcher(activity.clone()))
     });
     let stream = match configured {
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -14,7 +14,10 @@
 
 use bytes::Bytes;
 use cowsliproad_kernel::clock::Millis;
-use cowsliproad_net::hooked::{HookedStream, ResetOnDrop};
+use cowsliproad_net::{
+    hooked::{HookedStream, ResetOnDrop},
+    tcp,
+};
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::{
@@ -22,7 +25,6 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout, timeout_at},
@@ -37,12 +39,6 @@
 /// more; trying another target is a better use of that time.
 const TARGET_CONNECT_TIMEOUT: Millis = Millis(250);
 
-/// Unacknowledged bytes for this long show that the peer is gone.
-const TCP_UNACKED_TIMEOUT: Millis = Millis(1_500);
-
-/// The idle time before the first TCP keepalive probe, and between probes.
-const TCP_KEEPALIVE_INTERVAL: Millis = Millis(1_000);
-
 /// How long an idle connection is pooled if the target states no timeout.
 const DEFAULT_POOLED_IDLE_TIMEOUT: Millis = Millis(4_000);
 
@@ -269,7 +265,7 @@
         .await
         .map_err(|_| SendError::Unsent("no connection in time"))?
         .map_err(|_| SendError::Unsent("no connection"))?;
-    let stream = configure_tcp_socket(&stream)
+    let stream = tcp::configure_socket(&stream)
         .and_then(|()| HookedStream::new(stream, ResetOnDrop))
         .map_err(|_| SendError::Unsent("no connection"))?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
@@ -304,19 +300,6 @@
     }
 }
 
-/// Configures a connection so that it closes within seconds if the peer stops
-/// responding.
-pub fn configure_tcp_socket(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(TCP_UNACKED_TIMEOUT.duration()))?;
-    let probes = TcpKeepalive::new()
-        .with_time(TCP_KEEPALIVE_INTERVAL.duration())
-        .with_interval(TCP_KEEPALIVE_INTERVAL.duration())
-        .with_retries(2);
-    socket.set_tcp_keepalive(&probes)
-}
-
 /// How long the connection of a response may stay in the pool; 0 if it must
 /// not be reused.
 fn pooled_idle_timeout(headers: &HeaderMap) -> Millis {
--- a/cowsliproad-direct/tests/entry/silent_log.rs
+++ b/cowsliproad-direct/tests/entry/silent_log.rs
@@ -3,6 +3,7 @@
 //! a moment.
 
 use std::{
+    fs,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -233,6 +234,43 @@
     assert!(took < BOUND, "{took:?}");
 }
 
+/// Guards against long polls of any topic that wait for a VM which no longer
+/// responds.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_to_the_log_are_probed_while_they_wait() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let _entry = plant.entry().await;
+    let log = plant.log_address;
+    until("the polls of both topics and a read are open", async || {
+        probed_and_all_connections_to(log).1 >= 3
+    })
+    .await;
+    until("all of them are probed", async || {
+        let (probed, all) = probed_and_all_connections_to(log);
+        probed == all
+    })
+    .await;
+}
+
+/// The number of established connections to an address of this network that
+/// have a timer for keepalive probes, and of all of them.
+fn probed_and_all_connections_to(server: SocketAddr) -> (usize, usize) {
+    let SocketAddr::V4(server) = server else { return (0, 0) };
+    let address = u32::from_ne_bytes(server.ip().octets());
+    let remote = format!("{address:08X}:{:04X}", server.port());
+    let table = fs::read_to_string("/proc/net/tcp").expect("a table");
+    let lines = table.lines().map(|it| it.split_whitespace());
+    let established = lines.filter_map(|mut it| {
+        let is_established =
+            it.nth(2) == Some(&remote) && it.next() == Some("01");
+        is_established.then(|| it.nth(1).unwrap_or_default())
+    });
+    let timers: Vec<&str> = established.collect();
+    let probed = timers.iter().filter(|it| it.starts_with("02:")).count();
+    (probed, timers.len())
+}
+
 /// Guards against silent connections that hide a target's leaving for longer
 /// than it may get requests.
 #[tokio::test(flavor = "multi_thread")]
--- a/cowsliproad-net/src/lib.rs
+++ b/cowsliproad-net/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod retry_after;
 pub mod server;
 pub mod single;
+pub mod tcp;
 pub mod threads;
--- a/cowsliproad-net/src/single.rs
+++ b/cowsliproad-net/src/single.rs
@@ -4,6 +4,9 @@
 //! The first request opens the connection, and later requests reuse it. After
 //! a request that failed or timed out, the next request opens a new
 //! connection, so that a late response is not taken for its own.
+//!
+//! A request may wait for its response for a long time, so keepalive probes
+//! close a connection to a server that no longer responds.
 
 use std::{io, net::SocketAddr, time::Duration};
 
@@ -14,7 +17,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::client::Error;
+use crate::{client::Error, tcp};
+
+/// The timeout of a connect. Later retransmissions of a lost SYN are seconds
+/// apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// An HTTP client with a single connection, used by the tasks of one thread.
 #[derive(Debug)]
@@ -102,8 +109,12 @@
         io::ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
         _ => Error::Connect(error.to_string()),
     };
-    let stream = TcpStream::connect(address).await.map_err(failed)?;
-    stream.set_nodelay(true).map_err(failed)?;
+    let connecting = TcpStream::connect(address);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        .await
+        .map_err(|_| Error::Timeout)?
+        .map_err(failed)?;
+    tcp::configure_socket(&stream).map_err(failed)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| Error::Connect(error.to_string()))?;
