tests: besiege the configuration with silent connections

Real entry processes whose connections to the log go silent, in one or both directions, at one, half or all of them, with publications right after; beside it the log is silent, loses answers, refuses, or comes back older, single links are cut, configurations come in storms and large, targets leave and join, entries are frozen, killed and stopped. Checked: a configuration is in force in 2 s, a leaving target gets nothing, callers with a key that never changes are served.

--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -18,6 +18,7 @@
 mod rollbacks;
 mod scripted;
 mod siege;
+mod silence_siege;
 mod silent_log;
 mod slowness;
 mod stop;
--- a/cowsliproad-direct/tests/entry/processes.rs
+++ b/cowsliproad-direct/tests/entry/processes.rs
@@ -137,6 +137,12 @@
         self.links[place].set_link_state(LinkState::Up);
     }
 
+    /// Makes the connections silent that are open on the way of whichever entry
+    /// is in a place to the log. New ones work.
+    pub fn silence(&self, place: usize, cut: LinkState) {
+        self.links[place].silence_open_connections(cut);
+    }
+
     /// Ends an entry by a signal and starts another one in its place.
     pub async fn replace(
         &self,
