tests: leave silent connections unhealed in the siege

With even seeds the log stays well and no entry starts again, and each silence is followed by a publication.

--- a/cowsliproad-direct/tests/entry/silence_siege.rs
+++ b/cowsliproad-direct/tests/entry/silence_siege.rs
@@ -11,7 +11,8 @@
 //! that it has for that, and callers whose key never changes are served. A log
 //! that is away as a whole, or comes back older, excuses until it is well
 //! again; silent connections and cut links excuse nothing, as long as some
-//! entry reaches the log.
+//! entry reaches the log. So with even seeds the log as a whole stays well and
+//! no entry starts again, since one that starts reads all and tells others.
 //!
 //! `FIRST_SEED=1 SEEDS=50 cargo test -p cowsliproad-direct --test entry silence_siege -- --nocapture`
 //! plays more of them and prints a line for each. With `LOGS=DIRECTORY` each
@@ -80,6 +81,16 @@
 /// The key that never changes.
 const LASTING_KEY: &str = "key-lasting";
 
+/// What happens beside silent connections, cut links and entries that stand
+/// still.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Shape {
+    /// Nothing else.
+    WellLog,
+    /// The log as a whole is not well at times, and entries start again.
+    TroubledLog,
+}
+
 /// A time in which the log as a whole is not well.
 struct Disturbance {
     from: Instant,
@@ -103,6 +114,7 @@
 }
 
 struct Siege {
+    shape: Shape,
     plant: RefCell<Plant>,
     processes: Processes,
     targets: RefCell<Vec<Arc<Target>>>,
@@ -135,7 +147,12 @@
         publish_key(&mut plant, &key_times);
         let processes =
             Processes::start(&mut plant, siege::size(ENTRIES)).await;
+        let shape = match seed % 2 {
+            0 => Shape::WellLog,
+            _ => Shape::TroubledLog,
+        };
         Siege {
+            shape,
             plant: RefCell::new(plant),
             processes,
             targets: RefCell::new(targets),
@@ -291,7 +308,7 @@
             sleep(self.draw_time(800, 3_000)).await;
             let place = self.draw(self.processes.count());
             let signal = match self.draw(3) {
-                0 => {
+                drawn if drawn == 0 || self.shape == Shape::WellLog => {
                     let time = self.draw_time(200, 2_500);
                     self.processes.freeze(place, time).await;
                     continue;
@@ -307,7 +324,7 @@
     fn draw_places(&self) -> Vec<usize> {
         let count = self.processes.count();
         let half = self.draw(2);
-        match self.draw(3) {
+        match self.draw(4) {
             0 => vec![self.draw(count)],
             1 => (0..count).filter(|it| it % 2 == half).collect(),
             _ => (0..count).collect(),
@@ -330,10 +347,11 @@
                 self.processes.silence(place, cut);
             }
             self.silences.set(self.silences.get() + 1);
-            // Polls are young at some times and old at others.
+            // Connections may go silent long before a change or just then.
             if self.draw(2) == 0 {
-                self.publish();
+                sleep(BOUND).await;
             }
+            self.publish();
         }
     }
 
@@ -342,8 +360,9 @@
             sleep(self.draw_time(500, 3_000)).await;
             let place = self.draw(self.processes.count());
             let link = match self.draw(3) {
-                0 => LinkState::Closed,
-                1 => LinkState::Slow(self.draw_time(20, 300)),
+                // New connections end the silence of an entry's old ones.
+                0 if self.shape == Shape::TroubledLog => LinkState::Closed,
+                0 | 1 => LinkState::Slow(self.draw_time(20, 300)),
                 _ => self.draw_cut(),
             };
             let time = self.draw_time(100, 4_000);
@@ -352,8 +371,8 @@
     }
 
     async fn trouble_log(&self) {
-        while self.has_trouble() {
-            sleep(self.draw_time(1_000, 4_000)).await;
+        while self.has_trouble() && self.shape == Shape::TroubledLog {
+            sleep(self.draw_time(2_000, 6_000)).await;
             let from = Instant::now();
             let fault = match self.draw(4) {
                 0 => log::Fault::Refusing,
@@ -362,7 +381,7 @@
                 _ => log::Fault::None,
             };
             self.plant.borrow().log.set_fault(fault);
-            sleep(self.draw_time(50, 1_500)).await;
+            sleep(self.draw_time(50, 800)).await;
             self.plant.borrow().log.set_fault(log::Fault::None);
             if fault == log::Fault::None {
                 let copy = from - self.draw_time(100, MAX_COPY_AGE_MS);
@@ -533,9 +552,10 @@
     let unwanted = siege.unwanted();
     let unserved = siege.unserved();
     println!(
-        "seed {seed}: {} silences, {} disturbances of the log, {} keys, {} \
+        "seed {seed}, {:?}: {} silences, {} disturbances of the log, {} keys, {} \
          departures, {} entries replaced; {} requests: outdated {}, unwanted \
          {}, unserved {}",
+        siege.shape,
         siege.silences.get(),
         siege.disturbances.borrow().len(),
         siege.key_times.borrow().len(),
