direct: date reads of the configuration by their request

Cause: an entry that had been frozen received the answer to its poll 1.1 s late, took it for new and told all others that the log had just confirmed its version, so nobody checked the polls, all of which were silent, for a second. The class: a message that was received late counts as new.

A read counts by the time of its request now, and the answer to a long poll not at all. Another entry takes the checks over after 57 to 67 % of `config_apply_ms` instead of 60 to 75, and one that is behind waits for the log 0.15 s instead of 0.25.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -207,8 +207,8 @@
     pub targets_read_wakeup: Notify,
     /// When the platform's log last answered a read of each topic.
     pub log_answer_times: RefCell<HashMap<&'static str, Millis>>,
-    /// The log's latest answer about the configuration, to this entry process
-    /// or another one.
+    /// The latest read of the log that found no newer configuration, by this
+    /// entry process or another one.
     pub config_confirmation: RefCell<ConfigConfirmation>,
     /// Wakes the task that checks the long poll for the configuration.
     pub config_check_wakeup: Notify,
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -280,14 +280,13 @@
         called = Millis::now();
         match reader.poll_with_checks(&entry, LONG_POLL_TIMEOUT).await {
             Ok(reading) => {
-                let answered_at = Millis::now();
                 let before = entry.catalog_version();
                 adopt_newest_catalog(&entry, &reading.records).await;
-                entry
-                    .config_confirmation
-                    .borrow_mut()
-                    .record_poll_answer(answered_at, reading.end_position.era);
                 if reading.scope != ReadScope::New {
+                    entry
+                        .config_confirmation
+                        .borrow_mut()
+                        .record_full_read(called, reading.end_position.era);
                     let new = usize::from(entry.catalog_version() > before);
                     let records = reading.records.len();
                     entry.record_full_topic_read(
--- a/cowsliproad-direct/src/follow/check.rs
+++ b/cowsliproad-direct/src/follow/check.rs
@@ -25,17 +25,17 @@
 /// The same for an entry process that knows no others.
 const LONE_CHECK_INTERVAL_PERCENT: u64 = 80;
 
-/// How old the log's latest answer may get before another entry process takes
+/// How old the latest check may get before another entry process takes
 /// the checks over, in percent of the same time. Each draws its own, so that
 /// mostly one takes over.
-const TAKEOVER_AGE_PERCENT: RangeInclusive<u64> = 60..=75;
+const TAKEOVER_AGE_PERCENT: RangeInclusive<u64> = 57..=67;
 
 /// The timeout of a check, in percent of the same time.
 const CHECK_TIMEOUT_PERCENT: u64 = 20;
 
 /// How long the poll may take to return records that the log has, or to be
 /// refused. Without an answer by then its connection may be silent.
-const POLL_ANSWER_DELAY: Millis = Millis(100);
+const POLL_ANSWER_DELAY: Millis = Millis(50);
 
 /// Waits until a check finds records that the pending long poll of a topic,
 /// from `position` on, hasn't returned.
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -47,6 +47,13 @@
 /// longer than allowed.
 const DIGEST_INTERVAL: Millis = Millis(500);
 
+/// A round that is later than this shows that the process stood still, as when
+/// its VM was frozen.
+const MAX_ROUND_DELAY: Millis = Millis(200);
+
+/// How long digests that arrived while the process stood still are received.
+const QUEUED_DIGESTS_TIME: Millis = Millis(300);
+
 /// Digest rounds between requests to the agents to report. When targets
 /// joined, agents are asked at once: after a restart of all processes they
 /// wait for the request.
@@ -266,8 +273,19 @@
 pub async fn broadcast_digests(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     let mut round = 0;
     let mut counted_joins = 0;
+    let mut last_round_at = Millis::now();
     loop {
         let now = Millis::now();
+        let stall = now.since(last_round_at + DIGEST_INTERVAL);
+        if stall > MAX_ROUND_DELAY {
+            info!(entry.log, "stood_still"; "for" => stall.0);
+            entry
+                .config_confirmation
+                .borrow_mut()
+                .forget_reads(now + QUEUED_DIGESTS_TIME);
+            entry.config_check_wakeup.notify_one();
+        }
+        last_round_at = now;
         entry.request_quarantine.borrow_mut().evict_expired_records(now);
         let recipients = entry.peers.borrow_mut().pick_digest_recipients(now);
         let all = round % DIGEST_ROUNDS_PER_FULL_DIGEST == 0;
@@ -503,8 +521,8 @@
     }
 }
 
-/// Merges the log's latest answer about the configuration that another entry
-/// process knows of, unless that one has a newer version: this entry process
+/// Merges the latest read of the configuration that another entry process knows
+/// of, unless that one has a newer version: this entry process
 /// has yet to read it.
 fn merge_config_confirmation(
     entry: &Entry,
@@ -516,7 +534,7 @@
         entry
             .config_confirmation
             .borrow_mut()
-            .merge_peer_answer(now - Millis(age), digest.log_era);
+            .merge_peer_read(now - Millis(age), digest.log_era);
     }
 }
 
--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -32,7 +32,7 @@
 
 /// How long this entry process waits for a check of its long poll before it
 /// fetches a peer's state.
-const LOG_CHECK_DELAY: Millis = Millis(250);
+const LOG_CHECK_DELAY: Millis = Millis(150);
 
 /// How long a peer may take to send its state before another one is asked.
 const STATE_FETCH_HEDGE_DELAY: Millis = Millis(250);
--- a/cowsliproad-direct/tests/entry/silence_siege.rs
+++ b/cowsliproad-direct/tests/entry/silence_siege.rs
@@ -579,3 +579,10 @@
         play(seed).await;
     }
 }
+
+/// Guards against an entry that wakes from a freeze and takes what it receives
+/// late for new, so that nobody checks the polls.
+#[tokio::test]
+async fn a_siege_that_froze_an_entry_delays_no_configuration() {
+    play(10).await;
+}
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -92,10 +92,10 @@
     /// that the sender knows of.
     #[serde(rename = "n")]
     pub last_target_change_offset: u64,
-    /// The time since the log's latest answer about the configuration in the
-    /// era `log_era`, to the sender or to an entry process whose gossip reached
-    /// the sender, in milliseconds; `None` before any answer. The log had no
-    /// newer version than `config_version` then.
+    /// The time since the latest read of the configuration in the era
+    /// `log_era`, by the sender or an entry process whose gossip reached the
+    /// sender, in milliseconds; `None` before any read. The log had no newer
+    /// version than `config_version` then.
     #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
     pub config_confirmed_age_ms: Option<u64>,
     /// Targets that the sender recently saw leave for good, each with its
--- a/cowsliproad-routing/src/confirmation.rs
+++ b/cowsliproad-routing/src/confirmation.rs
@@ -4,30 +4,31 @@
 //! The configuration is read by long polls. A connection may carry nothing any
 //! more without being closed, and that may happen to the connections of all
 //! entry processes at once, so a poll that has no answer does not show that
-//! nothing was written. Every answer of the log about the configuration shows
-//! it, for the moment of that answer. Entry processes gossip the latest answer
-//! that any of them got.
+//! nothing was written. A read that the log answers at once shows it, for the
+//! moment of its request. The answer to a long poll shows it for no known
+//! moment: a VM that was frozen receives it late. Entry processes gossip the
+//! latest read that any of them made.
 //!
-//! One entry process makes checks, reads that the log answers at once, at an
-//! interval. The others wait a little longer, and one of them takes over if no
-//! answer becomes known in that time. So the checks of all entry processes
-//! cost no more calls than those of one, and none where long polls are
-//! answered often enough. An entry process that receives no gossip makes its
-//! own checks.
+//! One entry process makes checks, such reads at an interval. The others wait a
+//! little longer, and one of them takes over if no read becomes known in that
+//! time. So the checks of all entry processes cost no more calls than those of
+//! one. An entry process that receives no gossip makes its own checks.
 
 use cowsliproad_kernel::{clock::Millis, position::LogEra};
 
-/// The latest answer of the log about the configuration, to this entry process
-/// or another one.
+/// The latest read of the log that found no newer configuration, by this entry
+/// process or another one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ConfigConfirmation {
     /// The newest known era of the log.
     era: LogEra,
-    /// The time of the latest answer in that era, if there was one.
+    /// The time of the latest such read in that era, if there was one.
     confirmed_at: Option<Millis>,
     /// The time of this entry process's latest check in that era.
     own_check_at: Option<Millis>,
     check_requested: bool,
+    /// Reads by other entry processes before this time are ignored.
+    peer_reads_valid_from: Millis,
 }
 
 /// The time after which a check is due.
@@ -35,20 +36,19 @@
 pub struct CheckTiming {
     /// The time between two checks of the same entry process.
     pub interval: Millis,
-    /// The age of the latest answer at which another entry process takes over.
+    /// The age of the latest read at which another entry process takes over.
     pub takeover_age: Millis,
 }
 
 impl ConfigConfirmation {
-    /// Creates the state before any answer.
+    /// Creates the state before any read.
     pub fn new() -> ConfigConfirmation {
         ConfigConfirmation::default()
     }
 
-    /// Records the answer to a long poll of this entry process, all of whose
-    /// records have been applied.
-    pub fn record_poll_answer(&mut self, at: Millis, era: LogEra) {
-        self.check_requested = false;
+    /// Records that this entry process read the newest configuration when it
+    /// started or after the log came back from an older copy.
+    pub fn record_full_read(&mut self, at: Millis, era: LogEra) {
         self.merge(at, era);
     }
 
@@ -60,10 +60,21 @@
         }
     }
 
-    /// Merges the latest answer that another entry process knows of. That
-    /// entry process must not use a newer configuration than this one.
-    pub fn merge_peer_answer(&mut self, at: Millis, era: LogEra) {
-        self.merge(at, era);
+    /// Merges the latest read that another entry process knows of. That entry
+    /// process must not use a newer configuration than this one.
+    pub fn merge_peer_read(&mut self, at: Millis, era: LogEra) {
+        if at >= self.peer_reads_valid_from {
+            self.merge(at, era);
+        }
+    }
+
+    /// Forgets all reads, since this process stood still. Gossip that arrived
+    /// meanwhile is received late and seems to be new, so reads by other entry
+    /// processes count only from `peer_reads_valid_from` on.
+    pub fn forget_reads(&mut self, peer_reads_valid_from: Millis) {
+        self.confirmed_at = None;
+        self.own_check_at = None;
+        self.peer_reads_valid_from = peer_reads_valid_from;
     }
 
     /// Requests a check at once, since another entry process uses a newer
@@ -72,12 +83,12 @@
         self.check_requested = true;
     }
 
-    /// Whether a check was requested and the log has not answered since.
+    /// Whether a check was requested and none was made since.
     pub fn is_check_requested(&self) -> bool {
         self.check_requested
     }
 
-    /// The time of the latest answer, if there was one.
+    /// The time of the latest read, if there was one.
     pub fn confirmed_at(&self) -> Option<Millis> {
         self.confirmed_at
     }
@@ -92,7 +103,7 @@
         if self.check_requested {
             return Millis(0);
         }
-        // An answer to another entry process that is newer by more than half an
+        // A read by another entry process that is newer by more than half an
         // interval shows that the other one makes the checks now.
         let half = Millis(timing.interval.0 / 2);
         let own = self.own_check_at.filter(|it| confirmed_at <= *it + half);
@@ -103,8 +114,8 @@
         due.since(now)
     }
 
-    /// Merges an answer unless it is of an earlier era: it says nothing of
-    /// what was written since the log came back from an older copy.
+    /// Merges a read unless it is of an earlier era: it says nothing of what
+    /// was written since the log came back from an older copy.
     fn merge(&mut self, at: Millis, era: LogEra) -> bool {
         if era < self.era {
             return false;
--- a/tests/properties/confirmation.rs
+++ b/tests/properties/confirmation.rs
@@ -32,7 +32,7 @@
     check_wait(&own, 1_100, 900);
     check_wait(&own, 2_000, 0);
     let mut other = ConfigConfirmation::new();
-    other.merge_peer_answer(Millis(1_000), ERA);
+    other.merge_peer_read(Millis(1_000), ERA);
     check_wait(&other, 1_100, 1_200);
     check_wait(&other, 2_300, 0);
 }
@@ -40,24 +40,24 @@
 #[test]
 fn its_own_answer_told_back_spares_no_check() {
     let mut own = checked_at(1_000);
-    own.merge_peer_answer(Millis(1_020), ERA);
+    own.merge_peer_read(Millis(1_020), ERA);
     check_wait(&own, 1_100, 900);
 }
 
 #[test]
 fn another_entrys_check_spares_an_own_one() {
     let mut own = checked_at(1_000);
-    own.merge_peer_answer(Millis(1_600), ERA);
+    own.merge_peer_read(Millis(1_600), ERA);
     check_wait(&own, 1_700, 1_200);
     // An older answer changes nothing.
-    own.merge_peer_answer(Millis(1_200), ERA);
+    own.merge_peer_read(Millis(1_200), ERA);
     check_wait(&own, 1_700, 1_200);
 }
 
 #[test]
-fn answers_to_the_polls_of_all_make_nobody_check_at_once() {
+fn a_full_read_of_all_makes_nobody_check_at_once() {
     let mut own = checked_at(1_000);
-    own.record_poll_answer(Millis(1_900), ERA);
+    own.record_full_read(Millis(1_900), ERA);
     check_wait(&own, 1_900, 1_300);
 }
 
@@ -66,7 +66,7 @@
     let mut own = checked_at(1_000);
     own.request_check();
     check_wait(&own, 1_001, 0);
-    own.merge_peer_answer(Millis(1_001), ERA);
+    own.merge_peer_read(Millis(1_001), ERA);
     check_wait(&own, 1_002, 0);
     own.record_check(Millis(1_003), ERA);
     check_wait(&own, 1_003, 1_000);
@@ -75,9 +75,21 @@
 #[test]
 fn an_answer_of_an_earlier_era_confirms_nothing() {
     let mut own = checked_at(1_000);
-    own.merge_peer_answer(Millis(900), LogEra(2));
+    own.merge_peer_read(Millis(900), LogEra(2));
     assert_eq!(own.confirmed_at(), Some(Millis(900)));
     own.record_check(Millis(1_100), ERA);
     assert_eq!(own.confirmed_at(), Some(Millis(900)));
     check_wait(&own, 1_100, 1_100);
 }
+
+#[test]
+fn reads_told_while_an_entry_stood_still_are_not_taken_for_new() {
+    let mut own = checked_at(1_000);
+    own.merge_peer_read(Millis(4_000), ERA);
+    own.forget_reads(Millis(4_500));
+    check_wait(&own, 4_010, 0);
+    own.merge_peer_read(Millis(4_020), ERA);
+    check_wait(&own, 4_030, 0);
+    own.merge_peer_read(Millis(4_500), ERA);
+    check_wait(&own, 4_510, 1_290);
+}
