direct: end the request for a check with its answer

A check that another entry's newer version had requested stayed requested when it found that version, so each entry made one call more. Found in the diff, by reading.

--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -4,10 +4,10 @@
 //! seconds, so its topic is read by long polling. A poll whose connection
 //! carries nothing any more looks like one that nothing was written for, so
 //! polls are checked by reads on other connections; see [`check`]. Targets
-//! renew their records
-//! continuously, and a long poll would return for each renewal. So the targets
-//! topic is read on a timer, well within the time in which a leaving target
-//! has to be known, and by one entry process on behalf of all.
+//! renew their records continuously, and a long poll would return for each
+//! renewal. So the targets topic is read on a timer, well within the time in
+//! which a leaving target has to be known, and by one entry process on behalf
+//! of all.
 //!
 //! While the log refuses this entry process's calls or doesn't answer, other
 //! entry processes send the state that they read; see [`crate::peers`].
@@ -242,10 +242,11 @@
         let Some(position) = position else {
             return self.read_next_records(entry, max_hold).await;
         };
-        let topic = self.topic;
+        let check =
+            check::wait_for_missed_records(entry, self.topic, position);
         let missed = tokio::select! {
             read = self.read_next_records(entry, max_hold) => return read,
-            missed = check::wait_for_missed_records(entry, topic, position) => missed?,
+            missed = check => missed?,
         };
         self.contact.record_success(entry);
         let end_position = missed.next_position;
@@ -280,6 +281,7 @@
         called = Millis::now();
         match reader.poll_with_checks(&entry, LONG_POLL_TIMEOUT).await {
             Ok(reading) => {
+                entry.config_confirmation.borrow_mut().take_check_request();
                 let before = entry.catalog_version();
                 adopt_newest_catalog(&entry, &reading.records).await;
                 if reading.scope != ReadScope::New {
--- a/cowsliproad-direct/src/follow/check.rs
+++ b/cowsliproad-direct/src/follow/check.rs
@@ -61,7 +61,13 @@
                 entry.digest_wakeup.notify_one();
             }
             Ok(page) => {
-                if !entry.config_confirmation.borrow().is_check_requested() {
+                // Another entry process has read the records some time ago if
+                // the check was requested.
+                let was_requested = entry
+                    .config_confirmation
+                    .borrow_mut()
+                    .take_check_request();
+                if !was_requested {
                     sleep(POLL_ANSWER_DELAY.duration()).await;
                 }
                 warn!(entry.log, "poll_silent"; "topic" => topic,
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -276,14 +276,9 @@
     let mut last_round_at = Millis::now();
     loop {
         let now = Millis::now();
-        let stall = now.since(last_round_at + DIGEST_INTERVAL);
-        if stall > MAX_ROUND_DELAY {
-            info!(entry.log, "stood_still"; "for" => stall.0);
-            entry
-                .config_confirmation
-                .borrow_mut()
-                .forget_reads(now + QUEUED_DIGESTS_TIME);
-            entry.config_check_wakeup.notify_one();
+        let delay = now.since(last_round_at + DIGEST_INTERVAL);
+        if delay > MAX_ROUND_DELAY {
+            forget_reads_after_stall(&entry, delay, now);
         }
         last_round_at = now;
         entry.request_quarantine.borrow_mut().evict_expired_records(now);
@@ -326,6 +321,16 @@
     }
 }
 
+/// Has the configuration checked at once after the process stood still.
+fn forget_reads_after_stall(entry: &Entry, stall: Millis, now: Millis) {
+    info!(entry.log, "stood_still"; "for" => stall.0);
+    entry
+        .config_confirmation
+        .borrow_mut()
+        .forget_reads(now + QUEUED_DIGESTS_TIME);
+    entry.config_check_wakeup.notify_one();
+}
+
 fn record_config_metrics(entry: &Entry, now: Millis) {
     let in_force = entry.catalog_version();
     let announced = entry.peers.borrow().newest_config_version;
@@ -522,8 +527,7 @@
 }
 
 /// Merges the latest read of the configuration that another entry process knows
-/// of, unless that one has a newer version: this entry process
-/// has yet to read it.
+/// of, unless that one has a newer version, which this one has yet to read.
 fn merge_config_confirmation(
     entry: &Entry,
     digest: &GossipDigest,
--- a/cowsliproad-routing/src/confirmation.rs
+++ b/cowsliproad-routing/src/confirmation.rs
@@ -83,9 +83,10 @@
         self.check_requested = true;
     }
 
-    /// Whether a check was requested and none was made since.
-    pub fn is_check_requested(&self) -> bool {
-        self.check_requested
+    /// Ends the request for a check, since newer records were read. Returns
+    /// whether there was one.
+    pub fn take_check_request(&mut self) -> bool {
+        std::mem::take(&mut self.check_requested)
     }
 
     /// The time of the latest read, if there was one.
--- a/tests/properties/confirmation.rs
+++ b/tests/properties/confirmation.rs
@@ -70,6 +70,9 @@
     check_wait(&own, 1_002, 0);
     own.record_check(Millis(1_003), ERA);
     check_wait(&own, 1_003, 1_000);
+    own.request_check();
+    assert!(own.take_check_request());
+    check_wait(&own, 1_004, 999);
 }
 
 #[test]
