direct: tell the ages of polls and checks apart in metrics

log_answer_age_ms counted an answer to a long poll and one to its check alike, so an operator could not tell from it whether only the poll was silent or the log itself. The gauge has a label for the kind of call now, as log_lost has.

A test sees both labels; before, there was only the topic.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -205,8 +205,10 @@
     pub log_read_schedule: RefCell<LogReadSchedule>,
     /// Wakes the task that reads the targets topic.
     pub targets_read_wakeup: Notify,
-    /// When the platform's log last answered a read of each topic.
-    pub log_answer_times: RefCell<HashMap<&'static str, Millis>>,
+    /// When the platform's log last answered each kind of call, by topic and
+    /// purpose of the call.
+    pub log_answer_times:
+        RefCell<HashMap<(&'static str, &'static str), Millis>>,
     /// The latest read of the log that found no newer configuration, by this
     /// entry process or another one.
     pub config_confirmation: RefCell<ConfigConfirmation>,
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -87,7 +87,8 @@
     /// Records a successful call to the log and resets the backoff.
     pub fn record_success(&mut self, entry: &Entry) {
         let now = Millis::now();
-        entry.log_answer_times.borrow_mut().insert(self.topic, now);
+        let call = (self.topic, self.purpose);
+        entry.log_answer_times.borrow_mut().insert(call, now);
         let away = now.since(self.last_success);
         if self.failures > 0 {
             info!(entry.log, "log_regained"; "topic" => self.topic,
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -155,9 +155,16 @@
         self.newest_config_version.record(newest, &[]);
     }
 
-    /// Sets the time since the log last answered a read of a topic.
-    pub fn set_log_answer_age(&self, topic: &'static str, age: Millis) {
-        self.log_answer_age.record(age.0, &[KeyValue::new("topic", topic)]);
+    /// Sets the time since the log last answered a call for a topic.
+    pub fn set_log_answer_age(
+        &self,
+        topic: &'static str,
+        call: &'static str,
+        age: Millis,
+    ) {
+        let labels =
+            [KeyValue::new("topic", topic), KeyValue::new("call", call)];
+        self.log_answer_age.record(age.0, &labels);
     }
 
     /// Sets the time since the log last confirmed to any entry process that no
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -338,8 +338,10 @@
     let confirmed = entry.config_confirmation.borrow().confirmed_at();
     let age = now.since(confirmed.unwrap_or_default());
     entry.metrics.set_config_confirmed_age(age);
-    for (topic, answered_at) in entry.log_answer_times.borrow().iter() {
-        entry.metrics.set_log_answer_age(topic, now.since(*answered_at));
+    for ((topic, call), answered_at) in entry.log_answer_times.borrow().iter()
+    {
+        let age = now.since(*answered_at);
+        entry.metrics.set_log_answer_age(topic, call, age);
     }
 }
 
--- a/cowsliproad-direct/tests/entry/news.rs
+++ b/cowsliproad-direct/tests/entry/news.rs
@@ -328,3 +328,17 @@
     })
     .await;
 }
+
+/// Guards against metrics that hide whether the long poll or its check was
+/// answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_tell_polls_and_checks_of_the_log_apart() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let entry = plant.entry().await;
+    for call in ["read", "check"] {
+        let age = format!("log_answer_age_ms{{call=\"{call}\"");
+        until("the age is shown", async || entry.metric(&age).await.is_some())
+            .await;
+    }
+}
