kernel: count the time for which a VM is suspended

Cause: all ages and deadlines counted on the monotonic clock, which stands still while a VM is suspended. A process that woke took old facts for new and could not know, since it found gaps by the same clock.

Millis::now reads the clock that counts suspensions. The runtime's timers can't, so net::timer checks them again once the two clocks differ; all waits of the programs use it. A gap is found on the same clock when the next round of digests is due and before any digest is used, whichever comes first; the targets are read at once then, too.

A suspended coordinator is replaced and steps down, as before: that test is beside the one of frozen ones.

--- a/cowsliproad-agent/src/adapter/engine.rs
+++ b/cowsliproad-agent/src/adapter/engine.rs
@@ -13,12 +13,11 @@
     plugin::inventory,
     wire::{AnswerFormat, RequestFailure},
 };
-use cowsliproad_net::client::Client;
+use cowsliproad_net::{client::Client, timer::timeout};
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use serde_json::Value;
-use tokio::time::{Instant, timeout};
 
 use super::{Adapter, AdapterPlugin, plain, start_adapter};
 use crate::{
@@ -241,11 +240,10 @@
             return;
         };
         let cancel_timeout = Duration::from_millis(500);
-        let deadline = Instant::now() + cancel_timeout;
         let call = self.client.call(request, MAX_ANSWER_BYTES, cancel_timeout);
         // Best effort: without the cancellation the target only frees its
         // resources later.
-        let _ = tokio::time::timeout_at(deadline, call).await;
+        let _ = timeout(cancel_timeout, call).await;
     }
 }
 
--- a/cowsliproad-agent/src/ends.rs
+++ b/cowsliproad-agent/src/ends.rs
@@ -31,13 +31,9 @@
     sync::lock,
     wire::{RequestFailure, TargetProcessState},
 };
+use cowsliproad_net::timer::{sleep, timeout};
 use slog::info;
-use tokio::{
-    io::AsyncReadExt,
-    net::TcpStream,
-    sync::Notify,
-    time::{sleep, timeout},
-};
+use tokio::{io::AsyncReadExt, net::TcpStream, sync::Notify};
 
 use crate::{gate::TargetGate, links::AgentLinks, work::RequestWork};
 
--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -33,6 +33,7 @@
         ProcessPhase, RequestFailure, StoredAnswer,
     },
 };
+use cowsliproad_net::timer;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Histogram, Meter},
@@ -257,7 +258,7 @@
                 NextWork::Unavailable => ready.await,
                 NextWork::RateLimited(wait) => tokio::select! {
                     () = changed => {}
-                    () = tokio::time::sleep(wait.duration()) => {}
+                    () = timer::sleep(wait.duration()) => {}
                 },
             }
         }
@@ -486,7 +487,7 @@
 /// waiting for a slot, and evicts old answers, for as long as the agent runs.
 pub async fn sweep_queue_and_answers(gate: Arc<TargetGate>) {
     loop {
-        tokio::time::sleep(QUEUE_SWEEP_INTERVAL).await;
+        timer::sleep(QUEUE_SWEEP_INTERVAL).await;
         let mut state = gate.lock_state();
         let service_rate = gate.service_rate(&state);
         state.expire_queued_work(service_rate, Millis::now());
--- a/cowsliproad-agent/src/handover.rs
+++ b/cowsliproad-agent/src/handover.rs
@@ -16,8 +16,8 @@
     wire::{Frame, Handover, ProcessRole, StoredAnswer},
 };
 use cowsliproad_net::link::{self, Identity, Sender};
+use cowsliproad_net::timer::{sleep, timeout};
 use slog::{info, warn};
-use tokio::time::{Instant, sleep, timeout};
 
 use crate::{Agent, gate::HandoverData};
 
@@ -46,9 +46,8 @@
 pub async fn stop_gracefully(agent: &Agent) {
     agent.gate.start_leaving();
     agent.links.send_heartbeats();
-    let deadline = Instant::now() + agent.settings.drain_timeout.duration();
-    while agent.gate.unfinished_request_count() > 0
-        && Instant::now() < deadline
+    let deadline = Millis::now() + agent.settings.drain_timeout;
+    while agent.gate.unfinished_request_count() > 0 && Millis::now() < deadline
     {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
@@ -70,10 +69,10 @@
 /// configuration lists no such target, the stopping agent first requests the
 /// latest configuration from entry processes.
 async fn wait_for_peers(agent: &Agent) -> Vec<Target> {
-    let deadline = Instant::now() + PEER_DISCOVERY_TIMEOUT;
+    let deadline = Millis::now() + PEER_DISCOVERY_TIMEOUT.into();
     loop {
         let found = known_peers(agent);
-        if !found.is_empty() || Instant::now() >= deadline {
+        if !found.is_empty() || Millis::now() >= deadline {
             return found;
         }
         agent.links.request_config();
--- a/cowsliproad-agent/src/links.rs
+++ b/cowsliproad-agent/src/links.rs
@@ -24,12 +24,12 @@
     },
 };
 use cowsliproad_net::link::{self, Receiver, Sender};
+use cowsliproad_net::timer::sleep;
 use slog::{Logger, info, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Notify,
     task::AbortHandle,
-    time::sleep,
 };
 
 use crate::{
--- a/cowsliproad-agent/src/pace.rs
+++ b/cowsliproad-agent/src/pace.rs
@@ -16,15 +16,13 @@
 };
 use cowsliproad_kernel::{clock::Millis, sync::lock};
 use cowsliproad_net::retry_after::{self, RetryAfter};
+use cowsliproad_net::timer::sleep;
 use cowsliproad_routing::cooldown::Cooldown;
 use http::{
     HeaderMap, HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER,
 };
 use slog::{Logger, info, warn};
-use tokio::{
-    sync::{Notify, futures::Notified},
-    time::sleep,
-};
+use tokio::sync::{Notify, futures::Notified};
 
 /// The response header with the target's limit in requests per second, a
 /// decimal number. The limit holds for as long as answers carry the header.
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -29,7 +29,6 @@
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use tokio::time::Instant;
 
 use crate::{
     attempt::Attempt,
@@ -224,11 +223,6 @@
         self.deadline.since(Millis::now())
     }
 
-    /// The deadline of the request on tokio's clock.
-    pub fn deadline_instant(&self) -> Instant {
-        Instant::now() + self.time_left().duration()
-    }
-
     /// Sends the request to a target and waits for the head of its response,
     /// which must echo the id of the request.
     pub async fn send_to_target(
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -7,10 +7,10 @@
     quarantine::QuarantineVerdict,
 };
 use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::timer::sleep;
 use cowsliproad_routing::fleet::Target;
 use http::Response;
 use slog::info;
-use tokio::time::sleep;
 
 use super::{
     AttemptCost, Call, ExecutionStatus, MAX_QUEUE_RANK,
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -5,9 +5,9 @@
 
 use cowsliproad_admission::patience;
 use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::timer::sleep;
 use http::Response;
 use slog::info;
-use tokio::time::sleep;
 
 use super::{AttemptCost, AttemptError, Call, ExecutionStatus};
 use crate::{
--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -16,16 +16,14 @@
 use cowsliproad_net::{
     hooked::{ConnectionHooks, HookedStream},
     program, tcp,
+    timer::{sleep, sleep_until},
 };
 use cowsliproad_routing::catalog::RequestLimits;
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use slog::info;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::{Instant, sleep, sleep_until},
-};
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     entry::{Entry, ProcessPhase},
@@ -68,12 +66,11 @@
         never = accept_connections(entry, &listener) => match never {},
         () = program::wait_for_stop_signal() => {}
     }
-    let grace_end = Instant::now()
-        + (entry.settings().shutdown_grace_ms - PROCESS_EXIT_MARGIN)
-            .duration();
+    let grace_end = Millis::now()
+        + (entry.settings().shutdown_grace_ms - PROCESS_EXIT_MARGIN);
     entry.process_phase.set(ProcessPhase::Leaving);
     info!(entry.log, "stopping"; "under_way" => entry.unfinished_request_count.get());
-    let drained_at = Instant::now() + LISTENER_CLOSE_DELAY.duration();
+    let drained_at = Millis::now() + LISTENER_CLOSE_DELAY;
     tokio::select! {
         never = accept_connections(entry, &listener) => match never {},
         () = sleep_until(drained_at) => {}
@@ -81,8 +78,7 @@
     drop(listener);
     entry.process_phase.set(ProcessPhase::Closing);
     entry.idle_close_requested.notify_waiters();
-    while entry.unfinished_request_count.get() > 0
-        && Instant::now() < grace_end
+    while entry.unfinished_request_count.get() > 0 && Millis::now() < grace_end
     {
         sleep(STOP_CHECK_INTERVAL.duration()).await;
     }
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -21,8 +21,9 @@
 
 use cowsliproad_admission::quarantine::WorkDigest;
 use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_net::timer::{self, sleep};
 use slog::info;
-use tokio::{net::TcpStream, time::sleep};
+use tokio::net::TcpStream;
 
 use crate::{
     entry::{ChosenTarget, Endpoint, Entry},
@@ -269,8 +270,7 @@
         .map(|it| it.broken_at);
     let since = newest.unwrap_or_default() + MAX_MESSAGE_LATENCY;
     let opening = TcpStream::connect(choice.target.address);
-    match tokio::time::timeout(PROBE_CONNECT_TIMEOUT.duration(), opening).await
-    {
+    match timer::timeout(PROBE_CONNECT_TIMEOUT.duration(), opening).await {
         Ok(Ok(_)) => ProbeOutcome::Alive,
         Ok(Err(error))
             if error.kind() == io::ErrorKind::ConnectionRefused
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -16,6 +16,7 @@
 use std::{collections::HashMap, ops::RangeInclusive, rc::Rc};
 
 use cowsliproad_kernel::{Name, clock::Millis, position::LogPosition};
+use cowsliproad_net::timer::sleep;
 use cowsliproad_platform::{
     catalog, log,
     log::{Client, Error, Page, Record},
@@ -24,7 +25,6 @@
 use cowsliproad_routing::fleet::{ProcessStartUnixMs, TargetChange};
 use rand::Rng;
 use slog::{info, warn};
-use tokio::time::sleep;
 
 use crate::{
     entry::{Entry, StateChangeSource},
--- a/cowsliproad-direct/src/follow/check.rs
+++ b/cowsliproad-direct/src/follow/check.rs
@@ -8,10 +8,10 @@
 use std::ops::RangeInclusive;
 
 use cowsliproad_kernel::{clock::Millis, position::LogPosition};
+use cowsliproad_net::timer::sleep;
 use cowsliproad_platform::log::{Client, Error, Page};
 use cowsliproad_routing::confirmation::CheckTiming;
 use slog::warn;
-use tokio::time::sleep;
 
 use super::{LogCallStatus, draw_percent_of};
 use crate::entry::{Entry, StateChangeSource};
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 
 use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::timer::timeout;
 use cowsliproad_platform::header;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use slog::info;
-use tokio::time::timeout;
 
 use crate::{
     attempt::Attempt,
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -20,6 +20,7 @@
     clock::Millis,
     gossip::{self, Datagram, PermitReply, PermitRequest, RateLimit},
 };
+use cowsliproad_net::timer::{sleep, timeout};
 use cowsliproad_platform::header;
 use cowsliproad_routing::{
     fleet::{ProcessStartUnixMs, Target},
@@ -27,11 +28,7 @@
 };
 use http::{HeaderMap, HeaderValue};
 use slog::{debug, info, warn};
-use tokio::{
-    net::UdpSocket,
-    sync::oneshot,
-    time::{sleep, timeout},
-};
+use tokio::{net::UdpSocket, sync::oneshot};
 
 use crate::{
     attempt::Attempt,
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -12,10 +12,11 @@
 
 use cowsliproad_kernel::{
     Name,
-    clock::Millis,
+    clock::{self, Millis},
     gossip::{self, Datagram, GossipDigest},
     position::LogPosition,
 };
+use cowsliproad_net::timer::{sleep, timeout};
 use cowsliproad_routing::{
     fleet::{GossipedDeparture, ProcessStartUnixMs, Target},
     owner::{
@@ -25,10 +26,7 @@
 };
 use rand::seq::{IteratorRandom, SliceRandom};
 use slog::{info, warn};
-use tokio::{
-    net::UdpSocket,
-    time::{sleep, timeout},
-};
+use tokio::net::UdpSocket;
 
 use crate::{
     call::{COOLDOWN_PROBE_PERIOD, MAX_COOLDOWN_STAGGER},
@@ -92,6 +90,9 @@
     /// The newest configuration version in any digest.
     newest_config_version: u64,
     fetching_state: bool,
+    /// When the last round of digests began. A process that runs begins one at
+    /// least every [`DIGEST_INTERVAL`].
+    last_round_at: Millis,
 }
 
 #[derive(Debug)]
@@ -113,6 +114,7 @@
             known_peers: BTreeMap::new(),
             newest_config_version: 0,
             fetching_state: false,
+            last_round_at: Millis::now(),
         };
         peers.replace_seeds(settings);
         peers
@@ -273,14 +275,10 @@
 pub async fn broadcast_digests(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     let mut round = 0;
     let mut counted_joins = 0;
-    let mut last_round_at = Millis::now();
     loop {
         let now = Millis::now();
-        let delay = now.since(last_round_at + DIGEST_INTERVAL);
-        if delay > MAX_ROUND_DELAY {
-            forget_reads_after_stall(&entry, delay, now);
-        }
-        last_round_at = now;
+        detect_stall(&entry, now);
+        entry.peers.borrow_mut().last_round_at = now;
         entry.request_quarantine.borrow_mut().evict_expired_records(now);
         let recipients = entry.peers.borrow_mut().pick_digest_recipients(now);
         let all = round % DIGEST_ROUNDS_PER_FULL_DIGEST == 0;
@@ -321,14 +319,23 @@
     }
 }
 
-/// Has the configuration checked at once after the process stood still.
-fn forget_reads_after_stall(entry: &Entry, stall: Millis, now: Millis) {
-    info!(entry.log, "stood_still"; "for" => stall.0);
+/// Has the configuration checked at once if the process stood still. Called
+/// before anything that arrived meanwhile is used.
+fn detect_stall(entry: &Entry, now: Millis) {
+    let last_round_at = entry.peers.borrow().last_round_at;
+    let stall = now.since(last_round_at + DIGEST_INTERVAL);
+    if stall <= MAX_ROUND_DELAY {
+        return;
+    }
+    entry.peers.borrow_mut().last_round_at = now;
+    info!(entry.log, "stood_still"; "for" => stall.0,
+        "suspended_in_all" => clock::suspended_time().0);
     entry
         .config_confirmation
         .borrow_mut()
         .forget_reads(now + QUEUED_DIGESTS_TIME);
     entry.config_check_wakeup.notify_one();
+    entry.targets_read_wakeup.notify_one();
 }
 
 fn record_config_metrics(entry: &Entry, now: Millis) {
@@ -458,6 +465,7 @@
     received_digest: GossipDigest,
 ) {
     let now = Millis::now();
+    detect_stall(entry, now);
     entry.observe_log_era(received_digest.log_era, StateChangeSource::Peer);
     let left = received_digest.departed_targets_with_start_unix_ms.iter();
     let left = left.map(|it| {
--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -8,17 +8,17 @@
     clock::Millis,
     gossip::{self, GossipDigest},
 };
-use cowsliproad_net::client::Client;
+use cowsliproad_net::{
+    client::Client,
+    timer::{sleep, timeout},
+};
 use cowsliproad_platform::{catalog, log::Record};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::{
-    task::JoinSet,
-    time::{sleep, timeout},
-};
+use tokio::task::JoinSet;
 
 use super::wait_for_seed_digests;
 use crate::{
@@ -140,9 +140,10 @@
     };
     let mut fetches = JoinSet::new();
     for peer in peers.iter().copied().take(MAX_ASKED_PEERS) {
-        let entry = entry.clone();
-        fetches
-            .spawn_local(async move { fetch_peer_state(&entry, peer).await });
+        let fetching_entry = entry.clone();
+        fetches.spawn_local(async move {
+            fetch_peer_state(&fetching_entry, peer).await
+        });
         let first = timeout(delay.duration(), fetches.join_next()).await;
         if let Ok(Some(Ok(Some(state)))) = first {
             return Some(state);
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -26,11 +26,12 @@
     clock::{Millis, unix_now_ms},
     gossip::{self, CrashSuspectRequest, CrashSuspectRequests},
 };
+use cowsliproad_net::timer::timeout;
 use cowsliproad_platform::log::{self, Client, Record};
 use cowsliproad_routing::fleet::{ProcessStartUnixMs, Target};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::{sync::Notify, time::timeout};
+use tokio::sync::Notify;
 
 use crate::{
     ends::MAX_MESSAGE_LATENCY,
--- a/cowsliproad-direct/src/readiness.rs
+++ b/cowsliproad-direct/src/readiness.rs
@@ -5,15 +5,13 @@
 
 use bytes::Bytes;
 use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::timer::{sleep, timeout};
 use cowsliproad_platform::READINESS_PATH;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{
-    net::TcpListener,
-    time::{sleep, timeout},
-};
+use tokio::net::TcpListener;
 
 use crate::entry::Entry;
 
--- a/cowsliproad-direct/src/receive.rs
+++ b/cowsliproad-direct/src/receive.rs
@@ -4,6 +4,7 @@
 
 use cowsliproad_admission::{patience::CallerAttempt, quarantine::WorkDigest};
 use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::timer::timeout;
 use cowsliproad_platform::header;
 use cowsliproad_routing::catalog::{
     Organisation, RouteError, RouteMatch, RoutingCatalog,
@@ -14,7 +15,6 @@
 };
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use crate::{
     call::{
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -9,15 +9,13 @@
 use std::rc::Rc;
 
 use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::timer::{self, sleep_until};
 use cowsliproad_relay::events::{EventSplitter, ServerSentEvent};
 use http::{Response, header as standard, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::info;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until},
-};
+use tokio::sync::mpsc;
 
 use crate::{
     attempt::Attempt,
@@ -134,7 +132,7 @@
             return read_whole_response(opened).await.map(FirstReply::Whole);
         }
     };
-    let deadline = call.deadline_instant();
+    let deadline = call.deadline;
     let (mut head, target_stream) = (opened.0, &mut opened.1);
     let first_event = match target_stream.next_event(entry, deadline).await {
         NextEvent::Event(event) => Some(event),
@@ -187,7 +185,7 @@
     attempt: &Attempt,
     last_event_id: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
-    let (deadline, work) = (call.deadline_instant(), call.work);
+    let (deadline, work) = (call.deadline, call.work);
     let since = ForwardPassSnapshot::new(entry, choice);
     let mut opening = std::pin::pin!(call.send_to_target(
         entry,
@@ -196,7 +194,7 @@
         last_event_id
     ));
     loop {
-        let next_check = Instant::now() + SILENCE_CHECK_INTERVAL.duration();
+        let next_check = Millis::now() + SILENCE_CHECK_INTERVAL;
         tokio::select! {
             opened = &mut opening => {
                 return opened.inspect_err(|error| attempt.check_target_after_error(error));
@@ -204,7 +202,7 @@
             () = entry.targets_changed.notified() => {}
             () = sleep_until(deadline.min(next_check)) => {}
         }
-        if Instant::now() >= deadline {
+        if Millis::now() >= deadline {
             return Err(AttemptError::MayHaveRun("no answer in time"));
         }
         if target_slows_its_group(entry, choice) {
@@ -232,7 +230,7 @@
     async fn next_event(
         &mut self,
         entry: &Entry,
-        deadline: Instant,
+        deadline: Millis,
     ) -> NextEvent {
         loop {
             if let Some(event) = self.splitter.pop_event() {
@@ -255,13 +253,12 @@
                     ));
                 }
             }
-            let next_check =
-                Instant::now() + SILENCE_CHECK_INTERVAL.duration();
+            let next_check = Millis::now() + SILENCE_CHECK_INTERVAL;
             let frame = tokio::select! {
                 frame = self.body.frame() => frame,
                 () = entry.targets_changed.notified() => continue,
                 () = sleep_until(deadline.min(next_check)) => {
-                    if Instant::now() >= deadline {
+                    if Millis::now() >= deadline {
                         return NextEvent::Failed(AttemptError::MayHaveRun("no time left"));
                     }
                     if target_lags_behind_group(entry, &self.choice, self.last_data_at) {
@@ -392,7 +389,7 @@
             return "caller left";
         }
         loop {
-            let deadline = self.call.deadline_instant();
+            let deadline = self.call.deadline;
             let pieces = self.pieces.clone();
             let next = tokio::select! {
                 next = target_stream.next_event(&self.entry, deadline) => next,
@@ -473,8 +470,8 @@
         let now = Millis::now();
         let gap = self.last_event_at.replace(now).map(|it| now.since(it));
         self.longest_gap = self.longest_gap.max(gap.unwrap_or_default());
-        let deadline = self.call.deadline_instant();
-        let sent = tokio::time::timeout_at(
+        let deadline = self.call.deadline;
+        let sent = timer::timeout_at(
             deadline,
             self.pieces.send(StreamPiece::Events(event.bytes)),
         );
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -17,6 +17,7 @@
 use cowsliproad_net::{
     hooked::{HookedStream, ResetOnDrop},
     tcp,
+    timer::{timeout, timeout_at},
 };
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
@@ -25,10 +26,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::{
-    net::TcpStream,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::net::TcpStream;
 
 use crate::{
     attempt::Attempt,
@@ -221,7 +219,7 @@
     choice: &ChosenTarget,
 ) -> Result<(), SendError> {
     let connection_freed = choice.endpoint.borrow().connection_freed.clone();
-    let give_up_at = Instant::now() + TARGET_CONNECT_TIMEOUT.duration();
+    let give_up_at = Millis::now() + TARGET_CONNECT_TIMEOUT;
     loop {
         let mut freed = std::pin::pin!(connection_freed.notified());
         freed.as_mut().enable();
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -40,6 +40,8 @@
     time::sleep,
 };
 
+use crate::held_clock::HeldClock;
+
 /// How long anything may take that has no bound of its own.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -66,6 +68,7 @@
     pub settings: Settings,
     pub file: PathBuf,
     child: Child,
+    clock: Option<HeldClock>,
 }
 
 /// Numbers requests.
@@ -204,6 +207,20 @@
 
     /// Starts a process whose log goes somewhere.
     pub fn start_with(settings: Settings, output: Stdio) -> Entry {
+        Entry::start_with_clock(settings, output, None)
+    }
+
+    /// Starts a process that can be suspended.
+    pub fn start_suspendable(settings: Settings, output: Stdio) -> Entry {
+        let clock = HeldClock::new();
+        Entry::start_with_clock(settings, output, Some(clock))
+    }
+
+    fn start_with_clock(
+        settings: Settings,
+        output: Stdio,
+        clock: Option<HeldClock>,
+    ) -> Entry {
         let directory = std::env::temp_dir();
         let name = format!(
             "cowsliproad-{}.json",
@@ -211,12 +228,14 @@
         );
         let file = directory.join(name);
         write(&file, &settings);
-        let child = Command::new(env!("CARGO_BIN_EXE_cowsliproad-direct"))
-            .env(SETTINGS_VARIABLE, &file)
-            .stdout(output)
-            .spawn()
-            .expect("the program starts");
-        Entry { settings, file, child }
+        let mut command =
+            Command::new(env!("CARGO_BIN_EXE_cowsliproad-direct"));
+        command.env(SETTINGS_VARIABLE, &file).stdout(output);
+        if let Some(clock) = &clock {
+            clock.apply_to(&mut command);
+        }
+        let child = command.spawn().expect("the program starts");
+        Entry { settings, file, child, clock }
     }
 
     /// Waits until the balancer would send callers.
@@ -265,6 +284,22 @@
         kill_process(pid, signal).expect("the process is there");
     }
 
+    /// Suspends the VM of the process for a time: the process stands still, and
+    /// its monotonic clock doesn't count that time.
+    pub async fn suspend(&self, time: Duration) {
+        self.signal(Signal::STOP);
+        let begun = Instant::now();
+        sleep(time).await;
+        self.resume_after(begun.elapsed());
+    }
+
+    /// Resumes a stopped process whose VM was suspended for a time.
+    pub fn resume_after(&self, suspended: Duration) {
+        let clock = self.clock.as_ref().expect("a held clock");
+        clock.hold_back(suspended);
+        self.signal(Signal::CONT);
+    }
+
     /// Waits for the process's own end.
     pub async fn ended(&mut self) -> ExitStatus {
         let begun = Instant::now();
--- a/cowsliproad-entry/src/admin.rs
+++ b/cowsliproad-entry/src/admin.rs
@@ -19,9 +19,9 @@
     id,
 };
 use cowsliproad_net::server::{AcceptHandle, Listener};
+use cowsliproad_net::timer::timeout_at;
 use futures_util::{Stream, stream};
 use slog::{info, warn};
-use tokio::time::{Instant, timeout_at};
 use volo_grpc::{
     Request, Response, Status,
     server::{Server, ServiceBuilder},
@@ -217,7 +217,7 @@
         &self,
         command: id::Command,
     ) -> Option<ChangeOutcome> {
-        let deadline = Instant::now() + READ_BACK_TIMEOUT;
+        let deadline = Millis::now() + READ_BACK_TIMEOUT.into();
         let mut published = self.shared.published_view.subscribe_offsets();
         loop {
             published.borrow_and_update();
--- a/cowsliproad-entry/src/callers.rs
+++ b/cowsliproad-entry/src/callers.rs
@@ -26,6 +26,7 @@
 use cowsliproad_net::{
     reply,
     server::{self, BodyError, Handler},
+    timer,
 };
 use http::{HeaderValue, Method, StatusCode, header};
 use serde_json::json;
@@ -331,7 +332,7 @@
         };
         let sent = link.send_frame(Frame::CancelRequest(cancel)).await;
         sent.map_err(|_| gone())?;
-        let answer = tokio::time::timeout(CANCEL_TIMEOUT, events.recv()).await;
+        let answer = timer::timeout(CANCEL_TIMEOUT, events.recv()).await;
         link.unregister_attempt(attempt);
         match answer {
             Ok(Some(AttemptEvent::Refused(failure)))
--- a/cowsliproad-entry/src/control.rs
+++ b/cowsliproad-entry/src/control.rs
@@ -23,6 +23,7 @@
     id,
     wire::{ConfigRecords, ConfigSnapshot, Frame},
 };
+use cowsliproad_net::timer;
 use serde_bytes::ByteBuf;
 use slog::info;
 use tokio::sync::{mpsc, oneshot};
@@ -88,7 +89,7 @@
 /// not look at all targets.
 pub async fn watch_ejections(shared: Arc<EntryState>) {
     loop {
-        tokio::time::sleep(EJECTION_CHECK_INTERVAL).await;
+        timer::sleep(EJECTION_CHECK_INTERVAL).await;
         shared
             .published_view
             .current_view()
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -35,8 +35,9 @@
         RequestPersistence, SEND_WINDOW_BYTES, SubmitMode, SubmitRequest,
     },
 };
+use cowsliproad_net::timer::timeout;
 use cowsliproad_relay::{AnswerAssembly, AssemblyProgress};
-use tokio::{sync::mpsc, time::timeout};
+use tokio::sync::mpsc;
 
 use crate::{
     EntryState, choose, quarantine,
--- a/cowsliproad-entry/src/forward/failure.rs
+++ b/cowsliproad-entry/src/forward/failure.rs
@@ -11,7 +11,7 @@
     sync::lock,
     wire::{FetchAnswerRequest, Frame, RequestFailure},
 };
-use tokio::time::sleep;
+use cowsliproad_net::timer::sleep;
 
 use super::{
     ActiveAttempt, AnswerItem, ForwardTask, LINK_POLL_INTERVAL,
--- a/cowsliproad-entry/src/lib.rs
+++ b/cowsliproad-entry/src/lib.rs
@@ -47,9 +47,9 @@
     metrics::Metrics,
     server::{self, AcceptHandle, Listener},
     threads::Runtimes,
+    timer::sleep,
 };
 use slog::{Logger, info, warn};
-use tokio::time::{Instant, sleep};
 
 use crate::{control::ControlTask, settings::Settings, view::PublishedView};
 
@@ -208,9 +208,8 @@
         info!(shared.logger, "stop"; "in_flight" => in_flight());
         sleep(shared.settings.stop_grace_time.duration()).await;
         self.accept_handle.stop_accepting();
-        let stop_timeout = shared.settings.stop_timeout.duration();
-        let deadline = Instant::now() + stop_timeout;
-        while in_flight() > 0 && Instant::now() < deadline {
+        let deadline = Millis::now() + shared.settings.stop_timeout;
+        while in_flight() > 0 && Millis::now() < deadline {
             sleep(STOP_POLL_INTERVAL).await;
         }
         if in_flight() > 0 {
--- a/cowsliproad-entry/src/links.rs
+++ b/cowsliproad-entry/src/links.rs
@@ -12,11 +12,9 @@
     wire::{AgentLoad, Frame, Heartbeat, ProcessRole, TargetProcessState},
 };
 use cowsliproad_net::link::{self, Identity, Receiver, Sender};
+use cowsliproad_net::timer::sleep;
 use slog::{debug, info};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::sleep,
-};
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     EntryState,
--- a/cowsliproad-entry/src/log.rs
+++ b/cowsliproad-entry/src/log.rs
@@ -18,13 +18,15 @@
     id,
     wire::{ConfigRecords, ConfigSnapshot},
 };
-use cowsliproad_net::client::Error;
+use cowsliproad_net::{
+    client::Error,
+    timer::{self, sleep},
+};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde::Deserialize;
 use serde_bytes::ByteBuf;
 use slog::{info, warn};
-use tokio::time::sleep;
 
 use crate::{EntryState, control::ControlEvent};
 
@@ -204,7 +206,7 @@
 async fn wait_until_published(shared: &EntryState, next_offset: u64) {
     let mut published = shared.published_view.subscribe_offsets();
     let wait = published.wait_for(|it| *it >= next_offset);
-    let _ = tokio::time::timeout(Duration::from_millis(500), wait).await;
+    let _ = timer::timeout(Duration::from_millis(500), wait).await;
 }
 
 /// Decides when this entry process writes a snapshot to the log.
--- a/cowsliproad-entry/src/vms.rs
+++ b/cowsliproad-entry/src/vms.rs
@@ -6,10 +6,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use cowsliproad_net::timer::sleep;
 use http::Request;
 use http_body_util::Full;
 use serde::Deserialize;
-use tokio::time::sleep;
 
 use crate::{EntryState, control::ControlEvent};
 
--- a/cowsliproad-kernel/src/clock.rs
+++ b/cowsliproad-kernel/src/clock.rs
@@ -5,13 +5,17 @@
 //! the [`Millis`] type. As a point in time, a [`Millis`] counts from about
 //! the start of the process that read the clock. Processes therefore never
 //! exchange points in time for comparison, only time spans.
+//!
+//! The clock counts the time for which the VM was suspended. On the monotonic
+//! clock, which doesn't, a process that wakes would take old facts for new.
 
 use std::{
     ops::{Add, Sub},
     sync::OnceLock,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use rustix::time::{ClockId, Timespec, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a time span, in milliseconds.
@@ -32,9 +36,10 @@
 pub struct Millis(pub u64);
 
 impl Millis {
-    /// Reads the monotonic clock of this process.
+    /// Reads the clock of this process. It never goes back, and counts the
+    /// time for which the VM was suspended.
     pub fn now() -> Millis {
-        Millis(process_start().elapsed().as_millis() as u64)
+        since_boot() - process_start().since_boot
     }
 
     /// Returns the time span from `earlier` to `self`, or zero if `earlier`
@@ -44,8 +49,14 @@
     }
 
     /// Converts a time span to the standard library's type.
-    pub fn duration(self) -> std::time::Duration {
-        std::time::Duration::from_millis(self.0)
+    pub fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl From<Duration> for Millis {
+    fn from(time: Duration) -> Millis {
+        Millis(time.as_millis() as u64)
     }
 }
 
@@ -79,9 +90,34 @@
     since_epoch.map_or(0, |it| it.as_millis() as u64)
 }
 
-/// The first time that this process read the clock, from which [`Millis::now`]
-/// counts.
-fn process_start() -> Instant {
-    static START: OnceLock<Instant> = OnceLock::new();
-    *START.get_or_init(Instant::now)
+/// Returns for how long the VM has been suspended since this process started.
+///
+/// The monotonic clock is read last, so a thread that is interrupted between
+/// the two reads returns too little rather than too much.
+pub fn suspended_time() -> Millis {
+    let start = process_start();
+    let elapsed = since_boot() - start.since_boot;
+    let running = start.monotonic.elapsed().as_millis() as u64;
+    elapsed - Millis(running)
+}
+
+/// The time since the VM booted, including the time for which the VM was
+/// suspended.
+fn since_boot() -> Millis {
+    let Timespec { tv_sec, tv_nsec } = clock_gettime(ClockId::Boottime);
+    Millis(tv_sec as u64 * 1_000 + tv_nsec as u64 / 1_000_000)
+}
+
+/// The first time that this process read its clocks.
+struct ProcessStart {
+    since_boot: Millis,
+    monotonic: Instant,
+}
+
+fn process_start() -> &'static ProcessStart {
+    static START: OnceLock<ProcessStart> = OnceLock::new();
+    START.get_or_init(|| ProcessStart {
+        since_boot: since_boot(),
+        monotonic: Instant::now(),
+    })
 }
--- a/cowsliproad-net/src/client.rs
+++ b/cowsliproad-net/src/client.rs
@@ -12,6 +12,8 @@
     rt::TokioExecutor,
 };
 
+use crate::timer;
+
 /// Why an HTTP request failed.
 #[derive(Debug)]
 pub enum Error {
@@ -96,9 +98,7 @@
             })?;
             Ok(Response::from_parts(head, body.to_bytes()))
         };
-        tokio::time::timeout(time_limit, whole)
-            .await
-            .unwrap_or(Err(Error::Timeout))
+        timer::timeout(time_limit, whole).await.unwrap_or(Err(Error::Timeout))
     }
 }
 
--- a/cowsliproad-net/src/lib.rs
+++ b/cowsliproad-net/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod single;
 pub mod tcp;
 pub mod threads;
+pub mod timer;
--- a/cowsliproad-net/src/link.rs
+++ b/cowsliproad-net/src/link.rs
@@ -18,7 +18,9 @@
 };
 
 use cowsliproad_kernel::{
-    Name, secret,
+    Name,
+    clock::Millis,
+    secret,
     wire::{self, Challenge, Frame, Heartbeat, Hello, ProcessRole},
 };
 use futures_util::{
@@ -28,13 +30,14 @@
 use tokio::{
     net::{TcpSocket, TcpStream},
     sync::mpsc,
-    time::{timeout, timeout_at},
 };
 use tokio_tungstenite::{
     MaybeTlsStream, WebSocketStream,
     tungstenite::{Message, protocol::WebSocketConfig},
 };
 
+use crate::timer::{timeout, timeout_at};
+
 /// The length of the shared key.
 pub const KEY_BYTES: usize = 32;
 
@@ -315,7 +318,7 @@
     S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin,
 {
     while let Some(frame) = frames.recv().await {
-        let deadline = tokio::time::Instant::now() + SILENCE_TIMEOUT;
+        let deadline = Millis::now() + SILENCE_TIMEOUT.into();
         let batch = async {
             let mut next = Some(frame);
             for _ in 0..MAX_BATCH_FRAMES {
--- a/cowsliproad-net/src/program.rs
+++ b/cowsliproad-net/src/program.rs
@@ -16,7 +16,10 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::threads::{self, Runtimes};
+use crate::{
+    threads::{self, Runtimes},
+    timer,
+};
 
 /// The exit status for invalid settings.
 const EXIT_BAD_SETTINGS: i32 = 2;
@@ -88,7 +91,11 @@
     traffic_threads: usize,
     main: impl AsyncFnOnce(Runtimes) -> io::Result<()>,
 ) {
-    let outcome = threads::run_on_runtimes(traffic_threads, main);
+    let outcome =
+        threads::run_on_runtimes(traffic_threads, async |runtimes| {
+            tokio::spawn(timer::watch_suspensions());
+            main(runtimes).await
+        });
     if let Err(error) = outcome.and_then(|outcome| outcome) {
         eprintln!("program failed: {error}");
         process::exit(1);
@@ -102,7 +109,9 @@
 ) -> io::Result<()> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, main)
+    let tasks = tokio::task::LocalSet::new();
+    tasks.spawn_local(timer::watch_suspensions());
+    tasks.block_on(&runtime, main)
 }
 
 /// How often a settings file is checked for changes without a SIGHUP.
@@ -121,7 +130,7 @@
     loop {
         let signalled = tokio::select! {
             signalled = hangup.recv() => signalled.is_some(),
-            () = tokio::time::sleep(CHANGE_CHECK_INTERVAL.duration()) => false,
+            () = timer::sleep(CHANGE_CHECK_INTERVAL.duration()) => false,
         };
         let modified = file_modified_at(&path);
         if signalled || modified != last_modified {
--- a/cowsliproad-net/src/server.rs
+++ b/cowsliproad-net/src/server.rs
@@ -18,12 +18,12 @@
 };
 
 use bytes::Bytes;
+use cowsliproad_kernel::clock::Millis;
 use futures_util::Stream;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, watch},
-    time::{Instant, sleep, timeout, timeout_at},
 };
 use volo::{
     Service,
@@ -37,6 +37,8 @@
     server::Server,
 };
 
+use crate::timer::{sleep, timeout, timeout_at};
+
 /// The time limit for a connection to send its first request head.
 pub const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -171,7 +173,7 @@
     stream: TcpStream,
     sender: mpsc::Sender<TcpStream>,
 ) {
-    let deadline = Instant::now() + REQUEST_HEAD_TIMEOUT;
+    let deadline = Millis::now() + REQUEST_HEAD_TIMEOUT.into();
     let mut head = vec![0; MAX_REQUEST_HEAD_BYTES];
     loop {
         let peeked = timeout_at(deadline, stream.peek(&mut head)).await;
@@ -183,7 +185,7 @@
             break;
         }
         sleep(REQUEST_HEAD_POLL_INTERVAL).await;
-        if Instant::now() >= deadline {
+        if Millis::now() >= deadline {
             return;
         }
     }
--- a/cowsliproad-net/src/single.rs
+++ b/cowsliproad-net/src/single.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::{client::Error, tcp};
+use crate::{client::Error, tcp, timer};
 
 /// The timeout of a connect. Later retransmissions of a lost SYN are seconds
 /// apart.
@@ -49,7 +49,7 @@
     /// Opens a connection within `time_limit` without sending a request.
     pub async fn open(&mut self, time_limit: Duration) -> Result<(), Error> {
         let opening = connect(self.address);
-        match tokio::time::timeout(time_limit, opening).await {
+        match timer::timeout(time_limit, opening).await {
             Ok(opened) => self.connection = Some(opened?),
             Err(_) => return Err(Error::Timeout),
         }
@@ -65,7 +65,7 @@
         time_limit: Duration,
     ) -> Result<Response<Bytes>, Error> {
         let exchange = self.send_and_read_response(request, max_body_bytes);
-        match tokio::time::timeout(time_limit, exchange).await {
+        match timer::timeout(time_limit, exchange).await {
             Ok(outcome) => outcome,
             Err(_) => {
                 self.connection = None;
@@ -110,7 +110,7 @@
         _ => Error::Connect(error.to_string()),
     };
     let connecting = TcpStream::connect(address);
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+    let stream = timer::timeout(CONNECT_TIMEOUT, connecting)
         .await
         .map_err(|_| Error::Timeout)?
         .map_err(failed)?;
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -21,14 +21,11 @@
 use cowsliproad_mapswitch::order::{
     self, DesiredState, Directive, Epoch, GroupState, RankReport,
 };
+use cowsliproad_net::timer::sleep_until;
 use cowsliproad_platform::engine::EngineState;
 use cowsliproad_routing::cooldown::Cooldown;
 use slog::{Logger, info, warn};
-use tokio::{
-    net::UdpSocket,
-    task::JoinHandle,
-    time::{Instant, sleep_until},
-};
+use tokio::{net::UdpSocket, task::JoinHandle};
 
 use self::chair::wait_for_fencing_number_record;
 use crate::{
@@ -241,7 +238,7 @@
         let mut stop = std::pin::pin!(stop);
         let mut from_entries = vec![0; gossip::MAX_DATAGRAM_BYTES];
         let mut from_agents = vec![0; gossip::MAX_DATAGRAM_BYTES];
-        let mut next_poll = Instant::now();
+        let mut next_poll = Millis::now();
         loop {
             // Messages of other agents come first: an agent that was frozen
             // has to learn that it was replaced as coordinator before it acts.
@@ -275,8 +272,7 @@
                 () = sleep_until(next_poll) => {
                     self.poll_engine().await;
                     next_poll =
-                        Instant::now()
-                            + self.engine_poll_interval().duration();
+                        Millis::now() + self.engine_poll_interval();
                 }
             }
             if self.can_agent_stop() {
@@ -285,7 +281,7 @@
             }
             // The next report shows the effect of an order or directive.
             if std::mem::take(&mut self.poll_engine_again_at_once) {
-                next_poll = Instant::now();
+                next_poll = Millis::now();
             }
         }
     }
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -31,8 +31,12 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::{net::UdpSocket, time::sleep};
 
+#[path = "../../../cowsliproad-direct/tests/entry/held_clock.rs"]
+mod held_clock;
 mod siege;
 
+use crate::held_clock::HeldClock;
+
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
 const ENGINE_PORT: u16 = 19_080;
 const ENTRY_DATAGRAM_PORT: u16 = 19_081;
@@ -54,6 +58,8 @@
 struct AgentProcess {
     child: Child,
     settings_file: PathBuf,
+    /// The clock of an agent that can be suspended.
+    clock: Option<HeldClock>,
 }
 
 impl TestGroup {
@@ -124,8 +130,9 @@
         let text = cowsliproad_kernel::settings::to_json(&settings);
         fs::write(&settings_file, text).expect("a settings file");
         AgentProcess {
-            child: spawn_agent_process(&settings_file),
+            child: spawn_agent_process(&settings_file, None),
             settings_file,
+            clock: None,
         }
     }
 
@@ -220,7 +227,15 @@
     /// starts the agent again.
     fn restart_agent_after_exit(&mut self) {
         self.child.wait().expect("the process ends");
-        self.child = spawn_agent_process(&self.settings_file);
+        self.child = spawn_agent_process(&self.settings_file, None);
+    }
+
+    /// The same, so that the agent can be suspended from now on.
+    fn restart_suspendable_after_exit(&mut self) {
+        self.child.wait().expect("the process ends");
+        let clock = HeldClock::new();
+        self.child = spawn_agent_process(&self.settings_file, Some(&clock));
+        self.clock = Some(clock);
     }
 }
 
@@ -229,17 +244,21 @@
     settings_file.with_extension("log")
 }
 
-fn spawn_agent_process(settings_file: &Path) -> Child {
+fn spawn_agent_process(
+    settings_file: &Path,
+    clock: Option<&HeldClock>,
+) -> Child {
     let output = fs::File::options()
         .create(true)
         .append(true)
         .open(agent_log_path(settings_file))
         .expect("a file");
-    Command::new(env!("CARGO_BIN_EXE_cowsliproad-rank"))
-        .env(SETTINGS_VARIABLE, settings_file)
-        .stdout(output)
-        .spawn()
-        .expect("the program starts")
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cowsliproad-rank"));
+    command.env(SETTINGS_VARIABLE, settings_file).stdout(output);
+    if let Some(clock) = clock {
+        clock.apply_to(&mut command);
+    }
+    command.spawn().expect("the program starts")
 }
 
 impl Drop for AgentProcess {
@@ -347,6 +366,34 @@
     );
 }
 
+/// Guards against a coordinator that takes its own last directives for recent
+/// when it wakes from a suspension, and against agents whose monotonic clock
+/// stood still.
+#[tokio::test(flavor = "multi_thread")]
+async fn suspended_coordinator_is_replaced_and_steps_down() {
+    let mut test_group = TestGroup::start_with_balanced_load().await;
+    for round in 0..3 {
+        test_group.send_signal_to_agent(0, Signal::KILL);
+        test_group.agents[0].restart_suspendable_after_exit();
+        test_group.group.concentrate_demand(5 + 3 * round);
+        test_group.wait_until_load_is_balanced().await;
+        let begun = Instant::now();
+        test_group.send_signal_to_agent(0, Signal::STOP);
+        test_group.group.set_vm_state(0, VmState::Frozen);
+        test_group.group.concentrate_demand(6 + 3 * round);
+        let steps = test_group.group.pass_counts().begun_passes;
+        wait_until("the group runs more passes", || {
+            test_group.group.pass_counts().begun_passes > steps + 100
+        })
+        .await;
+        let clock = test_group.agents[0].clock.as_ref();
+        clock.expect("a clock").hold_back(begun.elapsed());
+        test_group.group.set_vm_state(0, VmState::Responsive);
+        test_group.send_signal_to_agent(0, Signal::CONT);
+        test_group.wait_until_load_is_balanced().await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn load_is_balanced_again_after_a_new_group_epoch() {
     let test_group = TestGroup::start_with_balanced_load().await;
