direct: date digests by their senders' clocks

A digest that waited in a socket, as after a freeze, or in the network counted as sent when it was received. Its ages were too low then: a check of the configuration seconds ago spared the next one, an old limit replaced a newer one, and a peer that had fallen silent seemed to be alive.

Digests state their sender's clock and process. The receiver compares the difference to its own clock with the least that it has seen, and dates all ages in the digest by that. The first digest of a process counts as not delayed; the old digests of entries that don't say count as before. Counter: late_digests.

Evidence: a test that sends an entry digests of 5 s ago, each with a check just made.

--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -32,6 +32,7 @@
     log_answer_age: Gauge<u64>,
     config_confirmed_age: Gauge<u64>,
     silent_polls: Counter<u64>,
+    late_digests: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -65,6 +66,7 @@
                 .u64_gauge("config_confirmed_age_ms")
                 .build(),
             silent_polls: meter.u64_counter("silent_polls").build(),
+            late_digests: meter.u64_counter("late_digests").build(),
             log_answer_age: meter.u64_gauge("log_answer_age_ms").build(),
             metrics,
         }
@@ -178,6 +180,11 @@
         self.silent_polls.add(1, &[]);
     }
 
+    /// Records a digest that was received long after it was sent.
+    pub fn record_late_digest(&self) {
+        self.late_digests.add(1, &[]);
+    }
+
     /// Renders all metrics as text.
     pub fn render_text(&self) -> String {
         self.metrics.text()
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -13,11 +13,12 @@
 use cowsliproad_kernel::{
     Name,
     clock::{self, Millis},
-    gossip::{self, Datagram, GossipDigest},
+    gossip::{self, Datagram, GossipDigest, SenderTime},
     position::LogPosition,
 };
 use cowsliproad_net::timer::{sleep, timeout};
 use cowsliproad_routing::{
+    delay::DelayEstimator,
     fleet::{GossipedDeparture, ProcessStartUnixMs, Target},
     owner::{
         self, EntryProcessLiveness, RateLimiterOwner,
@@ -90,6 +91,8 @@
     /// The newest configuration version in any digest.
     newest_config_version: u64,
     fetching_state: bool,
+    /// Identifies this process in its digests.
+    own_incarnation: u64,
     /// When the last round of digests began. A process that runs begins one at
     /// least every [`DIGEST_INTERVAL`].
     last_round_at: Millis,
@@ -100,7 +103,10 @@
     vm: Name,
     zone: Name,
     config_version: u64,
+    /// When the latest digest was sent, by the clock of this process.
     last_digest_at: Millis,
+    /// `None` if the entry process doesn't say when it sends its digests.
+    delay_estimator: Option<DelayEstimator>,
     /// Until when the entry process counts as unresponsive to permit requests.
     unresponsive_until: Millis,
 }
@@ -114,6 +120,7 @@
             known_peers: BTreeMap::new(),
             newest_config_version: 0,
             fetching_state: false,
+            own_incarnation: rand::random(),
             last_round_at: Millis::now(),
         };
         peers.replace_seeds(settings);
@@ -141,6 +148,21 @@
         found.into_iter().map(|it| it.1).collect()
     }
 
+    /// Returns when a digest was sent, by the clock of this process. A digest
+    /// may have waited in the socket while this process stood still.
+    fn digest_sent_at(
+        &mut self,
+        digest: &GossipDigest,
+        now: Millis,
+    ) -> Millis {
+        let peer = self.known_peers.get_mut(&digest.sender_address);
+        let estimator = peer.and_then(|it| it.delay_estimator.as_mut());
+        let (Some(estimator), Some(sent)) = (estimator, digest.sent_at) else {
+            return now;
+        };
+        now - estimator.observe(sent.incarnation, sent.clock, now)
+    }
+
     /// Whether no other entry process is known.
     pub fn is_empty(&self) -> bool {
         self.known_peers.is_empty()
@@ -155,16 +177,23 @@
     fn merge_peer_digest(
         &mut self,
         digest: &GossipDigest,
-        now: Millis,
+        sent_at: Millis,
     ) -> bool {
         self.newest_config_version =
             self.newest_config_version.max(digest.config_version);
         let known = self.known_peers.get(&digest.sender_address);
+        let new_estimator = || {
+            let sent = digest.sent_at?;
+            Some(DelayEstimator::new(sent.incarnation, sent.clock, sent_at))
+        };
         let peer = Peer {
             vm: digest.sender_vm.clone(),
             zone: digest.sender_zone.clone(),
             config_version: digest.config_version,
-            last_digest_at: now,
+            last_digest_at: sent_at,
+            delay_estimator: known
+                .and_then(|it| it.delay_estimator)
+                .or_else(new_estimator),
             unresponsive_until: known
                 .map_or(Millis(0), |it| it.unresponsive_until),
         };
@@ -384,6 +413,10 @@
     GossipDigest {
         sender_vm: entry.settings().vm.clone(),
         sender_address: entry.settings().own_peer_address(),
+        sent_at: Some(SenderTime {
+            incarnation: entry.peers.borrow().own_incarnation,
+            clock: now,
+        }),
         config_version: entry.catalog_version(),
         config_confirmed_age_ms: entry
             .config_confirmation
@@ -466,6 +499,11 @@
 ) {
     let now = Millis::now();
     detect_stall(entry, now);
+    let sent_at =
+        entry.peers.borrow_mut().digest_sent_at(&received_digest, now);
+    if now.since(sent_at) > MAX_ROUND_DELAY {
+        entry.metrics.record_late_digest();
+    }
     entry.observe_log_era(received_digest.log_era, StateChangeSource::Peer);
     let left = received_digest.departed_targets_with_start_unix_ms.iter();
     let left = left.map(|it| {
@@ -483,24 +521,24 @@
             .merge_gossiped_departure(id, departure, now);
         entry.apply_target_change(id, change, StateChangeSource::Peer);
     }
-    entry.record_zone_contact(&received_digest.sender_zone, now);
+    entry.record_zone_contact(&received_digest.sender_zone, sent_at);
     entry.merge_peer_suspects(
         &received_digest.suspected_requests,
         &received_digest.retracted_crash_ids,
-        now,
+        sent_at,
     );
-    entry.merge_peer_limits(&received_digest.rate_limits, now);
-    let at = now - Millis(received_digest.targets_read_age_ms);
+    entry.merge_peer_limits(&received_digest.rate_limits, sent_at);
+    let at = sent_at - Millis(received_digest.targets_read_age_ms);
     let changed = LogPosition::new(
         received_digest.log_era,
         received_digest.last_target_change_offset,
     );
     entry.merge_peer_targets_read(at, changed, now);
-    merge_config_confirmation(entry, &received_digest, now);
+    merge_config_confirmation(entry, &received_digest, sent_at);
     let (is_new, others) = {
         let mut peers = entry.peers.borrow_mut();
         (
-            peers.merge_peer_digest(&received_digest, now),
+            peers.merge_peer_digest(&received_digest, sent_at),
             peers.unknown_peer_addresses(&received_digest.peers),
         )
     };
@@ -541,14 +579,14 @@
 fn merge_config_confirmation(
     entry: &Entry,
     digest: &GossipDigest,
-    now: Millis,
+    sent_at: Millis,
 ) {
     let Some(age) = digest.config_confirmed_age_ms else { return };
     if digest.config_version <= entry.catalog_version() {
         entry
             .config_confirmation
             .borrow_mut()
-            .merge_peer_read(now - Millis(age), digest.log_era);
+            .merge_peer_read(sent_at - Millis(age), digest.log_era);
     }
 }
 
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -403,10 +403,23 @@
     config_version: u64,
     entry: SocketAddr,
 ) {
+    tell(digest(sender, config_version), entry).await;
+}
+
+/// Sends an entry a digest.
+pub async fn tell(digest: GossipDigest, entry: SocketAddr) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
-    let digest = Datagram::Digest(GossipDigest {
-        sender_vm: "teller".into(),
+    let digest = gossip::encode(&Datagram::Digest(digest));
+    let sent = socket.send_to(&digest, entry).await;
+    sent.expect("it is sent");
+}
+
+/// The digest of an entry at `sender` whose configuration is of a version.
+pub fn digest(sender: SocketAddr, config_version: u64) -> GossipDigest {
+    GossipDigest {
+        sender_vm: format!("teller-{}", sender.ip()).into(),
         sender_address: sender,
+        sent_at: None,
         config_version,
         log_era: LogEra::default(),
         targets_read_age_ms: 0,
@@ -419,9 +432,7 @@
         suspected_requests: CrashSuspectRequests::default(),
         retracted_crash_ids: Vec::new(),
         rate_limits: Vec::new(),
-    });
-    let sent = socket.send_to(&gossip::encode(&digest), entry).await;
-    sent.expect("it is sent");
+    }
 }
 
 /// What an idle engine's agent reports.
--- a/cowsliproad-direct/tests/entry/silent_log.rs
+++ b/cowsliproad-direct/tests/entry/silent_log.rs
@@ -8,6 +8,10 @@
     time::{Duration, Instant},
 };
 
+use cowsliproad_kernel::{
+    clock::Millis,
+    gossip::{GossipDigest, SenderTime},
+};
 use cowsliproad_platform_standin::{
     catalog::RouteKind,
     log::Fault,
@@ -17,7 +21,7 @@
 use tokio::{net::TcpListener, time::sleep};
 
 use crate::{
-    harness::{Entry, KEY, Plant, tell_version, until},
+    harness::{Entry, KEY, Plant, digest, tell, tell_version, until},
     processes::LOG_PORT,
 };
 
@@ -234,6 +238,30 @@
     assert!(took < BOUND, "{took:?}");
 }
 
+/// Guards against digests that were received late and count as new, so that
+/// nobody checks a silent poll.
+#[tokio::test(flavor = "multi_thread")]
+async fn digests_that_come_late_confirm_no_configuration() {
+    let mut fleet = Fleet::start(1).await;
+    sleep(POLL_SENT).await;
+    let sender = SocketAddr::from((fleet.plant.vm(), LOG_PORT));
+    let told = fleet.entries[0].settings.own_peer_address();
+    let late = Duration::from_secs(5);
+    let begun = Instant::now();
+    tell(confirming_digest(sender, begun.elapsed()), told).await;
+    let telling = tokio::spawn(async move {
+        loop {
+            let sent = begun.elapsed().saturating_sub(late);
+            tell(confirming_digest(sender, sent), told).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+    sleep(late).await;
+    fleet.silence(LinkState::Cut);
+    fleet.check_new_route("/new/").await;
+    telling.abort();
+}
+
 /// Guards against long polls of any topic that wait for a VM which no longer
 /// responds.
 #[tokio::test(flavor = "multi_thread")]
@@ -253,6 +281,17 @@
     .await;
 }
 
+/// A digest that was sent at a time of its sender's clock, and whose sender had
+/// just read the configuration then.
+fn confirming_digest(sender: SocketAddr, sent: Duration) -> GossipDigest {
+    let clock = Millis(sent.as_millis() as u64);
+    GossipDigest {
+        sent_at: Some(SenderTime { incarnation: 1, clock }),
+        config_confirmed_age_ms: Some(0),
+        ..digest(sender, 1)
+    }
+}
+
 /// The number of established connections to an address of this network that
 /// have a timer for keepalive probes, and of all of them.
 fn probed_and_all_connections_to(server: SocketAddr) -> (usize, usize) {
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -76,6 +76,10 @@
     /// from other entry processes.
     #[serde(rename = "a")]
     pub sender_address: SocketAddr,
+    /// When the sender sent the message, by its own clock; `None` from senders
+    /// that don't say.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub sent_at: Option<SenderTime>,
     /// The version of the configuration that the sender uses; 0 for none.
     #[serde(rename = "c")]
     pub config_version: u64,
@@ -129,6 +133,17 @@
     pub rate_limits: Vec<RateLimit>,
 }
 
+/// A time by the clock of a message's sender.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SenderTime {
+    /// Identifies the sender's process. The clock starts with the process.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// The reading of the clock, in milliseconds.
+    #[serde(rename = "c")]
+    pub clock: Millis,
+}
+
 /// The most recent rate limit that a target reported.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RateLimit {
--- a/cowsliproad-routing/src/lib.rs
+++ b/cowsliproad-routing/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`catalog`]: routes, services and organisations in force;
 //! * [`confirmation`]: when the log last confirmed the configuration;
+//! * [`delay`]: how long ago a received message was sent;
 //! * [`fleet`]: which targets exist and take new requests;
 //! * [`formation`]: whether a lock-step group takes requests;
 //! * [`readings`]: when an entry process reads the targets in the platform's
@@ -23,6 +24,7 @@
 pub mod choice;
 pub mod confirmation;
 pub mod cooldown;
+pub mod delay;
 pub mod fleet;
 pub mod formation;
 pub mod health;
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -3,6 +3,7 @@
 mod confirmation;
 mod cooldown;
 mod decoders;
+mod delay;
 mod direct;
 mod fleet;
 mod fold;
