direct: ask peers that don't answer after all others

An entry that the log turns away asked three peers for a newer configuration, those first that had announced the newest version. Three of them that froze or were cut off then held it up until they were forgotten, 12 s, though another peer had a newer configuration, too.

A peer that left such a request unanswered comes last for 2 s, and until it sends another digest; digests may still arrive if only one direction is cut. Up to six peers are asked, 0.25 s apart as before, so three that don't answer leave time for others within the first round. An entry that starts waits longer for each, and asks three as before.

--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -69,6 +69,10 @@
 /// An entry process that has sent no digest for this time is forgotten.
 const PEER_TTL: Millis = Millis(12_000);
 
+/// How long an entry process that left a request for its state unanswered is
+/// asked after all others.
+const MUTE_PEER_TIME: Millis = Millis(2_000);
+
 /// How long the departure of a target is included in each digest.
 const DEPARTURE_BROADCAST_TTL: Millis = Millis(8_000);
 
@@ -107,6 +111,8 @@
     last_digest_at: Millis,
     /// `None` if the entry process doesn't say when it sends its digests.
     delay_estimator: Option<DelayEstimator>,
+    /// When the entry process last left a request for its state unanswered.
+    state_refused_at: Option<Millis>,
     /// Until when the entry process counts as unresponsive to permit requests.
     unresponsive_until: Millis,
 }
@@ -135,17 +141,25 @@
         self.seeds = seeds.filter(|it| *it != own).collect();
     }
 
-    /// Other entry processes with a newer configuration than `version`, those
-    /// with the newest first, otherwise in random order.
-    fn with_newer_config(&self, version: u64) -> Vec<SocketAddr> {
+    /// Other entry processes with a newer configuration than `version`: first
+    /// those that answer, of them those with the newest, otherwise in random
+    /// order.
+    fn with_newer_config(&self, version: u64, now: Millis) -> Vec<SocketAddr> {
         let known = self.known_peers.iter();
-        let mut found: Vec<(u64, SocketAddr)> = known
-            .map(|(address, peer)| (peer.config_version, *address))
-            .filter(|it| it.0 > version)
-            .collect();
+        let mut found: Vec<_> =
+            known.filter(|it| it.1.config_version > version).collect();
         found.shuffle(&mut rand::rng());
-        found.sort_by_key(|it| Reverse(it.0));
-        found.into_iter().map(|it| it.1).collect()
+        found.sort_by_key(|(_, peer)| {
+            (peer.is_mute(now), Reverse(peer.config_version))
+        });
+        found.into_iter().map(|it| *it.0).collect()
+    }
+
+    /// Records that an entry process left a request for its state unanswered.
+    fn record_refused_state(&mut self, address: SocketAddr, now: Millis) {
+        if let Some(peer) = self.known_peers.get_mut(&address) {
+            peer.state_refused_at = Some(now);
+        }
     }
 
     /// Returns when a digest was sent, by the clock of this process. A digest
@@ -194,6 +208,7 @@
             delay_estimator: known
                 .and_then(|it| it.delay_estimator)
                 .or_else(new_estimator),
+            state_refused_at: known.and_then(|it| it.state_refused_at),
             unresponsive_until: known
                 .map_or(Millis(0), |it| it.unresponsive_until),
         };
@@ -299,6 +314,17 @@
     }
 }
 
+impl Peer {
+    /// Whether the entry process left a request for its state unanswered, and
+    /// has sent no digest since or did so lately. It may be frozen or cut off,
+    /// perhaps in one direction.
+    fn is_mute(&self, now: Millis) -> bool {
+        self.state_refused_at.is_some_and(|it| {
+            it >= self.last_digest_at || now.since(it) < MUTE_PEER_TIME
+        })
+    }
+}
+
 /// Broadcasts digests to other entry processes and asks agents to report;
 /// never returns.
 pub async fn broadcast_digests(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -38,7 +38,11 @@
 const STATE_FETCH_HEDGE_DELAY: Millis = Millis(250);
 
 /// The most peers that are asked for their state at once.
-const MAX_ASKED_PEERS: usize = 3;
+const MAX_ASKED_PEERS: usize = 6;
+
+/// The same for an entry process that starts, which waits for the answer of
+/// each for the whole timeout.
+const MAX_PEERS_ASKED_AT_START: usize = 3;
 
 /// The timeout for fetching a peer's state.
 const STATE_FETCH_TIMEOUT: Millis = Millis(1_000);
@@ -100,7 +104,8 @@
     let peers = match lacks_only_targets {
         true => vec![received_digest.sender_address],
         false => {
-            entry.peers.borrow().with_newer_config(entry.catalog_version())
+            let own = entry.catalog_version();
+            entry.peers.borrow().with_newer_config(own, Millis::now())
         }
     };
     if let Some(state) = fetch_state_from_any(entry, &peers).await {
@@ -134,12 +139,12 @@
 ) -> Option<EntryState> {
     // An entry process that starts takes an older configuration only if the
     // newest is not to be had.
-    let delay = match entry.catalog().is_none() {
-        true => STATE_FETCH_TIMEOUT,
-        false => STATE_FETCH_HEDGE_DELAY,
+    let (delay, max_asked) = match entry.catalog().is_none() {
+        true => (STATE_FETCH_TIMEOUT, MAX_PEERS_ASKED_AT_START),
+        false => (STATE_FETCH_HEDGE_DELAY, MAX_ASKED_PEERS),
     };
     let mut fetches = JoinSet::new();
-    for peer in peers.iter().copied().take(MAX_ASKED_PEERS) {
+    for peer in peers.iter().copied().take(max_asked) {
         let fetching_entry = entry.clone();
         fetches.spawn_local(async move {
             fetch_peer_state(&fetching_entry, peer).await
@@ -174,6 +179,7 @@
         Err(error) => {
             warn!(entry.log, "peer_gave_no_state"; "peer" => %peer,
                 "error" => %error);
+            entry.peers.borrow_mut().record_refused_state(peer, Millis::now());
             return None;
         }
     };
--- a/cowsliproad-direct/tests/entry/silent_log.rs
+++ b/cowsliproad-direct/tests/entry/silent_log.rs
@@ -238,6 +238,37 @@
     assert!(took < BOUND, "{took:?}");
 }
 
+/// Guards against several frozen entries that announced the newest version and
+/// hold one up that is cut off from the log, while another one has it too.
+#[tokio::test(flavor = "multi_thread")]
+async fn three_frozen_entries_delay_no_configuration_for_one_cut_off() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let first = plant.entry().await;
+    let mut settings = plant.settings(&[&first]);
+    // Nobody listens there.
+    settings.log_address.set_port(1);
+    let second = Entry::start(settings);
+    second.until_ready().await;
+    // They accept connections and send nothing, and no more digests.
+    for _ in 0..3 {
+        let frozen = SocketAddr::from((plant.vm(), LOG_PORT));
+        let listener = TcpListener::bind(frozen).await.expect("a listener");
+        std::mem::forget(listener);
+        tell_version(frozen, 1_000, second.settings.own_peer_address()).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    plant.catalog = plant.catalog.clone().with_organisation("harju", &["k"]);
+    plant.catalog.publish(&plant.log);
+    let published = Instant::now();
+    until("the key is good", async || {
+        second.status("/many/a", "k").await == Some(StatusCode::OK)
+    })
+    .await;
+    let took = published.elapsed();
+    assert!(took < BOUND, "{took:?}");
+}
+
 /// Guards against digests that were received late and count as new, so that
 /// nobody checks a silent poll.
 #[tokio::test(flavor = "multi_thread")]
