direct: take no unconfirmed configuration at the start

An entry that started while the log did not answer it took the configuration of whichever peer answered first. If that peer was cut off from the log itself, the new entry served by a configuration that others had replaced, and let in keys that had been withdrawn.

A state says how long ago the log confirmed its configuration. In the first 2 s an entry that has none takes only one confirmed within config_apply_ms, and logs state_unconfirmed otherwise. After that an older one is better than none.

Evidence: a test with one peer cut off from the log and one frozen for the first 0.9 s. Before, the new entry served a withdrawn key with 200; now the first answer that isn't "not run" is 401.

--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -47,6 +47,11 @@
 /// The timeout for fetching a peer's state.
 const STATE_FETCH_TIMEOUT: Millis = Millis(1_000);
 
+/// How long after its start an entry process uses no configuration of a peer
+/// that the log hasn't confirmed lately. Longer than that, serving by an older
+/// configuration is better than not serving.
+const UNCONFIRMED_STATE_DELAY: Millis = Millis(2_000);
+
 /// The largest encoded state that is accepted from a peer.
 const MAX_PEER_STATE_BYTES: usize = 16 << 20;
 
@@ -60,6 +65,10 @@
     #[serde(with = "serde_bytes")]
     catalog: Vec<u8>,
     targets: Vec<TargetAnnouncement>,
+    /// The time since the log last confirmed that nothing newer than `catalog`
+    /// was written, in milliseconds; `None` if that is unknown.
+    #[serde(default)]
+    config_confirmed_age_ms: Option<u64>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -150,18 +159,39 @@
             fetch_peer_state(&fetching_entry, peer).await
         });
         let first = timeout(delay.duration(), fetches.join_next()).await;
-        if let Ok(Some(Ok(Some(state)))) = first {
+        if let Ok(Some(Ok(Some(state)))) = first
+            && may_use_state(entry, &state)
+        {
             return Some(state);
         }
     }
     while let Some(fetched) = fetches.join_next().await {
-        if let Ok(Some(state)) = fetched {
+        if let Ok(Some(state)) = fetched
+            && may_use_state(entry, &state)
+        {
             return Some(state);
         }
     }
     None
 }
 
+/// Whether this entry process may use a peer's state. The configuration of a
+/// peer that the log doesn't answer may be outdated, so an entry process that
+/// starts first waits for its own reads and for other peers.
+fn may_use_state(entry: &Entry, state: &EntryState) -> bool {
+    let bound = entry.settings().config_apply_ms;
+    let is_confirmed =
+        state.config_confirmed_age_ms.is_some_and(|it| it < bound.0);
+    let may_use = is_confirmed
+        || entry.catalog().is_some()
+        || Millis::now() > UNCONFIRMED_STATE_DELAY;
+    if !may_use {
+        info!(entry.log, "state_unconfirmed";
+            "age" => state.config_confirmed_age_ms);
+    }
+    may_use
+}
+
 async fn fetch_peer_state(
     entry: &Entry,
     peer: SocketAddr,
@@ -236,7 +266,12 @@
         id: id.to_string(),
         value: value.to_vec(),
     });
-    let state =
-        EntryState { catalog: raw.to_vec(), targets: targets.collect() };
+    let confirmed_at = entry.config_confirmation.borrow().confirmed_at();
+    let state = EntryState {
+        catalog: raw.to_vec(),
+        targets: targets.collect(),
+        config_confirmed_age_ms: confirmed_at
+            .map(|it| Millis::now().since(it).0),
+    };
     Response::new(Full::new(gossip::encode(&state).into()))
 }
--- a/cowsliproad-direct/tests/entry/silent_log.rs
+++ b/cowsliproad-direct/tests/entry/silent_log.rs
@@ -18,6 +18,7 @@
     proxy::{LinkState, Proxy},
 };
 use http::StatusCode;
+use rustix::process::Signal;
 use tokio::{net::TcpListener, time::sleep};
 
 use crate::{
@@ -269,6 +270,45 @@
     assert!(took < BOUND, "{took:?}");
 }
 
+/// Guards against an entry that starts with the outdated configuration of a
+/// peer that the log doesn't answer, though another one has the newest.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_takes_no_outdated_state_of_a_peer() {
+    let mut plant = Plant::start().await;
+    plant.target("i-1", "plain").await;
+    let newest = plant.entry().await;
+    let mut settings = plant.settings(&[]);
+    let ip = settings.caller_listen_address.ip();
+    let link = Proxy::start((ip, LOG_PORT).into(), plant.log_address);
+    let link = link.await.expect("a proxy");
+    settings.log_address = link.listen_address();
+    let outdated = Entry::start(settings);
+    outdated.until_ready().await;
+    link.set_link_state(LinkState::Closed);
+    plant.catalog = plant.catalog.clone().with_organisation("harju", &["k"]);
+    plant.catalog.publish(&plant.log);
+    until("the key is good", async || {
+        newest.status("/many/a", "k").await == Some(StatusCode::OK)
+    })
+    .await;
+    newest.signal(Signal::STOP);
+    sleep(BOUND).await;
+    let mut settings = plant.settings(&[&outdated, &newest]);
+    // Nobody listens there.
+    settings.log_address.set_port(1);
+    let starting = Entry::start(settings);
+    let waking = async {
+        sleep(Duration::from_millis(900)).await;
+        newest.signal(Signal::CONT);
+    };
+    let serving = until("it knows a configuration", async || {
+        let status = starting.status("/many/a", KEY).await;
+        assert_ne!(status, Some(StatusCode::OK), "the key was withdrawn");
+        status == Some(StatusCode::UNAUTHORIZED)
+    });
+    tokio::join!(waking, serving);
+}
+
 /// Guards against digests that were received late and count as new, so that
 /// nobody checks a silent poll.
 #[tokio::test(flavor = "multi_thread")]
