tests: besiege the configuration with disruptions at once

The sieges played one kind of trouble each, and none suspended a VM or checked that a configuration doesn't go back, that an invalid one is not taken and that added routes are served.

This one draws all that the siege of silent connections draws, and beside it suspensions, roll-outs, entries at new addresses, invalid configurations and new routes, in series that overlap. A configuration may be late at an entry only if its link to the log was disturbed and no other entry ran all the while whose link was not.

--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod cooldown_siege;
 mod cooldowns;
+mod disruption_siege;
 mod group_crashes;
 mod harness;
 mod held_clock;
--- a/cowsliproad-direct/tests/entry/processes.rs
+++ b/cowsliproad-direct/tests/entry/processes.rs
@@ -32,6 +32,13 @@
     until: Instant,
 }
 
+/// A time in which the way of a place to the log was disturbed.
+struct Cut {
+    place: usize,
+    from: Instant,
+    until: Instant,
+}
+
 /// Where an entry that takes the place of another one listens.
 pub enum Address {
     /// Where that one did.
@@ -43,6 +50,8 @@
 /// The life of a process.
 #[derive(Clone)]
 pub struct Life {
+    /// The place that it takes.
+    pub place: usize,
     /// When it was started.
     pub from: Instant,
     /// When it was told to end, if it was.
@@ -58,12 +67,25 @@
     entries: Vec<RefCell<Option<(Process, Entry)>>>,
     lives: RefCell<Vec<Life>>,
     freezes: RefCell<Vec<Freeze>>,
+    /// Processes that stand still now.
+    stopped: RefCell<Vec<Process>>,
+    cuts: RefCell<Vec<Cut>>,
     replaced: Cell<usize>,
+    start_entry: fn(Settings) -> Entry,
 }
 
 impl Processes {
     /// So many that know the first three, and are ready.
     pub async fn start(plant: &mut Plant, count: usize) -> Processes {
+        Processes::start_with(plant, count, siege::start).await
+    }
+
+    /// The same with another way to start an entry.
+    pub async fn start_with(
+        plant: &mut Plant,
+        count: usize,
+        start_entry: fn(Settings) -> Entry,
+    ) -> Processes {
         let mut entries: Vec<Entry> = Vec::new();
         let (mut lives, mut links) = (Vec::new(), Vec::new());
         for number in 0..count {
@@ -75,8 +97,9 @@
             links.push(link.expect("a proxy"));
             settings.log_address = address;
             let seeds = (0..number.min(3)).collect();
-            lives.push(Life { from: Instant::now(), until: None, seeds });
-            entries.push(siege::start(settings));
+            let from = Instant::now();
+            lives.push(Life { place: number, from, until: None, seeds });
+            entries.push(start_entry(settings));
         }
         for entry in &entries {
             entry.until_ready().await;
@@ -87,7 +110,10 @@
             entries: entries.map(|it| RefCell::new(Some(it))).collect(),
             lives: RefCell::new(lives),
             freezes: RefCell::default(),
+            stopped: RefCell::default(),
+            cuts: RefCell::default(),
             replaced: Cell::new(0),
+            start_entry,
         }
     }
 
@@ -108,20 +134,42 @@
 
     /// Has an entry stand still for a time.
     pub async fn freeze(&self, place: usize, time: Duration) {
+        self.stop(place, time, |entry, _| entry.signal(Signal::CONT)).await;
+    }
+
+    /// Suspends the VM of an entry for a time.
+    pub async fn suspend(&self, place: usize, time: Duration) {
+        self.stop(place, time, Entry::resume_after).await;
+    }
+
+    /// Stops an entry for a time, unless it stands still already.
+    async fn stop(
+        &self,
+        place: usize,
+        time: Duration,
+        resume: impl FnOnce(&Entry, Duration),
+    ) {
         let from = Instant::now();
-        let signal = |signal| {
-            self.with(place, |process, entry| {
-                entry.signal(signal);
+        let stopped = self.with(place, |process, entry| {
+            let mut stopped = self.stopped.borrow_mut();
+            let is_running = !stopped.contains(&process);
+            is_running.then(|| {
+                entry.signal(Signal::STOP);
+                stopped.push(process);
                 process
             })
-        };
-        let process = signal(Signal::STOP);
+        });
         sleep(time).await;
-        signal(Signal::CONT);
+        let Some(process) = stopped.flatten() else { return };
+        self.with(place, |current, entry| {
+            if current == process {
+                resume(entry, from.elapsed());
+            }
+        });
+        self.stopped.borrow_mut().retain(|it| *it != process);
         // It takes in what waited for it.
         let until = Instant::now() + ON_ITS_WAY;
-        let freeze = process.map(|process| Freeze { process, from, until });
-        self.freezes.borrow_mut().extend(freeze);
+        self.freezes.borrow_mut().push(Freeze { process, from, until });
     }
 
     /// Changes the way of whichever entry is in a place to the log, for a
@@ -132,9 +180,25 @@
         link: LinkState,
         time: Duration,
     ) {
+        let from = Instant::now();
         self.links[place].set_link_state(link);
         sleep(time).await;
         self.links[place].set_link_state(LinkState::Up);
+        let cut = Cut { place, from, until: Instant::now() };
+        self.cuts.borrow_mut().push(cut);
+    }
+
+    /// Whether the way of a place to the log was disturbed at some time from
+    /// one moment to another.
+    pub fn was_cut(
+        &self,
+        place: usize,
+        from: Instant,
+        until: Instant,
+    ) -> bool {
+        let cuts = self.cuts.borrow();
+        let mut own = cuts.iter().filter(|it| it.place == place);
+        own.any(|it| it.from <= until && from <= it.until)
     }
 
     /// Makes the connections silent that are open on the way of whichever entry
@@ -178,9 +242,9 @@
         let mut lives = self.lives.borrow_mut();
         let process = lives.len();
         let from = Instant::now();
-        lives.push(Life { from, until: None, seeds: known });
+        lives.push(Life { place, from, until: None, seeds: known });
         self.replaced.set(self.replaced.get() + 1);
-        let entry = siege::start(settings);
+        let entry = (self.start_entry)(settings);
         self.entries[place].replace(Some((process, entry)));
     }
 
@@ -189,6 +253,11 @@
         self.lives.borrow()[process].clone()
     }
 
+    /// All processes that there were.
+    pub fn all(&self) -> std::ops::Range<Process> {
+        0..self.lives.borrow().len()
+    }
+
     /// Processes that were replaced.
     pub fn replaced(&self) -> usize {
         self.replaced.get()
--- a/cowsliproad-direct/tests/entry/siege.rs
+++ b/cowsliproad-direct/tests/entry/siege.rs
@@ -13,6 +13,7 @@
 use std::{
     cell::{Cell, RefCell},
     fs::File,
+    process::Stdio,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -313,12 +314,21 @@
 
 /// Starts an entry whose lines go to a file, if they are kept.
 pub fn start(settings: Settings) -> Entry {
-    let Ok(directory) = std::env::var("LOGS") else {
-        return Entry::start(settings);
-    };
+    let output = output(&settings);
+    Entry::start_with(settings, output)
+}
+
+/// The same for an entry that can be suspended.
+pub fn start_suspendable(settings: Settings) -> Entry {
+    let output = output(&settings);
+    Entry::start_suspendable(settings, output)
+}
+
+fn output(settings: &Settings) -> Stdio {
+    let Ok(directory) = std::env::var("LOGS") else { return Stdio::null() };
     let path = format!("{directory}/{}.log", settings.vm);
     let file = File::options().create(true).append(true).open(path);
-    Entry::start_with(settings, file.expect("a log").into())
+    file.expect("a log").into()
 }
 
 fn config(shape: Shape, number: usize, start: usize) -> TargetConfig {
--- a/cowsliproad-direct/tests/entry/silence_siege.rs
+++ b/cowsliproad-direct/tests/entry/silence_siege.rs
@@ -26,6 +26,7 @@
     time::{Duration, Instant},
 };
 
+use cowsliproad_direct::settings::Settings;
 use cowsliproad_net::client::Client;
 use cowsliproad_platform::header;
 use cowsliproad_platform_standin::{
@@ -43,7 +44,7 @@
 };
 
 use crate::{
-    harness::{Plant, metric},
+    harness::{Entry, Plant, metric},
     limits::PATIENCE,
     processes::{Address, ON_ITS_WAY, Process, Processes},
     siege,
@@ -60,10 +61,10 @@
 
 /// In which a configuration is in force and a leaving target gets nothing
 /// more.
-const BOUND: Duration = Duration::from_millis(2_000);
+pub const BOUND: Duration = Duration::from_millis(2_000);
 
 /// In which an entry that starts serves callers.
-const START_TIME: Duration = Duration::from_millis(3_000);
+pub const START_TIME: Duration = Duration::from_millis(3_000);
 
 /// How often targets renew their records, and how long one that leaves serves
 /// on.
@@ -79,12 +80,12 @@
 const MANY_ROUTES: usize = 800;
 
 /// The key that never changes.
-const LASTING_KEY: &str = "key-lasting";
+pub const LASTING_KEY: &str = "key-lasting";
 
 /// What happens beside silent connections, cut links and entries that stand
 /// still.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Shape {
+pub enum Shape {
     /// Nothing else.
     WellLog,
     /// The log as a whole is not well at times, and entries start again.
@@ -104,37 +105,58 @@
 }
 
 /// What became of a request.
-struct Outcome {
-    process: Process,
+pub struct Outcome {
+    pub process: Process,
     /// The number of its key; `None` for the one that never changes.
-    key: Option<usize>,
-    sent: Instant,
-    answered: Instant,
-    status: Option<StatusCode>,
+    pub key: Option<usize>,
+    pub sent: Instant,
+    pub answered: Instant,
+    pub status: Option<StatusCode>,
 }
 
-struct Siege {
+/// An answer by a configuration that should no longer have been in force.
+pub struct OutdatedAnswer {
+    pub process: Process,
+    pub changed: Instant,
+    pub sent: Instant,
+    pub text: String,
+}
+
+pub struct Siege {
     shape: Shape,
-    plant: RefCell<Plant>,
-    processes: Processes,
+    pub plant: RefCell<Plant>,
+    pub processes: Processes,
     targets: RefCell<Vec<Arc<Target>>>,
     target_starts: Cell<u64>,
-    begun: Instant,
+    pub begun: Instant,
     /// When each key was added, which withdrew the one before.
     key_times: RefCell<Vec<Instant>>,
     departures: RefCell<Vec<Departure>>,
     disturbances: RefCell<Vec<Disturbance>>,
     silences: Cell<usize>,
     asked: RefCell<HashMap<String, Process>>,
-    outcomes: Rc<RefCell<Vec<Outcome>>>,
+    pub outcomes: Rc<RefCell<Vec<Outcome>>>,
     callers: RefCell<StdRng>,
     troubles: RefCell<StdRng>,
     is_calm: Cell<bool>,
-    is_over: Cell<bool>,
+    pub is_over: Cell<bool>,
 }
 
 impl Siege {
     async fn start(seed: u64) -> Siege {
+        let shape = match seed % 2 {
+            0 => Shape::WellLog,
+            _ => Shape::TroubledLog,
+        };
+        Siege::start_with(seed, shape, siege::start).await
+    }
+
+    /// Starts entries of a kind, before targets and a log.
+    pub async fn start_with(
+        seed: u64,
+        shape: Shape,
+        start_entry: fn(Settings) -> Entry,
+    ) -> Siege {
         let mut plant = Plant::start().await;
         plant.log.set_era(Some(seed % 3));
         let mut targets = Vec::new();
@@ -145,12 +167,9 @@
             plant.catalog.clone().with_organisation("lasting", &[LASTING_KEY]);
         let key_times = RefCell::new(Vec::new());
         publish_key(&mut plant, &key_times);
+        let count = siege::size(ENTRIES);
         let processes =
-            Processes::start(&mut plant, siege::size(ENTRIES)).await;
-        let shape = match seed % 2 {
-            0 => Shape::WellLog,
-            _ => Shape::TroubledLog,
-        };
+            Processes::start_with(&mut plant, count, start_entry).await;
         Siege {
             shape,
             plant: RefCell::new(plant),
@@ -171,22 +190,22 @@
         }
     }
 
-    fn draw(&self, below: usize) -> usize {
+    pub fn draw(&self, below: usize) -> usize {
         self.troubles.borrow_mut().random_range(0..below)
     }
 
-    fn draw_time(&self, from: u64, to: u64) -> Duration {
+    pub fn draw_time(&self, from: u64, to: u64) -> Duration {
         let mut random = self.troubles.borrow_mut();
         Duration::from_millis(random.random_range(from..to))
     }
 
-    fn has_trouble(&self) -> bool {
+    pub fn has_trouble(&self) -> bool {
         self.begun.elapsed() < TROUBLE
     }
 
     /// Callers with the newest key, one shortly before it, or the one that
     /// never changes.
-    async fn send(&self) {
+    pub async fn send(&self) {
         let mut due = interval(Duration::from_secs(1) / RATE as u32);
         let calls = LocalSet::new();
         let asking = async {
@@ -231,11 +250,11 @@
         calls.run_until(asking).await;
     }
 
-    fn publish(&self) {
+    pub fn publish(&self) {
         publish_key(&mut self.plant.borrow_mut(), &self.key_times);
     }
 
-    async fn operate(&self) {
+    pub async fn operate(&self) {
         while !self.is_calm.get() {
             sleep(self.draw_time(300, 2_500)).await;
             match self.draw(6) {
@@ -267,7 +286,7 @@
         }
     }
 
-    async fn renew(&self) {
+    pub async fn renew(&self) {
         while !self.is_over.get() {
             let leaving = |it: &Arc<Target>| {
                 let departures = self.departures.borrow();
@@ -395,7 +414,7 @@
         }
     }
 
-    async fn play(&self) {
+    pub async fn play(&self) {
         tokio::join!(
             self.replace_targets(),
             self.trouble_entries(),
@@ -439,7 +458,7 @@
     }
 
     /// Whether a process had to know of a change of a moment at a time.
-    fn must_know(
+    pub fn must_know(
         &self,
         process: Process,
         changed: Instant,
@@ -451,7 +470,7 @@
     }
 
     /// Answers by a configuration that should no longer have been in force.
-    fn outdated(&self) -> Vec<String> {
+    pub fn outdated(&self) -> Vec<OutdatedAnswer> {
         let times = self.key_times.borrow();
         let mut outdated = Vec::new();
         for it in self.outcomes.borrow().iter() {
@@ -466,19 +485,26 @@
                 _ => continue,
             };
             if self.must_know(it.process, *changed, it.sent) {
-                outdated.push(format!(
+                let text = format!(
                     "process {} {what} key {key} at {:?}, changed at {:?}",
                     it.process,
                     it.sent - self.begun,
                     *changed - self.begun,
-                ));
+                );
+                let (process, sent) = (it.process, it.sent);
+                outdated.push(OutdatedAnswer {
+                    process,
+                    changed: *changed,
+                    sent,
+                    text,
+                });
             }
         }
         outdated
     }
 
     /// Requests that came to a target that had left.
-    fn unwanted(&self) -> Vec<String> {
+    pub fn unwanted(&self) -> Vec<String> {
         let asked = self.asked.borrow();
         let mut unwanted = Vec::new();
         for Departure { target, at } in self.departures.borrow().iter() {
@@ -500,7 +526,7 @@
 
     /// Requests with the key that never changes which a running process did
     /// not serve.
-    fn unserved(&self) -> Vec<String> {
+    pub fn unserved(&self) -> Vec<String> {
         let outcomes = self.outcomes.borrow();
         let lasting = outcomes.iter().filter(|it| {
             let life = self.processes.life(it.process);
@@ -548,7 +574,8 @@
 async fn play(seed: u64) {
     let siege = Siege::start(seed).await;
     tokio::join!(siege.play(), siege.send(), siege.operate(), siege.renew());
-    let outdated = siege.outdated();
+    let outdated = siege.outdated().into_iter().map(|it| it.text);
+    let outdated: Vec<String> = outdated.collect();
     let unwanted = siege.unwanted();
     let unserved = siege.unserved();
     println!(
