--- a/cowsliproad-direct/tests/entry/limit_siege.rs
+++ b/cowsliproad-direct/tests/entry/limit_siege.rs
@@ -308,3 +308,10 @@
         play(seed).await;
     }
 }
+
+/// Guards against a target that is left idle after trouble: its limiter grants
+/// less than four fifths of the limit.
+#[tokio::test]
+async fn a_siege_that_left_a_target_idle_leaves_none() {
+    play(40).await;
+}
