tests: play limits over a suspension, name shared steps

A limit has to be kept after a suspension of 6 s, by the bound that the siege of limits uses (1.5 times the limit and 5 more in 4 s).

Tests of entries that the log turns away share their start and the check of a new key.

--- a/cowsliproad-direct/tests/entry/silent_log.rs
+++ b/cowsliproad-direct/tests/entry/silent_log.rs
@@ -211,10 +211,7 @@
     let mut plant = Plant::start().await;
     plant.target("i-1", "plain").await;
     let first = plant.entry().await;
-    let mut settings = plant.settings(&[&first]);
-    // Nobody listens there.
-    settings.log_address.set_port(1);
-    let second = Entry::start(settings);
+    let second = start_without_log(&mut plant, &[&first]);
     second.until_ready().await;
     // It accepts connections and sends nothing.
     let frozen = SocketAddr::from((plant.vm(), LOG_PORT));
@@ -227,16 +224,8 @@
         }
     });
     sleep(Duration::from_millis(300)).await;
-    plant.catalog = plant.catalog.clone().with_organisation("harju", &["k"]);
-    plant.catalog.publish(&plant.log);
-    let published = Instant::now();
-    until("the key is good", async || {
-        second.status("/many/a", "k").await == Some(StatusCode::OK)
-    })
-    .await;
+    check_new_key(&mut plant, &second).await;
     telling.abort();
-    let took = published.elapsed();
-    assert!(took < BOUND, "{took:?}");
 }
 
 /// Guards against several frozen entries that announced the newest version and
@@ -246,10 +235,7 @@
     let mut plant = Plant::start().await;
     plant.target("i-1", "plain").await;
     let first = plant.entry().await;
-    let mut settings = plant.settings(&[&first]);
-    // Nobody listens there.
-    settings.log_address.set_port(1);
-    let second = Entry::start(settings);
+    let second = start_without_log(&mut plant, &[&first]);
     second.until_ready().await;
     // They accept connections and send nothing, and no more digests.
     for _ in 0..3 {
@@ -259,15 +245,7 @@
         tell_version(frozen, 1_000, second.settings.own_peer_address()).await;
     }
     sleep(Duration::from_millis(300)).await;
-    plant.catalog = plant.catalog.clone().with_organisation("harju", &["k"]);
-    plant.catalog.publish(&plant.log);
-    let published = Instant::now();
-    until("the key is good", async || {
-        second.status("/many/a", "k").await == Some(StatusCode::OK)
-    })
-    .await;
-    let took = published.elapsed();
-    assert!(took < BOUND, "{took:?}");
+    check_new_key(&mut plant, &second).await;
 }
 
 /// Guards against an entry that starts with the outdated configuration of a
@@ -293,10 +271,7 @@
     .await;
     newest.signal(Signal::STOP);
     sleep(BOUND).await;
-    let mut settings = plant.settings(&[&outdated, &newest]);
-    // Nobody listens there.
-    settings.log_address.set_port(1);
-    let starting = Entry::start(settings);
+    let starting = start_without_log(&mut plant, &[&outdated, &newest]);
     let waking = async {
         sleep(Duration::from_millis(900)).await;
         newest.signal(Signal::CONT);
@@ -352,6 +327,28 @@
     .await;
 }
 
+/// An entry that knows others and that the log turns away.
+fn start_without_log(plant: &mut Plant, seeds: &[&Entry]) -> Entry {
+    let mut settings = plant.settings(seeds);
+    // Nobody listens there.
+    settings.log_address.set_port(1);
+    Entry::start(settings)
+}
+
+/// Publishes a configuration with another key, and checks that an entry has it
+/// in force in time.
+async fn check_new_key(plant: &mut Plant, entry: &Entry) {
+    plant.catalog = plant.catalog.clone().with_organisation("harju", &["k"]);
+    plant.catalog.publish(&plant.log);
+    let published = Instant::now();
+    until("the key is good", async || {
+        entry.status("/many/a", "k").await == Some(StatusCode::OK)
+    })
+    .await;
+    let took = published.elapsed();
+    assert!(took < BOUND, "{took:?}");
+}
+
 /// A digest that was sent at a time of its sender's clock, and whose sender had
 /// just read the configuration then.
 fn confirming_digest(sender: SocketAddr, sent: Duration) -> GossipDigest {
--- a/cowsliproad-direct/tests/entry/suspension.rs
+++ b/cowsliproad-direct/tests/entry/suspension.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     harness::{Entry, KEY, Plant, until},
+    limits::{SPAN, load, most_within},
     processes::LOG_PORT,
 };
 
@@ -149,3 +150,23 @@
     let took = resumed.elapsed();
     assert!(took < BOUND, "{took:?}");
 }
+
+/// Guards against permits of a rate-limited target that pile up over a
+/// suspension and are used together after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_is_kept_after_a_suspension() {
+    const RATE: usize = 5;
+    let mut plant = Plant::start().await;
+    let target = plant.target("i-1", "plain").await;
+    let site = Site::start(plant).await;
+    target.set_rate_limit(Some("5"));
+    let pause = Duration::from_millis(20);
+    load(&[&site.entry], "/many/a", pause, SPAN / 2).await;
+    site.entry.suspend(Duration::from_millis(6_000)).await;
+    let resumed = Instant::now();
+    load(&[&site.entry], "/many/a", pause, SPAN).await;
+    let most = most_within(&target, resumed, SPAN);
+    let allowed = 1.5 * RATE as f64 * SPAN.as_secs_f64() + 5.0;
+    assert!(most as f64 <= allowed, "{most} in 4 s");
+    assert!(most >= RATE, "the target is left idle: {most} in 4 s");
+}
--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -366,9 +366,8 @@
     );
 }
 
-/// Guards against a coordinator that takes its own last directives for recent
-/// when it wakes from a suspension, and against agents whose monotonic clock
-/// stood still.
+/// Guards against a coordinator that goes on after a suspension, though it was
+/// replaced meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn suspended_coordinator_is_replaced_and_steps_down() {
     let mut test_group = TestGroup::start_with_balanced_load().await;
