direct: log the prompt parts that a crash leaves suspected

`ended_under` lists the parts that the crash leaves suspected: those of requests whose answer had not begun. The metric `suspected_prompt_parts` counts them. Nothing is decided by them yet.

--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -48,7 +48,7 @@
 use cowsliproad_kernel::{clock::Millis, gossip::CrashSuspectRequest};
 
 use self::case::QuarantineCase;
-pub use self::work::{CrashId, WorkDigest};
+pub use self::work::{CrashId, Fingerprint, PartList, WorkDigest};
 
 mod case;
 mod work;
--- a/cowsliproad-direct/src/attempt.rs
+++ b/cowsliproad-direct/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use cowsliproad_admission::quarantine::WorkDigest;
+use cowsliproad_admission::quarantine::Fingerprint;
 use cowsliproad_kernel::{Name, clock::Millis};
 
 use crate::{
@@ -18,8 +18,8 @@
 pub struct Attempt {
     entry: Rc<Entry>,
     choice: ChosenTarget,
-    /// The id and the work digest of the request.
-    request: (Name, WorkDigest),
+    request_id: Name,
+    fingerprint: Fingerprint,
     started_at: Millis,
     /// When the request expires, here and at the target.
     deadline: Millis,
@@ -44,7 +44,8 @@
         Attempt {
             entry: entry.clone(),
             choice: choice.clone(),
-            request: (call.request_id.clone(), call.work),
+            request_id: call.request_id.clone(),
+            fingerprint: call.fingerprint.clone(),
             started_at: Millis::now(),
             deadline: call.deadline,
             sent_at: Cell::new(None),
@@ -111,7 +112,7 @@
             .request_stats
             .record_success(took, now);
         self.note_target_survived();
-        self.entry.record_survived_work(self.request.1, now);
+        self.entry.record_survived_work(self.fingerprint.request, now);
     }
 
     /// Records a response with a failure status.
@@ -155,20 +156,26 @@
 
     fn suspect_crash_of_abandoned_attempt(&self) {
         let deadline = self.deadline;
-        self.record_crash_suspicion(|request, work| {
-            CrashSuspicion::new_for_abandoned_request(request, work, deadline)
+        self.record_crash_suspicion(|request_id, fingerprint| {
+            CrashSuspicion::new_for_abandoned_request(
+                request_id,
+                fingerprint,
+                deadline,
+            )
         });
     }
 
     fn record_crash_suspicion(
         &self,
-        new_suspicion: impl FnOnce(Name, WorkDigest) -> CrashSuspicion,
+        new_suspicion: impl FnOnce(Name, Fingerprint) -> CrashSuspicion,
     ) {
         if !self.target_check_settled.replace(true)
             && self.sent_at.get().is_some()
         {
-            let (request, work) = self.request.clone();
-            let suspicion = new_suspicion(request, work);
+            let suspicion = new_suspicion(
+                self.request_id.clone(),
+                self.fingerprint.clone(),
+            );
             let suspicion =
                 suspicion.with_answer_begun(self.event_received.get());
             ends::add_crash_suspicion(&self.entry, &self.choice, suspicion);
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -19,7 +19,9 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use cowsliproad_admission::{patience::CallerAttempt, quarantine::WorkDigest};
+use cowsliproad_admission::{
+    patience::CallerAttempt, quarantine::Fingerprint,
+};
 use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_platform::header;
 use cowsliproad_routing::catalog::Route;
@@ -34,7 +36,7 @@
     attempt::Attempt,
     entry::{ChosenTarget, Entry},
     receive::{
-        DEFAULT_CALLER_TIMEOUT, compute_work_digest, remove_hop_by_hop_headers,
+        DEFAULT_CALLER_TIMEOUT, compute_fingerprint, remove_hop_by_hop_headers,
     },
     reply::Body,
     upstream::{self, ConnectionLease, ConnectionReuse, SendError},
@@ -68,8 +70,8 @@
 pub struct Call {
     /// The id of the request, for logs.
     pub request_id: Name,
-    /// Digest of what the request executes, independent of its id.
-    pub work: WorkDigest,
+    /// What the request executes, independent of its id.
+    pub fingerprint: Fingerprint,
     /// The route that matched the request.
     pub route: Arc<Route>,
     /// The service that the request goes to.
@@ -187,7 +189,7 @@
             request_id.and_then(|it| it.to_str().ok()).unwrap_or("-").into();
         Call {
             request_id,
-            work: compute_work_digest(&head, &body),
+            fingerprint: compute_fingerprint(&head, &body),
             route: destination.route,
             service: destination.service,
             priority: destination.priority,
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -60,7 +60,7 @@
             let verdict = entry
                 .request_quarantine
                 .borrow_mut()
-                .admit_work(self.work, now);
+                .admit_work(self.fingerprint.request, now);
             match verdict {
                 QuarantineVerdict::Allowed => {}
                 QuarantineVerdict::Refused(after) => {
@@ -345,7 +345,7 @@
         let age = group.map_or(-1, |it| now.since(it.reported_at).0 as i64);
         let report = endpoint.rate_limit.limit_report(now);
         info!(entry.log, "chosen"; "request" => &*self.request_id,
-            "work" => %self.work,
+            "work" => %self.fingerprint.request,
             "target" => &*choice.target.id, "route" => &*self.route.name,
             "cost" => choice.cost_ms as u64, "at_target" => endpoint.request_stats.estimated_request_count(now),
             "own" => endpoint.request_stats.in_flight(), "report_age" => age,
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -187,7 +187,7 @@
             "reason" => ?reason, "certainty" => ?self.execution,
             "tries" => self.attempt_count, "caller_try" => ?self.caller_try,
             "waited" => Millis::now().since(self.arrived).0,
-            "after" => after.0, "left" => left.0, "work" => %self.work);
+            "after" => after.0, "left" => left.0, "work" => %self.fingerprint.request);
         match (self.execution, reason) {
             (ExecutionStatus::NotRun, _) => {
                 reply::not_run_response(text, after)
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -19,7 +19,7 @@
 
 use std::{io, rc::Rc};
 
-use cowsliproad_admission::quarantine::WorkDigest;
+use cowsliproad_admission::quarantine::{Fingerprint, PartList, WorkDigest};
 use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_net::timer::{self, sleep};
 use slog::info;
@@ -67,7 +67,7 @@
 #[derive(Clone, Debug)]
 pub struct CrashSuspicion {
     request_id: Name,
-    work: WorkDigest,
+    fingerprint: Fingerprint,
     /// When the request's connection broke or was abandoned, or, if later,
     /// when the target was last known to be alive.
     broken_at: Millis,
@@ -86,12 +86,12 @@
     /// connection broke.
     pub fn new_for_broken_connection(
         request_id: Name,
-        work: WorkDigest,
+        fingerprint: Fingerprint,
     ) -> CrashSuspicion {
         let broken_at = Millis::now();
         CrashSuspicion {
             request_id,
-            work,
+            fingerprint,
             broken_at,
             abandoned_probe_delay: Millis(0),
             may_run_until: broken_at,
@@ -108,17 +108,23 @@
     /// The target may continue with the request until its deadline.
     pub fn new_for_abandoned_request(
         request_id: Name,
-        work: WorkDigest,
+        fingerprint: Fingerprint,
         may_run_until: Millis,
     ) -> CrashSuspicion {
         let broken =
-            CrashSuspicion::new_for_broken_connection(request_id, work);
+            CrashSuspicion::new_for_broken_connection(request_id, fingerprint);
         let abandoned_probe_delay = ABANDONED_REQUEST_PROBE_INTERVAL;
         let may_run_until =
             may_run_until.min(broken.broken_at + MAX_REQUEST_DURATION);
         CrashSuspicion { abandoned_probe_delay, may_run_until, ..broken }
     }
 
+    /// The prompt parts that may have crashed the target: none if it had begun
+    /// to answer, since a part crashes its target before that.
+    fn suspected_prompt_parts(&self) -> &[WorkDigest] {
+        if self.answer_begun { &[] } else { &self.fingerprint.prompt_parts }
+    }
+
     fn is_abandoned(&self) -> bool {
         self.abandoned_probe_delay > Millis(0)
     }
@@ -340,12 +346,16 @@
     } else {
         CrashExtent::Target
     };
+    let parts = suspect.suspected_prompt_parts();
+    entry.metrics.record_suspected_prompt_parts(parts.len());
     info!(entry.log, "ended_under"; "target" => &*choice.target.id,
-        "request" => &*suspect.request_id, "work" => %suspect.work,
+        "request" => &*suspect.request_id,
+        "work" => %suspect.fingerprint.request,
+        "parts" => %PartList(parts),
         "known_after" => age.0, "extent" => ?extent);
     entry.record_crash_during_work(
         &choice.target,
-        suspect.work,
+        suspect.fingerprint.request,
         extent,
         Millis::now(),
     );
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -18,6 +18,7 @@
     whole: Histogram<u64>,
     crash_suspicions: Counter<u64>,
     quarantined: Counter<u64>,
+    suspected_prompt_parts: Counter<u64>,
     limited: Counter<u64>,
     limits: Gauge<u64>,
     cooldowns: Counter<u64>,
@@ -46,6 +47,9 @@
             first_byte: meter.u64_histogram("first_byte_ms").build(),
             whole: meter.u64_histogram("whole_answer_ms").build(),
             quarantined: meter.u64_counter("quarantined").build(),
+            suspected_prompt_parts: meter
+                .u64_counter("suspected_prompt_parts")
+                .build(),
             limited: meter.u64_counter("limited").build(),
             limits: meter.u64_gauge("limits").build(),
             cooldowns: meter.u64_counter("cooldowns").build(),
@@ -106,6 +110,12 @@
         self.quarantined.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that a target crashed while it ran a request with these many
+    /// prompt parts and had not begun to answer.
+    pub fn record_suspected_prompt_parts(&self, parts: usize) {
+        self.suspected_prompt_parts.add(parts as u64, &[]);
+    }
+
     /// Records the outcome of a permit request at a rate-limited target.
     pub fn record_permit_outcome(&self, outcome: &'static str) {
         self.limited.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/cowsliproad-direct/src/receive.rs
+++ b/cowsliproad-direct/src/receive.rs
@@ -2,10 +2,13 @@
 
 use std::rc::Rc;
 
-use cowsliproad_admission::{patience::CallerAttempt, quarantine::WorkDigest};
+use cowsliproad_admission::{
+    patience::CallerAttempt,
+    quarantine::{Fingerprint, WorkDigest},
+};
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_net::timer::timeout;
-use cowsliproad_platform::header;
+use cowsliproad_platform::{header, prompt};
 use cowsliproad_routing::catalog::{
     Organisation, RouteError, RouteMatch, RoutingCatalog,
 };
@@ -195,17 +198,20 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
-/// A digest of all parts of a request that affect how a target runs it. The
-/// organisation stands for the caller, of whom targets see nothing else.
-pub fn compute_work_digest(head: &request::Parts, body: &[u8]) -> WorkDigest {
+/// The fingerprint of a request: a digest of everything that affects how a
+/// target runs it, and the shared parts of its prompt. The organisation stands
+/// for the caller, of whom targets see nothing else.
+pub fn compute_fingerprint(head: &request::Parts, body: &[u8]) -> Fingerprint {
     let text =
         |name| head.headers.get(name).map_or(&[][..], |it| it.as_bytes());
     let path = head.uri.path_and_query().map_or("/", |it| it.as_str());
-    WorkDigest::new(&[
+    let request = WorkDigest::new(&[
         text(&header::ORGANISATION),
         text(&standard::HOST),
         head.method.as_str().as_bytes(),
         path.as_bytes(),
         body,
-    ])
+    ]);
+    Fingerprint::new(request)
+        .with_prompt_parts(&prompt::shared_part_ids(&head.headers))
 }
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -185,7 +185,7 @@
     attempt: &Attempt,
     last_event_id: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
-    let (deadline, work) = (call.deadline, call.work);
+    let (deadline, work) = (call.deadline, call.fingerprint.request);
     let since = ForwardPassSnapshot::new(entry, choice);
     let mut opening = std::pin::pin!(call.send_to_target(
         entry,
