tests: reproduce a prompt part that crashes all targets

Requests that share one part of their prompts, neither the first nor the last, and differ in path, body, id and last part, crash every target that begins to answer.

--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -15,6 +15,7 @@
 mod news;
 mod numbers;
 mod processes;
+mod prompt_parts;
 mod quarantine;
 mod rollback_siege;
 mod rollbacks;
