direct: quarantine prompt parts that crash targets

Cause: a bound on harm is kept by a name of the request (organisation, path, body), while the harm is done by something that many requests contain.

The crash ledger that counts requests now also counts parts, by the same gossip, log records, limits and retractions; a bit of the digest tells the two apart. A crash counts against all parts of requests that its target had not begun to answer; a first event, or a whole answer, clears all parts of its prompt. Three crashes refuse a part. What tells it from its company: a crash that a refused part explains does not count against parts that were answered lately or ran at fewer crashes, and parts that ran at the same crashes are refused only together. The refusals follow from the recorded sets alone, so entries that heard the same refuse the same (a property test). A part refused without being at fault is tried by one request after ten minutes, at once if a quarter of the requests have it.

A request is also checked right before it is written to a connection. A log record that blames what was answered since is written again.

`until_refused` in the tests reads the new metric of parts.

--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -48,9 +48,13 @@
 use cowsliproad_kernel::{clock::Millis, gossip::CrashSuspectRequest};
 
 use self::case::QuarantineCase;
-pub use self::work::{CrashId, Fingerprint, PartList, WorkDigest};
+pub use self::{
+    parts::Admission,
+    work::{CrashId, Fingerprint, PartList, WorkDigest},
+};
 
 mod case;
+mod parts;
 mod work;
 
 /// The number of target crashes after which a request is refused, if no target
@@ -100,6 +104,11 @@
 /// The maximum number of target crashes recorded against one request.
 const MAX_CRASHES_PER_REQUEST: usize = 8;
 
+/// The maximum number of target crashes recorded against one prompt part. Many
+/// requests with a part may crash their targets at the same moment, and other
+/// parts are compared by these crashes.
+const MAX_CRASHES_PER_PROMPT_PART: usize = 16;
+
 /// The maximum number of excused crashes recorded per request: target crashes
 /// that no longer count against the request, because a target survived the
 /// request later.
@@ -178,6 +187,14 @@
     /// by an entry process that missed the retraction.
     retracted: HashMap<CrashId, Millis>,
     survived_work: SurvivedRequests,
+    /// Prompt parts with which an answer has begun.
+    survived_parts: SurvivedRequests,
+    /// Prompt parts that are refused.
+    refused_parts: Vec<WorkDigest>,
+    /// Changes of parts that followed from updates of other parts.
+    part_changes: Vec<(WorkDigest, QuarantineChange)>,
+    /// The requests that arrived at this process.
+    request_count: u64,
     last_sweep_at: Millis,
 }
 
@@ -242,6 +259,9 @@
     pub fn record_arrival(&mut self, work: WorkDigest, now: Millis) {
         if let Some(case) = self.cases.get_mut(&work) {
             case.last_arrival = now + LEDGER_CLOCK_OFFSET;
+            if let Some(trial) = &mut case.trial {
+                trial.rejections += 1;
+            }
         }
     }
 
@@ -264,13 +284,19 @@
         self.merge_suspect(&suspect, OBSERVATION_BROADCAST_TTL, now)
     }
 
-    /// Records that a target survived a request.
+    /// Records that a target survived a request, or began to answer a request
+    /// with a prompt part.
     pub fn record_survived_request(
         &mut self,
         work: WorkDigest,
         now: Millis,
     ) -> QuarantineChange {
-        self.survived_work.insert_survived_request(work, now);
+        let survived = if work.is_prompt_part() {
+            &mut self.survived_parts
+        } else {
+            &mut self.survived_work
+        };
+        survived.insert_survived_request(work, now);
         let now = now + LEDGER_CLOCK_OFFSET;
         let Some(case) = self.cases.get_mut(&work) else {
             return QuarantineChange::None;
@@ -279,16 +305,45 @@
             return QuarantineChange::None;
         }
         case.completed_without_crash = true;
+        let crashes = case.crashes.len();
         for crash in std::mem::take(&mut case.crashes) {
             case.stop_counting_crash(crash);
         }
         case.broadcast_until = now + OBSERVATION_BROADCAST_TTL;
-        match case.update_refusal(now) {
+        match self.update_refusal(work, crashes, now) {
             QuarantineChange::None => QuarantineChange::Suspected,
             change => change,
         }
     }
 
+    /// Updates the refusals that may change with the case of a request or a
+    /// prompt part, of which up to `crashes` counted before or after the
+    /// update. Returns the change of that case.
+    fn update_refusal(
+        &mut self,
+        work: WorkDigest,
+        crashes: usize,
+        now: Millis,
+    ) -> QuarantineChange {
+        let Some(case) = self.cases.get_mut(&work) else {
+            return QuarantineChange::None;
+        };
+        if work.is_prompt_part() {
+            return match crashes >= CRASH_THRESHOLD {
+                true => self.update_part_refusals(Some(work), now),
+                false => QuarantineChange::None,
+            };
+        }
+        let change = case.update_refusal(now);
+        if matches!(
+            change,
+            QuarantineChange::Refused | QuarantineChange::Freed
+        ) {
+            self.update_part_refusals(None, now);
+        }
+        change
+    }
+
     /// Merges what another process, or the stored state of an earlier process,
     /// reports about a request.
     pub fn merge_remote_suspect(
@@ -317,8 +372,13 @@
         if !self.cases.contains_key(&work) {
             self.evict_case_if_full();
         }
-        let completed_without_crash =
-            self.survived_work.is_survived_request(work);
+        let (completed_without_crash, max_crashes) = if work.is_prompt_part() {
+            let survived = self.survived_parts.is_survived_request(work);
+            (survived, MAX_CRASHES_PER_PROMPT_PART)
+        } else {
+            let survived = self.survived_work.is_survived_request(work);
+            (survived, MAX_CRASHES_PER_REQUEST)
+        };
         let case = self.cases.entry(work).or_insert_with(|| QuarantineCase {
             crashes: BTreeSet::new(),
             excused_crashes: Vec::new(),
@@ -327,9 +387,11 @@
             refused_since: None,
             suspended_until: None,
             broadcast_until: now,
+            trial: None,
         });
         if case.is_expired(now) {
             case.refused_since = None;
+            case.trial = None;
             case.suspended_until = None;
             case.crashes.clear();
         }
@@ -357,8 +419,10 @@
                 *reported_at = now;
             } else if case.excused_crashes.contains(&crash) {
                 missed_update = true;
-            } else if case.crashes.len() < MAX_CRASHES_PER_REQUEST {
-                case.crashes.insert(crash);
+            } else if case.crashes.len() < max_crashes
+                && case.crashes.insert(crash)
+            {
+                case.record_failed_trial(now);
             }
         }
         let after = (
@@ -382,9 +446,10 @@
             case.broadcast_until =
                 case.broadcast_until.max(now + broadcast_ttl);
         }
-        let change = case.update_refusal(now);
-        if let (Some(since), Some(_)) =
-            (&mut case.refused_since, suspect.rejected_for)
+        let change = self.update_refusal(work, before.0.max(after.0), now);
+        if let Some(case) = self.cases.get_mut(&work)
+            && let (Some(since), Some(_)) =
+                (&mut case.refused_since, suspect.rejected_for)
         {
             *since = (*since).min(now - refused);
         }
@@ -418,11 +483,13 @@
         let mut freed = Vec::new();
         for (work, case) in &mut self.cases {
             if case.crashes.remove(&crash)
+                && !work.is_prompt_part()
                 && case.update_refusal(now) == QuarantineChange::Freed
             {
                 freed.push(*work);
             }
         }
+        self.update_part_refusals(None, now);
         freed
     }
 
@@ -560,6 +627,9 @@
         for work in &expired {
             self.cases.remove(work);
         }
+        if !expired.is_empty() {
+            self.update_part_refusals(None, now);
+        }
         expired
     }
 
--- a/cowsliproad-admission/src/quarantine/case.rs
+++ b/cowsliproad-admission/src/quarantine/case.rs
@@ -32,6 +32,23 @@
     /// The time until which this process broadcasts the case to entry
     /// processes.
     pub(super) broadcast_until: Millis,
+    /// When a refused prompt part is tried; `None` for all other cases.
+    pub(super) trial: Option<Box<PartTrial>>,
+}
+
+/// When this process sends a request with a refused part as a trial.
+#[derive(Clone, Debug)]
+pub(super) struct PartTrial {
+    /// When the next trial is due.
+    pub(super) due_at: Millis,
+    /// When the next trial is due if many requests have the part.
+    pub(super) due_at_if_common: Millis,
+    /// Trials that crashed their targets, at any entry process.
+    pub(super) failed_trials: u32,
+    /// Requests that this process rejected for the part.
+    pub(super) rejections: u64,
+    /// The number of requests that arrived here before the refusal.
+    pub(super) request_count_before: u64,
 }
 
 impl QuarantineCase {
@@ -65,6 +82,15 @@
         extends
     }
 
+    /// The number of crashes from which on the request is refused.
+    pub(super) fn crash_threshold(&self) -> usize {
+        if self.completed_without_crash {
+            SURVIVED_REQUEST_CRASH_THRESHOLD
+        } else {
+            CRASH_THRESHOLD
+        }
+    }
+
     /// Updates whether the request is refused, after the set of counted
     /// crashes or the record of a survival changed. A request that no crash
     /// counts against, or that a target survived, is not suspended either.
@@ -73,12 +99,7 @@
         if self.completed_without_crash || self.crashes.is_empty() {
             self.suspended_until = None;
         }
-        let threshold = if self.completed_without_crash {
-            SURVIVED_REQUEST_CRASH_THRESHOLD
-        } else {
-            CRASH_THRESHOLD
-        };
-        let is_refused = self.crashes.len() >= threshold;
+        let is_refused = self.crashes.len() >= self.crash_threshold();
         match (self.refused_since, is_refused) {
             (None, true) => {
                 self.refused_since = Some(now);
--- a/cowsliproad-bench/src/experiment/quarantine.rs
+++ b/cowsliproad-bench/src/experiment/quarantine.rs
@@ -184,7 +184,7 @@
 }
 
 /// The deadly work.
-const DEADLY: WorkDigest = WorkDigest(u64::MAX);
+const DEADLY: WorkDigest = WorkDigest(u64::MAX >> 1);
 
 /// Plays a policy.
 pub fn play(size: Size, policy: Policy, seed: u64) -> Score {
@@ -248,7 +248,7 @@
         if self.random.random_bool(COMMON_SHARE) {
             return WorkDigest(self.random.random_range(0..COMMON));
         }
-        WorkDigest(self.random.random_range(COMMON..u64::MAX))
+        WorkDigest(self.random.random_range(COMMON..u64::MAX >> 1))
     }
 
     fn arrive(&mut self, work: WorkDigest) {
--- a/cowsliproad-direct/src/attempt.rs
+++ b/cowsliproad-direct/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use cowsliproad_admission::quarantine::Fingerprint;
+use cowsliproad_admission::quarantine::{Admission, Fingerprint};
 use cowsliproad_kernel::{Name, clock::Millis};
 
 use crate::{
@@ -27,6 +27,7 @@
     sent_at: Cell<Option<Millis>>,
     /// Whether an event of the response arrived.
     event_received: Cell<bool>,
+    admission: Admission,
     /// Whether the target is known to have survived the attempt, or the check
     /// for a crash has begun.
     target_check_settled: Cell<bool>,
@@ -50,12 +51,14 @@
             deadline: call.deadline,
             sent_at: Cell::new(None),
             event_received: Cell::new(false),
+            admission: call.admission,
             target_check_settled: Cell::new(false),
         }
     }
 
     /// Whether the request may be sent now, or why not. The target may have
-    /// left, entered a cooldown or changed its limit since it was chosen.
+    /// left, entered a cooldown or changed its limit since it was chosen, and
+    /// the request may have been refused.
     pub fn may_send_request(&self, now: Millis) -> Result<(), &'static str> {
         if !self.entry.is_ready_target(&self.choice.target) {
             return Err("its target left");
@@ -66,6 +69,10 @@
         if !self.choice.may_send_request(now) {
             return Err("its target stated a limit");
         }
+        let quarantine = self.entry.request_quarantine.borrow();
+        if quarantine.refuses_request(&self.fingerprint, self.admission, now) {
+            return Err("it was refused");
+        }
         Ok(())
     }
 
@@ -99,7 +106,12 @@
 
     /// Records that an event of the response arrived.
     pub fn note_event_received(&self) {
-        self.event_received.set(true);
+        if !self.event_received.replace(true) {
+            self.entry.record_answered_parts(
+                &self.fingerprint.prompt_parts,
+                Millis::now(),
+            );
+        }
     }
 
     /// Records a successful response.
@@ -113,6 +125,11 @@
             .record_success(took, now);
         self.note_target_survived();
         self.entry.record_survived_work(self.fingerprint.request, now);
+        // A stream's parts were recorded with its first event.
+        if !self.event_received.get() {
+            self.entry
+                .record_answered_parts(&self.fingerprint.prompt_parts, now);
+        }
     }
 
     /// Records a response with a failure status.
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -20,7 +20,8 @@
 
 use bytes::Bytes;
 use cowsliproad_admission::{
-    patience::CallerAttempt, quarantine::Fingerprint,
+    patience::CallerAttempt,
+    quarantine::{Admission, Fingerprint},
 };
 use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_platform::header;
@@ -72,6 +73,8 @@
     pub request_id: Name,
     /// What the request executes, independent of its id.
     pub fingerprint: Fingerprint,
+    /// Whether the request tries out prompt parts that are refused.
+    pub admission: Admission,
     /// The route that matched the request.
     pub route: Arc<Route>,
     /// The service that the request goes to.
@@ -190,6 +193,7 @@
         Call {
             request_id,
             fingerprint: compute_fingerprint(&head, &body),
+            admission: Admission::Regular,
             route: destination.route,
             service: destination.service,
             priority: destination.priority,
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -4,7 +4,7 @@
 
 use cowsliproad_admission::{
     patience::{CallerAttempt, PendingStream, StreamAdmission},
-    quarantine::QuarantineVerdict,
+    quarantine::{Admission, PartList, QuarantineVerdict},
 };
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_net::timer::sleep;
@@ -57,12 +57,12 @@
                 entry.connection_freed.notified(),
             );
             let now = Millis::now();
-            let verdict = entry
-                .request_quarantine
-                .borrow_mut()
-                .admit_work(self.fingerprint.request, now);
+            let (verdict, admission) =
+                entry.admit_request(&self.fingerprint, self.admission, now);
             match verdict {
-                QuarantineVerdict::Allowed => {}
+                QuarantineVerdict::Allowed => {
+                    self.set_admission(entry, admission)
+                }
                 QuarantineVerdict::Refused(after) => {
                     return Err(self.reject_request(
                         entry,
@@ -123,6 +123,16 @@
         }
     }
 
+    /// Sets whether the request is a trial of its refused prompt parts.
+    fn set_admission(&mut self, entry: &Entry, admission: Admission) {
+        if std::mem::replace(&mut self.admission, admission) == admission {
+            return;
+        }
+        entry.metrics.record_prompt_part_event("tried");
+        info!(entry.log, "part_tried"; "request" => &*self.request_id,
+            "parts" => %PartList(&self.fingerprint.prompt_parts));
+    }
+
     /// Whether no target can become usable for the request by `wait_until`, or
     /// a retry by the caller would reach another target sooner.
     fn is_target_wait_futile(
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -3,7 +3,10 @@
 
 use std::rc::Rc;
 
-use cowsliproad_admission::patience;
+use cowsliproad_admission::{
+    patience,
+    quarantine::{Admission, PartList, WorkDigest},
+};
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_net::timer::sleep;
 use http::Response;
@@ -104,6 +107,8 @@
             | AttemptError::ConnectionBroken(cause) => {
                 entry.metrics.record_attempt_outcome("unknown");
                 self.note_possible_run();
+                // If the attempt was a trial, a retry would be another one.
+                self.admission = Admission::Regular;
                 cause
             }
         };
@@ -187,7 +192,8 @@
             "reason" => ?reason, "certainty" => ?self.execution,
             "tries" => self.attempt_count, "caller_try" => ?self.caller_try,
             "waited" => Millis::now().since(self.arrived).0,
-            "after" => after.0, "left" => left.0, "work" => %self.fingerprint.request);
+            "after" => after.0, "left" => left.0, "work" => %self.fingerprint.request,
+            "parts" => %PartList(self.suspicious_parts(reason)));
         match (self.execution, reason) {
             (ExecutionStatus::NotRun, _) => {
                 reply::not_run_response(text, after)
@@ -204,6 +210,15 @@
         }
     }
 
+    /// The prompt parts to log with a rejection: those of a request that is
+    /// refused for its content or for a part.
+    fn suspicious_parts(&self, reason: RejectionReason) -> &[WorkDigest] {
+        match reason {
+            RejectionReason::Poison(_) => &self.fingerprint.prompt_parts,
+            _ => &[],
+        }
+    }
+
     /// The retry delay stated to the caller. For streams it is as long as
     /// callers honour, because the group may have formed again by then.
     fn caller_retry_delay(&self, entry: &Entry) -> Millis {
--- a/cowsliproad-direct/src/ends.rs
+++ b/cowsliproad-direct/src/ends.rs
@@ -356,6 +356,7 @@
     entry.record_crash_during_work(
         &choice.target,
         suspect.fingerprint.request,
+        parts,
         extent,
         Millis::now(),
     );
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -176,6 +176,9 @@
     formations: RefCell<HashMap<Name, GroupFormation>>,
     /// Quarantine of crash-inducing requests.
     pub request_quarantine: RefCell<RequestQuarantine>,
+    /// When this process tries a refused prompt part, from 0 to 1 of the time
+    /// over which all entry processes spread their trials.
+    pub trial_rank: f64,
     /// When a VM of each availability zone last sent a message.
     zone_last_seen: RefCell<HashMap<Name, Millis>>,
     /// Rate limiters of targets that state a limit, and open permit requests.
@@ -267,6 +270,7 @@
             retry_budgets: RefCell::new(HashMap::new()),
             formations: RefCell::new(HashMap::new()),
             request_quarantine: RefCell::new(RequestQuarantine::default()),
+            trial_rank: rand::random(),
             zone_last_seen: RefCell::new(HashMap::new()),
             limits: RefCell::new(RateLimits::default()),
             cooldowns: RefCell::new(Cooldowns::new()),
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -31,6 +31,7 @@
     let response = match receive_request(entry, head, body, arrived).await {
         Ok(mut call) => {
             entry.record_request_in_budget(&call.service, arrived);
+            entry.request_quarantine.borrow_mut().count_request();
             if call.route.has_stream_responses() {
                 stream::respond_with_stream(entry, call, in_flight).await
             } else {
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -19,6 +19,7 @@
     crash_suspicions: Counter<u64>,
     quarantined: Counter<u64>,
     suspected_prompt_parts: Counter<u64>,
+    prompt_parts: Counter<u64>,
     limited: Counter<u64>,
     limits: Gauge<u64>,
     cooldowns: Counter<u64>,
@@ -47,6 +48,9 @@
             first_byte: meter.u64_histogram("first_byte_ms").build(),
             whole: meter.u64_histogram("whole_answer_ms").build(),
             quarantined: meter.u64_counter("quarantined").build(),
+            prompt_parts: meter
+                .u64_counter("quarantined_prompt_parts")
+                .build(),
             suspected_prompt_parts: meter
                 .u64_counter("suspected_prompt_parts")
                 .build(),
@@ -116,6 +120,12 @@
         self.suspected_prompt_parts.add(parts as u64, &[]);
     }
 
+    /// Records that a prompt part was refused, freed, tried, or cleared of
+    /// crashes by an answer.
+    pub fn record_prompt_part_event(&self, outcome: &'static str) {
+        self.prompt_parts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the outcome of a permit request at a rate-limited target.
     pub fn record_permit_outcome(&self, outcome: &'static str) {
         self.limited.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/cowsliproad-direct/src/quarantine.rs
+++ b/cowsliproad-direct/src/quarantine.rs
@@ -20,7 +20,8 @@
 };
 
 use cowsliproad_admission::quarantine::{
-    CrashId, CrashLedger, QuarantineChange, QuarantineVerdict, WorkDigest,
+    Admission, CrashId, CrashLedger, Fingerprint, QuarantineChange,
+    QuarantineVerdict, WorkDigest,
 };
 use cowsliproad_kernel::{
     clock::{Millis, unix_now_ms},
@@ -80,6 +81,11 @@
 /// different reads of the log.
 const MIN_ANNOUNCEMENT_INTERVAL: Millis = Millis(1_000);
 
+/// The trials of a refused prompt part at different entry processes begin at
+/// different times within this time for each process, so that the first shows
+/// whether others are needed.
+const MAX_TRIAL_STAGGER_PER_ENTRY: Millis = Millis(250);
+
 /// How often expired crash records are evicted.
 const EXPIRED_CRASH_RECORD_EVICTION_INTERVAL: Millis = Millis(10_000);
 
@@ -141,23 +147,20 @@
 }
 
 impl RequestQuarantine {
-    /// Returns whether a request with this work digest may run now, and
-    /// records the arrival of a refused request.
-    pub fn admit_work(
-        &mut self,
-        work: WorkDigest,
-        now: Millis,
-    ) -> QuarantineVerdict {
-        let verdict = self.ledger.verdict(work, now);
-        if verdict != QuarantineVerdict::Allowed {
-            self.ledger.record_arrival(work, now);
-        }
-        verdict
+    /// Counts a request that arrived from a caller.
+    pub fn count_request(&mut self) {
+        self.ledger.count_request();
     }
 
-    /// Whether requests with a work digest are refused now.
-    pub fn refuses_work(&self, work: WorkDigest, now: Millis) -> bool {
-        self.ledger.verdict(work, now) != QuarantineVerdict::Allowed
+    /// Whether a request that was admitted before is refused now.
+    pub fn refuses_request(
+        &self,
+        fingerprint: &Fingerprint,
+        admission: Admission,
+        now: Millis,
+    ) -> bool {
+        self.ledger.verdict_on_admitted(fingerprint, admission, now)
+            != QuarantineVerdict::Allowed
     }
 
     /// The suspected requests and the retracted crashes to include in a digest
@@ -181,8 +184,12 @@
 
     fn queue_record_write_if_observed(&mut self, work: WorkDigest) {
         let known = self.ledger.crash_count(work);
+        // A record that blames a part which targets have answered since would
+        // mislead entry processes that start later.
+        let is_outdated = known == 0 && self.written_work.contains(&work);
         if self.observed_work.contains(&work)
             && known >= MIN_CRASHES_FOR_LOG_RECORD
+            || is_outdated
         {
             self.pending_writes.insert(work);
             self.write_wakeup.notify_one();
@@ -265,12 +272,33 @@
 }
 
 impl Entry {
+    /// Decides whether a request of a caller may be sent to a target now, and
+    /// whether that is a trial of its prompt parts.
+    pub fn admit_request(
+        &self,
+        fingerprint: &Fingerprint,
+        admission: Admission,
+        now: Millis,
+    ) -> (QuarantineVerdict, Admission) {
+        let mut quarantine = self.request_quarantine.borrow_mut();
+        if !quarantine.refuses_request(fingerprint, admission, now) {
+            return (QuarantineVerdict::Allowed, admission);
+        }
+        let entries = self.peers.borrow().entry_process_count() as f64;
+        let stagger =
+            MAX_TRIAL_STAGGER_PER_ENTRY.0 as f64 * entries * self.trial_rank;
+        let stagger = Millis(stagger as u64);
+        quarantine.ledger.admit_request(fingerprint, stagger, now)
+    }
+
     /// Records that a target, alone or with its whole group, crashed under a
-    /// request with this work digest.
+    /// request with this work digest, and before it had begun to answer a
+    /// request with these prompt parts.
     pub fn record_crash_during_work(
         &self,
         target: &Target,
         work: WorkDigest,
+        prompt_parts: &[WorkDigest],
         extent: CrashExtent,
         now: Millis,
     ) {
@@ -286,6 +314,36 @@
         drop(quarantine);
         self.handle_quarantine_change(work, change, StateChangeSource::Own);
         self.handle_quarantine_change(work, suspended, StateChangeSource::Own);
+        for part in prompt_parts {
+            let mut quarantine = self.request_quarantine.borrow_mut();
+            quarantine.observed_work.insert(*part);
+            let change = quarantine.ledger.record_crash(*part, crash_id, now);
+            drop(quarantine);
+            self.handle_quarantine_change(
+                *part,
+                change,
+                StateChangeSource::Own,
+            );
+        }
+    }
+
+    /// Records that a target began to answer a request with these prompt
+    /// parts.
+    pub fn record_answered_parts(
+        &self,
+        prompt_parts: &[WorkDigest],
+        now: Millis,
+    ) {
+        for part in prompt_parts {
+            let before =
+                self.request_quarantine.borrow().ledger.crash_count(*part);
+            self.record_survived_work(*part, now);
+            if before > 0 {
+                self.metrics.record_prompt_part_event("cleared");
+                info!(self.log, "part_cleared"; "part" => %part,
+                    "ends" => before);
+            }
+        }
     }
 
     /// Records that a target survived a request with this work digest.
@@ -380,6 +438,7 @@
         let freed = quarantine.ledger.retract_crash(crash_id, now);
         quarantine.watched_crashes.remove(&crash_id);
         drop(quarantine);
+        self.handle_part_changes(source);
         if !was_counted {
             return;
         }
@@ -444,9 +503,14 @@
         change: QuarantineChange,
         source: StateChangeSource,
     ) {
+        self.handle_part_changes(source);
         if change == QuarantineChange::None {
             return;
         }
+        if work.is_prompt_part() {
+            self.handle_part_change(work, change, source);
+            return;
+        }
         let now = Millis::now();
         let crashes =
             self.request_quarantine.borrow().ledger.crash_count(work);
@@ -474,6 +538,53 @@
                 self.metrics.record_quarantine_event("freed");
             }
         }
+        self.spread_quarantine_change(work, source);
+    }
+
+    /// Handles the refusals and releases of prompt parts that followed from
+    /// updates of other parts and requests.
+    fn handle_part_changes(&self, source: StateChangeSource) {
+        let changes =
+            self.request_quarantine.borrow_mut().ledger.take_part_changes();
+        for (part, change) in changes {
+            self.handle_part_change(part, change, source);
+        }
+    }
+
+    fn handle_part_change(
+        &self,
+        part: WorkDigest,
+        change: QuarantineChange,
+        source: StateChangeSource,
+    ) {
+        let crashes =
+            self.request_quarantine.borrow().ledger.crash_count(part);
+        match change {
+            QuarantineChange::Refused => {
+                info!(self.log, "part_refused"; "part" => %part,
+                    "ends" => crashes, "source" => ?source);
+                self.metrics.record_prompt_part_event("refused");
+                // Waiting requests with this part are rejected now.
+                self.notify_target_change();
+            }
+            QuarantineChange::Freed => {
+                info!(self.log, "part_freed"; "part" => %part,
+                    "ends" => crashes, "source" => ?source);
+                self.metrics.record_prompt_part_event("freed");
+            }
+            QuarantineChange::None
+            | QuarantineChange::Suspected
+            | QuarantineChange::Suspended => {}
+        }
+        self.spread_quarantine_change(part, source);
+    }
+
+    /// Has a changed case broadcast and written to the log.
+    fn spread_quarantine_change(
+        &self,
+        work: WorkDigest,
+        source: StateChangeSource,
+    ) {
         self.request_quarantine
             .borrow_mut()
             .queue_record_write_if_observed(work);
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -185,7 +185,8 @@
     attempt: &Attempt,
     last_event_id: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
-    let (deadline, work) = (call.deadline, call.fingerprint.request);
+    let deadline = call.deadline;
+    let (fingerprint, admission) = (call.fingerprint.clone(), call.admission);
     let since = ForwardPassSnapshot::new(entry, choice);
     let mut opening = std::pin::pin!(call.send_to_target(
         entry,
@@ -210,8 +211,11 @@
         }
         // A quarantined request may still be queued at the target, and would
         // crash the target too.
-        if entry.request_quarantine.borrow().refuses_work(work, Millis::now())
-        {
+        if entry.request_quarantine.borrow().refuses_request(
+            &fingerprint,
+            admission,
+            Millis::now(),
+        ) {
             return Err(AttemptError::MayHaveRun(
                 "the request crashes its targets",
             ));
--- a/cowsliproad-direct/tests/entry/prompt_parts.rs
+++ b/cowsliproad-direct/tests/entry/prompt_parts.rs
@@ -151,9 +151,9 @@
     Client::new().call(request, 1 << 20, Duration::from_secs(10)).await
 }
 
-/// Waits until an entry refuses so many parts or requests.
+/// Waits until an entry refuses so many parts.
 async fn until_refused(entry: &Entry, refused: f64) {
-    let name = "quarantined_total{outcome=\"refused\"";
+    let name = "quarantined_prompt_parts_total{outcome=\"refused\"";
     until("the part is refused", async || {
         entry.metric(name).await == Some(refused)
     })
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -11,6 +11,7 @@
 mod live;
 mod patience;
 mod placement;
+mod prompt_parts;
 mod quarantine;
 mod queue;
 mod readings;
