direct: bound callers' open connections by the files left

Callers whose requests were read got 503 or 502: when most new connections of a zone come to one entry and stay open, they take all files that the process may open, and nothing is left for connections to targets.

The caller's connections now take half of the files at most, since a request needs one for its caller and one for its target. Beyond that the longest idle connections are closed, a sixteenth of the bound at a time; when all are in use, a new connection is reset before anything is read, so that the caller's next try meets another entry at once. Counters `caller_connections` and `open_caller_connections`, lines `connections_closed` and `connections_turned_away`, the latter one a second at most.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -5,12 +5,14 @@
 //! never between a request and its response. Limits are read when they are
 //! applied, so a changed configuration also applies to open connections.
 //!
+//! The number of connections is bounded; see [`connections`].
+//!
 //! On SIGTERM the entry process stops reporting ready at once, but accepts
 //! connections until the load balancer has noticed. Every response from then
 //! on carries `Connection: close`. Idle connections are closed once no new
 //! connections are accepted.
 
-use std::{cell::Cell, convert::Infallible, io, rc::Rc};
+use std::{cell::Cell, convert::Infallible, io, rc::Rc, time::Duration};
 
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_net::{
@@ -23,14 +25,21 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use slog::info;
-use tokio::net::{TcpListener, TcpStream};
+use socket2::SockRef;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
 
+use self::connections::Room;
 use crate::{
     entry::{Entry, ProcessPhase},
     forward,
     reply::Body,
 };
 
+pub mod connections;
+
 /// How long connections are accepted after SIGTERM. The load balancer checks
 /// readiness every second and stops sending after two failed checks.
 const LISTENER_CLOSE_DELAY: Millis = Millis(3_200);
@@ -94,12 +103,7 @@
 ) -> Infallible {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(
-                    entry.clone(),
-                    stream,
-                ));
-            }
+            Ok((stream, _)) => admit_connection(entry, stream),
             Err(error) => {
                 info!(entry.log, "accept_failed"; "error" => %error);
                 sleep(STOP_CHECK_INTERVAL.duration()).await;
@@ -108,15 +112,71 @@
     }
 }
 
+/// Serves a new connection, or closes it unread if there are too many.
+fn admit_connection(entry: &Rc<Entry>, stream: TcpStream) {
+    let now = Millis::now();
+    let activity = Rc::new(ConnectionActivity::default());
+    activity.idle_since.set(now);
+    let room = entry.caller_connections.borrow_mut().add(&activity, now);
+    let open = entry.caller_connections.borrow().len();
+    entry.metrics.set_caller_connections(open);
+    match room {
+        Room::Given { id, closed } => {
+            if closed > 0 {
+                entry.metrics.record_caller_connections("closed idle", closed);
+                info!(entry.log, "connections_closed"; "idle" => closed,
+                    "open" => open);
+            }
+            let entry = entry.clone();
+            tokio::task::spawn_local(async move {
+                serve_connection(&entry, stream, activity).await;
+                entry.caller_connections.borrow_mut().remove(id);
+            });
+        }
+        Room::None => {
+            entry.metrics.record_caller_connections("turned away", 1);
+            if let Some(count) = entry.turned_away_line.count(now) {
+                info!(entry.log, "connections_turned_away"; "count" => count,
+                    "open" => open);
+            }
+            // A reset tells the caller at once, also while it still sends. If
+            // the option can't be set, the close does so a moment later.
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 /// The activity on a caller's connection, for its timeouts.
 #[derive(Debug, Default)]
-struct ConnectionActivity {
+pub struct ConnectionActivity {
     /// In-flight requests on the connection.
     in_flight: Cell<usize>,
     /// When the last response ended, or the connection opened.
     idle_since: Cell<Millis>,
     /// When the first byte of the next request head arrived.
     head_started_at: Cell<Option<Millis>>,
+    /// Whether the connection is to be closed because there are too many.
+    close_requested: Cell<bool>,
+    /// Wakes the connection's task to close it.
+    close_wakeup: Notify,
+}
+
+impl ConnectionActivity {
+    /// Whether the connection waits for a request and was not told to close.
+    fn is_idle(&self) -> bool {
+        self.in_flight.get() == 0
+            && self.head_started_at.get().is_none()
+            && !self.is_closing()
+    }
+
+    fn is_closing(&self) -> bool {
+        self.close_requested.get()
+    }
+
+    fn request_close(&self) {
+        self.close_requested.set(true);
+        self.close_wakeup.notify_one();
+    }
 }
 
 /// Counts one in-flight request of a caller until dropped.
@@ -153,9 +213,11 @@
     }
 }
 
-async fn serve_connection(entry: Rc<Entry>, stream: TcpStream) {
-    let activity = Rc::new(ConnectionActivity::default());
-    activity.idle_since.set(Millis::now());
+async fn serve_connection(
+    entry: &Rc<Entry>,
+    stream: TcpStream,
+    activity: Rc<ConnectionActivity>,
+) {
     let service = service_fn(|request: Request<Incoming>| {
         let (entry, activity) = (entry.clone(), activity.clone());
         async move {
@@ -174,7 +236,7 @@
             return;
         }
     };
-    let max_head_bytes = current_request_limits(&entry)
+    let max_head_bytes = current_request_limits(entry)
         .max_header_bytes
         .max(MIN_HEAD_BUFFER_BYTES);
     let mut serving = std::pin::pin!(
@@ -188,8 +250,9 @@
             _ = &mut serving => return,
             () = sleep(IDLE_CHECK_INTERVAL.duration()) => {}
             () = entry.idle_close_requested.notified() => {}
+            () = activity.close_wakeup.notified() => {}
         }
-        match check_connection(&entry, &activity) {
+        match check_connection(entry, &activity) {
             ConnectionCheckResult::Keep => {}
             // hyper completes an in-flight request first.
             ConnectionCheckResult::CloseAfterRequest => {
@@ -242,7 +305,10 @@
     let idle_expired = !is_answering
         && head_started_at.is_none()
         && idle > limits.idle_timeout + CALLER_IDLE_GRACE;
-    if idle_expired || entry.process_phase.get() == ProcessPhase::Closing {
+    if idle_expired
+        || activity.is_closing()
+        || entry.process_phase.get() == ProcessPhase::Closing
+    {
         return ConnectionCheckResult::CloseAfterRequest;
     }
     ConnectionCheckResult::Keep
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -34,9 +34,15 @@
 use tokio::sync::Notify;
 
 use crate::{
-    ends::CrashSuspicion, limits::RateLimits, measure::EntryMetrics,
-    peers::Peers, quarantine::RequestQuarantine, rollback::LogRollbacks,
-    settings::Settings, upstream::ConnectionPool,
+    callers::connections::{CallerConnections, LineLimit},
+    ends::CrashSuspicion,
+    limits::RateLimits,
+    measure::EntryMetrics,
+    peers::Peers,
+    quarantine::RequestQuarantine,
+    rollback::LogRollbacks,
+    settings::Settings,
+    upstream::ConnectionPool,
 };
 
 pub mod choose;
@@ -176,6 +182,10 @@
     formations: RefCell<HashMap<Name, GroupFormation>>,
     /// Quarantine of crash-inducing requests.
     pub request_quarantine: RefCell<RequestQuarantine>,
+    /// The open connections of callers.
+    pub caller_connections: RefCell<CallerConnections>,
+    /// Bounds the log lines of connections that are turned away.
+    pub turned_away_line: LineLimit,
     /// When this process tries a refused prompt part, from 0 to 1 of the time
     /// over which all entry processes spread their trials.
     pub trial_rank: f64,
@@ -257,6 +267,8 @@
     pub fn new(settings: Settings, log: Logger) -> Entry {
         let peers = Peers::new(&settings);
         let log_read_schedule = LogReadSchedule::new(settings.heartbeat_ms);
+        let caller_connections =
+            CallerConnections::new(settings.max_open_files);
         Entry {
             settings: RefCell::new(Rc::new(settings)),
             log,
@@ -270,6 +282,8 @@
             retry_budgets: RefCell::new(HashMap::new()),
             formations: RefCell::new(HashMap::new()),
             request_quarantine: RefCell::new(RequestQuarantine::default()),
+            caller_connections: RefCell::new(caller_connections),
+            turned_away_line: LineLimit::default(),
             trial_rank: rand::random(),
             zone_last_seen: RefCell::new(HashMap::new()),
             limits: RefCell::new(RateLimits::default()),
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -26,6 +26,8 @@
     cooling: Gauge<u64>,
     rollbacks: Counter<u64>,
     caught_up: Histogram<u64>,
+    caller_connections: Counter<u64>,
+    open_caller_connections: Gauge<u64>,
     peers: Gauge<u64>,
     targets: Gauge<u64>,
     expert_map_skew: Gauge<u64>,
@@ -61,6 +63,12 @@
             rollbacks: meter.u64_counter("log_rollbacks").build(),
             caught_up: meter.u64_histogram("log_caught_up_ms").build(),
             crash_suspicions: meter.u64_counter("doubts").build(),
+            caller_connections: meter
+                .u64_counter("caller_connections")
+                .build(),
+            open_caller_connections: meter
+                .u64_gauge("open_caller_connections")
+                .build(),
             peers: meter.u64_gauge("peers").build(),
             targets: meter.u64_gauge("targets").build(),
             expert_map_skew: meter
@@ -157,6 +165,22 @@
         self.caught_up.record(took.0, &[]);
     }
 
+    /// Records connections of callers that were closed while idle to make
+    /// room, or turned away.
+    pub fn record_caller_connections(
+        &self,
+        outcome: &'static str,
+        connections: usize,
+    ) {
+        let outcome = KeyValue::new("outcome", outcome);
+        self.caller_connections.add(connections as u64, &[outcome]);
+    }
+
+    /// Sets the number of open connections of callers.
+    pub fn set_caller_connections(&self, connections: usize) {
+        self.open_caller_connections.record(connections as u64, &[]);
+    }
+
     /// Sets the numbers of known other entry processes and of usable targets.
     pub fn set_known_peers_and_targets(&self, peers: usize, targets: usize) {
         self.peers.record(peers as u64, &[]);
--- a/cowsliproad-direct/src/settings.rs
+++ b/cowsliproad-direct/src/settings.rs
@@ -49,6 +49,11 @@
     pub target_wait_ms: Millis,
     /// The retry budget that all entry processes share.
     pub retries: RetryBudgetSettings,
+    /// The files that the process may have open, if that is less than the
+    /// operating system's limit. Callers' connections take half of them at
+    /// most.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_open_files: Option<u64>,
     /// The minimum level of log messages.
     #[serde(default)]
     pub log_level: Level,
@@ -92,6 +97,7 @@
                 extra_retries: 90.0,
                 window_ms: Millis(10_000),
             },
+            max_open_files: Some(4_096),
             log_level: Level::Info,
         }
     }
@@ -136,6 +142,10 @@
             let least = format!("at least {MIN_GRACE} is needed");
             return Err(("grace_ms", least));
         }
+        if self.max_open_files.is_some_and(|it| it < MIN_OPEN_FILES) {
+            let least = format!("at least {MIN_OPEN_FILES} is needed");
+            return Err(("max_open_files", least));
+        }
         let share = 0.0..=1.0;
         if !share.contains(&self.retries.retries_per_request) {
             return Err(("retries.ratio", "0 to 1 is needed".into()));
@@ -165,6 +175,10 @@
 /// that this entry process isn't ready.
 const MIN_GRACE: Millis = Millis(4_000);
 
+/// The least `max_open_files`: for a few requests, the log and other entry
+/// processes.
+const MIN_OPEN_FILES: u64 = 64;
+
 /// The least span of the retry budget's sliding window: two steps of that
 /// window.
 const MIN_SPAN: Millis = Millis(1_000);
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -210,6 +210,18 @@
         Entry::start_with_clock(settings, output, None)
     }
 
+    /// Starts a process that may have so many files open.
+    pub fn start_with_open_files(
+        settings: Settings,
+        output: Stdio,
+        open_files: u64,
+    ) -> Entry {
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(format!("ulimit -n {open_files}; exec \"$0\""));
+        command.arg(env!("CARGO_BIN_EXE_cowsliproad-direct"));
+        Entry::start_command(command, settings, output, None)
+    }
+
     /// Starts a process that can be suspended.
     pub fn start_suspendable(settings: Settings, output: Stdio) -> Entry {
         let clock = HeldClock::new();
@@ -220,6 +232,16 @@
         settings: Settings,
         output: Stdio,
         clock: Option<HeldClock>,
+    ) -> Entry {
+        let command = Command::new(env!("CARGO_BIN_EXE_cowsliproad-direct"));
+        Entry::start_command(command, settings, output, clock)
+    }
+
+    fn start_command(
+        mut command: Command,
+        settings: Settings,
+        output: Stdio,
+        clock: Option<HeldClock>,
     ) -> Entry {
         let directory = std::env::temp_dir();
         let name = format!(
@@ -228,8 +250,6 @@
         );
         let file = directory.join(name);
         write(&file, &settings);
-        let mut command =
-            Command::new(env!("CARGO_BIN_EXE_cowsliproad-direct"));
         command.env(SETTINGS_VARIABLE, &file).stdout(output);
         if let Some(clock) = &clock {
             clock.apply_to(&mut command);
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod connection_surge;
 mod connections;
 mod cooldown_siege;
 mod cooldowns;
