tests: cover answers framed only by their connection

On today's code nothing breaks: such a stream is whole if it ends between events, is resumed or broken off if it ends inside one, also when its chunks end properly, and an answer that is reset is no success. The stand-in covered unframed calls only, and cuts with a reset.

--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -28,3 +28,4 @@
 mod stop;
 mod streams;
 mod suspension;
+mod unframed;
