tests: besiege entries with crash-inducing prompt parts

One to three parts at once, in requests no two of which are alike, as streams, calls and unrepeatable calls, beside a request that crashes its targets by its body, while entries are stopped, killed and restarted, targets are killed, restarted and falsely reported gone, and the log refuses or is silent. After the trouble and the bound none may reach a target, and nine tenths of the sound requests, which share all other parts, are served.

--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -17,6 +17,7 @@
 mod numbers;
 mod processes;
 mod prompt_parts;
+mod prompt_siege;
 mod quarantine;
 mod rollback_siege;
 mod rollbacks;
