admission: tell parts apart by the crashes no other explains

Parts with three crashes are now only accused. A request is refused for an accused part if three crashes are left which no accused part outside the request explains. The verdict is a function of the recorded sets alone; the property test of convergence and two new cases hold.

--- a/cowsliproad-admission/src/quarantine.rs
+++ b/cowsliproad-admission/src/quarantine.rs
@@ -189,8 +189,8 @@
     survived_work: SurvivedRequests,
     /// Prompt parts with which an answer has begun.
     survived_parts: SurvivedRequests,
-    /// Prompt parts that are refused.
-    refused_parts: Vec<WorkDigest>,
+    /// Prompt parts that too many crashes count against.
+    accused_parts: Vec<WorkDigest>,
     /// Changes of parts that followed from updates of other parts.
     part_changes: Vec<(WorkDigest, QuarantineChange)>,
     /// The requests that arrived at this process.
--- a/cowsliproad-admission/src/quarantine/parts.rs
+++ b/cowsliproad-admission/src/quarantine/parts.rs
@@ -6,13 +6,15 @@
 //!
 //! * An answer that has begun clears all parts of its prompt. Parts that many
 //!   requests have are cleared all the time.
-//! * A crash that a refused part or request explains no longer counts against
-//!   parts with weaker evidence: parts that targets answered in the last
-//!   minutes, and parts that ran at fewer crashes. So a part that runs beside
-//!   the one at fault is not refused with it.
-//! * Parts that ran at exactly the same crashes are refused only together.
-//!   A request with some of them tells them apart: its crash, or its answer,
-//!   is new evidence.
+//! * A crash doesn't count against a part that targets answered lately, if a
+//!   part that they didn't ran there too and crashed as often; nor against the
+//!   parts of a request that is refused for its content, unless they ran at
+//!   more crashes. The parts that are left with too many crashes are accused.
+//! * Several parts may be accused of the same crashes only because they ran
+//!   together. So a request is refused for an accused part only if too many
+//!   crashes of that part are left which no accused part outside the request
+//!   explains. A request with some of these parts tells them apart: its crash,
+//!   or its answer, is new evidence.
 //!
 //! The refusals follow from the recorded crashes and survivals alone, so all
 //! entry processes that have the same records refuse the same parts.
@@ -26,7 +28,7 @@
 //!
 //! [`admit_request`]: CrashLedger::admit_request
 
-use std::{cmp::Reverse, collections::BTreeSet};
+use std::collections::BTreeSet;
 
 use cowsliproad_kernel::clock::Millis;
 
@@ -65,11 +67,6 @@
     Trial,
 }
 
-/// The strength of the evidence against a part or a request. Evidence is
-/// weaker if a target answered the part in the last minutes, and stronger with
-/// more crashes. Among equals a request comes before the parts that it has.
-type Evidence = (bool, Reverse<usize>, bool);
-
 impl CrashLedger {
     /// Returns whether a request may run now, by its content and by the parts
     /// of its prompt.
@@ -164,24 +161,23 @@
         parts: &[WorkDigest],
         now: Millis,
     ) -> Vec<WorkDigest> {
-        if self.refused_parts.is_empty() {
+        if self.accused_parts.is_empty() {
             return Vec::new();
         }
         let now = now + LEDGER_CLOCK_OFFSET;
-        let refused = |it: WorkDigest| {
-            let case = self.cases.get(&it)?;
-            (case.refused_since.is_some() && !case.is_expired(now))
-                .then_some(&case.crashes)
-        };
-        let has_all_like = |crashes: &BTreeSet<CrashId>| {
-            let alike = self.refused_parts.iter();
-            let mut alike = alike.filter(|it| refused(**it) == Some(crashes));
-            alike.all(|it| parts.contains(it))
+        let accused = self.accused_parts.iter().filter_map(|it| {
+            let case = self.cases.get(it)?;
+            let is_accused = case.refused_since.is_some();
+            (is_accused && !case.is_expired(now)).then_some((*it, case))
+        });
+        let (inside, outside): (Vec<_>, Vec<_>) =
+            accused.partition(|it| parts.contains(&it.0));
+        let is_refused = |case: &QuarantineCase| {
+            let rivals = outside.iter().map(|it| it.1);
+            let rivals = rivals.filter(|it| it.may_explain(case));
+            case.unexplained_crashes(rivals) >= case.crash_threshold()
         };
-        let of_request = parts.iter().copied();
-        of_request
-            .filter(|it| refused(*it).is_some_and(has_all_like))
-            .collect()
+        inside.iter().filter(|it| is_refused(it.1)).map(|it| it.0).collect()
     }
 
     fn retry_after(&self, part: WorkDigest, now: Millis) -> Millis {
@@ -246,25 +242,26 @@
         }
     }
 
-    /// Refuses the parts that the recorded crashes blame, and frees all others.
-    /// Returns the change of the part `updated`; the changes of other parts are
-    /// kept for [`CrashLedger::take_part_changes`].
+    /// Accuses the parts that too many of the recorded crashes count against,
+    /// and clears all others. Returns the change of the part `updated`; the
+    /// changes of other parts are kept for
+    /// [`CrashLedger::take_part_changes`].
     pub(super) fn update_part_refusals(
         &mut self,
         updated: Option<WorkDigest>,
         now: Millis,
     ) -> QuarantineChange {
-        let refused = self.parts_to_refuse(now);
+        let accused = self.parts_to_accuse(now);
         let mut updated_change = QuarantineChange::None;
-        let before = std::mem::replace(&mut self.refused_parts, refused);
+        let before = std::mem::replace(&mut self.accused_parts, accused);
         let freed = before
             .into_iter()
-            .filter(|it| !self.refused_parts.contains(it))
+            .filter(|it| !self.accused_parts.contains(it))
             .map(|it| (it, QuarantineChange::Freed));
         let is_new = |it: &WorkDigest| {
             self.cases.get(it).is_some_and(|it| it.refused_since.is_none())
         };
-        let new = self.refused_parts.iter().copied().filter(is_new);
+        let new = self.accused_parts.iter().copied().filter(is_new);
         let new = new.map(|it| (it, QuarantineChange::Refused));
         let changes: Vec<_> = freed.chain(new).collect();
         for (part, change) in changes {
@@ -291,41 +288,60 @@
         updated_change
     }
 
-    /// The parts that enough crashes count against which no stronger evidence
-    /// explains.
-    fn parts_to_refuse(&self, now: Millis) -> Vec<WorkDigest> {
+    /// The parts with too many crashes that neither refused requests nor, for
+    /// parts that were answered lately, other parts explain.
+    fn parts_to_accuse(&self, now: Millis) -> Vec<WorkDigest> {
         let cases = self.cases.iter();
-        let mut accused: Vec<(Evidence, WorkDigest, &QuarantineCase)> = cases
+        let suspects: Vec<(WorkDigest, &QuarantineCase)> = cases
             .filter(|(_, case)| !case.is_expired(now))
             .filter(|(_, case)| case.crashes.len() >= case.crash_threshold())
-            .map(|(work, case)| {
-                let evidence = (
-                    case.completed_without_crash,
-                    Reverse(case.crashes.len()),
-                    work.is_prompt_part(),
-                );
-                (evidence, *work, case)
-            })
+            .map(|(work, case)| (*work, case))
             .collect();
-        accused.sort_by_key(|it| (it.0, it.1));
-        let mut explained: BTreeSet<CrashId> = BTreeSet::new();
-        let mut refused = Vec::new();
-        for equals in accused.chunk_by(|one, other| one.0 == other.0) {
-            let is_refused = |case: &QuarantineCase, part: WorkDigest| {
-                let unexplained = case.crashes.difference(&explained).count();
-                !part.is_prompt_part() || unexplained >= case.crash_threshold()
-            };
-            let equals = equals.iter();
-            let blamed: Vec<_> =
-                equals.filter(|it| is_refused(it.2, it.1)).collect();
-            for (_, work, case) in blamed {
-                explained.extend(&case.crashes);
-                if work.is_prompt_part() {
-                    refused.push(*work);
-                }
+        let explains = |work: WorkDigest,
+                        other: &QuarantineCase,
+                        case: &QuarantineCase| {
+            if work.is_prompt_part() {
+                case.completed_without_crash && !other.completed_without_crash
+            } else {
+                other.crashes.len() >= case.crashes.len()
             }
+        };
+        let is_accused = |case: &QuarantineCase| {
+            let others = suspects.iter();
+            let others = others.filter(|it| explains(it.0, it.1, case));
+            case.unexplained_crashes(others.map(|it| it.1))
+                >= case.crash_threshold()
+        };
+        let parts = suspects.iter().filter(|it| it.0.is_prompt_part());
+        let mut accused: Vec<WorkDigest> =
+            parts.filter(|it| is_accused(it.1)).map(|it| it.0).collect();
+        accused.sort();
+        accused
+    }
+}
+
+impl QuarantineCase {
+    /// Whether this part may have crashed the targets of the other part: it
+    /// was answered no more recently, and it didn't crash fewer of the same
+    /// targets.
+    fn may_explain(&self, other: &QuarantineCase) -> bool {
+        let is_no_weaker =
+            other.completed_without_crash || !self.completed_without_crash;
+        let is_explained = self.crashes.len() < other.crashes.len()
+            && self.crashes.is_subset(&other.crashes);
+        is_no_weaker && !is_explained
+    }
+
+    /// The number of crashes that none of the other cases explains.
+    fn unexplained_crashes<'a>(
+        &self,
+        others: impl Iterator<Item = &'a QuarantineCase>,
+    ) -> usize {
+        let mut unexplained: BTreeSet<CrashId> = self.crashes.clone();
+        for other in others {
+            unexplained.retain(|it| !other.crashes.contains(it));
         }
-        refused
+        unexplained.len()
     }
 }
 
--- a/cowsliproad-direct/tests/entry/prompt_parts.rs
+++ b/cowsliproad-direct/tests/entry/prompt_parts.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use cowsliproad_net::client::{Client, Error};
-use cowsliproad_platform::header;
+use cowsliproad_platform::{header, log::QUARANTINE_TOPIC};
 use cowsliproad_platform_standin::{
     log::Fault,
     target::{self, Target, TargetConfig},
@@ -106,6 +106,17 @@
         }
     }
 
+    /// Kills the target that a request with these parts goes to.
+    async fn crash_next_target(&self, parts: &[&str]) {
+        for target in &self.targets {
+            target.set_fault(target::Fault::Crash);
+        }
+        let _ = ask(&self.entries[0], "/once/", parts).await;
+        for target in &self.targets {
+            target.set_fault(target::Fault::None);
+        }
+    }
+
     /// Checks that all entries refuse the part at once and serve others.
     async fn check_refused(&self) {
         let before = self.reached();
@@ -261,18 +272,8 @@
     let scene = Scene::start("/many/", 12).await;
     for _ in 0..6 {
         let before = scene.crashed();
-        for target in &scene.targets {
-            if !target.process_has_ended() {
-                target.set_fault(target::Fault::Crash);
-            }
-        }
-        let entry = &scene.entries[0];
-        let parts = [BEFORE, "b1", AFTER];
-        let _ = ask(entry, "/once/", &parts).await;
+        scene.crash_next_target(&[BEFORE, "b1", AFTER]).await;
         assert_eq!(scene.crashed(), before + 1);
-        for target in &scene.targets {
-            target.set_fault(target::Fault::None);
-        }
         sleep(PROMPT).await;
         for entry in &scene.entries {
             scene.send_sound(entry).await;
@@ -280,6 +281,38 @@
     }
 }
 
+/// Guards against a record in the log that blames a part though targets have
+/// answered it since, read by entries that all restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_all_restart_blame_no_part_that_was_answered() {
+    let mut scene = Scene::start("/many/", 12).await;
+    let parts = [BEFORE, "b1", AFTER];
+    for crashes in 1..CRASHES {
+        scene.crash_next_target(&parts).await;
+        assert_eq!(scene.crashed(), crashes);
+    }
+    let records = || scene.plant.log.record_count(QUARANTINE_TOPIC);
+    until("the log blames the parts", async || records() >= parts.len()).await;
+    let before = records();
+    scene.send_sound(&scene.entries[0]).await;
+    until("the log clears the parts", async || {
+        records() >= before + parts.len()
+    })
+    .await;
+    let settings: Vec<_> =
+        scene.entries.drain(..).map(|it| it.settings.clone()).collect();
+    scene.entries = settings.into_iter().map(Entry::start).collect();
+    for entry in &scene.entries {
+        entry.until_ready().await;
+    }
+    sleep(PROMPT).await;
+    scene.crash_next_target(&parts).await;
+    sleep(PROMPT).await;
+    for entry in &scene.entries {
+        scene.send_sound(entry).await;
+    }
+}
+
 /// A group whose ranks crash one at a time and which forms again each time.
 struct Group {
     scene: Scene,
--- a/cowsliproad-direct/tests/entry/prompt_siege.rs
+++ b/cowsliproad-direct/tests/entry/prompt_siege.rs
@@ -344,3 +344,17 @@
         siege(seed).await;
     }
 }
+
+/// Guards against a trial of each deadly part, late, because many of the few
+/// requests have it.
+#[tokio::test]
+async fn a_siege_that_tried_parts_late_tries_none() {
+    siege(3).await;
+}
+
+/// Guards against refusing a subject that ran beside three deadly parts.
+#[tokio::test]
+async fn a_siege_that_refused_the_company_of_three_parts_serves_it() {
+    siege(6).await;
+    siege(42).await;
+}
--- a/tests/properties/prompt_parts.rs
+++ b/tests/properties/prompt_parts.rs
@@ -128,6 +128,39 @@
     assert!(!is_refused(&ledger, &["a"], NOW));
 }
 
+/// Guards against refusing a part for good that ran beside several parts at
+/// fault, more often than beside any single one.
+#[test]
+fn the_company_of_several_parts_at_fault_is_served() {
+    let mut ledger = CrashLedger::new();
+    crash_with(&mut ledger, &["dead", "new"], &[1, 7]);
+    crash_with(&mut ledger, &["doom", "new"], &[2]);
+    crash_with(&mut ledger, &["feed", "new"], &[5]);
+    crash_with(&mut ledger, &["dead"], &[4]);
+    crash_with(&mut ledger, &["doom"], &[8, 9]);
+    crash_with(&mut ledger, &["feed"], &[6, 10]);
+    assert!(!is_refused(&ledger, &["new", "other"], NOW));
+    assert!(is_refused(&ledger, &["new", "dead"], NOW));
+    record_answer(&mut ledger, &request(11, &["new", "other"]), NOW);
+    for part in ["dead", "doom", "feed"] {
+        assert!(is_refused(&ledger, &[part], NOW), "{part}");
+    }
+}
+
+/// Guards against refusing a part for good that ran beside the part at fault
+/// and on a target that was killed.
+#[test]
+fn a_kill_beside_the_crashes_leaves_the_company_in_use() {
+    let mut ledger = CrashLedger::new();
+    crash_with(&mut ledger, &["dead", "new"], &[1, 2]);
+    crash_with(&mut ledger, &["new"], &[3]);
+    crash_with(&mut ledger, &["dead"], &[4]);
+    assert!(is_refused(&ledger, &["dead", "new"], NOW));
+    assert!(!is_refused(&ledger, &["new"], NOW));
+    record_answer(&mut ledger, &request(5, &["new"]), NOW);
+    assert!(is_refused(&ledger, &["dead"], NOW));
+}
+
 /// Guards against a part that is blamed for a request which crashes its targets
 /// each time it comes again.
 #[test]
