admission: clear parts whose crashes others explain

Accused parts are now cleared from the weakest on if other accused parts explain all of their crashes, and only a part with evidence as strong speaks for another. A part that most requests have is tried again after one second, then two, also after a failed trial.

--- a/cowsliproad-admission/src/quarantine/case.rs
+++ b/cowsliproad-admission/src/quarantine/case.rs
@@ -43,6 +43,8 @@
     pub(super) due_at: Millis,
     /// When the next trial is due if most requests have the part.
     pub(super) due_at_if_common: Millis,
+    /// Trials that this process has sent.
+    pub(super) trials_begun: u32,
     /// Whether this process has sent a trial whose outcome is not known.
     pub(super) is_in_progress: bool,
     /// Trials that crashed their targets, at any entry process.
--- a/cowsliproad-admission/src/quarantine/parts.rs
+++ b/cowsliproad-admission/src/quarantine/parts.rs
@@ -10,11 +10,13 @@
 //!   part that they didn't ran there too and crashed as often; nor against the
 //!   parts of a request that is refused for its content, unless they ran at
 //!   more crashes. The parts that are left with too many crashes are accused.
-//! * Several parts may be accused of the same crashes only because they ran
-//!   together. So a request is refused for an accused part only if too many
-//!   crashes of that part are left which no accused part outside the request
-//!   explains. A request with some of these parts tells them apart: its crash,
-//!   or its answer, is new evidence.
+//! * Parts that are accused only of crashes at which other accused parts ran
+//!   are cleared, the weakest evidence first.
+//! * The parts that are left may have run together. So a request is refused for
+//!   an accused part only if too many of its crashes are left that no accused
+//!   part outside the request, with evidence as strong, explains. A request
+//!   with some of these parts tells them apart: its crash, or its answer, is
+//!   new evidence.
 //!
 //! The refusals follow from the recorded crashes and survivals alone, so all
 //! entry processes that have the same records refuse the same parts.
@@ -23,12 +25,12 @@
 //! reason. So now and then one request with the part is sent as a trial.
 //! Entry processes begin trials at different times ([`admit_request`]); the
 //! first answer frees the part at all of them, and a crash postpones all
-//! trials. A part that most requests have is tried at once, because refusing
-//! it stops the service.
+//! trials. A part that most requests have is tried at once, and soon again,
+//! because refusing it stops the service.
 //!
 //! [`admit_request`]: CrashLedger::admit_request
 
-use std::collections::BTreeSet;
+use std::{cmp::Reverse, collections::BTreeSet};
 
 use cowsliproad_kernel::clock::Millis;
 
@@ -48,8 +50,12 @@
 const COMMON_PART_TRIAL_DELAY: Millis = Millis(1_000);
 
 /// The interval between trials of a part that most requests have: the time for
-/// an answer to begin and for other entry processes to learn of it.
-const COMMON_PART_TRIAL_INTERVAL: Millis = Millis(2_000);
+/// an answer to begin and for other entry processes to learn of it. Doubles
+/// with each trial.
+const COMMON_PART_TRIAL_INTERVAL: Millis = Millis(1_000);
+
+/// How often the interval between trials of such a part doubles.
+const MAX_COMMON_PART_DOUBLINGS: u32 = 5;
 
 /// Most requests have a part if, since its refusal, at least this share of all
 /// requests was rejected for it.
@@ -174,7 +180,7 @@
             accused.partition(|it| parts.contains(&it.0));
         let is_refused = |case: &QuarantineCase| {
             let rivals = outside.iter().map(|it| it.1);
-            let rivals = rivals.filter(|it| it.may_explain(case));
+            let rivals = rivals.filter(|it| it.is_no_weaker_than(case));
             case.unexplained_crashes(rivals) >= case.crash_threshold()
         };
         inside.iter().filter(|it| is_refused(it.1)).map(|it| it.0).collect()
@@ -194,8 +200,7 @@
     fn is_common_part(&self, case: &QuarantineCase) -> bool {
         let Some(trial) = &case.trial else { return false };
         let requests = self.request_count - trial.request_count_before;
-        trial.failed_trials == 0
-            && trial.rejections >= COMMON_PART_MIN_REJECTIONS
+        trial.rejections >= COMMON_PART_MIN_REJECTIONS
             && trial.rejections * 100 >= requests * MIN_COMMON_PART_PERCENT
     }
 
@@ -212,7 +217,10 @@
         let Some(case) = self.cases.get_mut(&part) else { return };
         let Some(trial) = &mut case.trial else { return };
         trial.due_at = now + trial_interval(trial.failed_trials);
-        trial.due_at_if_common = now + COMMON_PART_TRIAL_INTERVAL;
+        let doublings = trial.trials_begun.min(MAX_COMMON_PART_DOUBLINGS);
+        let interval = COMMON_PART_TRIAL_INTERVAL.0 << doublings;
+        trial.due_at_if_common = now + Millis(interval);
+        trial.trials_begun += 1;
         trial.is_in_progress = true;
     }
 
@@ -273,6 +281,7 @@
                         due_at: now + PART_TRIAL_INTERVAL,
                         due_at_if_common: now + COMMON_PART_TRIAL_DELAY,
                         is_in_progress: false,
+                        trials_begun: 0,
                         failed_trials: 0,
                         rejections: 0,
                         request_count_before: self.request_count,
@@ -313,23 +322,36 @@
                 >= case.crash_threshold()
         };
         let parts = suspects.iter().filter(|it| it.0.is_prompt_part());
-        let mut accused: Vec<WorkDigest> =
-            parts.filter(|it| is_accused(it.1)).map(|it| it.0).collect();
-        accused.sort();
-        accused
+        let mut accused: Vec<(WorkDigest, &QuarantineCase)> =
+            parts.filter(|it| is_accused(it.1)).copied().collect();
+        accused.sort_by_key(|(part, case)| {
+            let weight = case.crashes.len();
+            (Reverse(case.completed_without_crash), weight, *part)
+        });
+        // Parts that are accused only of crashes of other accused parts are
+        // cleared, those with the weakest evidence first.
+        let mut index = 0;
+        while index < accused.len() {
+            let case = accused[index].1;
+            let others = accused.iter().map(|it| it.1);
+            let others = others.filter(|it| it.crashes != case.crashes);
+            if case.unexplained_crashes(others) == 0 {
+                accused.remove(index);
+            } else {
+                index += 1;
+            }
+        }
+        accused.into_iter().map(|it| it.0).collect()
     }
 }
 
 impl QuarantineCase {
-    /// Whether this part may have crashed the targets of the other part: it
-    /// was answered no more recently, and it didn't crash fewer of the same
-    /// targets.
-    fn may_explain(&self, other: &QuarantineCase) -> bool {
-        let is_no_weaker =
-            other.completed_without_crash || !self.completed_without_crash;
-        let is_explained = self.crashes.len() < other.crashes.len()
-            && self.crashes.is_subset(&other.crashes);
-        is_no_weaker && !is_explained
+    /// Whether the evidence against this part is as strong as that against the
+    /// other part: it ran at as many crashes, and was answered no more
+    /// recently.
+    fn is_no_weaker_than(&self, other: &QuarantineCase) -> bool {
+        self.crashes.len() >= other.crashes.len()
+            && (other.completed_without_crash || !self.completed_without_crash)
     }
 
     /// The number of crashes that none of the other cases explains.
--- a/tests/properties/prompt_parts.rs
+++ b/tests/properties/prompt_parts.rs
@@ -161,6 +161,25 @@
     assert!(is_refused(&ledger, &["dead"], NOW));
 }
 
+/// Guards against clearing parts at fault whose crashes their company explains
+/// together.
+#[test]
+fn parts_at_fault_are_refused_though_their_company_covers_them() {
+    let mut ledger = CrashLedger::new();
+    let parts = ["dead", "doom", "feed"];
+    for number in 0..12_u64 {
+        let part = parts[number as usize % 3];
+        let company = format!("new-{}", number as usize / 3);
+        crash_with(&mut ledger, &[part, &company], &[number]);
+    }
+    for part in parts {
+        assert!(is_refused(&ledger, &[part, "other"], NOW), "{part}");
+    }
+    for company in ["new-0", "new-1", "new-2", "new-3"] {
+        assert!(!is_refused(&ledger, &[company], NOW), "{company}");
+    }
+}
+
 /// Guards against a part that is blamed for a request which crashes its targets
 /// each time it comes again.
 #[test]
