--- a/cowsliproad-direct/tests/entry/prompt_siege.rs
+++ b/cowsliproad-direct/tests/entry/prompt_siege.rs
@@ -309,7 +309,7 @@
     let siege = Siege::start(seed).await;
     let deadly = siege.parts.iter().map(|it| siege.send_deadly(it));
     let deadly_body = async {
-        if seed % 2 == 0 {
+        if seed.is_multiple_of(2) {
             siege.send_deadly_body().await;
         }
     };
