admission: let answered parts clear no part at fault

Only parts that were answered no later now clear a part. The new property test was not run on the code before.

--- a/cowsliproad-admission/src/quarantine/parts.rs
+++ b/cowsliproad-admission/src/quarantine/parts.rs
@@ -334,7 +334,9 @@
         while index < accused.len() {
             let case = accused[index].1;
             let others = accused.iter().map(|it| it.1);
-            let others = others.filter(|it| it.crashes != case.crashes);
+            let others = others.filter(|it| {
+                it.crashes != case.crashes && it.was_answered_no_later(case)
+            });
             if case.unexplained_crashes(others) == 0 {
                 accused.remove(index);
             } else {
@@ -351,7 +353,13 @@
     /// recently.
     fn is_no_weaker_than(&self, other: &QuarantineCase) -> bool {
         self.crashes.len() >= other.crashes.len()
-            && (other.completed_without_crash || !self.completed_without_crash)
+            && self.was_answered_no_later(other)
+    }
+
+    /// Whether targets answered this part no more recently than the other
+    /// part.
+    fn was_answered_no_later(&self, other: &QuarantineCase) -> bool {
+        other.completed_without_crash || !self.completed_without_crash
     }
 
     /// The number of crashes that none of the other cases explains.
--- a/tests/properties/prompt_parts.rs
+++ b/tests/properties/prompt_parts.rs
@@ -180,6 +180,17 @@
     }
 }
 
+/// Guards against clearing a part at fault since parts that were answered lately
+/// ran at its crashes, and at others too.
+#[test]
+fn parts_that_were_answered_clear_no_part_at_fault() {
+    let mut ledger = CrashLedger::new();
+    record_answer(&mut ledger, &request(0, &["all"]), NOW);
+    crash_with(&mut ledger, &["all", "dead"], &[1, 2, 3]);
+    crash_with(&mut ledger, &["all"], &[4, 5, 6, 7, 8, 9]);
+    assert!(is_refused(&ledger, &["dead"], NOW));
+}
+
 /// Guards against a part that is blamed for a request which crashes its targets
 /// each time it comes again.
 #[test]
