--- a/cowsliproad-admission/src/quarantine/parts.rs
+++ b/cowsliproad-admission/src/quarantine/parts.rs
@@ -1,15 +1,16 @@
 //! Refusal of prompt parts that crash the targets of all requests with them.
 //!
 //! A crash suspects all parts of all requests that the target had not begun to
-//! answer, though at most one of these parts is at fault. Three rules tell
+//! answer, though at most one of these parts is at fault. These rules tell
 //! that part from the others:
 //!
 //! * An answer that has begun clears all parts of its prompt. Parts that many
 //!   requests have are cleared all the time.
-//! * A crash doesn't count against a part that targets answered lately, if a
-//!   part that they didn't ran there too and crashed as often; nor against the
-//!   parts of a request that is refused for its content, unless they ran at
-//!   more crashes. The parts that are left with too many crashes are accused.
+//! * A part is accused once too many crashes count against it. A crash doesn't
+//!   count against a part that targets answered lately if it also counts
+//!   against a part with too many crashes that they didn't answer, nor if it
+//!   counts against a request that is refused for its content, unless the part
+//!   has more crashes than the request.
 //! * Parts that are accused only of crashes at which other accused parts ran
 //!   are cleared, the weakest evidence first.
 //! * The parts that are left may have run together. So a request is refused for
--- a/cowsliproad-direct/tests/entry/siege.rs
+++ b/cowsliproad-direct/tests/entry/siege.rs
@@ -401,3 +401,9 @@
 async fn a_siege_by_callers_that_leave_ends_few_targets_too() {
     play(Shape::Impatient).await;
 }
+
+/// Guards against deadly work that reached a target once more, late.
+#[tokio::test]
+async fn a_siege_by_impatient_callers_that_was_late_ends_few_targets() {
+    siege(16, Shape::Impatient).await;
+}
