direct: log what retries are spent and allowed

Logs told that a retry was sent or denied, but not of which part of the budget, so a window lost with its process could not be told from a part of too few entries. The line `retry` says what this process has spent, what its part allows, the requests that it rests on, how old the window is, and how many entries it counts and has met. The metrics `retries`, `retries_spent` and `retries_allowed` say the same by service.

No decision changes.

--- a/cowsliproad-admission/src/window.rs
+++ b/cowsliproad-admission/src/window.rs
@@ -49,6 +49,17 @@
     }
 }
 
+/// How much of a retry budget one entry process has used within its window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// Requests counted within the window.
+    pub requests: u32,
+    /// Retries spent within the window.
+    pub spent: u32,
+    /// Retries that the process may spend within the window.
+    pub allowed: f64,
+}
+
 /// A sliding window that limits the retries of one service at one entry
 /// process.
 #[derive(Clone, Debug)]
@@ -78,20 +89,31 @@
         entry_process_count: usize,
         now: Millis,
     ) -> bool {
+        let usage = self.usage(entry_process_count, now);
+        if f64::from(usage.spent) + 1.0 > usage.allowed {
+            return false;
+        }
+        self.current_step_counts(now).2 += 1;
+        true
+    }
+
+    /// Returns what this entry process has used of its part of the retry
+    /// budget.
+    pub fn usage(
+        &mut self,
+        entry_process_count: usize,
+        now: Millis,
+    ) -> RetryUsage {
         self.current_step_counts(now);
-        let requests: u32 = self.step_counts.iter().map(|it| it.1).sum();
-        let retries: u32 = self.step_counts.iter().map(|it| it.2).sum();
+        let requests = self.step_counts.iter().map(|it| it.1).sum();
+        let spent = self.step_counts.iter().map(|it| it.2).sum();
         let entry_extra =
             self.config.extra_retries / entry_process_count.max(1) as f64;
         let max_retries = self.config.retries_per_request
             * f64::from(requests)
             + entry_extra;
-        if f64::from(retries) + 1.0 > max_retries * USED_RETRY_BUDGET_FRACTION
-        {
-            return false;
-        }
-        self.current_step_counts(now).2 += 1;
-        true
+        let allowed = max_retries * USED_RETRY_BUDGET_FRACTION;
+        RetryUsage { requests, spent, allowed }
     }
 
     /// Returns the number of requests to expect within `span`, extrapolated
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -222,7 +222,7 @@
         }
         let now = Millis::now();
         if self.next_attempt_cost == AttemptCost::OneRetry
-            && !entry.try_spend_retry(&self.service, now)
+            && !entry.try_spend_retry(&self.request_id, &self.service, now)
         {
             choice.return_permit();
             let reason = RejectionReason::NoTarget("no retry is left");
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -575,9 +575,28 @@
 
     /// Spends a retry of a service's retry budget; false if the budget is
     /// exhausted.
-    pub fn try_spend_retry(&self, service: &Name, now: Millis) -> bool {
+    pub fn try_spend_retry(
+        &self,
+        request_id: &str,
+        service: &Name,
+        now: Millis,
+    ) -> bool {
         let entries = self.peers.borrow().entry_process_count();
-        self.with_retry_budget(service, |it| it.try_spend_retry(entries, now))
+        let (spent, usage) = self.with_retry_budget(service, |it| {
+            let spent = it.try_spend_retry(entries, now);
+            (spent, it.usage(entries, now))
+        });
+        let outcome = if spent { "spent" } else { "denied" };
+        self.metrics.record_retry(service, outcome, usage);
+        // A window is as old as its process: without a restart it is older
+        // than the span of the budget.
+        info!(self.log, "retry"; "request" => request_id,
+            "service" => &**service, "outcome" => outcome,
+            "spent" => usage.spent, "allowed" => usage.allowed as u64,
+            "requests" => usage.requests, "window_age" => now.0,
+            "entries" => entries,
+            "entries_met" => self.peers.borrow().met_entry_process_count());
+        spent
     }
 
     /// A random number from 0 to 1.
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -1,5 +1,6 @@
 //! Metrics of the entry process.
 
+use cowsliproad_admission::window::RetryUsage;
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_net::metrics::Metrics;
 use opentelemetry::{
@@ -37,6 +38,9 @@
     config_confirmed_age: Gauge<u64>,
     silent_polls: Counter<u64>,
     late_digests: Counter<u64>,
+    retries: Counter<u64>,
+    retries_spent: Gauge<u64>,
+    retries_allowed: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -83,6 +87,9 @@
                 .build(),
             silent_polls: meter.u64_counter("silent_polls").build(),
             late_digests: meter.u64_counter("late_digests").build(),
+            retries: meter.u64_counter("retries").build(),
+            retries_spent: meter.u64_gauge("retries_spent").build(),
+            retries_allowed: meter.u64_gauge("retries_allowed").build(),
             log_answer_age: meter.u64_gauge("log_answer_age_ms").build(),
             metrics,
         }
@@ -229,6 +236,22 @@
         self.late_digests.add(1, &[]);
     }
 
+    /// Records that a retry was spent or denied, and what this entry process
+    /// has used of the service's retry budget within the budget's window.
+    pub fn record_retry(
+        &self,
+        service: &str,
+        outcome: &'static str,
+        usage: RetryUsage,
+    ) {
+        let service = KeyValue::new("service", service.to_string());
+        let labels = [service.clone(), KeyValue::new("outcome", outcome)];
+        self.retries.add(1, &labels);
+        let service = [service];
+        self.retries_spent.record(u64::from(usage.spent), &service);
+        self.retries_allowed.record(usage.allowed as u64, &service);
+    }
+
     /// Renders all metrics as text.
     pub fn render_text(&self) -> String {
         self.metrics.text()
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -188,6 +188,12 @@
         self.known_peers.len().max(self.seeds.len()) + 1
     }
 
+    /// The number of entry processes that sent a digest lately, including this
+    /// one.
+    pub fn met_entry_process_count(&self) -> usize {
+        self.known_peers.len() + 1
+    }
+
     fn merge_peer_digest(
         &mut self,
         digest: &GossipDigest,
