tests: reproduce retries beyond the budget after restarts

Callers saw nothing; targets got more retries than the budget of all entries allows in any window (BUDGET).

The tests count what arrives at stand-in targets beyond the first of each request, over any window, before real entries that are killed at once, one by one, again and again, released by SIGTERM and replaced at other addresses while all targets refuse. The property has entries that end and start inside the window.

--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use cowsliproad_direct::settings::Settings;
+use cowsliproad_direct::settings::{RetryBudgetSettings, Settings};
 use cowsliproad_kernel::{
     clock::Millis,
     gossip::{
@@ -60,6 +60,7 @@
     pub log: Arc<Log>,
     pub log_address: SocketAddr,
     pub catalog: OperatorConfig,
+    retries: RetryBudgetSettings,
     next: u8,
 }
 
@@ -89,7 +90,13 @@
             .with_route("/stream/", RouteKind::Stream, "model", 8_000)
             .with_organisation("harju", &[KEY]);
         catalog.publish(&log);
-        Plant { net, log, log_address, catalog, next: 1 }
+        let retries = Settings::example().retries;
+        Plant { net, log, log_address, catalog, retries, next: 1 }
+    }
+
+    /// The same platform with another retry budget of its entries.
+    pub fn with_retries(self, retries: RetryBudgetSettings) -> Plant {
+        Plant { retries, ..self }
     }
 
     /// An address for one more VM.
@@ -166,6 +173,7 @@
                 .collect(),
             log_address: self.log_address,
             target_wait_ms: Millis(1_900),
+            retries: self.retries,
             ..Settings::example()
         }
     }
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -19,6 +19,8 @@
 mod prompt_parts;
 mod prompt_siege;
 mod quarantine;
+mod retries;
+mod retry_budget;
 mod rollback_siege;
 mod rollbacks;
 mod scripted;
--- a/cowsliproad-direct/tests/entry/processes.rs
+++ b/cowsliproad-direct/tests/entry/processes.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    harness::{Entry, Plant},
+    harness::{Entry, Plant, until},
     siege,
 };
 
@@ -117,6 +117,19 @@
         }
     }
 
+    /// Waits until all entries have met.
+    pub async fn until_met(&self) {
+        let others = Some((self.count() - 1) as f64);
+        for entry in &self.entries {
+            let entry = entry.borrow();
+            let Some((_, entry)) = entry.as_ref() else { continue };
+            until("they have met", async || {
+                entry.metric("peers").await == others
+            })
+            .await;
+        }
+    }
+
     /// How many there are.
     pub fn count(&self) -> usize {
         self.entries.len()
@@ -217,6 +230,41 @@
         let Some((old, mut gone)) = self.entries[place].take() else { return };
         self.lives.borrow_mut()[old].until = Some(Instant::now());
         gone.signal(signal);
+        if signal == Signal::KILL {
+            gone.ended().await;
+        }
+        // One that was told to stop serves on for seconds; it is let go.
+        self.start_after(place, gone, address);
+    }
+
+    /// Stops an entry, which serves on until its own end, and then starts
+    /// another one in its place.
+    pub async fn release(&self, place: usize) {
+        let stopping = self.with(place, |process, entry| {
+            entry.signal(Signal::TERM);
+            process
+        });
+        let Some(stopping) = stopping else { return };
+        self.lives.borrow_mut()[stopping].until = Some(Instant::now());
+        loop {
+            sleep(Duration::from_millis(20)).await;
+            let mut entry = self.entries[place].borrow_mut();
+            match entry.as_mut() {
+                Some((process, entry)) if *process == stopping => {
+                    if !entry.is_running() {
+                        break;
+                    }
+                }
+                _ => return,
+            }
+        }
+        if let Some((_, gone)) = self.entries[place].take() {
+            self.start_after(place, gone, Address::Same);
+        }
+    }
+
+    /// Starts an entry in the place of one that is gone.
+    fn start_after(&self, place: usize, gone: Entry, address: Address) {
         let others = self.entries.iter();
         let others = others.filter_map(|it| {
             let entry = it.borrow();
@@ -234,10 +282,6 @@
             },
         };
         let settings = Settings { seed_addresses: seeds, ..settings };
-        if signal == Signal::KILL {
-            gone.ended().await;
-        }
-        // One that was told to stop serves on for seconds; it is let go.
         drop(gone);
         let mut lives = self.lives.borrow_mut();
         let process = lives.len();
