--- a/tests/properties/retry_budget.rs
+++ b/tests/properties/retry_budget.rs
@@ -277,3 +277,11 @@
         assert!(spent <= RATIO * asked + EXTRA + 1.0, "{spent} at {end}");
     }
 }
+
+/// Guards against an entry that joins and takes callers of entries that have
+/// just spent their parts.
+#[test]
+fn an_entry_that_joins_beside_spent_budgets_keeps_them() {
+    let score = play(7, Policy::Inherit, Disruption::Siege, 27);
+    assert!(score.worst <= 1.0, "{score:?}");
+}
