--- a/tests/properties/retry_budget.rs
+++ b/tests/properties/retry_budget.rs
@@ -301,3 +301,13 @@
     let score = play(7, Policy::Inherit, Disruption::Siege, 27);
     assert!(score.worst <= 1.0, "{score:?}");
 }
+
+/// Guards against reserves of the fixed part that processes take while they
+/// know few of the entries that share it.
+#[test]
+fn a_large_fleet_keeps_the_budget() {
+    for disruption in [Disruption::KillAll, Disruption::Siege] {
+        let score = play(720, Policy::Inherit, disruption, 1);
+        assert!(score.worst <= 1.0, "{disruption:?} {score:?}");
+    }
+}
