review: show prompt parts that excuse each other

Two prompt parts that crash engines have nearly the same crashes while the engines start again one after the other.

--- a/review/standin/engines.rs
+++ b/review/standin/engines.rs
@@ -268,7 +268,7 @@
         "{{\"version\":{version},\"routes\":[{}],\"services\":[\
          {{\"name\":\"kirjutaja\",\"maxConns\":348,\"engine\":{{\"sets\":{SETS},\"experts\":{EXPERTS},\
          \"places\":20,\"spare\":2,\"expertMb\":880.0,\"linkMbps\":180000.0}}}},\
-         {{\"name\":\"valvur\",\"maxConns\":100}}],\
+         {{\"name\":\"valvur\",\"maxConns\":100}},{{\"name\":\"texts\",\"maxConns\":100}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
          \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
          \"tenants\":[{{\"name\":\"{}\",\"apiKeys\":[\"{}\"]}}]}}",
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod engines;
 mod extra;
 mod lapse;
+mod parts;
 mod silence;
 mod stopping;
 mod weights;
@@ -15,6 +16,7 @@
     let broken = match case.as_str() {
         "extra" => extra::run(),
         "lapse" => lapse::run(),
+        "parts" => parts::run(),
         "silence" => silence::run(),
         "weights" => weights::run(),
         "stopping" => stopping::run(),
