direct: log where the news of targets stands in the log

Callers of every entry got 503 some time after an outage of the log, and the lines of `target_left` could not tell an old withdrawal that ended a newer announcement from a real one, nor show who read it from where.

Every record now carries its position. Positions of announcements travel with an entry's state, positions after withdrawals with digests, beside the fields that older processes read. `target_left` and `target_joined` show them and the peer that passed the news on; `targets_read` and `targets_taken` are new. No decision uses a position yet.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -71,6 +71,27 @@
     Own,
 }
 
+/// Where news of a target came from, for logs.
+#[derive(Clone, Debug)]
+pub struct TargetNews {
+    source: StateChangeSource,
+    /// The entry process that sent the news.
+    peer: Option<Name>,
+}
+
+impl TargetNews {
+    /// News that this entry process read from the log or observed itself.
+    pub fn new(source: StateChangeSource) -> TargetNews {
+        TargetNews { source, peer: None }
+    }
+
+    /// News in a digest or state of the entry process with this name or
+    /// address.
+    pub fn from_peer(peer: Name) -> TargetNews {
+        TargetNews { source: StateChangeSource::Peer, peer: Some(peer) }
+    }
+}
+
 /// The phases of an entry process, from serving to the end of its shutdown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProcessPhase {
@@ -411,8 +432,9 @@
         &self,
         id: &str,
         change: TargetChange,
-        source: StateChangeSource,
+        news: &TargetNews,
     ) {
+        let (source, peer) = (news.source, news.peer.as_deref());
         match change {
             TargetChange::None => return,
             // The target is known here, but maybe not to other entry
@@ -424,7 +446,7 @@
                 self.record_target_change_in_log(source);
                 if change == TargetChange::Restarted {
                     info!(self.log, "target_restarted"; "target" => id,
-                        "source" => ?source);
+                        "source" => ?source, "peer" => peer);
                     // In-flight requests, connections and agent reports belong
                     // to the previous start of the target.
                     self.endpoints.borrow_mut().remove(id);
@@ -432,9 +454,12 @@
                 }
                 let fleet = self.fleet.borrow();
                 let Some(target) = fleet.get(id) else { return };
+                let announced_at = fleet.announcement_position(id);
                 info!(self.log, "target_joined"; "target" => id,
                     "service" => &*target.service,
-                    "address" => %target.address, "source" => ?source);
+                    "address" => %target.address,
+                    "announced_at" => %announced_at.unwrap_or_default(),
+                    "source" => ?source, "peer" => peer);
                 self.joined_target_count
                     .set(self.joined_target_count.get() + 1);
                 self.digest_wakeup.notify_one();
@@ -443,8 +468,12 @@
             }
             TargetChange::Left => {
                 self.record_target_change_in_log(source);
+                let positions = self.fleet.borrow().departure_positions(id);
+                let positions = positions.unwrap_or_default();
                 info!(self.log, "target_left"; "target" => id,
-                    "source" => ?source);
+                    "announced_at" => %positions.announced_at,
+                    "withdrawn_before" => %positions.end_position,
+                    "source" => ?source, "peer" => peer);
                 self.endpoints.borrow_mut().remove(id);
                 self.limits.borrow_mut().remove_target_limiter(id);
                 let addresses: HashSet<SocketAddr> = self
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -27,7 +27,7 @@
 use slog::{info, warn};
 
 use crate::{
-    entry::{Entry, StateChangeSource},
+    entry::{Entry, StateChangeSource, TargetNews},
     peers,
 };
 
@@ -143,6 +143,9 @@
 pub struct TopicReadResult {
     /// The records that were read.
     pub records: Vec<Record>,
+    /// The position of the first record that was asked for; `None` if the
+    /// newest record of every key was.
+    pub start_position: Option<LogPosition>,
     /// The position in the topic after the last record that was read.
     pub end_position: LogPosition,
     /// Which records of the topic were read.
@@ -202,13 +205,15 @@
         entry.observe_log_era(self.client.era(), StateChangeSource::Log);
         let Page { next_position: next, records } = read?;
         self.contact.record_success(entry);
-        let scope = match self.next_position.replace(next) {
+        let start_position = self.next_position.replace(next);
+        let scope = match start_position {
             None if self.has_read => ReadScope::All,
             None => ReadScope::First,
             Some(_) => ReadScope::New,
         };
         self.has_read = true;
-        Ok(TopicReadResult { records, end_position: next, scope })
+        let end_position = next;
+        Ok(TopicReadResult { records, start_position, end_position, scope })
     }
 
     /// Reads the records that the log has. An open connection may have gone
@@ -253,7 +258,9 @@
         let end_position = missed.next_position;
         self.next_position = Some(end_position);
         let records = missed.records;
-        Ok(TopicReadResult { records, end_position, scope: ReadScope::New })
+        let start_position = Some(position);
+        let scope = ReadScope::New;
+        Ok(TopicReadResult { records, start_position, end_position, scope })
     }
 
     /// Prepares the next read after a failed one; backs off unless records
@@ -425,13 +432,18 @@
     now: Millis,
 ) {
     let records = &reading.records;
+    let news = TargetNews::new(StateChangeSource::Log);
     let changes = records
         .iter()
-        .map(|it| {
-            apply_target_announcement(entry, it, now, StateChangeSource::Log)
-        })
+        .map(|it| apply_target_announcement(entry, it, now, &news))
         .filter(|it| *it != TargetChange::None)
         .count();
+    if changes > 0 {
+        let from = reading.start_position.unwrap_or_default();
+        info!(entry.log, "targets_read"; "from" => %from,
+            "to" => %reading.end_position, "scope" => ?reading.scope,
+            "records" => records.len(), "changes" => changes);
+    }
     if reading.scope == ReadScope::New {
         return;
     }
@@ -443,10 +455,11 @@
     }
     let listed: HashMap<&str, ProcessStartUnixMs> =
         records.iter().filter_map(announced_start_time).collect();
-    let gone = entry
-        .fleet
-        .borrow_mut()
-        .withdraw_unlisted_targets(|id| listed.get(id).copied(), now);
+    let gone = entry.fleet.borrow_mut().withdraw_unlisted_targets(
+        |id| listed.get(id).copied(),
+        reading.end_position,
+        now,
+    );
     record_left_targets(entry, &gone);
 }
 
@@ -461,12 +474,9 @@
 }
 
 fn record_left_targets(entry: &Entry, gone: &[Name]) {
+    let news = TargetNews::new(StateChangeSource::Log);
     for id in gone {
-        entry.apply_target_change(
-            id,
-            TargetChange::Left,
-            StateChangeSource::Log,
-        );
+        entry.apply_target_change(id, TargetChange::Left, &news);
     }
 }
 
@@ -476,12 +486,14 @@
     entry: &Entry,
     record: &Record,
     now: Millis,
-    source: StateChangeSource,
+    news: &TargetNews,
 ) -> TargetChange {
     let change = match &record.value {
-        None => {
-            entry.fleet.borrow_mut().merge_target_withdrawal(&record.key, now)
-        }
+        None => entry.fleet.borrow_mut().merge_target_withdrawal(
+            &record.key,
+            record.position.successor(),
+            now,
+        ),
         Some(raw) => match target::decode(&record.key, raw) {
             Ok(target) => {
                 let id = target.id.clone();
@@ -489,7 +501,7 @@
                 let change = entry
                     .fleet
                     .borrow_mut()
-                    .merge_target_announcement(target, now);
+                    .merge_target_announcement(target, record.position, now);
                 if entry.fleet.borrow().is_target_ready(&id) {
                     entry
                         .raw_announcements_by_target
@@ -506,6 +518,6 @@
             }
         },
     };
-    entry.apply_target_change(&record.key, change, source);
+    entry.apply_target_change(&record.key, change, news);
     change
 }
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -19,7 +19,7 @@
 use cowsliproad_net::timer::{sleep, timeout};
 use cowsliproad_routing::{
     delay::DelayEstimator,
-    fleet::{GossipedDeparture, ProcessStartUnixMs, Target},
+    fleet::{GossipedDeparture, ProcessStartUnixMs, Target, Withdrawal},
     owner::{
         self, EntryProcessLiveness, RateLimiterOwner,
         RateLimiterOwnerCandidate,
@@ -31,7 +31,7 @@
 
 use crate::{
     call::{COOLDOWN_PROBE_PERIOD, MAX_COOLDOWN_STAGGER},
-    entry::{Entry, StateChangeSource},
+    entry::{Entry, StateChangeSource, TargetNews},
     limits::{self, DigestScope},
     settings::Settings,
 };
@@ -369,9 +369,7 @@
         let recipients = entry.peers.borrow_mut().pick_digest_recipients(now);
         let all = round % DIGEST_ROUNDS_PER_FULL_DIGEST == 0;
         let scope = if all { DigestScope::All } else { DigestScope::Changed };
-        let digest = gossip::encode(&Datagram::Digest(build_digest(
-            &entry, scope, now,
-        )));
+        let digest = encode_digest(&entry, scope, now);
         for peer in recipients {
             send_datagram(&entry, &socket, &digest, peer).await;
         }
@@ -438,6 +436,11 @@
     }
 }
 
+fn encode_digest(entry: &Entry, scope: DigestScope, now: Millis) -> Vec<u8> {
+    let digest = Box::new(build_digest(entry, scope, now));
+    gossip::encode(&Datagram::Digest(digest))
+}
+
 fn build_digest(
     entry: &Entry,
     scope: DigestScope,
@@ -453,17 +456,19 @@
         entry.request_quarantine.borrow().suspects_for_digest(scope, now);
     let (mut left, mut withdrawn_targets_with_start_and_sequence) =
         (Vec::new(), Vec::new());
+    let mut withdrawal_end_positions = Vec::new();
     for (id, departure) in fleet.target_departures_since(since) {
         match departure {
             GossipedDeparture::Announced(start) => {
                 left.push((id.clone(), start.0))
             }
-            GossipedDeparture::Withdrawn(start, last) => {
+            GossipedDeparture::Withdrawn(it) => {
                 withdrawn_targets_with_start_and_sequence.push((
                     id.clone(),
-                    start.0,
-                    last,
+                    it.start.0,
+                    it.last_sequence,
                 ));
+                withdrawal_end_positions.push(it.end_position);
             }
         }
     }
@@ -491,6 +496,7 @@
             .offset,
         departed_targets_with_start_unix_ms: left,
         withdrawn_targets_with_start_and_sequence,
+        withdrawal_end_positions,
         peers: entry.peers.borrow().known_peers.keys().copied().collect(),
         sender_zone: entry.settings().zone.clone(),
         suspected_requests,
@@ -522,7 +528,7 @@
         };
         match gossip::decode::<Datagram>(&buffer[..length]) {
             Some(Datagram::Digest(digest)) => {
-                handle_digest(&entry, &socket, digest).await;
+                handle_digest(&entry, &socket, *digest).await;
             }
             Some(Datagram::Load(load)) => {
                 agents::apply_engine_load(&entry, &load);
@@ -574,15 +580,23 @@
     });
     let withdrawn =
         received_digest.withdrawn_targets_with_start_and_sequence.iter();
-    let withdrawn = withdrawn.map(|it| {
-        (&it.0, GossipedDeparture::Withdrawn(ProcessStartUnixMs(it.1), it.2))
+    let ends = received_digest.withdrawal_end_positions.iter().copied();
+    let ends = ends.chain(std::iter::repeat(LogPosition::default()));
+    let withdrawn = withdrawn.zip(ends).map(|(it, end_position)| {
+        let withdrawal = Withdrawal {
+            start: ProcessStartUnixMs(it.1),
+            last_sequence: it.2,
+            end_position,
+        };
+        (&it.0, GossipedDeparture::Withdrawn(withdrawal))
     });
+    let news = TargetNews::from_peer(received_digest.sender_vm.clone());
     for (id, departure) in left.chain(withdrawn) {
         let change = entry
             .fleet
             .borrow_mut()
             .merge_gossiped_departure(id, departure, now);
-        entry.apply_target_change(id, change, StateChangeSource::Peer);
+        entry.apply_target_change(id, change, &news);
     }
     entry.record_zone_contact(&received_digest.sender_zone, sent_at);
     entry.record_budget_members(&received_digest, sent_at, PEER_TTL);
@@ -615,11 +629,7 @@
     let starts =
         received_digest.config_version == 0 && entry.catalog_version() > 0;
     if is_new || starts {
-        let own = gossip::encode(&Datagram::Digest(build_digest(
-            entry,
-            DigestScope::All,
-            now,
-        )));
+        let own = encode_digest(entry, DigestScope::All, now);
         for other in others.into_iter().chain([received_digest.sender_address])
         {
             send_datagram(entry, socket, &own, other).await;
--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -7,6 +7,7 @@
 use cowsliproad_kernel::{
     clock::Millis,
     gossip::{self, GossipDigest},
+    position::LogPosition,
 };
 use cowsliproad_net::{
     client::Client,
@@ -22,7 +23,7 @@
 
 use super::wait_for_seed_digests;
 use crate::{
-    entry::{Entry, StateChangeSource},
+    entry::{Entry, StateChangeSource, TargetNews},
     follow,
 };
 
@@ -65,6 +66,9 @@
     #[serde(with = "serde_bytes")]
     catalog: Vec<u8>,
     targets: Vec<TargetAnnouncement>,
+    /// The position up to which the sender has read the targets.
+    #[serde(default)]
+    targets_read_position: LogPosition,
     /// The time since the log last confirmed that nothing newer than `catalog`
     /// was written, in milliseconds; `None` if that is unknown.
     #[serde(default)]
@@ -76,6 +80,9 @@
     id: String,
     #[serde(with = "serde_bytes")]
     value: Vec<u8>,
+    /// The position of the announcement in the log.
+    #[serde(default)]
+    position: LogPosition,
 }
 
 /// Fetches a peer's state unless this entry process's own read of the log
@@ -117,8 +124,8 @@
             entry.peers.borrow().with_newer_config(own, Millis::now())
         }
     };
-    if let Some(state) = fetch_state_from_any(entry, &peers).await {
-        apply_peer_state(entry, state);
+    if let Some((peer, state)) = fetch_state_from_any(entry, &peers).await {
+        apply_peer_state(entry, peer, state);
     }
 }
 
@@ -145,7 +152,7 @@
 async fn fetch_state_from_any(
     entry: &Rc<Entry>,
     peers: &[SocketAddr],
-) -> Option<EntryState> {
+) -> Option<(SocketAddr, EntryState)> {
     // An entry process that starts takes an older configuration only if the
     // newest is not to be had.
     let (delay, max_asked) = match entry.catalog().is_none() {
@@ -156,20 +163,21 @@
     for peer in peers.iter().copied().take(max_asked) {
         let fetching_entry = entry.clone();
         fetches.spawn_local(async move {
-            fetch_peer_state(&fetching_entry, peer).await
+            let state = fetch_peer_state(&fetching_entry, peer).await?;
+            Some((peer, state))
         });
         let first = timeout(delay.duration(), fetches.join_next()).await;
-        if let Ok(Some(Ok(Some(state)))) = first
+        if let Ok(Some(Ok(Some((peer, state))))) = first
             && may_use_state(entry, &state)
         {
-            return Some(state);
+            return Some((peer, state));
         }
     }
     while let Some(fetched) = fetches.join_next().await {
-        if let Ok(Some(state)) = fetched
+        if let Ok(Some((peer, state))) = fetched
             && may_use_state(entry, &state)
         {
-            return Some(state);
+            return Some((peer, state));
         }
     }
     None
@@ -220,7 +228,7 @@
     state
 }
 
-fn apply_peer_state(entry: &Entry, state: EntryState) {
+fn apply_peer_state(entry: &Entry, peer: SocketAddr, state: EntryState) {
     let raw = Bytes::from(state.catalog);
     match catalog::decode(&raw) {
         Ok(catalog) => {
@@ -236,15 +244,19 @@
         return;
     }
     let now = Millis::now();
+    let read_position = entry.log_read_schedule.borrow().read_position();
+    info!(entry.log, "targets_taken"; "peer" => %peer,
+        "targets" => state.targets.len(),
+        "read_to" => %state.targets_read_position,
+        "own_read_to" => %read_position);
+    let news = TargetNews::from_peer(peer.to_string().into());
     for announcement in state.targets {
-        let value = Some(announcement.value.into());
-        let record = Record { key: announcement.id, value };
-        follow::apply_target_announcement(
-            entry,
-            &record,
-            now,
-            StateChangeSource::Peer,
-        );
+        let record = Record {
+            key: announcement.id,
+            value: Some(announcement.value.into()),
+            position: announcement.position,
+        };
+        follow::apply_target_announcement(entry, &record, now, &news);
     }
     entry.log_read_schedule.borrow_mut().record_merged_peer_state();
 }
@@ -262,14 +274,20 @@
         return answer;
     };
     let announced = entry.raw_announcements_by_target.borrow();
+    let fleet = entry.fleet.borrow();
     let targets = announced.iter().map(|(id, value)| TargetAnnouncement {
         id: id.to_string(),
         value: value.to_vec(),
+        position: fleet.announcement_position(id).unwrap_or_default(),
     });
     let confirmed_at = entry.config_confirmation.borrow().confirmed_at();
     let state = EntryState {
         catalog: raw.to_vec(),
         targets: targets.collect(),
+        targets_read_position: entry
+            .log_read_schedule
+            .borrow()
+            .read_position(),
         config_confirmed_age_ms: confirmed_at
             .map(|it| Millis::now().since(it).0),
     };
--- a/cowsliproad-direct/src/stated.rs
+++ b/cowsliproad-direct/src/stated.rs
@@ -13,7 +13,9 @@
 use http::{HeaderMap, header::RETRY_AFTER, response};
 use slog::{info, warn};
 
-use crate::entry::{ChosenTarget, CooldownRecovery, Entry, StateChangeSource};
+use crate::entry::{
+    ChosenTarget, CooldownRecovery, Entry, StateChangeSource, TargetNews,
+};
 
 impl Entry {
     /// Applies the load, Retry-After and leaving headers of a target's answer.
@@ -51,7 +53,8 @@
         let now = Millis::now();
         let change =
             self.fleet.borrow_mut().record_announced_departure(id, start, now);
-        self.apply_target_change(id, change, StateChangeSource::Own);
+        let news = TargetNews::new(StateChangeSource::Own);
+        self.apply_target_change(id, change, &news);
     }
 
     /// Whether a target still accepts new requests and hasn't restarted since
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -437,7 +437,7 @@
 /// Sends an entry a digest.
 pub async fn tell(digest: GossipDigest, entry: SocketAddr) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
-    let digest = gossip::encode(&Datagram::Digest(digest));
+    let digest = gossip::encode(&Datagram::Digest(Box::new(digest)));
     let sent = socket.send_to(&digest, entry).await;
     sent.expect("it is sent");
 }
@@ -455,6 +455,7 @@
         config_confirmed_age_ms: None,
         departed_targets_with_start_unix_ms: Vec::new(),
         withdrawn_targets_with_start_and_sequence: Vec::new(),
+        withdrawal_end_positions: Vec::new(),
         peers: Vec::new(),
         sender_zone: "a".into(),
         suspected_requests: CrashSuspectRequests::default(),
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -16,7 +16,11 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
-use crate::{Name, clock::Millis, position::LogEra};
+use crate::{
+    Name,
+    clock::Millis,
+    position::{LogEra, LogPosition},
+};
 
 /// Encodes a message as CBOR. Every message type of this project can be
 /// encoded.
@@ -50,7 +54,7 @@
 pub enum Datagram {
     /// The gossip message of another entry process.
     #[serde(rename = "d")]
-    Digest(GossipDigest),
+    Digest(Box<GossipDigest>),
     /// The load report of an engine, sent by its agent.
     #[serde(rename = "l")]
     Load(EngineLoad),
@@ -117,6 +121,11 @@
     /// number of its last announcement.
     #[serde(rename = "w")]
     pub withdrawn_targets_with_start_and_sequence: Vec<(Name, u64, u64)>,
+    /// For each of these targets, in the same order, the position in the log
+    /// after the withdrawal of its announcement. Empty from senders that don't
+    /// state positions.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub withdrawal_end_positions: Vec<LogPosition>,
     /// Other entry processes whose gossip recently reached the sender.
     #[serde(rename = "p")]
     pub peers: Vec<SocketAddr>,
--- a/cowsliproad-kernel/src/position.rs
+++ b/cowsliproad-kernel/src/position.rs
@@ -29,8 +29,19 @@
 /// A position in the platform's log. Every position of a later era is greater
 /// than all positions of an earlier era.
 #[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
 )]
+#[serde(from = "(LogEra, u64)", into = "(LogEra, u64)")]
 pub struct LogPosition {
     /// The era in which the log assigned the offset.
     pub era: LogEra,
@@ -48,6 +59,29 @@
     pub fn start_of(era: LogEra) -> LogPosition {
         LogPosition { era, offset: 0 }
     }
+
+    /// Returns the position after the record at this position.
+    pub fn successor(self) -> LogPosition {
+        LogPosition { offset: self.offset.saturating_add(1), ..self }
+    }
+}
+
+impl fmt::Display for LogPosition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era, self.offset)
+    }
+}
+
+impl From<(LogEra, u64)> for LogPosition {
+    fn from((era, offset): (LogEra, u64)) -> LogPosition {
+        LogPosition { era, offset }
+    }
+}
+
+impl From<LogPosition> for (LogEra, u64) {
+    fn from(position: LogPosition) -> (LogEra, u64) {
+        (position.era, position.offset)
+    }
 }
 
 impl fmt::Display for LogEra {
--- a/cowsliproad-routing/src/fleet.rs
+++ b/cowsliproad-routing/src/fleet.rs
@@ -21,7 +21,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_kernel::{Name, clock::Millis, position::LogPosition};
 
 /// Whether a target takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -67,10 +67,30 @@
     /// The target announced the departure of the process with this start time.
     /// Only a process with a later start time brings the target back.
     Announced(ProcessStartUnixMs),
-    /// The target's record disappeared from the log after the announcement
-    /// with this start time and sequence number. The record may just have
+    /// The target's record disappeared from the log. The record may just have
     /// expired, and a later announcement restores the target.
-    Withdrawn(ProcessStartUnixMs, u64),
+    Withdrawn(Withdrawal),
+}
+
+/// The disappearance of a target's record from the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Withdrawal {
+    /// The start time in the target's last announcement.
+    pub start: ProcessStartUnixMs,
+    /// The sequence number of the target's last announcement.
+    pub last_sequence: u64,
+    /// The position in the log after the withdrawal.
+    pub end_position: LogPosition,
+}
+
+/// Where the log holds the news by which a target departed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct DeparturePositions {
+    /// The position of the announcement that the departure ended.
+    pub announced_at: LogPosition,
+    /// The position after the withdrawal of the target's record; the start of
+    /// the log if the target announced its departure.
+    pub end_position: LogPosition,
 }
 
 /// The effect of an update on a target.
@@ -142,9 +162,13 @@
 #[derive(Clone, Debug)]
 struct KnownTarget {
     target: Target,
+    /// The position of the target's last announcement in the log.
+    announced_at: LogPosition,
     /// When the pending withdrawal of the target takes effect; `None` if no
     /// withdrawal is pending.
     withdrawal_due_at: Option<Millis>,
+    /// The position after the pending withdrawal.
+    withdrawal_end: LogPosition,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -153,6 +177,7 @@
     last_sequence: u64,
     removed_at: Millis,
     kind: DepartureKind,
+    positions: DeparturePositions,
 }
 
 /// How the target incarnation recorded in a tombstone departed.
@@ -180,6 +205,7 @@
     pub fn merge_target_announcement(
         &mut self,
         target: Target,
+        position: LogPosition,
         now: Millis,
     ) -> TargetChange {
         if let Some(tombstone) = self.tombstones.get(&target.id)
@@ -202,6 +228,7 @@
             } else if target.state == TargetState::Ready {
                 let withdrawal_due_at = known.withdrawal_due_at.take();
                 known.target = target;
+                known.announced_at = known.announced_at.max(position);
                 return withdrawal_due_at
                     .map_or(TargetChange::None, |_| TargetChange::Returned);
             }
@@ -212,14 +239,20 @@
                 &target.id,
                 start,
                 last,
+                LogPosition::default(),
                 now,
                 DepartureKind::Announced,
             );
         }
         self.tombstones.remove(&target.id);
         let id = target.id.clone();
-        self.targets
-            .insert(id, KnownTarget { target, withdrawal_due_at: None });
+        let known = KnownTarget {
+            target,
+            announced_at: position,
+            withdrawal_due_at: None,
+            withdrawal_end: LogPosition::default(),
+        };
+        self.targets.insert(id, known);
         change
     }
 
@@ -243,17 +276,19 @@
     pub fn merge_target_withdrawal(
         &mut self,
         target_id: &str,
+        end_position: LogPosition,
         now: Millis,
     ) -> TargetChange {
         if now < self.record_renewal_grace_until {
             if let Some(known) = self.targets.get_mut(target_id) {
+                known.withdrawal_end = known.withdrawal_end.max(end_position);
                 known
                     .withdrawal_due_at
                     .get_or_insert(self.record_renewal_grace_until);
             }
             return TargetChange::None;
         }
-        self.record_target_withdrawal(target_id, now)
+        self.record_target_withdrawal(target_id, end_position, now)
     }
 
     /// Withdraws every target that a complete list of the log lacks, and
@@ -263,6 +298,7 @@
     pub fn withdraw_unlisted_targets(
         &mut self,
         listed_start: impl Fn(&str) -> Option<ProcessStartUnixMs>,
+        end_position: LogPosition,
         now: Millis,
     ) -> Vec<Name> {
         let is_missing = |it: &&Target| listed_start(&it.id) < Some(it.start);
@@ -272,7 +308,8 @@
             .map(|it| it.id.clone())
             .collect();
         let left = |id: &Name| {
-            self.merge_target_withdrawal(id, now) == TargetChange::Left
+            self.merge_target_withdrawal(id, end_position, now)
+                == TargetChange::Left
         };
         missing.into_iter().filter(left).collect()
     }
@@ -295,16 +332,16 @@
         let due = |it: &KnownTarget| {
             it.withdrawal_due_at.is_some_and(|at| at <= now)
         };
-        let gone: Vec<Name> = self
+        let gone: Vec<(Name, LogPosition)> = self
             .targets
             .iter()
             .filter(|(_, target)| due(target))
-            .map(|(id, _)| id.clone())
+            .map(|(id, target)| (id.clone(), target.withdrawal_end))
             .collect();
-        for id in &gone {
-            self.record_target_withdrawal(id, now);
+        for (id, end_position) in &gone {
+            self.record_target_withdrawal(id, *end_position, now);
         }
-        gone
+        gone.into_iter().map(|it| it.0).collect()
     }
 
     /// Whether a target takes new requests.
@@ -335,11 +372,34 @@
                 (id, GossipedDeparture::Announced(it.start))
             }
             DepartureKind::Withdrawn => {
-                (id, GossipedDeparture::Withdrawn(it.start, it.last_sequence))
+                let withdrawal = Withdrawal {
+                    start: it.start,
+                    last_sequence: it.last_sequence,
+                    end_position: it.positions.end_position,
+                };
+                (id, GossipedDeparture::Withdrawn(withdrawal))
             }
         })
     }
 
+    /// Where the log holds the news by which a target departed; `None` if the
+    /// target isn't known to have departed.
+    pub fn departure_positions(
+        &self,
+        target_id: &str,
+    ) -> Option<DeparturePositions> {
+        self.tombstones.get(target_id).map(|it| it.positions)
+    }
+
+    /// The position in the log of the last announcement of a target that takes
+    /// new requests.
+    pub fn announcement_position(
+        &self,
+        target_id: &str,
+    ) -> Option<LogPosition> {
+        self.targets.get(target_id).map(|it| it.announced_at)
+    }
+
     /// Merges a departure that another entry process reports; ignores the
     /// departure if a later announcement of the target is known.
     pub fn merge_gossiped_departure(
@@ -365,22 +425,23 @@
                     target_id,
                     start,
                     0,
+                    LogPosition::default(),
                     now,
                     DepartureKind::Announced,
                 ),
-            GossipedDeparture::Withdrawn(start, last)
-                if is_newer(start, last) =>
+            GossipedDeparture::Withdrawn(it)
+                if is_newer(it.start, it.last_sequence) =>
             {
                 TargetChange::None
             }
-            GossipedDeparture::Withdrawn(start, last) => self
-                .record_target_departure(
-                    target_id,
-                    start,
-                    last,
-                    now,
-                    DepartureKind::Withdrawn,
-                ),
+            GossipedDeparture::Withdrawn(it) => self.record_target_departure(
+                target_id,
+                it.start,
+                it.last_sequence,
+                it.end_position,
+                now,
+                DepartureKind::Withdrawn,
+            ),
         }
     }
 
@@ -388,12 +449,14 @@
     fn record_target_withdrawal(
         &mut self,
         target_id: &str,
+        end_position: LogPosition,
         now: Millis,
     ) -> TargetChange {
         self.record_target_departure(
             target_id,
             self.newest_start_time(target_id),
             0,
+            end_position,
             now,
             DepartureKind::Withdrawn,
         )
@@ -411,6 +474,7 @@
         target_id: &str,
         start: ProcessStartUnixMs,
         last_sequence: u64,
+        end_position: LogPosition,
         now: Millis,
         kind: DepartureKind,
     ) -> TargetChange {
@@ -420,8 +484,17 @@
         let known_sequence =
             same_process.map_or(0, |it| it.target.announcement_sequence);
         let last_sequence = last_sequence.max(known_sequence);
-        let tombstone =
-            TargetTombstone { start, last_sequence, removed_at: now, kind };
+        let announced_at = known
+            .as_ref()
+            .map_or(LogPosition::default(), |it| it.announced_at);
+        let positions = DeparturePositions { announced_at, end_position };
+        let tombstone = TargetTombstone {
+            start,
+            last_sequence,
+            removed_at: now,
+            kind,
+            positions,
+        };
         let stored =
             self.tombstones.entry(target_id.into()).or_insert(tombstone);
         if start > stored.start {
@@ -431,6 +504,10 @@
                 stored.kind = kind;
             }
             stored.last_sequence = stored.last_sequence.max(last_sequence);
+            stored.positions.announced_at =
+                stored.positions.announced_at.max(announced_at);
+            stored.positions.end_position =
+                stored.positions.end_position.max(end_position);
         }
         self.evict_oldest_tombstone();
         if known.is_some() { TargetChange::Left } else { TargetChange::None }
--- a/cowsliproad-routing/src/readings.rs
+++ b/cowsliproad-routing/src/readings.rs
@@ -84,6 +84,12 @@
         self.last_target_change_log_position
     }
 
+    /// The position up to which this entry process knows the targets in the
+    /// log, by its own reads or from the state of a peer.
+    pub fn read_position(&self) -> LogPosition {
+        self.read_position
+    }
+
     /// Records the current era of the log, and discards reads of earlier eras.
     pub fn enter_log_era(&mut self, era: LogEra) {
         if era > self.last_target_change_log_position.era {
--- a/tests/properties/fleet.rs
+++ b/tests/properties/fleet.rs
@@ -1,10 +1,13 @@
 //! What an entry believes of the targets, whatever order news comes in.
 
 use cowsliproad::{
-    kernel::clock::Millis,
+    kernel::{
+        clock::Millis,
+        position::{LogEra, LogPosition},
+    },
     routing::fleet::{
         GossipedDeparture, ProcessStartUnixMs, Target, TargetChange,
-        TargetFleet, TargetFleetConfig, TargetState,
+        TargetFleet, TargetFleetConfig, TargetState, Withdrawal,
     },
 };
 use proptest::prelude::*;
@@ -25,9 +28,27 @@
     }
 }
 
+/// A position in the log. Most records here have the offset of the millisecond
+/// at which they are read, so that they are read in order.
+fn place(offset: u64) -> LogPosition {
+    LogPosition::new(LogEra(1), offset)
+}
+
+fn withdrawn(last_sequence: u64, end: u64) -> GossipedDeparture {
+    GossipedDeparture::Withdrawn(Withdrawal {
+        start: START,
+        last_sequence,
+        end_position: place(end),
+    })
+}
+
 fn fleet() -> TargetFleet {
     let mut fleet = TargetFleet::new(TargetFleetConfig::new());
-    fleet.merge_target_announcement(target(1, TargetState::Ready), Millis(0));
+    fleet.merge_target_announcement(
+        target(1, TargetState::Ready),
+        place(0),
+        Millis(0),
+    );
     fleet
 }
 
@@ -35,7 +56,7 @@
 fn a_withdrawal_counts_at_once_while_the_log_is_read() {
     let mut fleet = fleet();
     assert_eq!(
-        fleet.merge_target_withdrawal("i-1", Millis(10)),
+        fleet.merge_target_withdrawal("i-1", place(10), Millis(10)),
         TargetChange::Left
     );
     assert!(!fleet.is_target_ready("i-1"));
@@ -46,13 +67,14 @@
     let mut fleet = fleet();
     fleet.start_record_renewal_grace(Millis(10_000));
     assert_eq!(
-        fleet.merge_target_withdrawal("i-1", Millis(10_050)),
+        fleet.merge_target_withdrawal("i-1", place(10_050), Millis(10_050)),
         TargetChange::None
     );
     assert!(fleet.apply_due_withdrawals(Millis(11_900)).is_empty());
     assert!(fleet.is_target_ready("i-1"));
     fleet.merge_target_announcement(
         target(2, TargetState::Ready),
+        place(12_000),
         Millis(12_000),
     );
     assert!(fleet.apply_due_withdrawals(Millis(20_000)).is_empty());
@@ -63,7 +85,7 @@
 fn what_is_missing_two_seconds_after_an_outage_is_gone() {
     let mut fleet = fleet();
     fleet.start_record_renewal_grace(Millis(10_000));
-    fleet.merge_target_withdrawal("i-1", Millis(10_050));
+    fleet.merge_target_withdrawal("i-1", place(10_050), Millis(10_050));
     assert_eq!(fleet.apply_due_withdrawals(Millis(12_400)), ["i-1".into()]);
     assert!(!fleet.is_target_ready("i-1"));
 }
@@ -71,19 +93,29 @@
 #[test]
 fn one_that_lapsed_comes_back_and_one_that_left_does_not() {
     let mut fleet = fleet();
-    fleet.merge_target_withdrawal("i-1", Millis(10));
-    let old = fleet
-        .merge_target_announcement(target(1, TargetState::Ready), Millis(20));
+    fleet.merge_target_withdrawal("i-1", place(10), Millis(10));
+    let old = fleet.merge_target_announcement(
+        target(1, TargetState::Ready),
+        place(20),
+        Millis(20),
+    );
     assert_eq!(old, TargetChange::None);
-    let back = fleet
-        .merge_target_announcement(target(2, TargetState::Ready), Millis(30));
+    let back = fleet.merge_target_announcement(
+        target(2, TargetState::Ready),
+        place(30),
+        Millis(30),
+    );
     assert_eq!(back, TargetChange::Joined);
     fleet.merge_target_announcement(
         target(3, TargetState::Draining),
+        place(40),
         Millis(40),
     );
-    let again = fleet
-        .merge_target_announcement(target(4, TargetState::Ready), Millis(50));
+    let again = fleet.merge_target_announcement(
+        target(4, TargetState::Ready),
+        place(50),
+        Millis(50),
+    );
     assert_eq!(again, TargetChange::None);
     assert!(!fleet.is_target_ready("i-1"));
 }
@@ -125,6 +157,7 @@
                 News::Announce(sequence) => {
                     fleet.merge_target_announcement(
                         target(sequence, TargetState::Ready),
+                        place(now.0),
                         now
                     );
                 }
@@ -133,12 +166,13 @@
                         fleet.get("i-1").map(|it| it.announcement_sequence);
                     fleet.merge_target_announcement(
                         target(sequence, TargetState::Draining),
+                        place(now.0),
                         now
                     );
                     left |= before.is_some_and(|it| it <= sequence);
                 }
                 News::Withdraw => {
-                    fleet.merge_target_withdrawal("i-1", now);
+                    fleet.merge_target_withdrawal("i-1", place(now.0), now);
                 }
                 News::FromPeer => {
                     fleet.record_announced_departure("i-1", START, now);
@@ -157,29 +191,29 @@
 #[test]
 fn what_another_entry_saw_go_comes_back_and_what_left_does_not() {
     let mut fleet = fleet();
-    let gone = fleet.merge_gossiped_departure(
-        "i-1",
-        GossipedDeparture::Withdrawn(START, 1),
-        Millis(10),
-    );
+    let gone =
+        fleet.merge_gossiped_departure("i-1", withdrawn(1, 10), Millis(10));
     assert_eq!(gone, TargetChange::Left);
-    let back = fleet
-        .merge_target_announcement(target(2, TargetState::Ready), Millis(20));
+    let back = fleet.merge_target_announcement(
+        target(2, TargetState::Ready),
+        place(20),
+        Millis(20),
+    );
     assert_eq!(back, TargetChange::Joined);
     // The same word, heard again, is older than what is known here.
-    let again = fleet.merge_gossiped_departure(
-        "i-1",
-        GossipedDeparture::Withdrawn(START, 1),
-        Millis(30),
-    );
+    let again =
+        fleet.merge_gossiped_departure("i-1", withdrawn(1, 10), Millis(30));
     assert_eq!(again, TargetChange::None);
     fleet.merge_gossiped_departure(
         "i-1",
         GossipedDeparture::Announced(START),
         Millis(40),
     );
-    let late = fleet
-        .merge_target_announcement(target(3, TargetState::Ready), Millis(50));
+    let late = fleet.merge_target_announcement(
+        target(3, TargetState::Ready),
+        place(50),
+        Millis(50),
+    );
     assert_eq!(late, TargetChange::None);
 }
 
@@ -192,10 +226,12 @@
     let mut fleet = fleet();
     fleet.merge_target_announcement(
         target(7, TargetState::Draining),
+        place(10),
         Millis(10),
     );
     let back = fleet.merge_target_announcement(
         restarted(1, TargetState::Ready),
+        place(20),
         Millis(20),
     );
     assert_eq!(back, TargetChange::Joined);
@@ -203,6 +239,7 @@
     // What is still said of the start before says nothing of this one.
     fleet.merge_target_announcement(
         target(8, TargetState::Draining),
+        place(30),
         Millis(30),
     );
     fleet.merge_gossiped_departure(
@@ -210,11 +247,7 @@
         GossipedDeparture::Announced(START),
         Millis(40),
     );
-    fleet.merge_gossiped_departure(
-        "i-1",
-        GossipedDeparture::Withdrawn(START, 9),
-        Millis(50),
-    );
+    fleet.merge_gossiped_departure("i-1", withdrawn(9, 19), Millis(50));
     assert!(fleet.is_target_ready("i-1"));
     // It may leave in its turn.
     fleet.merge_gossiped_departure(
@@ -225,6 +258,7 @@
     assert!(!fleet.is_target_ready("i-1"));
     fleet.merge_target_announcement(
         restarted(2, TargetState::Ready),
+        place(70),
         Millis(70),
     );
     assert!(!fleet.is_target_ready("i-1"));
@@ -233,17 +267,25 @@
 #[test]
 fn one_that_starts_again_without_a_word_is_another() {
     let mut fleet = fleet();
-    fleet.merge_target_announcement(target(7, TargetState::Ready), Millis(10));
+    fleet.merge_target_announcement(
+        target(7, TargetState::Ready),
+        place(10),
+        Millis(10),
+    );
     let change = fleet.merge_target_announcement(
         restarted(1, TargetState::Ready),
+        place(20),
         Millis(20),
     );
     assert_eq!(change, TargetChange::Restarted);
     let sequence = fleet.get("i-1").map(|it| it.announcement_sequence);
     assert_eq!(sequence, Some(1));
     // An entry of the start before that comes late.
-    let late = fleet
-        .merge_target_announcement(target(8, TargetState::Ready), Millis(30));
+    let late = fleet.merge_target_announcement(
+        target(8, TargetState::Ready),
+        place(30),
+        Millis(30),
+    );
     assert_eq!(late, TargetChange::None);
     assert_eq!(fleet.get("i-1").map(|it| it.start), Some(LATER));
 }
@@ -253,11 +295,15 @@
     let mut fleet = fleet();
     let change = fleet.merge_target_announcement(
         restarted(1, TargetState::Draining),
+        place(20),
         Millis(20),
     );
     assert_eq!(change, TargetChange::Left);
-    let old = fleet
-        .merge_target_announcement(target(9, TargetState::Ready), Millis(30));
+    let old = fleet.merge_target_announcement(
+        target(9, TargetState::Ready),
+        place(30),
+        Millis(30),
+    );
     assert_eq!(old, TargetChange::None);
 }
 
@@ -267,7 +313,7 @@
     let mut fleet = fleet();
     let later = Target { start: LATER, ..target(1, TargetState::Ready) };
     assert_eq!(
-        fleet.merge_target_announcement(later, Millis(10)),
+        fleet.merge_target_announcement(later, place(10), Millis(10)),
         TargetChange::Restarted
     );
     assert_eq!(
@@ -288,18 +334,26 @@
 fn a_list_with_an_earlier_start_lacks_the_target() {
     let mut fleet = fleet();
     let later = Target { start: LATER, ..target(1, TargetState::Ready) };
-    fleet.merge_target_announcement(later.clone(), Millis(10));
+    fleet.merge_target_announcement(later.clone(), place(10), Millis(10));
     fleet.start_record_renewal_grace(Millis(100));
-    let gone = fleet.withdraw_unlisted_targets(|_| Some(START), Millis(100));
+    let gone = fleet.withdraw_unlisted_targets(
+        |_| Some(START),
+        place(100),
+        Millis(100),
+    );
     assert!(gone.is_empty());
     assert!(fleet.next_withdrawal_due_at().is_some());
     let again = Target { announcement_sequence: 2, ..later };
-    let back = fleet.merge_target_announcement(again, Millis(200));
+    let back = fleet.merge_target_announcement(again, place(200), Millis(200));
     assert_eq!(back, TargetChange::Returned);
     assert_eq!(fleet.next_withdrawal_due_at(), None);
     assert!(
         fleet
-            .withdraw_unlisted_targets(|_| Some(LATER), Millis(300))
+            .withdraw_unlisted_targets(
+                |_| Some(LATER),
+                place(300),
+                Millis(300)
+            )
             .is_empty()
     );
     assert_eq!(fleet.next_withdrawal_due_at(), None);
