direct: order the news of targets by log position

Callers of every entry got 503 "not run: no target" from some time after an outage of the log on, for good: an entry that had taken the targets over from a peer later read withdrawals older than the announcements it held, ended its targets by them, and told all others.

A withdrawal has no start and no sequence, so it ended whatever was known when it arrived, and the same announcement could not bring the target back. Now the position in the log decides between a withdrawal and an announcement from any source, also in the grace for renewals. A state tells up to where it is complete and who announced a departure; who takes it over drops what it lacks, reads on from there, and counts only that as read.

An outdated announcement is one before the withdrawal, not one with the same sequence after it, which a living target writes; both have a check.

--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -26,6 +26,7 @@
     cooldown::Cooldowns,
     fleet::{Target, TargetChange, TargetFleet, TargetFleetConfig},
     formation::GroupFormation,
+    listing::ListingSchedule,
     pick::TargetStats,
     readings::{LogReadContinuity, LogReadSchedule},
 };
@@ -60,6 +61,10 @@
 /// Malformed records of the targets topic that are logged, each key once.
 const MAX_INVALID_TARGET_KEYS: usize = 1_000;
 
+/// How long before its end another entry process's read of the targets may have
+/// begun.
+const MAX_PEER_READ_TIME: Millis = Millis(1_500);
+
 /// Where a state change came from, for logs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StateChangeSource {
@@ -239,6 +244,8 @@
     /// When the targets topic was last read, by this entry process or by
     /// another, and up to which position.
     pub log_read_schedule: RefCell<LogReadSchedule>,
+    /// When this entry process reads all targets that the log lists.
+    pub target_listing: RefCell<ListingSchedule>,
     /// Wakes the task that reads the targets topic.
     pub targets_read_wakeup: Notify,
     /// When the platform's log last answered each kind of call, by topic and
@@ -322,6 +329,7 @@
             digest_wakeup: Notify::new(),
             agent_target_list_ids: RefCell::new(HashMap::new()),
             log_read_schedule: RefCell::new(log_read_schedule),
+            target_listing: RefCell::new(ListingSchedule::new()),
             targets_read_wakeup: Notify::new(),
             log_answer_times: RefCell::new(HashMap::new()),
             config_confirmation: RefCell::new(ConfigConfirmation::new()),
@@ -507,6 +515,16 @@
         self.extend_target_leases_after_log_read_gap(continuity, now);
         if self.log_read_schedule.borrow().has_unread_target_change() {
             self.targets_read_wakeup.notify_one();
+            return;
+        }
+        // Nothing has changed since, so a record that was missing then wasn't
+        // renewed before that read began.
+        let last_read_at = self.log_read_schedule.borrow().last_log_read_at();
+        let begun = last_read_at - MAX_PEER_READ_TIME;
+        let gone = self.fleet.borrow_mut().apply_due_withdrawals(begun);
+        let news = TargetNews::new(StateChangeSource::Peer);
+        for id in gone {
+            self.apply_target_change(&id, TargetChange::Left, &news);
         }
     }
 
--- a/cowsliproad-direct/src/follow.rs
+++ b/cowsliproad-direct/src/follow.rs
@@ -13,7 +13,11 @@
 //! entry processes send the state that they read; see [`crate::peers`].
 //! Rollbacks of the log to an older copy are handled in [`crate::rollback`].
 
-use std::{collections::HashMap, ops::RangeInclusive, rc::Rc};
+use std::{
+    collections::{HashMap, HashSet},
+    ops::RangeInclusive,
+    rc::Rc,
+};
 
 use cowsliproad_kernel::{Name, clock::Millis, position::LogPosition};
 use cowsliproad_net::timer::sleep;
@@ -22,7 +26,10 @@
     log::{Client, Error, Page, Record},
     target,
 };
-use cowsliproad_routing::fleet::{ProcessStartUnixMs, TargetChange};
+use cowsliproad_routing::{
+    fleet::{ProcessStartUnixMs, TargetChange, TargetList},
+    listing::{ListingOutcome, ListingSchedule},
+};
 use rand::Rng;
 use slog::{info, warn};
 
@@ -62,6 +69,10 @@
 const LAST_READER_INTERVAL_PERCENT: RangeInclusive<u64> = 85..=90;
 const OTHER_READER_INTERVAL_PERCENT: RangeInclusive<u64> = 95..=100;
 
+/// When an entry process reads all targets again, in percent of its interval
+/// for that, so that the reads of entry processes spread out.
+const LISTING_INTERVAL_PERCENT: RangeInclusive<u64> = 75..=100;
+
 /// How long the log may take to answer a read of the targets on a connection
 /// that was open before, in percent of the time in which a leaving target must
 /// be known. Then a new connection is used.
@@ -136,6 +147,8 @@
     contact: LogCallStatus,
     next_position: Option<LogPosition>,
     has_read: bool,
+    /// Whether the next read returns the newest record of every key.
+    reads_all: bool,
 }
 
 /// The result of reading a topic.
@@ -143,8 +156,8 @@
 pub struct TopicReadResult {
     /// The records that were read.
     pub records: Vec<Record>,
-    /// The position of the first record that was asked for; `None` if the
-    /// newest record of every key was.
+    /// The position up to which the topic had been read before, in the same
+    /// era; `None` if it hadn't.
     pub start_position: Option<LogPosition>,
     /// The position in the topic after the last record that was read.
     pub end_position: LogPosition,
@@ -173,6 +186,21 @@
             contact: LogCallStatus::new(topic, "read"),
             next_position: None,
             has_read: false,
+            reads_all: false,
+        }
+    }
+
+    /// Makes the next read return the newest record of every key.
+    fn read_all_next(&mut self) {
+        self.reads_all = true;
+    }
+
+    /// Leaves out the records before a position, which are known from a peer.
+    fn skip_to(&mut self, position: LogPosition) {
+        if let Some(next) = &mut self.next_position
+            && next.era == position.era
+        {
+            *next = position.max(*next);
         }
     }
 
@@ -190,8 +218,9 @@
         }
         let era = entry.rollbacks.newest_era();
         self.client.raise_era(era);
+        let read_from = self.next_position.filter(|_| !self.reads_all);
         let call = async {
-            match self.next_position {
+            match read_from {
                 None => self.client.read_newest(self.topic).await,
                 Some(from) => {
                     self.client.read(self.topic, from, max_hold).await
@@ -206,12 +235,13 @@
         let Page { next_position: next, records } = read?;
         self.contact.record_success(entry);
         let start_position = self.next_position.replace(next);
-        let scope = match start_position {
+        let scope = match read_from {
             None if self.has_read => ReadScope::All,
             None => ReadScope::First,
             Some(_) => ReadScope::New,
         };
         self.has_read = true;
+        self.reads_all = false;
         let end_position = next;
         Ok(TopicReadResult { records, start_position, end_position, scope })
     }
@@ -349,6 +379,10 @@
     loop {
         wait_until_read_is_due(&entry).await;
         let begun = Millis::now();
+        reader.skip_to(entry.log_read_schedule.borrow().read_position());
+        if entry.target_listing.borrow().next_listing_at() <= begun {
+            reader.read_all_next();
+        }
         let open_connection_timeout = Millis(
             entry.settings().drain_ms.0 * OPEN_CONNECTION_TIMEOUT_PERCENT
                 / 100,
@@ -369,12 +403,17 @@
                 // among the records just read.
                 let gone =
                     entry.fleet.borrow_mut().apply_due_withdrawals(begun);
-                record_left_targets(&entry, &gone);
+                let news = TargetNews::new(StateChangeSource::Log);
+                record_left_targets(&entry, &gone, &news);
                 // The digest shows that this entry process has just read the
                 // topic, so that other entry processes don't.
                 entry.digest_wakeup.notify_one();
             }
             Err(error) => {
+                entry
+                    .target_listing
+                    .borrow_mut()
+                    .record_failed_listing(Millis::now());
                 if !matches!(error, Error::Expired | Error::RolledBack) {
                     entry
                         .log_read_schedule
@@ -414,6 +453,8 @@
             .time_until_next_log_read(max_age, now);
         let lapse = entry.fleet.borrow().next_withdrawal_due_at();
         let wait = lapse.map_or(wait, |at| wait.min(at.since(now)));
+        let listing_at = entry.target_listing.borrow().next_listing_at();
+        let wait = wait.min(listing_at.since(now));
         if wait == Millis(0) {
             return;
         }
@@ -433,34 +474,143 @@
 ) {
     let records = &reading.records;
     let news = TargetNews::new(StateChangeSource::Log);
-    let changes = records
+    let list = (reading.scope != ReadScope::New).then(|| TargetList {
+        end_position: reading.end_position,
+        state: entry.rollbacks.list_state(entry.settings().heartbeat_ms, now),
+    });
+    let renewals = last_announcement_positions(records);
+    let is_renewed = |it: &Record| {
+        it.value.is_none()
+            && renewals.get(&*it.key).is_some_and(|at| *at > it.position)
+    };
+    if records.iter().any(is_renewed) {
+        // Others may have read the withdrawal alone.
+        entry.log_read_schedule.borrow_mut().record_target_change();
+    }
+    let changed: Vec<LogPosition> = records
         .iter()
-        .map(|it| apply_target_announcement(entry, it, now, &news))
-        .filter(|it| *it != TargetChange::None)
-        .count();
-    if changes > 0 {
+        .filter(|it| !is_renewed(it))
+        .filter(|it| {
+            apply_target_record(entry, it, list, now, &news)
+                != TargetChange::None
+        })
+        .map(|it| it.position)
+        .collect();
+    if !changed.is_empty() {
         let from = reading.start_position.unwrap_or_default();
         info!(entry.log, "targets_read"; "from" => %from,
             "to" => %reading.end_position, "scope" => ?reading.scope,
-            "records" => records.len(), "changes" => changes);
+            "records" => records.len(), "changes" => changed.len());
     }
     if reading.scope == ReadScope::New {
         return;
     }
-    entry.record_full_topic_read(log::TARGETS_TOPIC, records.len(), changes);
+    entry.record_target_list(reading, &changed, now);
+    entry.record_full_topic_read(
+        log::TARGETS_TOPIC,
+        records.len(),
+        changed.len(),
+    );
     if reading.scope == ReadScope::First {
         // Other entry processes announced the targets known so far, and the
         // log may be an older copy that lacks them.
         entry.fleet.borrow_mut().start_record_renewal_grace(now);
     }
+    withdraw_unlisted_targets(
+        entry,
+        records,
+        reading.end_position,
+        now,
+        &news,
+    );
+}
+
+/// The positions of the last announcements of the targets whose records expired
+/// among the same records. Such a target renewed its record, and its endpoint
+/// keeps its state.
+fn last_announcement_positions(
+    records: &[Record],
+) -> HashMap<&str, LogPosition> {
+    let expired = records.iter().filter(|it| it.value.is_none());
+    let expired: HashSet<&str> = expired.map(|it| &*it.key).collect();
+    let is_announcement = |it: &&Record| {
+        let raw = it.value.as_ref().filter(|_| expired.contains(&*it.key));
+        raw.is_some_and(|raw| target::decode(&it.key, raw).is_ok())
+    };
+    let renewed = records.iter().filter(is_announcement);
+    renewed.map(|it| (&*it.key, it.position)).collect()
+}
+
+/// Withdraws the targets that a complete list of records lacks, which holds all
+/// changes before a position.
+pub fn withdraw_unlisted_targets(
+    entry: &Entry,
+    records: &[Record],
+    end_position: LogPosition,
+    now: Millis,
+    news: &TargetNews,
+) {
     let listed: HashMap<&str, ProcessStartUnixMs> =
         records.iter().filter_map(announced_start_time).collect();
     let gone = entry.fleet.borrow_mut().withdraw_unlisted_targets(
         |id| listed.get(id).copied(),
-        reading.end_position,
+        end_position,
         now,
     );
-    record_left_targets(entry, &gone);
+    record_left_targets(entry, &gone, news);
+}
+
+impl Entry {
+    /// Records a full read of the targets. A change that an earlier read had
+    /// passed contradicts what this entry process knew, and other entry
+    /// processes may have lost it too.
+    fn record_target_list(
+        &self,
+        reading: &TopicReadResult,
+        changed: &[LogPosition],
+        now: Millis,
+    ) {
+        let read_before = reading.start_position.unwrap_or_default();
+        let missed = changed.iter().filter(|it| **it < read_before).count();
+        let outcome = match missed {
+            0 => ListingOutcome::Agreed,
+            _ => ListingOutcome::Contradicted,
+        };
+        if outcome == ListingOutcome::Contradicted {
+            warn!(self.log, "targets_missed"; "missed" => missed,
+                "read_before" => %read_before, "to" => %reading.end_position);
+            self.metrics.record_missed_targets(missed);
+        }
+        let interval = ListingSchedule::interval(
+            self.peers.borrow().entry_process_count(),
+            reading.records.len(),
+        );
+        let next = now + draw_percent_of(interval, LISTING_INTERVAL_PERCENT);
+        self.target_listing.borrow_mut().record_listing(
+            reading.end_position,
+            outcome,
+            next,
+        );
+        self.targets_read_wakeup.notify_one();
+    }
+
+    /// Has the list of targets read soon because it contradicted another entry
+    /// process.
+    pub fn merge_peer_contradiction(
+        &self,
+        list_end: LogPosition,
+        now: Millis,
+    ) {
+        let spread = ListingSchedule::request_spread(
+            self.peers.borrow().entry_process_count(),
+            self.fleet.borrow().ready_targets().count(),
+        );
+        let list_at = now + draw_percent_of(spread, 0..=100);
+        self.target_listing
+            .borrow_mut()
+            .merge_peer_contradiction(list_end, list_at);
+        self.targets_read_wakeup.notify_one();
+    }
 }
 
 /// The start of the target that a record announces. A malformed record may
@@ -473,51 +623,56 @@
     Some((&record.key, start.unwrap_or(ProcessStartUnixMs(u64::MAX))))
 }
 
-fn record_left_targets(entry: &Entry, gone: &[Name]) {
-    let news = TargetNews::new(StateChangeSource::Log);
+fn record_left_targets(entry: &Entry, gone: &[Name], news: &TargetNews) {
     for id in gone {
-        entry.apply_target_change(id, TargetChange::Left, &news);
+        entry.apply_target_change(id, TargetChange::Left, news);
     }
 }
 
 /// Applies one announcement or withdrawal of a target and returns the
-/// resulting change.
-pub fn apply_target_announcement(
+/// resulting change. `list` is the complete list that the record is part of,
+/// if it is part of one.
+pub fn apply_target_record(
     entry: &Entry,
     record: &Record,
+    list: Option<TargetList>,
     now: Millis,
     news: &TargetNews,
 ) -> TargetChange {
-    let change = match &record.value {
-        None => entry.fleet.borrow_mut().merge_target_withdrawal(
+    let position = record.position;
+    let Some(raw) = &record.value else {
+        let change = entry.fleet.borrow_mut().merge_target_withdrawal(
             &record.key,
-            record.position.successor(),
+            position.successor(),
             now,
-        ),
-        Some(raw) => match target::decode(&record.key, raw) {
-            Ok(target) => {
-                let id = target.id.clone();
-                entry.retract_crash_on_renewal(&target, now);
-                let change = entry
-                    .fleet
-                    .borrow_mut()
-                    .merge_target_announcement(target, record.position, now);
-                if entry.fleet.borrow().is_target_ready(&id) {
-                    entry
-                        .raw_announcements_by_target
-                        .borrow_mut()
-                        .insert(id, raw.clone());
-                }
-                change
-            }
-            // A malformed record describes no target, and leaves a known
-            // target of the same name as it is.
-            Err(error) => {
-                entry.record_invalid_target(&record.key, &error);
-                return TargetChange::None;
-            }
-        },
+        );
+        entry.apply_target_change(&record.key, change, news);
+        return change;
+    };
+    let target = match target::decode(&record.key, raw) {
+        Ok(target) => target,
+        // A malformed record describes no target, and leaves a known target of
+        // the same name as it is.
+        Err(error) => {
+            entry.record_invalid_target(&record.key, &error);
+            return TargetChange::None;
+        }
     };
+    entry.retract_crash_on_renewal(&target, now);
+    let id = target.id.clone();
+    let mut fleet = entry.fleet.borrow_mut();
+    let change = match list {
+        Some(list) => {
+            fleet.merge_listed_announcement(target, position, list, now)
+        }
+        None => fleet.merge_target_announcement(target, position, now),
+    };
+    // Other entry processes get the announcement that is in use here, with its
+    // position.
+    if fleet.announcement_position(&id) == Some(position) {
+        entry.raw_announcements_by_target.borrow_mut().insert(id, raw.clone());
+    }
+    drop(fleet);
     entry.apply_target_change(&record.key, change, news);
     change
 }
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -38,6 +38,7 @@
     config_confirmed_age: Gauge<u64>,
     silent_polls: Counter<u64>,
     late_digests: Counter<u64>,
+    missed_targets: Counter<u64>,
     retries: Counter<u64>,
     retries_spent: Gauge<u64>,
     retries_allowed: Gauge<u64>,
@@ -89,6 +90,7 @@
                 .build(),
             silent_polls: meter.u64_counter("silent_polls").build(),
             late_digests: meter.u64_counter("late_digests").build(),
+            missed_targets: meter.u64_counter("missed_targets").build(),
             retries: meter.u64_counter("retries").build(),
             retries_spent: meter.u64_gauge("retries_spent").build(),
             retries_allowed: meter.u64_gauge("retries_allowed").build(),
@@ -242,6 +244,12 @@
         self.late_digests.add(1, &[]);
     }
 
+    /// Records targets that the log listed and this entry process had dropped
+    /// or missed.
+    pub fn record_missed_targets(&self, count: usize) {
+        self.missed_targets.add(count as u64, &[]);
+    }
+
     /// Records that a retry was spent or denied, and what this entry process
     /// has used of the service's retry budget within the budget's window.
     pub fn record_retry(
--- a/cowsliproad-direct/src/peers.rs
+++ b/cowsliproad-direct/src/peers.rs
@@ -494,6 +494,11 @@
             .borrow()
             .last_target_change_log_position()
             .offset,
+        targets_read_position: entry
+            .log_read_schedule
+            .borrow()
+            .read_position(),
+        last_contradiction: entry.target_listing.borrow().last_contradiction(),
         departed_targets_with_start_unix_ms: left,
         withdrawn_targets_with_start_and_sequence,
         withdrawal_end_positions,
@@ -580,13 +585,13 @@
     });
     let withdrawn =
         received_digest.withdrawn_targets_with_start_and_sequence.iter();
-    let ends = received_digest.withdrawal_end_positions.iter().copied();
-    let ends = ends.chain(std::iter::repeat(LogPosition::default()));
+    // A withdrawal without a position can't be told from an outdated one.
+    let ends = received_digest.withdrawal_end_positions.iter();
     let withdrawn = withdrawn.zip(ends).map(|(it, end_position)| {
         let withdrawal = Withdrawal {
             start: ProcessStartUnixMs(it.1),
             last_sequence: it.2,
-            end_position,
+            end_position: *end_position,
         };
         (&it.0, GossipedDeparture::Withdrawn(withdrawal))
     });
@@ -612,6 +617,9 @@
         received_digest.last_target_change_offset,
     );
     entry.merge_peer_targets_read(at, changed, now);
+    if let Some(list_end) = received_digest.last_contradiction {
+        entry.merge_peer_contradiction(list_end, now);
+    }
     merge_config_confirmation(entry, &received_digest, sent_at);
     let (is_new, others) = {
         let mut peers = entry.peers.borrow_mut();
@@ -637,7 +645,10 @@
     }
     let behind = received_digest.config_version > entry.catalog_version()
         || received_digest.config_version > 0 && !entry.is_ready_to_serve()
-        || entry.log_read_schedule.borrow().needs_peer_state();
+        || entry
+            .log_read_schedule
+            .borrow()
+            .needs_peer_state_of(received_digest.targets_read_position);
     if behind && !entry.peers.borrow().fetching_state {
         entry.peers.borrow_mut().fetching_state = true;
         let entry = entry.clone();
--- a/cowsliproad-direct/src/peers/state.rs
+++ b/cowsliproad-direct/src/peers/state.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cowsliproad_kernel::{
+    Name,
     clock::Millis,
     gossip::{self, GossipDigest},
     position::LogPosition,
@@ -14,6 +15,7 @@
     timer::{sleep, timeout},
 };
 use cowsliproad_platform::{catalog, log::Record};
+use cowsliproad_routing::fleet::{GossipedDeparture, ProcessStartUnixMs};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -66,9 +68,14 @@
     #[serde(with = "serde_bytes")]
     catalog: Vec<u8>,
     targets: Vec<TargetAnnouncement>,
-    /// The position up to which the sender has read the targets.
+    /// The position up to which the sender knows the targets: all changes
+    /// before are in `targets` and `departed_targets`.
     #[serde(default)]
     targets_read_position: LogPosition,
+    /// Targets that announced their departure, each with its start time as a
+    /// Unix millisecond.
+    #[serde(default)]
+    departed_targets: Vec<(Name, u64)>,
     /// The time since the log last confirmed that nothing newer than `catalog`
     /// was written, in milliseconds; `None` if that is unknown.
     #[serde(default)]
@@ -250,15 +257,44 @@
         "read_to" => %state.targets_read_position,
         "own_read_to" => %read_position);
     let news = TargetNews::from_peer(peer.to_string().into());
-    for announcement in state.targets {
-        let record = Record {
+    for (id, start) in &state.departed_targets {
+        let departure =
+            GossipedDeparture::Announced(ProcessStartUnixMs(*start));
+        let change = entry
+            .fleet
+            .borrow_mut()
+            .merge_gossiped_departure(id, departure, now);
+        entry.apply_target_change(id, change, &news);
+    }
+    let announcements = state.targets.into_iter();
+    let records: Vec<Record> = announcements.map(Record::from).collect();
+    for record in &records {
+        follow::apply_target_record(entry, record, None, now, &news);
+    }
+    // A peer that has read more of the log knows all targets up to there.
+    if state.targets_read_position > read_position {
+        follow::withdraw_unlisted_targets(
+            entry,
+            &records,
+            state.targets_read_position,
+            now,
+            &news,
+        );
+    }
+    entry
+        .log_read_schedule
+        .borrow_mut()
+        .record_merged_peer_state(state.targets_read_position);
+}
+
+impl From<TargetAnnouncement> for Record {
+    fn from(announcement: TargetAnnouncement) -> Record {
+        Record {
             key: announcement.id,
             value: Some(announcement.value.into()),
             position: announcement.position,
-        };
-        follow::apply_target_announcement(entry, &record, now, &news);
+        }
     }
-    entry.log_read_schedule.borrow_mut().record_merged_peer_state();
 }
 
 /// Serves this entry process's state to an entry process that starts, or whose
@@ -275,6 +311,8 @@
     };
     let announced = entry.raw_announcements_by_target.borrow();
     let fleet = entry.fleet.borrow();
+    let departed = fleet.announced_departures();
+    let departed = departed.map(|(id, start)| (id.clone(), start.0));
     let targets = announced.iter().map(|(id, value)| TargetAnnouncement {
         id: id.to_string(),
         value: value.to_vec(),
@@ -288,6 +326,7 @@
             .log_read_schedule
             .borrow()
             .read_position(),
+        departed_targets: departed.collect(),
         config_confirmed_age_ms: confirmed_at
             .map(|it| Millis::now().since(it).0),
     };
--- a/cowsliproad-direct/src/rollback.rs
+++ b/cowsliproad-direct/src/rollback.rs
@@ -28,6 +28,7 @@
 use cowsliproad_platform::log::{
     CONFIG_TOPIC, QUARANTINE_TOPIC, TARGETS_TOPIC,
 };
+use cowsliproad_routing::fleet::ListState;
 use slog::info;
 use tokio::sync::watch;
 
@@ -49,6 +50,12 @@
 /// list targets that have left since.
 const MAX_LOG_COPY_AGE: Millis = Millis(60_000);
 
+/// The heartbeat intervals after which the log lists no target any more that
+/// left before the log came back from an older copy. Targets write a record
+/// that the log lost within two seconds, and a record expires after three
+/// intervals without a heartbeat.
+const SETTLING_HEARTBEATS: u64 = 5;
+
 /// The log's newest known era and the latest rollback.
 #[derive(Debug)]
 pub struct LogRollbacks {
@@ -90,6 +97,21 @@
         let _ = newest.wait_for(|it| *it > era).await;
     }
 
+    /// Whether a list of the log's targets read now can hold targets that
+    /// departed before the log came back from an older copy.
+    pub fn list_state(&self, heartbeat: Millis, now: Millis) -> ListState {
+        let last = self.last_rollback.borrow();
+        // Without a known rollback, the last one may have been just before
+        // this process started.
+        let noticed_at = last.as_ref().map_or(Millis(0), |it| it.noticed_at);
+        let settled_after = Millis(heartbeat.0 * SETTLING_HEARTBEATS);
+        if now < noticed_at + settled_after {
+            ListState::Restored
+        } else {
+            ListState::Settled
+        }
+    }
+
     /// The time before now whose departures of targets are broadcast again
     /// after a recent rollback; `None` without a recent rollback.
     pub fn departure_window_after_rollback(
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -33,3 +33,5 @@
 mod streams;
 mod suspension;
 mod unframed;
+mod withdrawal_siege;
+mod withdrawals;
--- a/cowsliproad-kernel/src/gossip.rs
+++ b/cowsliproad-kernel/src/gossip.rs
@@ -106,6 +106,13 @@
     /// that the sender knows of.
     #[serde(rename = "n")]
     pub last_target_change_offset: u64,
+    /// The position up to which the sender knows the targets in the log.
+    #[serde(rename = "f", default)]
+    pub targets_read_position: LogPosition,
+    /// The end of the latest complete list of the log's targets that
+    /// contradicted what some entry process knew.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub last_contradiction: Option<LogPosition>,
     /// The time since the latest read of the configuration in the era
     /// `log_era`, by the sender or an entry process whose gossip reached the
     /// sender, in milliseconds; `None` before any read. The log had no newer
--- a/cowsliproad-routing/src/fleet.rs
+++ b/cowsliproad-routing/src/fleet.rs
@@ -10,6 +10,13 @@
 //!   [`ProcessStartUnixMs`]. State of the earlier process, including its
 //!   departure, doesn't apply to the later process, and late updates about the
 //!   earlier process are ignored.
+//! * The position in the log decides between an announcement and a withdrawal,
+//!   whichever arrives first and from whom: a withdrawal ends only
+//!   announcements before it, and only an announcement after it brings the
+//!   target back. After the log came back from an older copy, an announcement
+//!   may be listed again that was withdrawn before, so there it must also have
+//!   a higher sequence number, until the log has had time to drop the records
+//!   of targets that don't renew them.
 //! * A withdrawal takes effect at once while the log has been read without a
 //!   gap. After a gap the withdrawal may be an expiry, since targets that
 //!   couldn't renew their records drop out of the log too. Such a target stays
@@ -19,7 +26,7 @@
 //!   process observes itself (another incarnation at the address) takes effect
 //!   all the same.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{cmp::Ordering, collections::BTreeMap, net::SocketAddr};
 
 use cowsliproad_kernel::{Name, clock::Millis, position::LogPosition};
 
@@ -83,6 +90,26 @@
     pub end_position: LogPosition,
 }
 
+/// A complete list of the targets in the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetList {
+    /// The position up to which the list holds all changes.
+    pub end_position: LogPosition,
+    /// Whether the list can hold targets that have departed.
+    pub state: ListState,
+}
+
+/// Whether a list of the log's targets can hold targets that have departed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListState {
+    /// The log came back from an older copy a moment ago, and may list targets
+    /// that departed since the copy was made.
+    Restored,
+    /// The log has had time to drop the records of targets that don't renew
+    /// them.
+    Settled,
+}
+
 /// Where the log holds the news by which a target departed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct DeparturePositions {
@@ -164,18 +191,23 @@
     target: Target,
     /// The position of the target's last announcement in the log.
     announced_at: LogPosition,
-    /// When the pending withdrawal of the target takes effect; `None` if no
-    /// withdrawal is pending.
-    withdrawal_due_at: Option<Millis>,
-    /// The position after the pending withdrawal.
-    withdrawal_end: LogPosition,
+    pending_withdrawal: Option<PendingWithdrawal>,
+}
+
+/// A withdrawal that takes effect unless the target renews its record.
+#[derive(Clone, Copy, Debug)]
+struct PendingWithdrawal {
+    due_at: Millis,
+    end_position: LogPosition,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct TargetTombstone {
     start: ProcessStartUnixMs,
     last_sequence: u64,
-    removed_at: Millis,
+    /// When the departure was recorded; `None` if other entry processes aren't
+    /// told, since a target that they know may yet renew its record.
+    removed_at: Option<Millis>,
     kind: DepartureKind,
     positions: DeparturePositions,
 }
@@ -190,6 +222,24 @@
     Withdrawn,
 }
 
+impl TargetTombstone {
+    /// Whether an announcement describes a process that departed.
+    fn covers(&self, target: &Target, position: LogPosition) -> bool {
+        if position < self.positions.end_position {
+            return true;
+        }
+        match (target.start.cmp(&self.start), self.kind) {
+            (Ordering::Less, _) => true,
+            (Ordering::Greater, _) => false,
+            (Ordering::Equal, DepartureKind::Announced) => true,
+            (Ordering::Equal, DepartureKind::Withdrawn) => {
+                position.era > self.positions.end_position.era
+                    && target.announcement_sequence <= self.last_sequence
+            }
+        }
+    }
+}
+
 impl TargetFleet {
     /// A fleet without targets.
     pub fn new(config: TargetFleetConfig) -> TargetFleet {
@@ -208,13 +258,8 @@
         position: LogPosition,
         now: Millis,
     ) -> TargetChange {
-        if let Some(tombstone) = self.tombstones.get(&target.id)
-            && (target.start < tombstone.start
-                || target.start == tombstone.start
-                    && (tombstone.kind == DepartureKind::Announced
-                        || target.announcement_sequence
-                            <= tombstone.last_sequence))
-        {
+        let tombstone = self.tombstones.get(&target.id);
+        if tombstone.is_some_and(|it| it.covers(&target, position)) {
             return TargetChange::None;
         }
         let mut change = TargetChange::Joined;
@@ -226,11 +271,14 @@
             if target.start > known.target.start {
                 change = TargetChange::Restarted;
             } else if target.state == TargetState::Ready {
-                let withdrawal_due_at = known.withdrawal_due_at.take();
                 known.target = target;
                 known.announced_at = known.announced_at.max(position);
-                return withdrawal_due_at
-                    .map_or(TargetChange::None, |_| TargetChange::Returned);
+                let is_renewed =
+                    |it: &mut PendingWithdrawal| position >= it.end_position;
+                return match known.pending_withdrawal.take_if(is_renewed) {
+                    Some(_) => TargetChange::Returned,
+                    None => TargetChange::None,
+                };
             }
         }
         if target.state == TargetState::Draining {
@@ -249,8 +297,7 @@
         let known = KnownTarget {
             target,
             announced_at: position,
-            withdrawal_due_at: None,
-            withdrawal_end: LogPosition::default(),
+            pending_withdrawal: None,
         };
         self.targets.insert(id, known);
         change
@@ -270,29 +317,64 @@
         )
     }
 
-    /// Merges the removal of a target's record from the log. During the grace
-    /// period for record renewals, the target stays in use and is withdrawn at
-    /// the end of the period unless its record was renewed.
+    /// Merges the announcement of a target that a complete list of the log
+    /// holds. A target that the list can't hold after a departure is restored
+    /// if it counts as withdrawn.
+    pub fn merge_listed_announcement(
+        &mut self,
+        target: Target,
+        position: LogPosition,
+        list: TargetList,
+        now: Millis,
+    ) -> TargetChange {
+        let is_refuted = |it: &TargetTombstone| {
+            let end = it.positions.end_position;
+            it.kind == DepartureKind::Withdrawn
+                && it.start <= target.start
+                && end <= list.end_position
+                && (end.era == list.end_position.era
+                    || list.state == ListState::Settled)
+        };
+        if self.tombstones.get(&target.id).is_some_and(is_refuted) {
+            self.tombstones.remove(&target.id);
+        }
+        self.merge_target_announcement(target, position, now)
+    }
+
+    /// Merges the removal of a target's record from the log; `end_position` is
+    /// the position after the removal. Ignores a removal before the target's
+    /// last announcement. During the grace period for record renewals, the
+    /// target stays in use and is withdrawn at the end of the period unless
+    /// its record was renewed.
     pub fn merge_target_withdrawal(
         &mut self,
         target_id: &str,
         end_position: LogPosition,
         now: Millis,
     ) -> TargetChange {
-        if now < self.record_renewal_grace_until {
-            if let Some(known) = self.targets.get_mut(target_id) {
-                known.withdrawal_end = known.withdrawal_end.max(end_position);
-                known
-                    .withdrawal_due_at
-                    .get_or_insert(self.record_renewal_grace_until);
-            }
+        let in_grace = now < self.record_renewal_grace_until;
+        let Some(known) = self.targets.get_mut(target_id) else {
+            let removed_at = (!in_grace).then_some(now);
+            self.bury_target(target_id, end_position, removed_at);
+            return TargetChange::None;
+        };
+        if end_position <= known.announced_at {
+            return TargetChange::None;
+        }
+        if in_grace {
+            let pending =
+                known.pending_withdrawal.get_or_insert(PendingWithdrawal {
+                    due_at: self.record_renewal_grace_until,
+                    end_position,
+                });
+            pending.end_position = pending.end_position.max(end_position);
             return TargetChange::None;
         }
         self.record_target_withdrawal(target_id, end_position, now)
     }
 
-    /// Withdraws every target that a complete list of the log lacks, and
-    /// returns the withdrawn targets. `listed_start` returns the start time of
+    /// Withdraws every target that a complete list of the log, up to
+    /// `end_position`, lacks, and returns the withdrawn targets. `listed_start` returns the start time of
     /// a listed target; a target that is listed with an earlier start time
     /// than the known one counts as missing.
     pub fn withdraw_unlisted_targets(
@@ -323,21 +405,19 @@
 
     /// When the next pending withdrawal takes effect, unless it is cancelled.
     pub fn next_withdrawal_due_at(&self) -> Option<Millis> {
-        self.targets.values().filter_map(|it| it.withdrawal_due_at).min()
+        let pending = self.targets.values();
+        pending.filter_map(|it| Some(it.pending_withdrawal?.due_at)).min()
     }
 
     /// Applies the withdrawals that are due and returns the removed targets.
     /// An announcement cancels a withdrawal, so callers read the log first.
     pub fn apply_due_withdrawals(&mut self, now: Millis) -> Vec<Name> {
-        let due = |it: &KnownTarget| {
-            it.withdrawal_due_at.is_some_and(|at| at <= now)
+        let due = |(id, target): (&Name, &KnownTarget)| {
+            let pending = target.pending_withdrawal?;
+            (pending.due_at <= now).then(|| (id.clone(), pending.end_position))
         };
-        let gone: Vec<(Name, LogPosition)> = self
-            .targets
-            .iter()
-            .filter(|(_, target)| due(target))
-            .map(|(id, target)| (id.clone(), target.withdrawal_end))
-            .collect();
+        let gone: Vec<(Name, LogPosition)> =
+            self.targets.iter().filter_map(due).collect();
         for (id, end_position) in &gone {
             self.record_target_withdrawal(id, *end_position, now);
         }
@@ -365,7 +445,9 @@
         &self,
         since: Millis,
     ) -> impl Iterator<Item = (&Name, GossipedDeparture)> {
-        let is_recent = move |it: &TargetTombstone| it.removed_at >= since;
+        let is_recent = move |it: &TargetTombstone| {
+            it.removed_at.is_some_and(|at| at >= since)
+        };
         let recent = self.tombstones.iter().filter(move |it| is_recent(it.1));
         recent.map(|(id, it)| match it.kind {
             DepartureKind::Announced => {
@@ -382,6 +464,16 @@
         })
     }
 
+    /// The processes whose announced departures are known.
+    pub fn announced_departures(
+        &self,
+    ) -> impl Iterator<Item = (&Name, ProcessStartUnixMs)> {
+        let announced = self.tombstones.iter();
+        let announced =
+            announced.filter(|it| it.1.kind == DepartureKind::Announced);
+        announced.map(|(id, it)| (id, it.start))
+    }
+
     /// Where the log holds the news by which a target departed; `None` if the
     /// target isn't known to have departed.
     pub fn departure_positions(
@@ -408,16 +500,24 @@
         departure: GossipedDeparture,
         now: Millis,
     ) -> TargetChange {
-        let known = self.targets.get(target_id).map(|it| &it.target);
-        let is_newer = |start: ProcessStartUnixMs, last: u64| {
+        let known = self.targets.get(target_id);
+        let is_restarted = |start: ProcessStartUnixMs| {
+            known.is_some_and(|it| it.target.start > start)
+        };
+        // The records of an earlier era that the log has lost are written
+        // again, so the sender may not have read the newest announcement.
+        let is_renewed = |withdrawal: &Withdrawal| {
             known.is_some_and(|it| {
-                (it.start, it.announcement_sequence) > (start, last)
+                let own = (it.target.start, it.target.announcement_sequence);
+                let is_of_earlier_era =
+                    it.announced_at.era < withdrawal.end_position.era;
+                it.announced_at >= withdrawal.end_position
+                    || is_of_earlier_era
+                        && own > (withdrawal.start, withdrawal.last_sequence)
             })
         };
         match departure {
-            GossipedDeparture::Announced(start)
-                if is_newer(start, u64::MAX) =>
-            {
+            GossipedDeparture::Announced(start) if is_restarted(start) => {
                 TargetChange::None
             }
             GossipedDeparture::Announced(start) => self
@@ -429,9 +529,7 @@
                     now,
                     DepartureKind::Announced,
                 ),
-            GossipedDeparture::Withdrawn(it)
-                if is_newer(it.start, it.last_sequence) =>
-            {
+            GossipedDeparture::Withdrawn(it) if is_renewed(&it) => {
                 TargetChange::None
             }
             GossipedDeparture::Withdrawn(it) => self.record_target_departure(
@@ -479,6 +577,13 @@
         kind: DepartureKind,
     ) -> TargetChange {
         let known = self.targets.remove(target_id);
+        let has_left = known.is_some();
+        // A withdrawal ends every earlier announcement, whichever process it
+        // describes.
+        let start = match (kind, &known) {
+            (DepartureKind::Withdrawn, Some(it)) => start.max(it.target.start),
+            _ => start,
+        };
         let same_process =
             known.as_ref().filter(|it| it.target.start == start);
         let known_sequence =
@@ -488,29 +593,63 @@
             .as_ref()
             .map_or(LogPosition::default(), |it| it.announced_at);
         let positions = DeparturePositions { announced_at, end_position };
+        self.merge_tombstone(
+            target_id,
+            TargetTombstone {
+                start,
+                last_sequence,
+                removed_at: Some(now),
+                kind,
+                positions,
+            },
+        );
+        if has_left { TargetChange::Left } else { TargetChange::None }
+    }
+
+    /// Records the withdrawal of a target that isn't in use.
+    fn bury_target(
+        &mut self,
+        target_id: &str,
+        end_position: LogPosition,
+        removed_at: Option<Millis>,
+    ) {
+        let positions = DeparturePositions {
+            end_position,
+            ..DeparturePositions::default()
+        };
         let tombstone = TargetTombstone {
-            start,
-            last_sequence,
-            removed_at: now,
-            kind,
+            start: self.newest_start_time(target_id),
+            last_sequence: 0,
+            removed_at,
+            kind: DepartureKind::Withdrawn,
             positions,
         };
-        let stored =
-            self.tombstones.entry(target_id.into()).or_insert(tombstone);
-        if start > stored.start {
-            *stored = tombstone;
-        } else if start == stored.start {
-            if kind == DepartureKind::Announced {
-                stored.kind = kind;
+        self.merge_tombstone(target_id, tombstone);
+    }
+
+    fn merge_tombstone(&mut self, target_id: &str, new: TargetTombstone) {
+        let stored = self.tombstones.entry(target_id.into()).or_insert(new);
+        let positions = DeparturePositions {
+            announced_at: stored
+                .positions
+                .announced_at
+                .max(new.positions.announced_at),
+            end_position: stored
+                .positions
+                .end_position
+                .max(new.positions.end_position),
+        };
+        if new.start > stored.start {
+            *stored = new;
+        } else if new.start == stored.start {
+            if new.kind == DepartureKind::Announced {
+                stored.kind = new.kind;
             }
-            stored.last_sequence = stored.last_sequence.max(last_sequence);
-            stored.positions.announced_at =
-                stored.positions.announced_at.max(announced_at);
-            stored.positions.end_position =
-                stored.positions.end_position.max(end_position);
+            stored.last_sequence = stored.last_sequence.max(new.last_sequence);
+            stored.removed_at = stored.removed_at.or(new.removed_at);
         }
+        stored.positions = positions;
         self.evict_oldest_tombstone();
-        if known.is_some() { TargetChange::Left } else { TargetChange::None }
     }
 
     fn evict_oldest_tombstone(&mut self) {
--- a/cowsliproad-routing/src/lib.rs
+++ b/cowsliproad-routing/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod fleet;
 pub mod formation;
 pub mod health;
+pub mod listing;
 pub mod owner;
 pub mod pick;
 pub mod readings;
--- a/cowsliproad-routing/src/readings.rs
+++ b/cowsliproad-routing/src/readings.rs
@@ -152,11 +152,10 @@
         self.log_status = LogStatus::Unreachable;
     }
 
-    /// Records that the complete state of a peer was merged. The state includes
-    /// the last known change of a target, so that change counts as read.
-    pub fn record_merged_peer_state(&mut self) {
-        self.read_position =
-            self.read_position.max(self.last_target_change_log_position);
+    /// Records that the complete state of a peer was merged, which has read the
+    /// log up to a position. Later changes are still unread.
+    pub fn record_merged_peer_state(&mut self, read_position: LogPosition) {
+        self.read_position = self.read_position.max(read_position);
     }
 
     /// Whether this entry process has not yet read the last known change of a
@@ -172,6 +171,12 @@
             && self.log_status == LogStatus::Unreachable
     }
 
+    /// Whether this entry process needs the state of a peer that has read the
+    /// targets up to a position.
+    pub fn needs_peer_state_of(&self, read_position: LogPosition) -> bool {
+        self.needs_peer_state() && read_position > self.read_position
+    }
+
     /// How long until this entry process has to read the log, if peers first
     /// get `wait_for_peers` after the last read to read the log.
     pub fn time_until_next_log_read(
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -7,6 +7,7 @@
 mod direct;
 mod fleet;
 mod fold;
+mod known_targets;
 mod limits;
 mod live;
 mod patience;
