call: compare the id of an answer before its status

A request that must not be repeated was answered 503 "not run" and had run: the target's late answer 421 to the request before on the connection was taken for the refusal by another process at the address. All entries then sent that target nothing more.

The id of an answer is compared first now. Of an answer with another request's id nothing is used: not the refusal, the load, the limit, the rest, nor the leaving of its target.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -266,6 +266,13 @@
                     }
                 })?;
         let (head, body) = response.into_parts();
+        // The late answer to an earlier request says nothing of this one, and
+        // may be of an earlier process at the address.
+        let echoed_id = head.headers.get(&header::REQUEST_ID);
+        let own_id = self.head.headers.get(&header::REQUEST_ID);
+        if echoed_id.is_some() && echoed_id != own_id {
+            return Err(AttemptError::MayHaveRun("another request's answer"));
+        }
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             // Another process of the target responded: the chosen incarnation
             // has ended.
@@ -273,11 +280,6 @@
             return Err(AttemptError::Refused("another incarnation"));
         }
         entry.update_target_from_headers(choice, &self.request_id, &head);
-        let echoed_id = head.headers.get(&header::REQUEST_ID);
-        let own_id = self.head.headers.get(&header::REQUEST_ID);
-        if echoed_id.is_some() && echoed_id != own_id {
-            return Err(AttemptError::MayHaveRun("another request's answer"));
-        }
         if echoed_id.is_some() || head.headers.contains_key(&header::NOT_RUN) {
             entry.apply_rate_limit_header(choice, attempt, &head.headers);
         }
--- a/cowsliproad-direct/src/stated.rs
+++ b/cowsliproad-direct/src/stated.rs
@@ -1,8 +1,7 @@
 //! Load, Retry-After and leaving headers that targets send with their answers.
 //!
-//! These headers describe the process that answers, whichever request the
-//! answer is to. Answers of another process at a target's address say nothing
-//! about the target and are not passed to this module.
+//! Answers of another process at a target's address, and late answers to other
+//! requests, say nothing about the target and are not passed to this module.
 
 use std::time::SystemTime;
 
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -7,6 +7,8 @@
 mod cooldown_siege;
 mod cooldowns;
 mod disruption_siege;
+
+mod foreign_answers;
 mod group_crashes;
 mod harness;
 mod held_clock;
