call: pass a refusal of other weights on to its caller

Two requests of one client that named other weights than the targets have ended a service for all callers: each 421 was taken for the answer of another process at the target's address, and all entries dropped the target.

Where a request names a version of the weights, a 421 with its id is now the caller's answer, unchanged, and marks no target.

a_request_for_other_weights_ends_no_target failed before: 503 where the target had answered 421, and the target was lost. It holds now for a plain service and for streams.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -273,6 +273,15 @@
         if echoed_id.is_some() && echoed_id != own_id {
             return Err(AttemptError::MayHaveRun("another request's answer"));
         }
+        if head.status == StatusCode::MISDIRECTED_REQUEST
+            && self.head.headers.contains_key(&header::EXPECTED_WEIGHTS)
+            && echoed_id.is_some()
+        {
+            // The target may lack the weights that this caller wants, which
+            // concerns no other request.
+            attempt.note_response();
+            return Ok(OpenResponse { head, body, lease });
+        }
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             // Another process of the target responded: the chosen incarnation
             // has ended.
--- a/cowsliproad-direct/tests/entry/foreign_answers.rs
+++ b/cowsliproad-direct/tests/entry/foreign_answers.rs
@@ -1,15 +1,17 @@
-//! Answers that belong to another request: they change nothing for the request
-//! that waits, and nothing of what is known of the target.
+//! Answers that belong to another request, and refusals that one request alone
+//! asked for: they change nothing for other requests.
 
 use std::time::{Duration, Instant};
 
-use http::StatusCode;
+use cowsliproad_net::client::Client;
+use cowsliproad_platform::header;
+use http::{HeaderValue, StatusCode};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
 
-use crate::harness::{KEY, Plant};
+use crate::harness::{Entry, KEY, Plant, until};
 
 /// How long a sound request takes at the most.
 const SOON: Duration = Duration::from_millis(500);
@@ -92,3 +94,60 @@
     }
     assert_eq!(entry.metric("targets").await, Some(1.0));
 }
+
+/// Answers requests for other weights than the target's by 421.
+async fn accept_weights(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            let mut buffer = [0; 8_192];
+            while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+                let text = String::from_utf8_lossy(&buffer[..length]);
+                let text = text.to_lowercase();
+                let id = text
+                    .lines()
+                    .find_map(|it| it.strip_prefix("x-request-id: "));
+                let id = id.unwrap_or_default();
+                let status = match text.contains("x-expect-version: ") {
+                    true => "421 Misdirected Request\r\nx-not-executed: 1",
+                    false => "200 OK\r\nx-response-seal: s",
+                };
+                let answer = format!(
+                    "HTTP/1.1 {status}\r\nx-request-id: {id}\r\n\
+                     content-length: 0\r\n\r\n"
+                );
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+async fn ask_for_weights(entry: &Entry, path: &str) -> Option<StatusCode> {
+    let mut request = entry.request(path, KEY, "");
+    let version = HeaderValue::from_static("7");
+    request.headers_mut().insert(header::EXPECTED_WEIGHTS, version);
+    let answer = Client::new().call(request, 1 << 20, SOON * 8).await;
+    answer.ok().map(|it| it.status())
+}
+
+/// Guards against a target that is lost to all callers because one of them
+/// asked for weights that the target doesn't have.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_for_other_weights_ends_no_target() {
+    for (service, path) in [("plain", "/many/a"), ("model", "/stream/a")] {
+        let mut plant = Plant::start().await;
+        let listener = plant.bare_target("i-raw", service, None).await;
+        tokio::spawn(accept_weights(listener));
+        let entry = plant.entry().await;
+        for _ in 0..2 {
+            let refused = ask_for_weights(&entry, path).await;
+            assert_eq!(refused, Some(StatusCode::MISDIRECTED_REQUEST));
+        }
+        until("the target serves others", async || {
+            assert_eq!(entry.metric("targets").await, Some(1.0));
+            entry.status(path, KEY).await == Some(StatusCode::OK)
+        })
+        .await;
+    }
+}
