tests: send bytes without end in answers and streams

Nothing had to be changed: heads are bounded by the HTTP library, bodies by 8 MiB, events by 1 MiB. The tests check that memory grows by less than 96 MiB with eight requests at once, connections are closed within a second, a request that must not be repeated runs once and isn't said not to have run, and one that may be is served by another target. The probe for crashes opens a connection and reads nothing.

--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod cooldowns;
 mod disruption_siege;
 
+mod endless;
 mod foreign_answers;
 mod group_crashes;
 mod harness;
