tests: send an agent an engine's answer without end

The agent reads its engine's reports with a bound of 4 MiB and a timeout. The test checks both: the call fails in time, the connection is closed within a second, and the engine can send no more than 32 MiB with what the sockets hold. Nothing had to be changed.

--- a/cowsliproad-rank/tests/group/main.rs
+++ b/cowsliproad-rank/tests/group/main.rs
@@ -38,6 +38,7 @@
     time::{sleep, timeout},
 };
 
+mod endless;
 #[path = "../../../cowsliproad-direct/tests/entry/held_clock.rs"]
 mod held_clock;
 mod siege;
