callers: take requests for less than 3 s after SIGTERM

Streams that were sent on kept connections 3.04 to 3.11 s after an entry's SIGTERM were passed on and cut at the end of its grace time.

Requests were taken for 3.2 s, but only work that is sent in the first 3 s may be cut. They are taken for 2.8 s now; the balancer stops sending after two failed checks a second apart.

a_stopping_entry_takes_no_stream_that_it_may_have_to_cut failed before: a request 3.01 s after SIGTERM was answered. It holds now.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -40,9 +40,11 @@
 
 pub mod connections;
 
-/// How long connections are accepted after SIGTERM. The load balancer checks
-/// readiness every second and stops sending after two failed checks.
-const LISTENER_CLOSE_DELAY: Millis = Millis(3_200);
+/// How long connections and requests are accepted after SIGTERM. The load
+/// balancer checks readiness every second and stops sending after two failed
+/// checks. A request that is sent later than 3 s after SIGTERM may not be cut,
+/// and a stream may last beyond the grace period.
+const LISTENER_CLOSE_DELAY: Millis = Millis(2_800);
 
 /// The part of the grace period reserved for the exit of the process.
 const PROCESS_EXIT_MARGIN: Millis = Millis(400);
--- a/cowsliproad-direct/tests/entry/stop.rs
+++ b/cowsliproad-direct/tests/entry/stop.rs
@@ -10,6 +10,11 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use rustix::process::Signal;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
 
 use crate::harness::{Entry, KEY, Plant, numbers, until, write};
 
@@ -94,3 +99,47 @@
         assert_eq!(answer.status(), StatusCode::OK);
     }
 }
+
+/// Guards against streams on kept connections that a stopping entry takes too
+/// late to finish them, and cuts when its grace time ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_takes_no_stream_that_it_may_have_to_cut() {
+    let mut plant = Plant::start().await;
+    let target = plant.target("i-1", "plain").await;
+    let mut entry = plant.entry().await;
+    let address = entry.settings.caller_listen_address;
+    let mut connections = Vec::new();
+    for _ in 0..8 {
+        let mut stream = TcpStream::connect(address).await.expect("a way");
+        ask_on(&mut stream).await.expect("an answer");
+        connections.push(stream);
+    }
+    let told = Instant::now();
+    entry.signal(Signal::TERM);
+    // Work that is sent later than this may not be cut at the end of the grace
+    // time.
+    sleep(Duration::from_millis(3_010)).await;
+    let before = target.arrival_count();
+    for stream in &mut connections {
+        assert!(ask_on(stream).await.is_none());
+    }
+    assert!(told.elapsed() < Duration::from_millis(3_200));
+    assert_eq!(target.arrival_count(), before);
+    assert!(entry.ended().await.success());
+}
+
+/// Sends a request on a connection and reads some of the answer; `None` if the
+/// connection is closed.
+async fn ask_on(stream: &mut TcpStream) -> Option<()> {
+    let request = format!(
+        "POST /many/a HTTP/1.1\r\nhost: host.example\r\n\
+         authorization: Bearer {KEY}\r\nx-request-id: kept\r\n\
+         x-deadline-ms: 4000\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut buffer = [0; 4_096];
+    match stream.read(&mut buffer).await {
+        Ok(1..) => Some(()),
+        Ok(0) | Err(_) => None,
+    }
+}
