entry: hold a refusal against the formation it was sent in

A request that was sent before a group formed again may be refused by the former formation after the report of the new one. That refusal closed the new formation at this entry for good: its callers got 503 although the group was open, until the group formed once more.

The formation that is known when the request is sent is marked as broken now, not the one that is known when the refusal is read.

a_refusal_by_a_former_formation_closes_no_later_one failed before ("never: the target gets a request").

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -255,6 +255,7 @@
             self.attempted_targets.push(choice.target.id.clone());
         }
         let request = self.build_request(choice, last_event_id);
+        let formation = entry.reported_formation(choice);
         let (response, lease) =
             upstream::send_request(attempt, choice, request, allowed_reuse)
                 .await
@@ -298,7 +299,7 @@
                 head.headers.contains_key(&header::FAULTY_TARGET);
             drop(body);
             if group_is_broken {
-                entry.record_broken_group(choice);
+                entry.record_broken_group(formation.as_ref());
                 return Err(AttemptError::Refused("its group is broken"));
             }
             return Err(AttemptError::Refused("refused by the target"));
--- a/cowsliproad-direct/src/entry/groups.rs
+++ b/cowsliproad-direct/src/entry/groups.rs
@@ -7,19 +7,27 @@
 use super::{ChosenTarget, Entry, GroupReport};
 
 impl Entry {
-    /// Records that a target called its group broken. All ranks of a broken
-    /// group refuse requests until the group forms again, so nothing is sent
-    /// to any rank before an agent reports a new formation. Each rank would
-    /// refuse a request that can wait here, and each refusal would draw on the
-    /// retry budget.
-    pub fn record_broken_group(&self, choice: &ChosenTarget) {
+    /// The formation of a target's group that its agent last reported: the
+    /// group's name and the formation's epoch.
+    pub fn reported_formation(
+        &self,
+        choice: &ChosenTarget,
+    ) -> Option<(Name, u64)> {
         let endpoint = choice.endpoint.borrow();
-        let Some(group) = &endpoint.group else { return };
-        self.merge_formation(
-            &group.group_name,
-            group.group_formation_epoch,
-            false,
-        );
+        let group = endpoint.group.as_ref()?;
+        Some((group.group_name.clone(), group.group_formation_epoch))
+    }
+
+    /// Records that a target called its group broken in the formation that was
+    /// known when the request was sent: the group may have formed again before
+    /// the answer was read. All ranks of a broken group refuse requests until
+    /// the group forms again, so nothing is sent to any rank before an agent
+    /// reports a new formation. Each rank would refuse a request that can wait
+    /// here, and each refusal would draw on the retry budget.
+    pub fn record_broken_group(&self, formation: Option<&(Name, u64)>) {
+        if let Some((group, epoch)) = formation {
+            self.merge_formation(group, *epoch, false);
+        }
     }
 
     /// Merges a rank's report on the formation of its group. A group that
--- /dev/null
+++ b/cowsliproad-direct/tests/entry/group_news.rs
@@ -0,0 +1,54 @@
+//! News of a group or an engine that is read late, or that could be taken for
+//! that of another target.
+
+use std::time::Duration;
+
+use cowsliproad_kernel::gossip::{self, Datagram, EngineLoad};
+use http::StatusCode;
+use tokio::{net::UdpSocket, time::sleep};
+
+use crate::{
+    harness::{Entry, KEY, Plant, report, until},
+    scripted::Scripted,
+};
+
+/// How long a report takes to arrive.
+const REPORTED: Duration = Duration::from_millis(200);
+
+async fn tell_load(load: EngineLoad, entry: &Entry) {
+    let bytes = gossip::encode(&Datagram::Load(load));
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let to = entry.settings.own_peer_address();
+    socket.send_to(&bytes, to).await.expect("the report is sent");
+    sleep(REPORTED).await;
+}
+
+/// Guards against a refusal by a broken group that is read after the group
+/// formed again, and that closes the new formation.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_by_a_former_formation_closes_no_later_one() {
+    let mut plant = Plant::start().await;
+    let other = plant.target("i-other", "model").await;
+    let target = Scripted::start(&mut plant, "i-1").await;
+    let entry = plant.entry().await;
+    let address = target.address();
+    let load = |epoch| EngineLoad {
+        engine_address: address,
+        engine_start_unix_ms: 1,
+        group_epoch: epoch,
+        ..report(&other)
+    };
+    tell_load(load(1), &entry).await;
+    let asking = entry.status("/once/a", KEY);
+    let refusing = async {
+        until("the request arrives", async || target.arrivals() == 1).await;
+        tell_load(load(2), &entry).await;
+        let headers = "x-not-executed: 1\r\nat-server: i-2\r\n";
+        target.answer("503 Service Unavailable", headers).await;
+        until("the target gets a request", async || target.arrivals() == 2)
+            .await;
+        target.answer("200 OK", "x-response-seal: s\r\n").await;
+    };
+    let (status, ()) = tokio::join!(asking, refusing);
+    assert_eq!(status, Some(StatusCode::OK));
+}
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod endless;
 mod foreign_answers;
 mod group_crashes;
+mod group_news;
 mod harness;
 mod held_clock;
 mod leaving;
--- a/cowsliproad-direct/tests/entry/scripted.rs
+++ b/cowsliproad-direct/tests/entry/scripted.rs
@@ -1,6 +1,7 @@
 //! A target that answers each request when and how a test says.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -19,6 +20,7 @@
 
 /// A target that answers each request when the test says so.
 pub struct Scripted {
+    address: SocketAddr,
     connections: Arc<AtomicUsize>,
     pending: Arc<Mutex<Vec<(TcpStream, String)>>>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
@@ -32,6 +34,7 @@
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let connections = Arc::new(AtomicUsize::new(0));
         let scripted = Scripted {
+            address: listener.local_addr().expect("an address"),
             connections: connections.clone(),
             pending: pending.clone(),
             arrivals: arrivals.clone(),
@@ -46,6 +49,11 @@
         scripted
     }
 
+    /// Where the target listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Requests that arrived.
     pub fn arrivals(&self) -> usize {
         lock(&self.arrivals).len()
