peers: give an agent's reports to the engine that they name

Another program may write a record with the address of an engine, a service that isn't configured and no start. Such a record took the reports of that engine's agent, so the engine went on getting requests after its agent had said that it leaves.

Of the targets at an address the one with the reported start counts first, then one of a configured service.

a_foreign_record_at_an_engines_address_gets_no_reports failed before: one request reached the leaving engine.

--- a/cowsliproad-direct/src/peers/agents.rs
+++ b/cowsliproad-direct/src/peers/agents.rs
@@ -220,15 +220,24 @@
 
 /// The target at an address whose start is the one that the agent reported, or
 /// unknown. A target that replaces another at the address is announced before
-/// the old one's lease ends.
+/// the old one's lease ends, and another program's record may have the address
+/// of an engine.
 fn target_at_address(
     entry: &Entry,
     address: SocketAddr,
     start: u64,
 ) -> Option<Target> {
-    let same = |it: &Target| {
+    let same = |it: &&Target| {
         it.address == address
             && (start == 0 || it.start.0 == 0 || it.start.0 == start)
     };
-    entry.fleet.borrow().ready_targets().find(|it| same(it)).cloned()
+    let catalog = entry.catalog();
+    let is_configured = |it: &Target| {
+        catalog.as_ref().is_some_and(|all| all.service(&it.service).is_some())
+    };
+    let fleet = entry.fleet.borrow();
+    let candidates = fleet.ready_targets().filter(same);
+    candidates
+        .max_by_key(|it| (it.start.0 == start, is_configured(it)))
+        .cloned()
 }
--- a/cowsliproad-direct/tests/entry/group_news.rs
+++ b/cowsliproad-direct/tests/entry/group_news.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use cowsliproad_kernel::gossip::{self, Datagram, EngineLoad};
+use cowsliproad_platform::log::TARGETS_TOPIC;
+use cowsliproad_platform_standin::target::{Announcement, TargetConfig};
 use http::StatusCode;
 use tokio::{net::UdpSocket, time::sleep};
 
@@ -52,3 +54,37 @@
     let (status, ()) = tokio::join!(asking, refusing);
     assert_eq!(status, Some(StatusCode::OK));
 }
+
+/// Guards against another writer's record with the address of an engine, which
+/// takes the reports of the engine's agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_foreign_record_at_an_engines_address_gets_no_reports() {
+    let mut plant = Plant::start().await;
+    let config = TargetConfig::new("i-1", "model", "a").with_start_time(1);
+    let engine = plant.target_with(config).await;
+    let entry = plant.entry().await;
+    let address = engine.listen_address().expect("it listens");
+    let foreign = Announcement {
+        service: "unknown",
+        listen_address: address,
+        zone: "a",
+        state: "ready",
+        sequence: 1,
+        start_unix_ms: None,
+    };
+    let text = foreign.to_json();
+    plant.log.put(TARGETS_TOPIC, "a-foreign", Some(text.as_bytes()));
+    until("both records are known", async || {
+        entry.metric("targets").await == Some(2.0)
+    })
+    .await;
+    let leaving = EngineLoad {
+        draining: true,
+        engine_start_unix_ms: 1,
+        ..report(&engine)
+    };
+    tell_load(leaving, &entry).await;
+    let before = engine.arrival_count();
+    entry.status("/many/model/a", KEY).await;
+    assert_eq!(engine.arrival_count(), before);
+}
