tests: show an announcement that is older than a list

An entry that has read a list without a target takes an announcement of that target from before the list for a new one, as in the answer to a read that was sent before a peer's state was taken over. The target, gone by then, stays until the next full read.

--- a/cowsliproad-direct/tests/entry/withdrawal_siege.rs
+++ b/cowsliproad-direct/tests/entry/withdrawal_siege.rs
@@ -388,7 +388,7 @@
 }
 
 /// Guards against targets that entries lose for good, or use after they left,
-/// by news that they read or hear out of order.
+/// by news that reaches them out of order.
 #[tokio::test]
 async fn a_siege_of_lapses_loses_no_target_and_keeps_none_that_left() {
     for seed in siege::seeds() {
--- a/tests/properties/fleet.rs
+++ b/tests/properties/fleet.rs
@@ -439,3 +439,44 @@
     );
     assert_eq!(settled, TargetChange::Joined);
 }
+
+/// Guards against a target that a list restored and that a peer's digest, which
+/// still has the wrong withdrawal, ends again.
+#[test]
+fn a_list_outdates_an_earlier_withdrawal() {
+    let mut fleet = fleet();
+    let list =
+        TargetList { end_position: place(20), state: ListState::Settled };
+    fleet.merge_gossiped_departure("i-1", withdrawn(1, 15), Millis(30));
+    let listed = fleet.merge_listed_announcement(
+        target(1, TargetState::Ready),
+        place(0),
+        list,
+        Millis(40),
+    );
+    assert_eq!(listed, TargetChange::Joined);
+    let again =
+        fleet.merge_gossiped_departure("i-1", withdrawn(1, 15), Millis(50));
+    assert_eq!(again, TargetChange::None);
+    let later =
+        fleet.merge_gossiped_departure("i-1", withdrawn(1, 21), Millis(60));
+    assert_eq!(later, TargetChange::Left);
+}
+
+/// Guards against a target that left before a list was read, and that the
+/// answer to an earlier read brings back.
+#[test]
+fn an_announcement_before_a_list_that_lacks_the_target_is_outdated() {
+    let mut fleet = fleet();
+    fleet.withdraw_unlisted_targets(|_| Some(START), place(20), Millis(30));
+    let departed =
+        Target { id: "i-2".into(), ..target(1, TargetState::Ready) };
+    let late = fleet.merge_target_announcement(
+        departed.clone(),
+        place(10),
+        Millis(40),
+    );
+    assert_eq!(late, TargetChange::None);
+    let new = fleet.merge_target_announcement(departed, place(20), Millis(50));
+    assert_eq!(new, TargetChange::Joined);
+}
--- a/tests/properties/known_targets.rs
+++ b/tests/properties/known_targets.rs
@@ -33,8 +33,8 @@
 /// How long after a rollback the log may list targets that departed.
 const SETTLING_TIME: Millis = Millis(6_000);
 
-/// How many events a target that left is told of.
-const TOLD_EVENTS: u64 = 50;
+/// For how many events a departure is included in digests.
+const BROADCAST_EVENTS: u64 = 50;
 
 #[derive(Clone, Copy, Debug)]
 enum Event {
@@ -61,9 +61,9 @@
     List(usize),
     /// An entry process takes the targets over from another one.
     TakeOver(usize, usize),
-    /// An entry process hears of the departures that another one knows.
-    Hear(usize, usize),
-    /// An entry process learns that nobody had read the log for long.
+    /// An entry process merges the departures in another one's digest.
+    MergeDigest(usize, usize),
+    /// An entry process learns that nobody has read the log for a while.
     Gap(usize),
     /// Nothing happens for a while.
     Wait,
@@ -86,7 +86,7 @@
             .prop_map(|(entry, known)| Event::ReadAgain(entry, known)),
         2 => entry.clone().prop_map(Event::List),
         4 => pair.clone().prop_map(|(to, from)| Event::TakeOver(to, from)),
-        4 => pair.prop_map(|(to, from)| Event::Hear(to, from)),
+        4 => pair.prop_map(|(to, from)| Event::MergeDigest(to, from)),
         1 => entry.prop_map(Event::Gap),
         1 => Just(Event::Wait),
     ]
@@ -250,7 +250,7 @@
             Event::ReadAgain(entry, known) => self.read(entry, known),
             Event::List(entry) => self.list(entry),
             Event::TakeOver(to, from) => self.take_over(to, from),
-            Event::Hear(to, from) => self.hear(to, from),
+            Event::MergeDigest(to, from) => self.merge_digest(to, from),
             Event::Gap(entry) => {
                 self.entries[entry].fleet.start_record_renewal_grace(self.now);
             }
@@ -384,14 +384,14 @@
         }
     }
 
-    fn hear(&mut self, to: usize, from: usize) {
-        let since = self.now - Millis(STEP.0 * TOLD_EVENTS);
-        let told: Vec<_> = self.entries[from]
+    fn merge_digest(&mut self, to: usize, from: usize) {
+        let since = self.now - Millis(STEP.0 * BROADCAST_EVENTS);
+        let broadcast: Vec<_> = self.entries[from]
             .fleet
             .target_departures_since(since)
             .map(|(id, departure)| (id.clone(), departure))
             .collect();
-        for (id, departure) in told {
+        for (id, departure) in broadcast {
             let entry = &mut self.entries[to];
             entry.fleet.merge_gossiped_departure(&id, departure, self.now);
         }
@@ -449,7 +449,7 @@
         }
         for to in 0..ENTRIES {
             for from in 0..ENTRIES {
-                model.hear(to, from);
+                model.merge_digest(to, from);
                 model.take_over(to, from);
             }
         }
