direct: count each request by its outcome

Entries count each request that was read by service, route, availability zone and outcome, with one reason for each way to be rejected; attempts also by service and target zone; a service's targets by state, as a request would see them; readiness checks and failed accepts.

No decision is changed. Tests: entry/outcomes.rs.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -66,6 +66,9 @@
 /// The lowest priority in a target's queue, where rank 0 is served first.
 const MAX_QUEUE_RANK: u16 = 9;
 
+/// The cause of a refusal by a target whose group is broken.
+const GROUP_IS_BROKEN: &str = "its group is broken";
+
 /// A caller's request, with the state of its attempts at targets.
 #[derive(Debug)]
 pub struct Call {
@@ -300,7 +303,7 @@
             drop(body);
             if group_is_broken {
                 entry.record_broken_group(formation.as_ref());
-                return Err(AttemptError::Refused("its group is broken"));
+                return Err(AttemptError::Refused(GROUP_IS_BROKEN));
             }
             return Err(AttemptError::Refused("refused by the target"));
         }
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -22,6 +22,7 @@
         choose::{PermitWaitPolicy, TargetShortage},
     },
     limits,
+    outcome::Outcome,
     reply::Body,
 };
 
@@ -67,11 +68,15 @@
                     return Err(self.reject_request(
                         entry,
                         RejectionReason::Poison(after),
+                        Outcome::Quarantined,
                     ));
                 }
                 QuarantineVerdict::Suspended(after) => {
-                    let reason = RejectionReason::Suspended(after);
-                    return Err(self.reject_request(entry, reason));
+                    return Err(self.reject_request(
+                        entry,
+                        RejectionReason::Suspended(after),
+                        Outcome::Suspected,
+                    ));
                 }
             }
             let lookahead = self.max_permit_lookahead(wait_until.since(now));
@@ -96,14 +101,17 @@
             {
                 let after =
                     self.time_until_target_usable(entry, &shortage, now);
-                return Err(
-                    self.reject_request(entry, RejectionReason::Busy(after))
-                );
+                return Err(self.reject_request(
+                    entry,
+                    RejectionReason::Busy(after),
+                    shortage.outcome(),
+                ));
             }
             if wait_left.0 == 0 {
                 let reason =
                     RejectionReason::NoTarget("no target can be used");
-                return Err(self.reject_request(entry, reason));
+                let outcome = self.unusable_targets_outcome(entry, now);
+                return Err(self.reject_request(entry, reason, outcome));
             }
             let cooldown_end = shortage.and_then(|it| it.cooldown_end);
             if let Some(end) = cooldown_end {
@@ -171,6 +179,13 @@
         candidates.choose_target(PermitWaitPolicy::Now, 0.0).is_some()
     }
 
+    /// Why the request found no usable target until it could wait no longer.
+    fn unusable_targets_outcome(&self, entry: &Entry, now: Millis) -> Outcome {
+        let all =
+            entry.score_candidates(&self.service, now, Millis(0), |_| true);
+        all.unusable_outcome().unwrap_or(Outcome::Deadline)
+    }
+
     /// The time until some target accepts a retry by the caller.
     fn time_until_target_usable(
         &self,
@@ -212,9 +227,11 @@
         if let StreamAdmission::RetryAfter(after) =
             self.admit_stream_start(entry, Millis::now())
         {
-            return Err(
-                self.reject_request(entry, RejectionReason::TooLate(after))
-            );
+            return Err(self.reject_request(
+                entry,
+                RejectionReason::TooLate(after),
+                Outcome::TooLate,
+            ));
         }
         if !limits::acquire_permit(entry, &mut choice, max_permit_wait).await {
             self.denied_permits += 1;
@@ -225,8 +242,11 @@
         if self.next_attempt_cost == AttemptCost::OneRetry {
             if !entry.try_spend_retry(&self.request_id, &self.service, now) {
                 choice.return_permit();
-                let reason = RejectionReason::NoTarget("no retry is left");
-                return Err(self.reject_request(entry, reason));
+                return Err(self.reject_request(
+                    entry,
+                    RejectionReason::NoTarget("no retry is left"),
+                    Outcome::RetryBudget,
+                ));
             }
             self.retry_spent_at = Some(now);
         }
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -12,9 +12,12 @@
 use http::Response;
 use slog::info;
 
-use super::{AttemptCost, AttemptError, Call, ExecutionStatus};
+use super::{
+    AttemptCost, AttemptError, Call, ExecutionStatus, GROUP_IS_BROKEN,
+};
 use crate::{
     entry::{ChosenTarget, Entry},
+    outcome::Outcome,
     reply::{self, Body},
 };
 
@@ -75,13 +78,16 @@
         choice: &ChosenTarget,
         error: AttemptError,
     ) -> Option<Response<Body>> {
+        let record = |outcome| {
+            entry.metrics.record_attempt_outcome(&choice.target, outcome);
+        };
         let cause = match error {
             AttemptError::Refused(cause) => {
-                entry.metrics.record_attempt_outcome("refused");
+                record("refused");
                 cause
             }
             AttemptError::Unsent(cause) => {
-                entry.metrics.record_attempt_outcome("unsent");
+                record("unsent");
                 self.attempted_targets.retain(|it| *it != choice.target.id);
                 // Sending a request that never arrived is no retry.
                 if self.time_left().0 > 0 && self.attempt_count < MAX_ATTEMPTS
@@ -93,7 +99,7 @@
                 cause
             }
             AttemptError::Withheld(cause) => {
-                entry.metrics.record_attempt_outcome("withheld");
+                record("withheld");
                 self.attempted_targets.retain(|it| *it != choice.target.id);
                 if self.time_left().0 > 0 && self.attempt_count < MAX_ATTEMPTS
                 {
@@ -105,7 +111,7 @@
             }
             AttemptError::MayHaveRun(cause)
             | AttemptError::ConnectionBroken(cause) => {
-                entry.metrics.record_attempt_outcome("unknown");
+                record("unknown");
                 self.note_possible_run();
                 // If the attempt was a trial, a retry would be another one.
                 self.admission = Admission::Regular;
@@ -113,9 +119,12 @@
             }
         };
         if !self.may_retry(entry, choice, cause) {
-            return Some(
-                self.reject_request(entry, RejectionReason::NoTarget(cause)),
-            );
+            let outcome = self.failed_attempt_outcome(&error);
+            return Some(self.reject_request(
+                entry,
+                RejectionReason::NoTarget(cause),
+                outcome,
+            ));
         }
         if matches!(error, AttemptError::ConnectionBroken(_)) {
             sleep(CONNECTION_LOSS_RETRY_DELAY.duration()).await;
@@ -156,13 +165,14 @@
         allowed
     }
 
-    /// Logs the rejection of a request and builds the response. This states
-    /// "not run", with a retry delay, only if no target can have run the
-    /// request.
+    /// Logs the rejection of a request and builds the response, which counts
+    /// as `outcome`. The response states "not run", with a retry delay, only if
+    /// no target can have run the request.
     pub fn reject_request(
         &self,
         entry: &Entry,
         reason: RejectionReason,
+        outcome: Outcome,
     ) -> Response<Body> {
         let left = self.time_left();
         let (text, after) = match reason {
@@ -189,12 +199,13 @@
             }
         };
         info!(entry.log, "rejected"; "request" => &*self.request_id,
-            "reason" => ?reason, "certainty" => ?self.execution,
+            "reason" => ?reason, "outcome" => outcome.label(),
+            "certainty" => ?self.execution,
             "tries" => self.attempt_count, "caller_try" => ?self.caller_try,
             "waited" => Millis::now().since(self.arrived).0,
             "after" => after.0, "left" => left.0, "work" => %self.fingerprint.request,
             "parts" => %PartList(self.suspicious_parts(reason)));
-        match (self.execution, reason) {
+        let response = match (self.execution, reason) {
             (ExecutionStatus::NotRun, _) => {
                 reply::not_run_response(text, after)
             }
@@ -207,6 +218,21 @@
             (ExecutionStatus::Unknown, _) => {
                 reply::outcome_unknown_response("no whole answer\n")
             }
+        };
+        outcome.attach_to(response)
+    }
+
+    /// The outcome of a request whose last attempt ended with an error.
+    fn failed_attempt_outcome(&self, error: &AttemptError) -> Outcome {
+        match error {
+            _ if self.time_left().0 == 0 => Outcome::Deadline,
+            AttemptError::Refused(GROUP_IS_BROKEN) => Outcome::GroupDown,
+            AttemptError::Refused(_) => Outcome::QueueFull,
+            AttemptError::Unsent(_) | AttemptError::Withheld(_) => {
+                Outcome::Unsent
+            }
+            AttemptError::MayHaveRun(_)
+            | AttemptError::ConnectionBroken(_) => Outcome::AttemptFailed,
         }
     }
 
--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -107,6 +107,7 @@
         match listener.accept().await {
             Ok((stream, _)) => admit_connection(entry, stream),
             Err(error) => {
+                entry.metrics.record_caller_connections("accept failed", 1);
                 info!(entry.log, "accept_failed"; "error" => %error);
                 sleep(STOP_CHECK_INTERVAL.duration()).await;
             }
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -110,6 +110,31 @@
     Closing,
 }
 
+/// Whether an entry process can serve.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Readiness {
+    /// The process serves, and has a configuration and a usable target.
+    Ready,
+    /// The process got a stop signal.
+    Stopping,
+    /// The process has no configuration yet.
+    NoConfiguration,
+    /// The process knows no target.
+    NoTarget,
+}
+
+impl Readiness {
+    /// The name of the state in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Readiness::Ready => "ready",
+            Readiness::Stopping => "stopping",
+            Readiness::NoConfiguration => "no_configuration",
+            Readiness::NoTarget => "no_target",
+        }
+    }
+}
+
 /// State that an entry process keeps for one target in addition to the
 /// target's record in the log.
 #[derive(Debug, Default)]
@@ -577,11 +602,22 @@
     }
 
     /// Whether the entry process can serve: it isn't stopping, and it has a
-    /// configuration and at least one usable target.
+    /// configuration and at least one known target.
     pub fn is_ready_to_serve(&self) -> bool {
-        self.process_phase.get() == ProcessPhase::Serving
-            && self.catalog.borrow().is_some()
-            && self.fleet.borrow().ready_targets().next().is_some()
+        self.readiness() == Readiness::Ready
+    }
+
+    /// Whether the entry process can serve, or why not.
+    pub fn readiness(&self) -> Readiness {
+        if self.process_phase.get() != ProcessPhase::Serving {
+            Readiness::Stopping
+        } else if self.catalog.borrow().is_none() {
+            Readiness::NoConfiguration
+        } else if self.fleet.borrow().ready_targets().next().is_none() {
+            Readiness::NoTarget
+        } else {
+            Readiness::Ready
+        }
     }
 
     /// Records the timeout that a caller's request states and returns the
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -15,6 +15,7 @@
     ChosenTarget, CooldownRecovery, Endpoint, Entry, GroupReport,
     groups::AGENT_REPORT_TIMEOUT,
 };
+use crate::outcome::Outcome;
 
 /// Snapshot of the usable targets of a service, scored by cost, at one moment.
 pub struct CandidateSnapshot {
@@ -30,14 +31,28 @@
     /// The number of eligible targets, including targets that can't be used
     /// now.
     eligible_count: usize,
-    /// The number of eligible, working targets in a cooldown that they
-    /// requested with Retry-After.
-    cooling_count: usize,
+    /// The eligible targets that can't be used now, by reason.
+    unusable: UnusableTargets,
     /// When the first cooldown of a target ends, or the first probe of a
     /// recovering target times out.
     cooldown_end: Option<Millis>,
 }
 
+/// Targets of a service that can't be used at one moment, by reason.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UnusableTargets {
+    /// Targets whose group is broken or halted.
+    pub group_down: usize,
+    /// Targets whose agent is silent, while most agents report.
+    pub agent_silent: usize,
+    /// Working targets in a cooldown that they requested with Retry-After.
+    pub cooling: usize,
+    /// Targets that a probe tries after a cooldown.
+    pub probed: usize,
+    /// Targets to which this entry process may open no more connections.
+    pub no_connection: usize,
+}
+
 /// A target that could get the request, if the target's rate limit allows it.
 struct ScoredTarget {
     choice: ChosenTarget,
@@ -77,12 +92,20 @@
             shortage.rate_limit_end = rate_limit_end.min();
             let ends = shortage.cooldown_end.into_iter();
             shortage.cooldown_end = ends.chain(snapshot.cooldown_end).min();
-            let kept = snapshot.scored.len() + snapshot.cooling_count;
+            let kept = snapshot.scored.len() + snapshot.unusable.cooling;
             shortage.covers_all_targets &= kept == snapshot.eligible_count;
         }
         shortage.earliest_shortage_end().map(|_| shortage)
     }
 
+    /// The outcome of a request that is rejected for this shortage.
+    pub fn outcome(&self) -> Outcome {
+        match self.rate_limit_end {
+            Some(_) => Outcome::RateLimit,
+            None => Outcome::Cooldown,
+        }
+    }
+
     /// When the first target may take a request again.
     pub fn earliest_shortage_end(&self) -> Option<Millis> {
         self.rate_limit_end.into_iter().chain(self.cooldown_end).min()
@@ -102,6 +125,46 @@
 }
 
 impl CandidateSnapshot {
+    /// The number of targets that get requests, possibly by permits.
+    pub fn usable_count(&self) -> usize {
+        self.scored.len()
+    }
+
+    /// The number of usable targets that state a rate limit.
+    pub fn limited_count(&self) -> usize {
+        let rates = self.scored.iter().map(|it| it.choice.rate_limit);
+        rates.flatten().count()
+    }
+
+    /// The eligible targets that can't be used, by reason.
+    pub fn unusable(&self) -> UnusableTargets {
+        self.unusable
+    }
+
+    /// The outcome of a request that found no usable target: the reason that
+    /// holds for most targets. None if some target is usable.
+    pub fn unusable_outcome(&self) -> Option<Outcome> {
+        if !self.scored.is_empty() {
+            return None;
+        }
+        let UnusableTargets {
+            group_down,
+            agent_silent,
+            cooling,
+            probed,
+            no_connection,
+        } = self.unusable;
+        let reasons = [
+            (group_down, Outcome::GroupDown),
+            (agent_silent, Outcome::AgentSilent),
+            (cooling + probed, Outcome::Cooldown),
+            (no_connection, Outcome::NoConnection),
+        ];
+        let most = reasons.into_iter().max_by_key(|it| it.0);
+        let most = most.filter(|it| it.0 > 0);
+        Some(most.map_or(Outcome::NoTarget, |it| it.1))
+    }
+
     /// Chooses the target with the least cost or, where agents report, one of
     /// the cheapest at random; see [`pick::choose_target_by_cost`]. A target whose
     /// rate limit is below its equal share is preferred at the same or lower
@@ -183,6 +246,18 @@
 }
 
 impl Entry {
+    /// Sets the gauges of each service's targets by state, for which the
+    /// targets are scored as for a request.
+    pub fn record_target_states(&self) {
+        let Some(catalog) = self.catalog() else { return };
+        let now = Millis::now();
+        for service in catalog.services() {
+            let all =
+                self.score_candidates(&service.name, now, Millis(0), |_| true);
+            self.metrics.set_service_targets(&service.name, &all);
+        }
+    }
+
     /// Scores the targets of a service for which `is_eligible` is true.
     /// Cooldowns count as longer by `stagger`.
     pub fn score_candidates(
@@ -221,7 +296,8 @@
         };
         let targets = endpoints.len();
         let mut eligible_count = 0;
-        let (mut cooling_count, mut cooldown_end) = (0, None);
+        let mut unusable = UnusableTargets::default();
+        let mut cooldown_end = None;
         let mut scored: Vec<ScoredTarget> = Vec::new();
         for (target, endpoint) in endpoints {
             if !is_eligible(target) {
@@ -232,24 +308,29 @@
             let group = endpoint_state.group.as_ref();
             let closed =
                 group.is_some_and(|it| !self.group_accepts_requests(it, now));
-            if closed
-                || most_report && !has_recent_report(&endpoint_state.group)
-            {
+            if closed {
+                unusable.group_down += 1;
+                continue;
+            }
+            if most_report && !has_recent_report(&endpoint_state.group) {
+                unusable.agent_silent += 1;
                 continue;
             }
             if let Some(end) = self.cooldown_end(target, now - stagger) {
-                cooling_count += 1;
+                unusable.cooling += 1;
                 let end = end + stagger;
                 cooldown_end = cooldown_end.into_iter().chain([end]).min();
                 continue;
             }
             if let Some(end) = endpoint_state.probe_timeout_at(now) {
+                unusable.probed += 1;
                 cooldown_end = cooldown_end.into_iter().chain([end]).min();
                 continue;
             }
             if endpoint_state.open_connection_count >= max_connections
                 && endpoint_state.connection_pool.has_no_idle_connection()
             {
+                unusable.no_connection += 1;
                 continue;
             }
             let near = target.zone == *zone;
@@ -302,7 +383,7 @@
             unreported_requests,
             equal_share_requests_per_second,
             eligible_count,
-            cooling_count,
+            unusable,
             cooldown_end,
         }
     }
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -14,6 +14,7 @@
     call::{AttemptError, Call},
     callers::InFlightRequestGuard,
     entry::Entry,
+    outcome::RequestRecord,
     receive::receive_request,
     reply::{self, Body},
     stream,
@@ -28,17 +29,25 @@
     let arrived = Millis::now();
     let (head, body) = request.into_parts();
     let request_id = head.headers.get(&header::REQUEST_ID).cloned();
+    let mut record = RequestRecord::new(entry, arrived);
     let response = match receive_request(entry, head, body, arrived).await {
         Ok(mut call) => {
+            record.set_destination(&call);
             entry.record_request_in_budget(&call.service, arrived);
             entry.request_quarantine.borrow_mut().count_request();
             if call.route.has_stream_responses() {
-                stream::respond_with_stream(entry, call, in_flight).await
+                stream::respond_with_stream(entry, call, record, in_flight)
+                    .await
             } else {
-                forward_buffered(entry, &mut call).await
+                let response = forward_buffered(entry, &mut call).await;
+                record.finish(&response);
+                response
             }
         }
-        Err(response) => response,
+        Err(response) => {
+            record.finish(&response);
+            response
+        }
     };
     log_response_and_set_request_id(entry, response, request_id, arrived)
 }
@@ -86,7 +95,7 @@
         let error = match attempt_result.await {
             Ok(Ok(response)) if response.status().is_server_error() => {
                 attempt.note_failure_response();
-                entry.metrics.record_attempt_outcome("failed");
+                entry.metrics.record_attempt_outcome(&choice.target, "failed");
                 call.note_possible_run();
                 if !call.may_retry(entry, &choice, "failed") {
                     return response;
@@ -96,7 +105,9 @@
             }
             Ok(Ok(response)) => {
                 attempt.note_successful_response();
-                entry.metrics.record_attempt_outcome("answered");
+                entry
+                    .metrics
+                    .record_attempt_outcome(&choice.target, "answered");
                 return response;
             }
             Ok(Err(error)) => error,
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -23,6 +23,7 @@
 //! * [`rollback`]: recovery after that log was restored from an older copy;
 //! * [`peers`]: gossip among entry processes and agents;
 //! * [`reply`]: responses that the entry process creates itself;
+//! * [`outcome`]: how requests end, for metrics;
 //! * [`readiness`], [`measure`]: readiness and metrics endpoints.
 //!
 //! The process has one thread: a VM has a fraction of one core, and state that
@@ -48,6 +49,7 @@
 pub mod forward;
 pub mod limits;
 pub mod measure;
+pub mod outcome;
 pub mod peers;
 pub mod quarantine;
 pub mod readiness;
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -1,18 +1,24 @@
 //! Metrics of the entry process.
 
 use cowsliproad_admission::window::RetryUsage;
-use cowsliproad_kernel::clock::Millis;
+use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_net::metrics::Metrics;
+use cowsliproad_routing::fleet::Target;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
 };
 
+use crate::entry::choose::CandidateSnapshot;
+
 /// The counters, gauges and histograms of an entry process, and their text
 /// output.
 #[derive(Clone, Debug)]
 pub struct EntryMetrics {
     metrics: Metrics,
+    requests: Counter<u64>,
+    service_targets: Gauge<u64>,
+    readiness_checks: Counter<u64>,
     answers: Counter<u64>,
     tries: Counter<u64>,
     first_byte: Histogram<u64>,
@@ -52,6 +58,9 @@
         let metrics = Metrics::new();
         let meter = metrics.meter();
         EntryMetrics {
+            requests: meter.u64_counter("requests").build(),
+            service_targets: meter.u64_gauge("service_targets").build(),
+            readiness_checks: meter.u64_counter("readiness_checks").build(),
             answers: meter.u64_counter("answers").build(),
             tries: meter.u64_counter("tries").build(),
             first_byte: meter.u64_histogram("first_byte_ms").build(),
@@ -116,9 +125,68 @@
         self.whole.record(took.0, &[]);
     }
 
+    /// Records how a caller's request ended, with the service and the route
+    /// that it was matched to and the availability zone of this entry process.
+    pub fn record_request_outcome(
+        &self,
+        service_and_route: Option<(&Name, &Name)>,
+        zone: &Name,
+        outcome: &'static str,
+    ) {
+        let unmatched = Name::from("");
+        let (service, route) =
+            service_and_route.unwrap_or((&unmatched, &unmatched));
+        let labels = [
+            KeyValue::new("service", service.clone()),
+            KeyValue::new("route", route.clone()),
+            KeyValue::new("zone", zone.clone()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Sets the numbers of a service's targets by state.
+    pub fn set_service_targets(
+        &self,
+        service: &Name,
+        targets: &CandidateSnapshot,
+    ) {
+        let unusable = targets.unusable();
+        let states = [
+            ("usable", targets.usable_count()),
+            ("limited", targets.limited_count()),
+            ("group_down", unusable.group_down),
+            ("agent_silent", unusable.agent_silent),
+            ("cooling", unusable.cooling),
+            ("probed", unusable.probed),
+            ("no_connection", unusable.no_connection),
+        ];
+        for (state, count) in states {
+            let labels = [
+                KeyValue::new("service", service.clone()),
+                KeyValue::new("state", state),
+            ];
+            self.service_targets.record(count as u64, &labels);
+        }
+    }
+
+    /// Records the answer to a readiness check.
+    pub fn record_readiness_check(&self, answer: &'static str) {
+        self.readiness_checks.add(1, &[KeyValue::new("answer", answer)]);
+    }
+
     /// Records the outcome of an attempt at a target.
-    pub fn record_attempt_outcome(&self, outcome: &'static str) {
-        self.tries.add(1, &[KeyValue::new("outcome", outcome)]);
+    pub fn record_attempt_outcome(
+        &self,
+        target: &Target,
+        outcome: &'static str,
+    ) {
+        let labels = [
+            KeyValue::new("service", target.service.clone()),
+            KeyValue::new("target_zone", target.zone.clone()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.tries.add(1, &labels);
     }
 
     /// Records the outcome of suspicions that a target crashed under requests.
--- a/cowsliproad-direct/src/readiness.rs
+++ b/cowsliproad-direct/src/readiness.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::entry::Entry;
+use crate::entry::{Entry, Readiness};
 
 /// The path that serves counters and histograms.
 const METRICS_PATH: &str = "/metrics";
@@ -59,16 +59,23 @@
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let (status, text) = match request.uri().path() {
-        READINESS_PATH if entry.is_ready_to_serve() => {
-            (StatusCode::OK, "ready\n".into())
+        READINESS_PATH => answer_readiness_check(entry),
+        METRICS_PATH => {
+            entry.record_target_states();
+            (StatusCode::OK, entry.metrics.render_text())
         }
-        READINESS_PATH => {
-            (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into())
-        }
-        METRICS_PATH => (StatusCode::OK, entry.metrics.render_text()),
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
     let mut answer = Response::new(Full::new(Bytes::from(text)));
     *answer.status_mut() = status;
     answer
 }
+
+fn answer_readiness_check(entry: &Entry) -> (StatusCode, String) {
+    let readiness = entry.readiness();
+    entry.metrics.record_readiness_check(readiness.label());
+    match readiness {
+        Readiness::Ready => (StatusCode::OK, "ready\n".into()),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+    }
+}
--- a/cowsliproad-direct/src/receive.rs
+++ b/cowsliproad-direct/src/receive.rs
@@ -24,6 +24,7 @@
         Call, RequestDestination, RequestTimes, failure::TARGETS_FULL_BACKOFF,
     },
     entry::Entry,
+    outcome::Outcome,
     reply::{self, Body},
 };
 
@@ -67,41 +68,32 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return Err(reply::plain_text_response(
-                status,
-                "the body is too large\n",
-            ));
+            return Err(bad_request(status, "the body is too large\n"));
         }
         Ok(Err(_)) => {
             let status = StatusCode::BAD_REQUEST;
-            return Err(reply::plain_text_response(
-                status,
-                "the body ends early\n",
-            ));
+            return Err(bad_request(status, "the body ends early\n"));
         }
         Err(_) => {
             let status = StatusCode::REQUEST_TIMEOUT;
-            return Err(reply::plain_text_response(
-                status,
-                "the body takes too long\n",
-            ));
+            return Err(bad_request(status, "the body takes too long\n"));
         }
     };
     // The configuration may have changed while the body was read.
     let Some(catalog) = entry.catalog() else {
-        return Err(reply::not_run_response(
-            "starting\n",
-            NO_CONFIG_RETRY_DELAY,
-        ));
+        let starting =
+            reply::not_run_response("starting\n", NO_CONFIG_RETRY_DELAY);
+        return Err(Outcome::NoConfiguration.attach_to(starting));
     };
     let found = find_route(&catalog, &head).map_err(route_error_response)?;
     let RouteMatch { route, organisation } = found;
     let Some(service) = route.choose_service(entry.random_fraction()).cloned()
     else {
-        return Err(reply::not_run_response(
+        let no_service = reply::not_run_response(
             "the route has no service\n",
             TARGETS_FULL_BACKOFF,
-        ));
+        );
+        return Err(Outcome::NoTarget.attach_to(no_service));
     };
     let timeout_left =
         route.response_timeout.map_or(time_left, |it| it.min(time_left));
@@ -142,16 +134,19 @@
 }
 
 fn route_error_response(error: RouteError) -> Response<Body> {
-    match error {
-        RouteError::NoRoute => reply::plain_text_response(
-            StatusCode::NOT_FOUND,
-            "no such route\n",
-        ),
-        RouteError::BadKey => reply::plain_text_response(
-            StatusCode::UNAUTHORIZED,
-            "no such key\n",
-        ),
-    }
+    let (outcome, status, text) = match error {
+        RouteError::NoRoute => {
+            (Outcome::NoRoute, StatusCode::NOT_FOUND, "no such route\n")
+        }
+        RouteError::BadKey => {
+            (Outcome::BadKey, StatusCode::UNAUTHORIZED, "no such key\n")
+        }
+    };
+    outcome.attach_to(reply::plain_text_response(status, text))
+}
+
+fn bad_request(status: StatusCode, text: &'static str) -> Response<Body> {
+    Outcome::BadRequest.attach_to(reply::plain_text_response(status, text))
 }
 
 /// The caller's headers as they are sent to targets, without hop-by-hop
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -22,6 +22,7 @@
     call::{AttemptError, Call, OpenResponse, read_whole_response},
     callers::InFlightRequestGuard,
     entry::{ChosenTarget, Entry, GroupReport},
+    outcome::{Outcome, RequestRecord},
     receive::remove_hop_by_hop_headers,
     reply::{Body, StreamPiece},
     upstream::ConnectionLease,
@@ -70,32 +71,39 @@
 pub async fn respond_with_stream(
     entry: &Rc<Entry>,
     mut call: Call,
+    record: RequestRecord,
     in_flight: InFlightRequestGuard,
 ) -> Response<Body> {
+    let reject = |answer| {
+        record.finish(&answer);
+        answer
+    };
     let (head, target_stream, first) = loop {
         let choice = match call.wait_for_next_target(entry).await {
             Ok(choice) => choice,
-            Err(answer) => return answer,
+            Err(answer) => return reject(answer),
         };
         match wait_for_first_event(entry, &mut call, &choice).await {
             Ok(FirstReply::Stream(head, target_stream, first)) => {
                 break (head, target_stream, first);
             }
-            Ok(FirstReply::Whole(answer)) => return answer,
+            Ok(FirstReply::Whole(answer)) => return reject(answer),
             Err(error) => {
                 choice.record_failed_attempt(entry, &error);
                 if let Some(answer) =
                     call.note_attempt_error(entry, &choice, error).await
                 {
-                    return answer;
+                    return reject(answer);
                 }
             }
         }
     };
+    record.note_first_event();
     let (pieces, body) = mpsc::channel(PIECE_CHANNEL_CAPACITY);
     let caller_stream = CallerStream {
         entry: entry.clone(),
         call,
+        record,
         pieces,
         last_event_id: None,
         event_count: 0,
@@ -350,10 +358,30 @@
         <= u64::from(own_service_time)
 }
 
+/// How the stream to a caller ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StreamEnd {
+    Complete,
+    CallerLeft,
+    Cut,
+}
+
+impl StreamEnd {
+    /// The name of the end in log lines.
+    fn label(self) -> &'static str {
+        match self {
+            StreamEnd::Complete => "complete",
+            StreamEnd::CallerLeft => "caller left",
+            StreamEnd::Cut => "cut",
+        }
+    }
+}
+
 /// The stream to one caller, relayed from one target after another.
 struct CallerStream {
     entry: Rc<Entry>,
     call: Call,
+    record: RequestRecord,
     pieces: mpsc::Sender<StreamPiece>,
     /// The id of the last event that was passed on to the caller.
     last_event_id: Option<u64>,
@@ -371,38 +399,45 @@
         first_event: Option<ServerSentEvent>,
         in_flight: InFlightRequestGuard,
     ) {
-        let outcome = self.relay_events(&mut target_stream, first_event).await;
+        let end = self.relay_events(&mut target_stream, first_event).await;
         drop(target_stream);
+        match end {
+            StreamEnd::Complete => self.record.finish_complete_stream(),
+            StreamEnd::CallerLeft => {
+                self.record.finish_with(Outcome::CallerLeft);
+            }
+            StreamEnd::Cut => self.record.finish_with(Outcome::StreamCut),
+        }
         let duration = Millis::now().since(self.call.arrived);
         self.entry.metrics.record_answer_duration(duration);
         info!(self.entry.log, "stream_ended"; "request" => &*self.call.request_id,
-            "outcome" => outcome, "events" => self.event_count,
+            "outcome" => end.label(), "events" => self.event_count,
             "pause" => self.longest_gap.0, "took" => duration.0);
         drop(in_flight);
     }
 
-    /// Relays events until the stream ends. Returns the outcome for the log.
+    /// Relays events until the stream ends.
     async fn relay_events(
         &mut self,
         target_stream: &mut TargetStream,
         first_event: Option<ServerSentEvent>,
-    ) -> &'static str {
+    ) -> StreamEnd {
         if let Some(event) = first_event
             && !self.send_event_to_caller(event).await
         {
-            return "caller left";
+            return StreamEnd::CallerLeft;
         }
         loop {
             let deadline = self.call.deadline;
             let pieces = self.pieces.clone();
             let next = tokio::select! {
                 next = target_stream.next_event(&self.entry, deadline) => next,
-                () = pieces.closed() => return "caller left",
+                () = pieces.closed() => return StreamEnd::CallerLeft,
             };
             match next {
                 NextEvent::Event(event) => {
                     if !self.send_event_to_caller(event).await {
-                        return "caller left";
+                        return StreamEnd::CallerLeft;
                     }
                 }
                 NextEvent::Complete => {
@@ -412,19 +447,19 @@
                     }
                     // If the caller has left, the end needn't arrive.
                     let _ = self.pieces.send(StreamPiece::End).await;
-                    return "complete";
+                    return StreamEnd::Complete;
                 }
                 NextEvent::Failed(error) => {
                     target_stream.attempt.note_error(&error);
                     let resumed = tokio::select! {
                         next = self.resume_at_another_target(target_stream, error) => next,
-                        () = pieces.closed() => return "caller left",
+                        () = pieces.closed() => return StreamEnd::CallerLeft,
                     };
                     match resumed {
                         Some(resumed_stream) => {
                             *target_stream = resumed_stream
                         }
-                        None => return "cut",
+                        None => return StreamEnd::Cut,
                     }
                 }
             }
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod news;
 mod numbers;
+mod outcomes;
 mod processes;
 mod prompt_parts;
 mod prompt_siege;
