routing: try a closed group again without a report

A group that one refusal (503 naming the rank at fault) or one report had closed stayed closed in that formation whatever its ranks did: entries sent it nothing until an agent reported a later epoch. With all agents silent, or with ranks that went on in the same formation, its callers were refused (group_down) for good. The state was an edge, not a level.

A formation now counts as broken for 2.5 s after a rank last reported it so. Agents repeat their reports every 400 ms, so a group that is broken stays closed; without a report a request shows what holds. Waiting requests look again every 500 ms, as nothing announces the end.

--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -38,6 +38,10 @@
 /// that the target doesn't get all of them at once.
 pub const MAX_COOLDOWN_STAGGER: Millis = Millis(200);
 
+/// How often a request that waits looks for a usable target without news: the
+/// halt or closure of a group ends by itself.
+const TARGET_RECHECK_INTERVAL: Millis = Millis(500);
+
 /// For this time after a cooldown, requests that may be retried elsewhere
 /// probe whether the target accepts requests again; other requests avoid
 /// that target.
@@ -123,10 +127,11 @@
             let ends = rate_limit_end.into_iter().filter(|it| *it > now);
             let ends = ends.chain(cooldown_end);
             let pause = ends.min().map_or(wait_left, |it| it.since(now));
+            let pause = pause.min(wait_left).min(TARGET_RECHECK_INTERVAL);
             tokio::select! {
                 () = news => {}
                 () = connection_freed => {}
-                () = sleep(pause.min(wait_left).duration()) => {}
+                () = sleep(pause.duration()) => {}
             }
         }
     }
--- a/cowsliproad-direct/src/entry/groups.rs
+++ b/cowsliproad-direct/src/entry/groups.rs
@@ -22,7 +22,8 @@
     /// known when the request was sent: the group may have formed again before
     /// the answer was read. All ranks of a broken group refuse requests until
     /// the group forms again, so nothing is sent to any rank before an agent
-    /// reports a new formation. Each rank would refuse a request that can wait
+    /// reports a new formation, or as long as agents report this one broken.
+    /// Each rank would refuse a request that can wait
     /// here, and each refusal would draw on the retry budget.
     pub fn record_broken_group(&self, formation: Option<&(Name, u64)>) {
         if let Some((group, epoch)) = formation {
@@ -39,10 +40,16 @@
         group_formation_epoch: u64,
         accepts_requests: bool,
     ) {
+        let now = Millis::now();
         let mut formations = self.formations.borrow_mut();
-        let new = GroupFormation::new(group_formation_epoch, accepts_requests);
+        let new =
+            GroupFormation::new(group_formation_epoch, accepts_requests, now);
         let known = formations.entry(group.clone()).or_insert(new);
-        if known.merge_rank_report(group_formation_epoch, accepts_requests) {
+        if known.merge_rank_report(
+            group_formation_epoch,
+            accepts_requests,
+            now,
+        ) {
             info!(self.log, "group_stands"; "group" => &**group,
                 "epoch" => group_formation_epoch, "open" => accepts_requests);
         }
--- a/cowsliproad-direct/tests/entry/group_news.rs
+++ b/cowsliproad-direct/tests/entry/group_news.rs
@@ -5,7 +5,9 @@
 
 use cowsliproad_kernel::gossip::{self, Datagram, EngineLoad};
 use cowsliproad_platform::log::TARGETS_TOPIC;
-use cowsliproad_platform_standin::target::{Announcement, TargetConfig};
+use cowsliproad_platform_standin::target::{
+    Announcement, Fault, TargetConfig,
+};
 use http::StatusCode;
 use tokio::{net::UdpSocket, time::sleep};
 
@@ -55,6 +57,48 @@
     assert_eq!(status, Some(StatusCode::OK));
 }
 
+/// Guards against one refusal that names a rank at fault and closes the group
+/// for good, although its ranks go on in the same formation.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_by_a_group_that_goes_on_closes_it_for_a_while_only() {
+    let mut plant = Plant::start().await;
+    let config = TargetConfig::new("i-1", "model", "a").with_start_time(1);
+    let engine = plant.target_with(config).await;
+    let entry = plant.entry().await;
+    let load = EngineLoad { engine_start_unix_ms: 1, ..report(&engine) };
+    tell_load(load.clone(), &entry).await;
+    let path = "/many/model/a";
+    assert_eq!(entry.status(path, KEY).await, Some(StatusCode::OK));
+    engine.set_fault(Fault::GroupBroken);
+    let refused = entry.status(path, KEY).await;
+    assert_eq!(refused, Some(StatusCode::SERVICE_UNAVAILABLE));
+    engine.set_fault(Fault::None);
+    until("the group is tried again", async || {
+        tell_load(load.clone(), &entry).await;
+        entry.status(path, KEY).await == Some(StatusCode::OK)
+    })
+    .await;
+}
+
+/// Guards against a group that stays closed at an entry that its agents no
+/// longer reach.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_group_whose_agents_fall_silent_is_tried_again() {
+    let mut plant = Plant::start().await;
+    let engine = plant.target("i-1", "model").await;
+    let entry = plant.entry().await;
+    let broken =
+        EngineLoad { group_accepts_requests: false, ..report(&engine) };
+    tell_load(broken, &entry).await;
+    let path = "/many/model/a";
+    let refused = entry.status(path, KEY).await;
+    assert_eq!(refused, Some(StatusCode::SERVICE_UNAVAILABLE));
+    until("the group is tried again", async || {
+        entry.status(path, KEY).await == Some(StatusCode::OK)
+    })
+    .await;
+}
+
 /// Guards against another writer's record with the address of an engine, which
 /// takes the reports of the engine's agent.
 #[tokio::test(flavor = "multi_thread")]
--- a/cowsliproad-routing/src/formation.rs
+++ b/cowsliproad-routing/src/formation.rs
@@ -1,19 +1,21 @@
 //! Decides whether a lock-step group of ranks takes requests.
 //!
 //! Each time a group forms, the group gets a new epoch. A group closes when a
-//! rank reports its formation broken, and opens again in a later formation. The
+//! rank reports its formation broken, and opens again in a later formation, or
+//! once no rank has reported it broken for `MAX_UNCONFIRMED_CLOSURE`. The
 //! engines of a group notice a crash only after waiting for the lost rank, so
 //! an agent's report that a rank's process is gone halts the group at once.
 //! The agent's report may be wrong: the halt ends when the group's steps
-//! advance, or after `MAX_GROUP_HALT_DURATION` without a broken formation.
+//! advance, or after that time without a broken formation.
 
 use cowsliproad_kernel::clock::Millis;
 
-/// The longest time for which a group stays halted. If a rank is lost, the
-/// engines of the other ranks report within this time that the formation is
-/// broken. If no rank is lost and the group is idle, no step ends the halt, so
-/// the halt must time out.
-const MAX_GROUP_HALT_DURATION: Millis = Millis(2_500);
+/// How long a group stays halted or closed without a report that its formation
+/// is broken. If a rank is lost, the engines of the other ranks report so within
+/// this time, and again every few hundred milliseconds. Without such a report no
+/// rank may be lost, or all agents may be gone, and only a request shows which:
+/// an idle group makes no steps.
+const MAX_UNCONFIRMED_CLOSURE: Millis = Millis(2_500);
 
 /// The longest delay of a rank's report of a step. A report that arrives
 /// sooner after the loss of a rank may have been sent before the loss.
@@ -27,7 +29,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct GroupFormation {
     epoch: u64,
-    accepts_requests: bool,
+    /// When a rank last reported this formation broken.
+    broken_at: Option<Millis>,
     /// Set while the group may be waiting for a rank whose process is gone.
     halt: Option<GroupHalt>,
 }
@@ -41,26 +44,31 @@
 
 impl GroupFormation {
     /// The state of a group after the first report of a rank.
-    pub fn new(epoch: u64, accepts_requests: bool) -> GroupFormation {
-        GroupFormation { epoch, accepts_requests, halt: None }
+    pub fn new(
+        epoch: u64,
+        accepts_requests: bool,
+        now: Millis,
+    ) -> GroupFormation {
+        let broken_at = (!accepts_requests).then_some(now);
+        GroupFormation { epoch, broken_at, halt: None }
     }
 
     /// Merges a rank's report whether the group accepts requests in an epoch.
-    /// A group that one rank reports open is open at all ranks, and a broken
-    /// formation stays broken. Returns whether the state changed.
+    /// A group that one rank reports open is open at all ranks, and a formation
+    /// that some rank reports broken stays broken whatever the others report.
+    /// Returns whether the state changed.
     pub fn merge_rank_report(
         &mut self,
         epoch: u64,
         accepts_requests: bool,
+        now: Millis,
     ) -> bool {
-        let breaks =
-            self.epoch == epoch && self.accepts_requests && !accepts_requests;
-        if epoch <= self.epoch && !breaks {
+        if epoch < self.epoch || epoch == self.epoch && accepts_requests {
             return false;
         }
-        (self.epoch, self.accepts_requests, self.halt) =
-            (epoch, accepts_requests, None);
-        true
+        let changes = epoch > self.epoch || !self.is_closed(now);
+        *self = GroupFormation::new(epoch, accepts_requests, now);
+        changes
     }
 
     /// Halts the group because a rank's process is gone. Returns whether the
@@ -97,7 +105,13 @@
     /// Whether the group takes requests now.
     pub fn accepts_requests(&self, now: Millis) -> bool {
         let halted =
-            |it: GroupHalt| now.since(it.halted_at) < MAX_GROUP_HALT_DURATION;
-        self.accepts_requests && !self.halt.is_some_and(halted)
+            |it: GroupHalt| now.since(it.halted_at) < MAX_UNCONFIRMED_CLOSURE;
+        !self.is_closed(now) && !self.halt.is_some_and(halted)
+    }
+
+    /// Whether a rank has reported the formation broken lately.
+    fn is_closed(&self, now: Millis) -> bool {
+        self.broken_at
+            .is_some_and(|at| now.since(at) < MAX_UNCONFIRMED_CLOSURE)
     }
 }
