admission: delay no permit by the part of a cut-off entry

After a cut, a target that names a limit stood idle though all entries were back: its limiter, at an entry that reached few others, had granted its next permit at the interval of that entry's part, up to as many times the usual one as there are entries (720 s at one request a second and 720 entries). Entries also kept the time for which such a limiter had turned them away.

An interval that is shorter than at the last request now brings the next permit forward to one interval from now, as a higher limit does; a denial counts no more once more entries are reached. A permit is never granted sooner than one interval of the whole limit after the change.

properties::limits::a_permit_of_a_small_part: 9 s before, 1 s now.

--- a/cowsliproad-admission/src/limit.rs
+++ b/cowsliproad-admission/src/limit.rs
@@ -258,6 +258,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limiter {
     rate: RequestRate,
+    /// The interval between two permits at the latest request for one.
+    permit_interval_ms: f64,
     /// When the limiter's next permit is free, in milliseconds.
     next_permit_ms: f64,
     /// When a permit was last requested from the limiter.
@@ -280,7 +282,12 @@
         let wait_ms = (permit_interval_ms - since_last_response.0 as f64)
             .clamp(min_wait_ms, permit_interval_ms);
         let next_permit_ms = now.0 as f64 + wait_ms;
-        Limiter { rate, next_permit_ms, last_permit_request: now }
+        Limiter {
+            rate,
+            permit_interval_ms,
+            next_permit_ms,
+            last_permit_request: now,
+        }
     }
 
     /// Returns whether no permit was requested from this limiter for so long
@@ -312,15 +319,17 @@
         let permit_interval_ms = rate.permit_interval_ms(limit_share);
         let now_ms = now.0 as f64;
         // Permits scheduled under an earlier limit don't delay or speed up
-        // permits under the new limit.
-        if rate > self.rate {
-            self.next_permit_ms =
-                self.next_permit_ms.min(now_ms + permit_interval_ms);
-        } else if rate < self.rate {
+        // permits under the new limit. Nor do permits delay others that were
+        // scheduled while fewer entry processes could be reached.
+        if rate < self.rate {
             self.next_permit_ms =
                 self.next_permit_ms.max(now_ms + permit_interval_ms);
+        } else if permit_interval_ms < self.permit_interval_ms {
+            self.next_permit_ms =
+                self.next_permit_ms.min(now_ms + permit_interval_ms);
         }
         self.rate = rate;
+        self.permit_interval_ms = permit_interval_ms;
         self.last_permit_request = now;
         let wait = self.time_to_next_permit(now);
         if wait > max_wait {
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -166,6 +166,9 @@
     pub spare_permits: Vec<Permit>,
     /// The earliest time at which to request the next permit for the target.
     pub next_permit_request_at: Millis,
+    /// The fraction of all entry processes that this one reached when a permit
+    /// was last denied. Permits are denied for longer while there are few.
+    pub permit_denied_at_fraction: f64,
     /// Whether a permit request for the target is in flight.
     pub permit_request_in_flight: bool,
     /// Whether the target's latest Retry-After header was unreadable; logged
--- a/cowsliproad-direct/src/entry/choose.rs
+++ b/cowsliproad-direct/src/entry/choose.rs
@@ -1,7 +1,10 @@
 //! Choice of the target for a request, by cost, from this entry process's
 //! state of all targets.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{OnceCell, RefCell},
+    rc::Rc,
+};
 
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_routing::{
@@ -226,6 +229,15 @@
 }
 
 impl Endpoint {
+    /// The earliest time at which to request the next permit. A denial counts
+    /// no more once more entry processes can be reached.
+    fn next_permit_request_time(&self, reachable_fraction: f64) -> Millis {
+        if reachable_fraction > self.permit_denied_at_fraction {
+            return Millis(0);
+        }
+        self.next_permit_request_at
+    }
+
     /// When the probe of a recovering target times out, while one is in
     /// flight. Until then no other request is sent to the target.
     fn probe_timeout_at(&self, now: Millis) -> Option<Millis> {
@@ -296,6 +308,7 @@
         };
         let targets = endpoints.len();
         let mut eligible_count = 0;
+        let reachable_fraction = OnceCell::new();
         let mut unusable = UnusableTargets::default();
         let mut cooldown_end = None;
         let mut scored: Vec<ScoredTarget> = Vec::new();
@@ -357,8 +370,12 @@
             let rate_limit = endpoint_state.rate_limit.rate();
             let needs = rate_limit
                 .filter(|it| !endpoint_state.has_spare_permit(*it, now));
-            let permit_at =
-                needs.map(|_| endpoint_state.next_permit_request_at);
+            let permit_at = needs.map(|_| {
+                let fraction = reachable_fraction.get_or_init(|| {
+                    self.peers.borrow().reachable_entry_fraction(now)
+                });
+                endpoint_state.next_permit_request_time(*fraction)
+            });
             drop(endpoint_state);
             let choice = ChosenTarget {
                 target: target.clone(),
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -299,6 +299,8 @@
         }
         PermitDecision::Later(after) => {
             endpoint.next_permit_request_at = now + after;
+            endpoint.permit_denied_at_fraction =
+                entry.peers.borrow().reachable_entry_fraction(now);
             // Fails if the request that needed the permit no longer waits for
             // it, for example because the request went to another target.
             let _ = given.send(None);
--- a/tests/properties/limits.rs
+++ b/tests/properties/limits.rs
@@ -30,6 +30,33 @@
     }
 }
 
+/// Guards against a target that is left idle after a cut: permits granted for
+/// the part of a cut-off entry process come at long intervals, and the next one
+/// kept its time when all entry processes were back.
+#[test]
+fn a_permit_of_a_small_part_delays_none_of_the_whole_limit() {
+    let now = Millis(10_000);
+    let one = rate(1.0);
+    let mut limiter = Limiter::new(one, Millis(0), now);
+    let granted = limiter.grant_permit(one, 0.1, Millis(2_000), now);
+    assert_eq!(granted, PermitDecision::Permit(Millis(1_000)));
+    let cut = now + Millis(1_500);
+    let later = limiter.grant_permit(one, 0.1, Millis(0), cut);
+    assert_eq!(later, PermitDecision::Later(Millis(9_500)));
+    let back = now + Millis(2_000);
+    let later = limiter.grant_permit(one, 1.0, Millis(0), back);
+    assert_eq!(later, PermitDecision::Later(Millis(1_000)));
+    // Parts that change again and again delay no permit, nor add one.
+    for at in (2_100..3_000).step_by(100).map(Millis) {
+        let part = if at.0 % 200 == 0 { 1.0 } else { 0.1 };
+        let wait = now + Millis(3_000) - (now + at);
+        let later = limiter.grant_permit(one, part, Millis(0), now + at);
+        assert_eq!(later, PermitDecision::Later(wait));
+    }
+    let free = limiter.grant_permit(one, 1.0, Millis(0), now + Millis(3_000));
+    assert_eq!(free, PermitDecision::Permit(Millis(0)));
+}
+
 #[test]
 fn numbers_are_read_and_nothing_else() {
     for (text, read) in [("1", 1.0), ("1.2", 1.2), (" 0 ", 0.0), ("007", 7.0)]
