routing: use a displaced target again once it renews itself

One 421 without the weights' version ended the chosen target for all entries, as if it had announced its departure: only a process with a later start brought it back, though the target went on renewing its record and each list held it. Its callers were refused (no_target) if it was the last.

Another process at the address now counts as a withdrawal just after the announcement that is known, so the position in the log decides: a process that has ended renews nothing and stays out, one that lives is back with its next record. A request to it gets another 421 at worst, which is not run.

--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -287,9 +287,9 @@
             return Ok(OpenResponse { head, body, lease });
         }
         if head.status == StatusCode::MISDIRECTED_REQUEST {
-            // Another process of the target responded: the chosen incarnation
-            // has ended.
-            entry.mark_target_left(&choice.target);
+            // Another process has the address: the chosen one has most likely
+            // ended.
+            entry.mark_target_displaced(&choice.target);
             return Err(AttemptError::Refused("another incarnation"));
         }
         entry.update_target_from_headers(choice, &self.request_id, &head);
--- a/cowsliproad-direct/src/stated.rs
+++ b/cowsliproad-direct/src/stated.rs
@@ -56,6 +56,19 @@
         self.apply_target_change(id, change, &news);
     }
 
+    /// Marks a target as taking no new requests until it announces itself again,
+    /// because another process answered at its address.
+    pub fn mark_target_displaced(&self, target: &Target) {
+        let (id, start) = (&target.id, target.start);
+        let change = self.fleet.borrow_mut().record_displacement(
+            id,
+            start,
+            Millis::now(),
+        );
+        let news = TargetNews::new(StateChangeSource::Own);
+        self.apply_target_change(id, change, &news);
+    }
+
     /// Whether a target still accepts new requests and hasn't restarted since
     /// it was looked up.
     pub fn is_ready_target(&self, target: &Target) -> bool {
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod cooldown_siege;
 mod cooldowns;
+mod displaced;
 mod disruption_siege;
 
 mod endless;
--- a/cowsliproad-routing/src/fleet.rs
+++ b/cowsliproad-routing/src/fleet.rs
@@ -23,8 +23,8 @@
 //!   in use for [`TargetFleetConfig::with_record_renewal_grace`], within which
 //!   a live target renews its record.
 //! * While the log is unreachable, no target is withdrawn. What the entry
-//!   process observes itself (another incarnation at the address) takes effect
-//!   all the same.
+//!   process observes itself (another process at the address) takes effect all
+//!   the same, until the target announces itself again.
 
 use std::{cmp::Ordering, collections::BTreeMap, net::SocketAddr};
 
@@ -322,6 +322,24 @@
         )
     }
 
+    /// Records that another process answered at the address of a target. Its
+    /// next announcement restores the target: a process that goes on announcing
+    /// itself has not ended.
+    pub fn record_displacement(
+        &mut self,
+        target_id: &str,
+        start: ProcessStartUnixMs,
+        now: Millis,
+    ) -> TargetChange {
+        match self.targets.get(target_id) {
+            Some(known) if known.target.start == start => {
+                let end_position = known.announced_at.successor();
+                self.record_target_withdrawal(target_id, end_position, now)
+            }
+            _ => TargetChange::None,
+        }
+    }
+
     /// Merges the announcement of a target that a complete list of the log
     /// holds. A target that the list can't hold after a departure is restored
     /// if it counts as withdrawn.
--- a/tests/properties/fleet.rs
+++ b/tests/properties/fleet.rs
@@ -53,6 +53,24 @@
     fleet
 }
 
+/// Guards against a target that one misdirected answer ends for good, although
+/// it goes on announcing itself.
+#[test]
+fn a_displaced_target_is_back_once_it_renews_its_announcement() {
+    let mut fleet = fleet();
+    let ready = |sequence| target(sequence, TargetState::Ready);
+    let left = fleet.record_displacement("i-1", START, Millis(10));
+    assert_eq!(left, TargetChange::Left);
+    let again =
+        fleet.merge_target_announcement(ready(1), place(0), Millis(20));
+    assert_eq!(again, TargetChange::None, "the same announcement");
+    let renewed =
+        fleet.merge_target_announcement(ready(2), place(30), Millis(30));
+    assert_eq!(renewed, TargetChange::Joined);
+    let other = fleet.record_displacement("i-1", LATER, Millis(40));
+    assert_eq!(other, TargetChange::None, "another process was displaced");
+}
+
 #[test]
 fn a_withdrawal_counts_at_once_while_the_log_is_read() {
     let mut fleet = fleet();
