tests: besiege entries and agents as they are deployed

Promise: 6 s after the last fault every service, route, zone and caller is served as in calm and every entry knows every target; meanwhile plain requests to undisturbed entries are served as RECOVER asks (three quarters of calm).

ENTRY_PROGRAM plays the program of another landing, OMITTED_SETTINGS leaves out the settings that it doesn't know.

siege.rs changes only by the visibility of a function.

--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -51,7 +51,7 @@
 /// Ports are the same on all VMs; each VM has an address.
 const CALLERS: u16 = 18_080;
 const READINESS: u16 = 18_081;
-const PEERS: u16 = 18_082;
+pub const PEERS: u16 = 18_082;
 const TARGETS: u16 = 18_083;
 
 /// A platform with targets and entries.
@@ -226,7 +226,7 @@
     ) -> Entry {
         let mut command = Command::new("sh");
         command.arg("-c").arg(format!("ulimit -n {open_files}; exec \"$0\""));
-        command.arg(env!("CARGO_BIN_EXE_cowsliproad-direct"));
+        command.arg(entry_program());
         Entry::start_command(command, settings, output, None)
     }
 
@@ -241,7 +241,7 @@
         output: Stdio,
         clock: Option<HeldClock>,
     ) -> Entry {
-        let command = Command::new(env!("CARGO_BIN_EXE_cowsliproad-direct"));
+        let command = Command::new(entry_program());
         Entry::start_command(command, settings, output, clock)
     }
 
@@ -312,6 +312,11 @@
         kill_process(pid, signal).expect("the process is there");
     }
 
+    /// Whether the process has a clock that can be held back.
+    pub fn can_be_suspended(&self) -> bool {
+        self.clock.is_some()
+    }
+
     /// Suspends the VM of the process for a time: the process stands still, and
     /// its monotonic clock doesn't count that time.
     pub async fn suspend(&self, time: Duration) {
@@ -407,9 +412,22 @@
     line.rsplit(' ').next()?.parse().ok()
 }
 
-/// Writes a settings file.
+/// The program of the entries: this code's, or `ENTRY_PROGRAM`, by which a
+/// siege plays an earlier landing.
+pub fn entry_program() -> PathBuf {
+    let other = std::env::var_os("ENTRY_PROGRAM");
+    let own = env!("CARGO_BIN_EXE_cowsliproad-direct");
+    other.map_or_else(|| own.into(), PathBuf::from)
+}
+
+/// Writes a settings file, without the fields that `OMITTED_SETTINGS` names: an
+/// earlier landing refuses those that it doesn't know.
 pub fn write(file: &PathBuf, settings: &Settings) {
-    let text = cowsliproad_kernel::settings::to_json(settings);
+    let mut fields = serde_json::to_value(settings).expect("it is JSON");
+    let omitted = std::env::var("OMITTED_SETTINGS").unwrap_or_default();
+    let fields = fields.as_object_mut().expect("settings are an object");
+    fields.retain(|name, _| !omitted.split(',').any(|it| it == name));
+    let text = cowsliproad_kernel::settings::to_json(fields);
     fs::write(file, text).expect("a settings file");
 }
 
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! What an entry promises, seen from callers and targets.
 
+mod agents;
 mod answers;
 mod callers;
 mod connection_surge;
@@ -31,6 +32,7 @@
 mod rollback_siege;
 mod rollbacks;
 mod scripted;
+mod service_siege;
 mod siege;
 mod silence_siege;
 mod silent_log;
--- a/cowsliproad-direct/tests/entry/siege.rs
+++ b/cowsliproad-direct/tests/entry/siege.rs
@@ -324,7 +324,8 @@
     Entry::start_suspendable(settings, output)
 }
 
-fn output(settings: &Settings) -> Stdio {
+/// Where the lines of an entry go.
+pub fn output(settings: &Settings) -> Stdio {
     let Ok(directory) = std::env::var("LOGS") else { return Stdio::null() };
     let path = format!("{directory}/{}.log", settings.vm);
     let file = File::options().create(true).append(true).open(path);
