--- a/cowsliproad-direct/src/outcome.rs
+++ b/cowsliproad-direct/src/outcome.rs
@@ -34,7 +34,7 @@
     BadKey,
     /// No target of the service is known, or the route names no service.
     NoTarget,
-    /// The group of every target is broken or stands still.
+    /// The group of every target is broken or halted.
     GroupDown,
     /// The agent of every other usable target is silent.
     AgentSilent,
--- a/tests/properties/fleet.rs
+++ b/tests/properties/fleet.rs
@@ -71,6 +71,19 @@
     assert_eq!(other, TargetChange::None, "another process was displaced");
 }
 
+/// Guards against a target that is lost until its process starts once more: its
+/// VM's time of day was set back, so that a later process states an earlier
+/// start than the one before.
+#[test]
+fn a_process_that_starts_after_its_clock_was_set_back_is_used() {
+    let mut fleet = fleet();
+    let before = Target { start: LATER, ..target(7, TargetState::Ready) };
+    fleet.merge_target_announcement(before, place(10), Millis(10));
+    let after = target(1, TargetState::Ready);
+    fleet.merge_target_announcement(after, place(20), Millis(20));
+    assert_eq!(fleet.get("i-1").map(|it| it.start), Some(START));
+}
+
 #[test]
 fn a_withdrawal_counts_at_once_while_the_log_is_read() {
     let mut fleet = fleet();
