--- a/cowsliproad-direct/tests/entry/group_news.rs
+++ b/cowsliproad-direct/tests/entry/group_news.rs
@@ -1,21 +1,29 @@
 //! News of a group or an engine that is read late, or that could be taken for
 //! that of another target.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use cowsliproad_kernel::gossip::{self, Datagram, EngineLoad};
-use cowsliproad_platform::log::TARGETS_TOPIC;
+use cowsliproad_kernel::{
+    clock::Millis,
+    gossip::{self, Datagram, EngineLoad},
+};
+use cowsliproad_net::client::Client;
+use cowsliproad_platform::{header, log::TARGETS_TOPIC};
 use cowsliproad_platform_standin::target::{
     Announcement, Fault, TargetConfig,
 };
-use http::StatusCode;
+use http::{HeaderValue, StatusCode};
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
-    harness::{Entry, KEY, Plant, report, until},
+    harness::{Entry, KEY, PATIENCE, Plant, report, until},
     scripted::Scripted,
 };
 
+/// A closed group is tried again after 2.5 s without a report, and a request
+/// that waits looks twice a second; the rest allows for a busy machine.
+const CLOSURE_TIME: Duration = Duration::from_millis(6_000);
+
 /// How long a report takes to arrive.
 const REPORTED: Duration = Duration::from_millis(200);
 
@@ -99,6 +107,28 @@
     .await;
 }
 
+/// Guards against a request that waits for a group until its own time is over,
+/// since nothing announces that the closure of the group has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_waits_for_a_closed_group_sees_the_closure_end() {
+    let mut plant = Plant::start().await;
+    let engine = plant.target("i-1", "model").await;
+    let mut settings = plant.settings(&[]);
+    settings.target_wait_ms = Millis(20_000);
+    let entry = Entry::start(settings);
+    entry.until_ready().await;
+    let broken =
+        EngineLoad { group_accepts_requests: false, ..report(&engine) };
+    tell_load(broken, &entry).await;
+    let mut request = entry.request("/many/model/a", KEY, "");
+    let patience = HeaderValue::from_static("20000");
+    request.headers_mut().insert(header::TIME_LEFT, patience);
+    let begun = Instant::now();
+    let answer = Client::new().call(request, 1 << 20, PATIENCE).await;
+    assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+    assert!(begun.elapsed() < CLOSURE_TIME, "{:?}", begun.elapsed());
+}
+
 /// Guards against another writer's record with the address of an engine, which
 /// takes the reports of the engine's agent.
 #[tokio::test(flavor = "multi_thread")]
