tests: show crowds of callers that end an entry process

An entry process sums nothing of what its callers make it hold. A test program of its own has small crowds of them: bodies of legal size that stop short of their end, whole, in pieces, in large chunks and in chunks of one byte; bodies beyond the limit; callers that don't read or send ahead; more unfinished requests than connections; before a configuration and while the process stops. Each checks that the process lives, that its memory (with unread bytes) and files stay within its VM, 64 MB and 400 files here, and that an ordinary request and one with the largest legal body are answered while the crowd's connections are open. None checks a time.

Entry::memory() of the tests reads kB instead of pages of 4 KiB, which arm64 need not have.

--- /dev/null
+++ b/cowsliproad-direct/tests/crowds/vm.rs
@@ -0,0 +1,312 @@
+//! The VM of an entry process, and what the process uses of it.
+
+use std::{
+    collections::HashSet,
+    fs,
+    path::Path,
+    process::Stdio,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use cowsliproad_net::client::Client;
+use cowsliproad_platform_standin::{catalog::RouteKind, target::TargetConfig};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use tokio::{
+    sync::{Mutex, MutexGuard},
+    time::sleep,
+};
+
+use crate::{
+    callers::Crowd,
+    harness::{Entry, KEY, PATIENCE, Plant},
+};
+
+/// How often the use of the VM is read.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
+
+/// How often a crowd is checked for whether it has come to rest.
+const REST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A crowd is at rest if so many checks in a row find no change.
+const QUIET_CHECKS: usize = 6;
+
+/// Checks after which a crowd that goes on counts as at rest.
+const MAX_REST_CHECKS: usize = 400;
+
+/// Callers in a wave.
+const WAVE: usize = 20;
+
+/// How often a large request that is refused comes back.
+const LARGE_TRIES: usize = 10;
+
+/// One crowd at a time.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
+/// What an entry process may use, and the largest body that it accepts.
+#[derive(Clone, Copy, Debug)]
+pub struct Vm {
+    pub memory_mb: usize,
+    pub open_files: usize,
+    pub max_body_bytes: usize,
+}
+
+impl Vm {
+    /// The VM of the tests: small, so that a small crowd is too much for it.
+    /// `CROWD_VM=MEMORY_MB,FILES,BODY_BYTES` replaces it.
+    pub fn new() -> Vm {
+        let small =
+            Vm { memory_mb: 64, open_files: 400, max_body_bytes: 1 << 20 };
+        let Ok(text) = std::env::var("CROWD_VM") else { return small };
+        let mut numbers = text.split(',').map(|it| it.parse().ok());
+        let mut next = || numbers.next().flatten().expect("three numbers");
+        Vm { memory_mb: next(), open_files: next(), max_body_bytes: next() }
+    }
+
+    /// Callers whose largest bodies together are more than the memory.
+    pub fn callers_beyond_memory(&self) -> usize {
+        self.memory_mb * (1 << 20) * 8 / 5 / self.max_body_bytes
+    }
+
+    /// More connections than the process may have open.
+    pub fn callers_beyond_files(&self) -> usize {
+        self.open_files * 3 / 4
+    }
+}
+
+/// An entry process on its VM, before a platform with targets.
+pub struct Scene {
+    pub vm: Vm,
+    pub plant: Plant,
+    pub entry: Entry,
+    usage: Usage,
+    _alone: MutexGuard<'static, ()>,
+}
+
+impl Scene {
+    /// Starts an entry process that is ready, before targets that answer at
+    /// once (`/many/`) or slowly (`/slow/`).
+    pub async fn start() -> Scene {
+        let alone = ALONE.lock().await;
+        let vm = Vm::new();
+        let mut plant = Plant::start().await;
+        plant.catalog = plant
+            .catalog
+            .clone()
+            .with_max_body_bytes(vm.max_body_bytes)
+            .with_service("slow")
+            .with_route("/slow/", RouteKind::Once, "slow", 600_000)
+            .with_route("/long/", RouteKind::Idempotent, "plain", 600_000);
+        plant.catalog.publish(&plant.log);
+        for number in 0..4 {
+            let id = format!("plain-{number}");
+            plant.target(&id, "plain").await;
+            let slow =
+                TargetConfig::new(&format!("slow-{number}"), "slow", "a")
+                    .with_response_delay(Duration::from_secs(2));
+            plant.target_with(slow).await;
+        }
+        let settings = plant.settings(&[]);
+        let entry = start_entry(vm, settings);
+        entry.until_ready().await;
+        let usage = Usage::watch(entry.process_id());
+        Scene { vm, plant, entry, usage, _alone: alone }
+    }
+
+    /// Waits until no caller of a crowd sends or gets anything more, and the
+    /// process has read all that it reads.
+    pub async fn until_at_rest(&self, crowd: &Crowd) {
+        let mut before = None;
+        let mut quiet = 0;
+        for _ in 0..MAX_REST_CHECKS {
+            sleep(REST_CHECK_INTERVAL).await;
+            let now = Some((crowd.progress(), self.usage.unread()));
+            quiet = if now == before { quiet + 1 } else { 0 };
+            if quiet == QUIET_CHECKS {
+                return;
+            }
+            before = now;
+        }
+    }
+
+    /// Has a crowd send the same in waves, each of which the process reads
+    /// before the next one comes.
+    pub async fn send_in_waves(
+        &self,
+        caller_count: usize,
+        writes: &[Arc<[u8]>],
+    ) -> Crowd {
+        let mut crowd = Crowd::send(&self.entry, Vec::new()).await;
+        for _ in 0..caller_count.div_ceil(WAVE) {
+            let wave = vec![writes.to_vec(); WAVE];
+            crowd.join(Crowd::send(&self.entry, wave).await);
+            sleep(REST_CHECK_INTERVAL).await;
+        }
+        crowd
+    }
+
+    /// Checks that the process lived within its VM so far.
+    pub fn check_process(&mut self, crowd: &str) {
+        assert!(self.entry.is_running(), "{crowd}: the process ended");
+        let (memory, files) = self.usage.peak();
+        eprintln!(
+            "{crowd}: peak {:.1} MB, {files} files",
+            memory as f64 / f64::from(1 << 20)
+        );
+        let (max, most) = (self.vm.memory_mb << 20, self.vm.open_files);
+        assert!(memory <= max, "{crowd}: {memory} bytes, of {max}");
+        assert!(files <= most, "{crowd}: {files} files, of {most}");
+    }
+
+    /// Checks the same, and that callers who behave are answered: an ordinary
+    /// one, and one with the largest body that is allowed.
+    pub async fn check(&mut self, crowd: &str) {
+        let answer = self.entry.ask("/many/a").await;
+        let status = answer.map(|it| it.status());
+        assert_eq!(status.ok(), Some(StatusCode::OK), "{crowd}: ordinary");
+        let status = self.send_large().await;
+        assert_eq!(status, Some(StatusCode::OK), "{crowd}: large");
+        self.check_process(crowd);
+    }
+
+    /// Sends the largest body that is allowed, and comes back when a refusal
+    /// says so.
+    async fn send_large(&self) -> Option<StatusCode> {
+        let mut status = None;
+        for _ in 0..LARGE_TRIES {
+            let body = "x".repeat(self.vm.max_body_bytes);
+            let request: Request<Full<_>> =
+                self.entry.request("/many/large", KEY, &body);
+            let answer = Client::new().call(request, 1 << 20, PATIENCE).await;
+            let answer = answer.ok()?;
+            status = Some(answer.status());
+            if status != Some(StatusCode::SERVICE_UNAVAILABLE) {
+                break;
+            }
+            let after = answer.headers().get(http::header::RETRY_AFTER)?;
+            let seconds: f64 = after.to_str().ok()?.parse().ok()?;
+            sleep(Duration::from_secs_f64(seconds)).await;
+        }
+        status
+    }
+}
+
+/// Starts an entry process that is told what its VM has.
+pub fn start_entry(
+    vm: Vm,
+    settings: cowsliproad_direct::settings::Settings,
+) -> Entry {
+    let settings = cowsliproad_direct::settings::Settings {
+        max_open_files: Some(vm.open_files as u64),
+        ..settings
+    };
+    Entry::start_with_open_files(settings, Stdio::null(), vm.open_files as u64)
+}
+
+/// The most that a process has used of its VM.
+pub struct Usage {
+    memory: Arc<AtomicUsize>,
+    unread: Arc<AtomicUsize>,
+    files: Arc<AtomicUsize>,
+    is_over: Arc<AtomicBool>,
+}
+
+impl Usage {
+    /// Samples a process from now on.
+    pub fn watch(process_id: u32) -> Usage {
+        let usage = Usage {
+            memory: Arc::default(),
+            unread: Arc::default(),
+            files: Arc::default(),
+            is_over: Arc::default(),
+        };
+        let (memory, files) = (usage.memory.clone(), usage.files.clone());
+        let unread = usage.unread.clone();
+        let is_over = usage.is_over.clone();
+        thread::spawn(move || {
+            while !is_over.load(Ordering::Relaxed) {
+                if let Some(now) = Sample::read(process_id) {
+                    let bytes = now.resident_bytes + now.unread_bytes;
+                    memory.fetch_max(bytes, Ordering::Relaxed);
+                    unread.store(now.unread_bytes, Ordering::Relaxed);
+                    files.fetch_max(now.open_files, Ordering::Relaxed);
+                }
+                thread::sleep(SAMPLE_INTERVAL);
+            }
+        });
+        usage
+    }
+
+    /// Bytes and open files.
+    pub fn peak(&self) -> (usize, usize) {
+        let memory = self.memory.load(Ordering::Relaxed);
+        (memory, self.files.load(Ordering::Relaxed))
+    }
+
+    /// Bytes that were received and not yet read, at the last sample.
+    pub fn unread(&self) -> usize {
+        self.unread.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Usage {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+}
+
+/// What a process uses at a moment.
+struct Sample {
+    resident_bytes: usize,
+    /// Bytes that were received on its connections and not yet read.
+    unread_bytes: usize,
+    open_files: usize,
+}
+
+impl Sample {
+    /// Reads what a process uses; `None` if the process is gone.
+    fn read(process_id: u32) -> Option<Sample> {
+        let process = Path::new("/proc").join(process_id.to_string());
+        let status = fs::read_to_string(process.join("status")).ok()?;
+        let resident =
+            status.lines().find_map(|it| it.strip_prefix("VmRSS:"))?;
+        let kilobytes: usize =
+            resident.split_whitespace().next()?.parse().ok()?;
+        let files: Vec<_> = fs::read_dir(process.join("fd"))
+            .ok()?
+            .filter_map(|it| fs::read_link(it.ok()?.path()).ok())
+            .collect();
+        let sockets: HashSet<&str> = files
+            .iter()
+            .filter_map(|it| it.to_str()?.strip_prefix("socket:["))
+            .filter_map(|it| it.strip_suffix(']'))
+            .collect();
+        let connections = fs::read_to_string(process.join("net/tcp")).ok()?;
+        let unread = connections
+            .lines()
+            .filter_map(|line| unread_bytes(line, &sockets));
+        Some(Sample {
+            resident_bytes: kilobytes * 1_024,
+            unread_bytes: unread.sum(),
+            open_files: files.len(),
+        })
+    }
+}
+
+/// The bytes that a line of the connection table says are unread, if it is of
+/// one of these sockets.
+fn unread_bytes(line: &str, sockets: &HashSet<&str>) -> Option<usize> {
+    const LISTENING: &str = "0A";
+    let fields: Vec<&str> = line.split_whitespace().collect();
+    // The queue of a listening socket counts connections.
+    if *fields.get(3)? == LISTENING || !sockets.contains(fields.get(9)?) {
+        return None;
+    }
+    let (_, received) = fields.get(4)?.split_once(':')?;
+    usize::from_str_radix(received, 16).ok()
+}
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -288,12 +288,19 @@
         metric(&uri, name).await
     }
 
+    /// The process's id.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Bytes that the process holds in memory.
     pub fn memory(&self) -> usize {
-        let path = format!("/proc/{}/statm", self.child.id());
+        let path = format!("/proc/{}/status", self.child.id());
         let text = fs::read_to_string(path).expect("the process is there");
-        let pages = text.split(' ').nth(1).and_then(|it| it.parse().ok());
-        pages.unwrap_or(0_usize) * 4_096
+        let resident = text.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+        let resident = resident.and_then(|it| it.split_whitespace().next());
+        let kilobytes: Option<usize> = resident.and_then(|it| it.parse().ok());
+        kilobytes.expect("a size") * 1_024
     }
 
     /// Processor time that the process has used.
