admission: add an account of the bytes that callers hold

Each body being small enough bounds nothing: callers decide how many arrive at once and how long they take. The account sums unfinished bodies, whole bodies that wait or are sent, and answers that callers have not read, within one capacity. Nothing in it waits for room, so bodies just short of their end can't lock one another out: room is there, is made by freeing unfinished bodies, or is refused at once. The unfinished body that holds most for longest without headway goes first; headway is a share of what was received before, so a trickle is none. A quarter is for holders of 64 KiB at most. Bytes are kept in segments that are charged with their capacity, so a chunk of one byte costs one byte, and a body is never copied into one piece.

A waiting queue of bodies was the alternative: it admits them in turn, but a caller that stops holds its turn, and a time limit on that turn would cut slow callers while there is room.

Properties: the capacity holds over any series of steps and every whole body stays as it was sent; a body that goes on gets through any number of stopped ones; of bodies that all go on some get through; small ones and answers get room from large ones; nobody is evicted in vain.

WorkDigest takes a body in pieces, with the same digest as of the whole.

--- a/cowsliproad-admission/src/lib.rs
+++ b/cowsliproad-admission/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`queue`]: the order of queued requests, and which requests are rejected;
 //! * [`patience`]: whether a stream that waited should still be started;
 //! * [`limit`]: the rate limit that a target sets for all VMs together;
+//! * [`memory`]: the account of the bytes that callers make a process hold;
 //! * [`quarantine`]: crash-inducing requests, which are refused;
 //! * [`budget`]: limits retries to a fraction of successes at one entry
 //!   process;
@@ -22,6 +23,7 @@
 pub mod budget;
 pub mod limit;
 pub mod members;
+pub mod memory;
 pub mod patience;
 pub mod quarantine;
 pub mod queue;
--- a/cowsliproad-admission/src/quarantine/work.rs
+++ b/cowsliproad-admission/src/quarantine/work.rs
@@ -22,6 +22,21 @@
         WorkDigest(hash_parts(parts) & !PROMPT_PART_BIT)
     }
 
+    /// Computes the same digest as [`WorkDigest::new`] with one more part, which
+    /// is in pieces.
+    pub fn new_with_body<'a>(
+        parts: &[&[u8]],
+        body: impl Iterator<Item = &'a [u8]> + Clone,
+    ) -> WorkDigest {
+        let mut hasher = hasher_of_parts(parts);
+        let length: usize = body.clone().map(<[u8]>::len).sum();
+        hasher.update(&(length as u64).to_be_bytes());
+        for piece in body {
+            hasher.update(piece);
+        }
+        WorkDigest(first_bytes(&hasher) & !PROMPT_PART_BIT)
+    }
+
     /// Computes the digest of a part of a prompt, whichever request has it.
     pub fn digest_prompt_part(part_id: &str) -> WorkDigest {
         let part_id = part_id.to_ascii_lowercase();
@@ -120,6 +135,10 @@
 }
 
 fn hash_parts(parts: &[&[u8]]) -> u64 {
+    first_bytes(&hasher_of_parts(parts))
+}
+
+fn hasher_of_parts(parts: &[&[u8]]) -> blake3::Hasher {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
         // Each part is hashed with its length, so that moving bytes from one
@@ -127,6 +146,10 @@
         hasher.update(&(part.len() as u64).to_be_bytes());
         hasher.update(part);
     }
+    hasher
+}
+
+fn first_bytes(hasher: &blake3::Hasher) -> u64 {
     let mut prefix = [0; 8];
     prefix.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
     u64::from_be_bytes(prefix)
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -10,6 +10,7 @@
 mod known_targets;
 mod limits;
 mod live;
+mod memory;
 mod patience;
 mod placement;
 mod prompt_parts;
