direct: keep callers' bodies and answers within one account

What callers saw: many large bodies at once, or two callers that send one byte a chunk, ended an entry process on its VM, and all its callers with it.

Cause: receive.rs collected each body by itself and nothing summed them; a chunk cost its read buffer and some 36 bytes a byte, and the whole was there twice for a moment. A body took as long as its caller's own deadline, and without a configuration it had no limit. Answers were kept, also for callers that don't read, without a sum either.

The route, the key, the configuration and a stated length are checked at the head. A body has until its route's timeout, and as long as a connection may idle without headway. An unfinished body that gives way, and one that finds no room, is answered 503 with Retry-After: it was not run, as it was not read. After a refusal the rest is read on for a second and 8 MiB at most, since a close with unread bytes resets the connection and loses the answer. An answer that finds no room ends 502: the target ran it, so it is neither retried nor counted against the target. A connection whose answer is not read is closed.

No ordinary caller meets the limit: a single request of the largest legal size has room in the least memory_mb (64), and a quarter of the account is for small holders.

New metrics: refused_bodies by reason, caller_bytes, caller_bytes_allowed, unfinished_bodies, outcomes no_memory and body_evicted; the line body_refused.

The crowds' sampling moves to a file of its own, and the crowd of unread answers has a length of answers of its own, the same as before at the tests' size, since the test's client reads 1 MiB at most.

--- a/cowsliproad-direct/src/attempt.rs
+++ b/cowsliproad-direct/src/attempt.rs
@@ -171,7 +171,8 @@
         match error {
             AttemptError::Refused(_)
             | AttemptError::Unsent(_)
-            | AttemptError::Withheld(_) => {
+            | AttemptError::Withheld(_)
+            | AttemptError::AnswerDropped => {
                 self.note_target_survived();
             }
             AttemptError::ConnectionBroken(_) => self.record_crash_suspicion(
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -18,19 +18,19 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use bytes::Bytes;
 use cowsliproad_admission::{
+    memory::{Account, StoredBody},
     patience::CallerAttempt,
     quarantine::{Admission, Fingerprint},
 };
 use cowsliproad_kernel::{Name, clock::Millis};
+use cowsliproad_net::body::{AnswerError, Pieces, read_answer};
 use cowsliproad_platform::header;
 use cowsliproad_routing::catalog::Route;
 use http::{
     HeaderValue, Request, Response, StatusCode, Uri, header as standard,
     request, response,
 };
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
 use crate::{
@@ -92,7 +92,7 @@
     priority: u8,
     /// The method, URI and headers sent to targets.
     head: request::Parts,
-    body: Bytes,
+    body: StoredBody,
     /// Since when the request has been waiting for a target.
     waiting_since: Millis,
     /// Targets that the request was sent to.
@@ -149,6 +149,8 @@
     MayHaveRun(&'static str),
     /// The request may have run, and its connection broke.
     ConnectionBroken(&'static str),
+    /// The target ran the request, and there is no memory for its answer.
+    AnswerDropped,
 }
 
 /// A target's response whose body has not been read yet.
@@ -188,7 +190,7 @@
     /// Creates a call from a request whose headers are those sent to targets.
     pub fn new(
         head: request::Parts,
-        body: Bytes,
+        body: StoredBody,
         destination: RequestDestination,
         times: RequestTimes,
     ) -> Call {
@@ -327,15 +329,15 @@
         attempt: &Attempt,
     ) -> Result<Response<Body>, AttemptError> {
         let opened = self.send_to_target(entry, choice, attempt, None).await?;
-        read_whole_response(opened).await
+        read_whole_response(&entry.caller_memory, opened).await
     }
 
     fn build_request(
         &self,
         choice: &ChosenTarget,
         last_event_id: Option<u64>,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    ) -> Request<Pieces> {
+        let mut request = Request::new(Pieces::new(&self.body));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self
             .head
@@ -388,12 +390,18 @@
 
 /// Reads the whole body of a response and returns its connection to the pool.
 pub async fn read_whole_response(
+    account: &Account,
     opened: OpenResponse,
 ) -> Result<Response<Body>, AttemptError> {
-    let OpenResponse { mut head, body, lease } = opened;
-    let body = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect().await;
-    let body = body
-        .map_err(|_| AttemptError::ConnectionBroken("the answer was cut"))?;
+    let OpenResponse { mut head, mut body, lease } = opened;
+    let body = read_answer(&mut body, account, MAX_BUFFERED_RESPONSE_BYTES)
+        .await
+        .map_err(|error| match error {
+            AnswerError::Cut => {
+                AttemptError::ConnectionBroken("the answer was cut")
+            }
+            AnswerError::NoRoom => AttemptError::AnswerDropped,
+        })?;
     lease.release_to_pool(Millis::now());
     let is_refusal = matches!(
         head.status,
@@ -410,6 +418,6 @@
     }
     remove_hop_by_hop_headers(&mut head.headers);
     head.headers.remove(standard::CONTENT_LENGTH);
-    let body = Body::Whole(Full::new(body.to_bytes()));
+    let body = Body::Whole(Pieces::new(&body));
     Ok(Response::from_parts(head, body))
 }
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -52,6 +52,8 @@
     /// The targets have stated limits or cooldowns that leave no capacity for
     /// this long.
     Busy(Millis),
+    /// There is no memory for the answer of a target.
+    NoMemory,
     /// A crash-inducing request: targets crashed each time they ran it. The
     /// caller may retry after this delay.
     Poison(Millis),
@@ -117,6 +119,16 @@
                 self.admission = Admission::Regular;
                 cause
             }
+            AttemptError::AnswerDropped => {
+                record("dropped");
+                self.note_possible_run();
+                // Another answer would find no memory either.
+                return Some(self.reject_request(
+                    entry,
+                    RejectionReason::NoMemory,
+                    self.failed_attempt_outcome(&error),
+                ));
+            }
         };
         if !self.may_retry(entry, choice, cause) {
             let outcome = self.failed_attempt_outcome(&error);
@@ -189,6 +201,9 @@
                     patience::add_retry_jitter(after, entry.random_fraction());
                 ("not run: targets take no more\n", after)
             }
+            RejectionReason::NoMemory => {
+                ("no memory for the answer\n", self.caller_retry_delay(entry))
+            }
             RejectionReason::Poison(after) => {
                 entry.metrics.record_quarantine_event("request");
                 ("targets ended each time they ran this\n", after)
@@ -233,6 +248,7 @@
             }
             AttemptError::MayHaveRun(_)
             | AttemptError::ConnectionBroken(_) => Outcome::AttemptFailed,
+            AttemptError::AnswerDropped => Outcome::NoMemory,
         }
     }
 
--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -61,7 +61,7 @@
 
 /// How much longer than the idle timeout known to callers a connection stays
 /// open, so that a request sent just before that timeout still arrives.
-const CALLER_IDLE_GRACE: Millis = Millis(2_000);
+pub const CALLER_IDLE_GRACE: Millis = Millis(2_000);
 
 /// The smallest buffer for request heads that hyper accepts. Shorter heads are
 /// always read, whatever the configured limit.
@@ -301,13 +301,14 @@
     let now = Millis::now();
     let head_started_at = activity.head_started_at.get();
     let is_late = |since: Millis| now.since(since) > limits.header_timeout;
-    if !is_answering && head_started_at.is_some_and(is_late) {
+    let idle = now.since(activity.idle_since.get());
+    let max_idle = limits.idle_timeout + CALLER_IDLE_GRACE;
+    let is_unread = !is_answering && idle > max_idle + limits.header_timeout;
+    if !is_answering && head_started_at.is_some_and(is_late) || is_unread {
         return ConnectionCheckResult::CloseAtOnce;
     }
-    let idle = now.since(activity.idle_since.get());
-    let idle_expired = !is_answering
-        && head_started_at.is_none()
-        && idle > limits.idle_timeout + CALLER_IDLE_GRACE;
+    let idle_expired =
+        !is_answering && head_started_at.is_none() && idle > max_idle;
     if idle_expired
         || activity.is_closing()
         || entry.process_phase.get() == ProcessPhase::Closing
--- a/cowsliproad-direct/src/callers/connections.rs
+++ b/cowsliproad-direct/src/callers/connections.rs
@@ -29,6 +29,25 @@
 /// not every new connection searches for one.
 const IDLE_CLOSE_SHARE: usize = 16;
 
+/// One part in so many of the memory is for bodies and answers. The rest is for
+/// connections and the process itself.
+const CALLER_BYTES_MEMORY_SHARE: usize = 4;
+
+/// How the memory of a process is divided.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemoryBudget {
+    /// The bytes of bodies and answers that callers make the process hold.
+    pub caller_bytes: usize,
+}
+
+impl MemoryBudget {
+    /// Divides the memory of a VM.
+    pub fn new(memory_mb: u64) -> MemoryBudget {
+        let bytes = (memory_mb as usize).saturating_mul(1 << 20);
+        MemoryBudget { caller_bytes: bytes / CALLER_BYTES_MEMORY_SHARE }
+    }
+}
+
 /// The open connections of callers.
 #[derive(Debug)]
 pub struct CallerConnections {
@@ -130,7 +149,7 @@
 
 impl LineLimit {
     /// Returns the number of events since the last line if a line is due.
-    pub(super) fn count(&self, now: Millis) -> Option<u64> {
+    pub fn count(&self, now: Millis) -> Option<u64> {
         let last = self.last_line_at.get();
         self.left_out.set(self.left_out.get() + 1);
         if last.is_some_and(|it| now.since(it) < MIN_LINE_INTERVAL) {
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use cowsliproad_admission::{
     limit::{CurrentLimit, Permit, RequestRate},
+    memory::Account,
     shared_budget::SharedBudget,
 };
 use cowsliproad_kernel::{
@@ -35,7 +36,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    callers::connections::{CallerConnections, LineLimit},
+    callers::connections::{CallerConnections, LineLimit, MemoryBudget},
     ends::CrashSuspicion,
     limits::RateLimits,
     measure::EntryMetrics,
@@ -238,6 +239,10 @@
     formations: RefCell<HashMap<Name, GroupFormation>>,
     /// Quarantine of crash-inducing requests.
     pub request_quarantine: RefCell<RequestQuarantine>,
+    /// The account of the bytes that callers make the process hold.
+    pub caller_memory: Account,
+    /// Bounds the log lines of bodies that are not kept.
+    pub refused_body_line: LineLimit,
     /// The open connections of callers.
     pub caller_connections: RefCell<CallerConnections>,
     /// Bounds the log lines of connections that are turned away.
@@ -328,6 +333,7 @@
             retries::new_budget(&settings, peers.own_incarnation());
         retry_budget.set_min_entry_count(peers.seed_count() + 1);
         let log_read_schedule = LogReadSchedule::new(settings.heartbeat_ms);
+        let budget = MemoryBudget::new(settings.memory_mb);
         let caller_connections =
             CallerConnections::new(settings.max_open_files);
         Entry {
@@ -343,6 +349,8 @@
             retry_budget: RefCell::new(retry_budget),
             formations: RefCell::new(HashMap::new()),
             request_quarantine: RefCell::new(RequestQuarantine::default()),
+            caller_memory: Account::new(budget.caller_bytes),
+            refused_body_line: LineLimit::default(),
             caller_connections: RefCell::new(caller_connections),
             turned_away_line: LineLimit::default(),
             trial_rank: rand::random(),
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -2,10 +2,12 @@
 
 use std::rc::Rc;
 
+use cowsliproad_admission::memory::SMALL_BYTES;
 use cowsliproad_kernel::clock::Millis;
-use cowsliproad_net::timer::timeout;
+use cowsliproad_net::{body::discard_body, timer::timeout};
 use cowsliproad_platform::header;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, header as standard};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use slog::info;
 
@@ -27,10 +29,12 @@
     in_flight: InFlightRequestGuard,
 ) -> Response<Body> {
     let arrived = Millis::now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
+    let expects_continue = head.headers.contains_key(standard::EXPECT);
     let request_id = head.headers.get(&header::REQUEST_ID).cloned();
     let mut record = RequestRecord::new(entry, arrived);
-    let response = match receive_request(entry, head, body, arrived).await {
+    let received = receive_request(entry, head, &mut body, arrived);
+    let response = match received.await {
         Ok(mut call) => {
             record.set_destination(&call);
             entry.record_request_in_budget(&call.service, arrived);
@@ -44,14 +48,44 @@
                 response
             }
         }
-        Err(response) => {
+        Err(mut response) => {
             record.finish(&response);
+            if !body.is_end_stream() {
+                leave_body_unread(
+                    body,
+                    expects_continue,
+                    &mut response,
+                    in_flight,
+                );
+            }
             response
         }
     };
     log_response_and_set_request_id(entry, response, request_id, arrived)
 }
 
+/// Reads on for a while after a request was refused before its body ended, so
+/// that the caller gets the refusal. A caller that waits for permission to send
+/// the body gets none.
+fn leave_body_unread(
+    body: Incoming,
+    expects_continue: bool,
+    refusal: &mut Response<Body>,
+    in_flight: InFlightRequestGuard,
+) {
+    let left = body.size_hint().upper();
+    let is_short = left.is_some_and(|it| it <= SMALL_BYTES as u64);
+    if expects_continue || !is_short {
+        reply::set_connection_close(refusal);
+    }
+    if !expects_continue {
+        tokio::task::spawn_local(async move {
+            discard_body(body).await;
+            drop(in_flight);
+        });
+    }
+}
+
 /// Logs and counts a response, and sets its request id if it has none.
 fn log_response_and_set_request_id(
     entry: &Entry,
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -174,7 +174,7 @@
         // A refusal with a cooldown already keeps requests away from the
         // target.
         let is_failure = match error {
-            AttemptError::Withheld(_) => false,
+            AttemptError::Withheld(_) | AttemptError::AnswerDropped => false,
             AttemptError::Refused(_) => {
                 entry.cooldown_end(&self.target, now).is_none()
             }
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -1,6 +1,6 @@
 //! Metrics of the entry process.
 
-use cowsliproad_admission::window::RetryUsage;
+use cowsliproad_admission::{memory, window::RetryUsage};
 use cowsliproad_kernel::{Name, clock::Millis};
 use cowsliproad_net::metrics::Metrics;
 use cowsliproad_routing::fleet::Target;
@@ -35,6 +35,10 @@
     caught_up: Histogram<u64>,
     caller_connections: Counter<u64>,
     open_caller_connections: Gauge<u64>,
+    refused_bodies: Counter<u64>,
+    caller_bytes: Gauge<u64>,
+    caller_bytes_allowed: Gauge<u64>,
+    unfinished_bodies: Gauge<u64>,
     peers: Gauge<u64>,
     targets: Gauge<u64>,
     expert_map_skew: Gauge<u64>,
@@ -85,6 +89,12 @@
             open_caller_connections: meter
                 .u64_gauge("open_caller_connections")
                 .build(),
+            refused_bodies: meter.u64_counter("refused_bodies").build(),
+            caller_bytes: meter.u64_gauge("caller_bytes").build(),
+            caller_bytes_allowed: meter
+                .u64_gauge("caller_bytes_allowed")
+                .build(),
+            unfinished_bodies: meter.u64_gauge("unfinished_bodies").build(),
             peers: meter.u64_gauge("peers").build(),
             targets: meter.u64_gauge("targets").build(),
             expert_map_skew: meter
@@ -248,8 +258,20 @@
         self.caught_up.record(took.0, &[]);
     }
 
-    /// Records connections of callers that were closed while idle to make
-    /// room, or turned away.
+    /// Records a caller's body that was not kept, and why.
+    pub fn record_refused_body(&self, reason: &'static str) {
+        self.refused_bodies.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Sets what callers make the process hold.
+    pub fn set_caller_memory(&self, usage: memory::Usage) {
+        self.caller_bytes.record(usage.held_bytes as u64, &[]);
+        self.caller_bytes_allowed.record(usage.capacity_bytes as u64, &[]);
+        self.unfinished_bodies.record(usage.upload_count as u64, &[]);
+    }
+
+    /// Records connections of callers that were closed to make room, or turned
+    /// away.
     pub fn record_caller_connections(
         &self,
         outcome: &'static str,
--- a/cowsliproad-direct/src/outcome.rs
+++ b/cowsliproad-direct/src/outcome.rs
@@ -26,6 +26,10 @@
     StreamCut,
     /// The request is malformed, or its body was too large, cut or slow.
     BadRequest,
+    /// The entry process has no memory for the body.
+    NoMemory,
+    /// The body made room for others, as it made no headway.
+    BodyEvicted,
     /// The entry process has no configuration.
     NoConfiguration,
     /// No route matches the request.
@@ -74,6 +78,8 @@
             Outcome::CallerLeft => "caller_left",
             Outcome::StreamCut => "stream_cut",
             Outcome::BadRequest => "bad_request",
+            Outcome::NoMemory => "no_memory",
+            Outcome::BodyEvicted => "body_evicted",
             Outcome::NoConfiguration => "no_configuration",
             Outcome::NoRoute => "no_route",
             Outcome::BadKey => "bad_key",
--- a/cowsliproad-direct/src/readiness.rs
+++ b/cowsliproad-direct/src/readiness.rs
@@ -62,6 +62,7 @@
         READINESS_PATH => answer_readiness_check(entry),
         METRICS_PATH => {
             entry.record_target_states();
+            entry.metrics.set_caller_memory(entry.caller_memory.usage());
             (StatusCode::OK, entry.metrics.render_text())
         }
         _ => (StatusCode::NOT_FOUND, String::new()),
--- a/cowsliproad-direct/src/receive.rs
+++ b/cowsliproad-direct/src/receive.rs
@@ -1,13 +1,18 @@
 //! Reads a caller's request and chooses its route and service.
+//!
+//! What the head shows to be refused is refused before the body is read. The
+//! body is then kept in the account of the process, see
+//! [`cowsliproad_admission::memory`].
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use cowsliproad_admission::{
+    memory::StoredBody,
     patience::CallerAttempt,
     quarantine::{Fingerprint, WorkDigest},
 };
 use cowsliproad_kernel::clock::Millis;
-use cowsliproad_net::timer::timeout;
+use cowsliproad_net::body::{self, BodyError, BodyLimits};
 use cowsliproad_platform::{header, prompt};
 use cowsliproad_routing::catalog::{
     Organisation, RouteError, RouteMatch, RoutingCatalog,
@@ -16,13 +21,14 @@
     HeaderMap, HeaderName, HeaderValue, Response, StatusCode,
     header as standard, request,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use slog::info;
 
 use crate::{
     call::{
         Call, RequestDestination, RequestTimes, failure::TARGETS_FULL_BACKOFF,
     },
+    callers::CALLER_IDLE_GRACE,
     entry::Entry,
     outcome::Outcome,
     reply::{self, Body},
@@ -34,6 +40,10 @@
 /// The retry delay for callers while the entry process has no configuration.
 const NO_CONFIG_RETRY_DELAY: Millis = Millis(400);
 
+/// The retry delay for callers whose body found no memory: that of others is
+/// freed when they are answered, within about a second.
+const NO_MEMORY_RETRY_DELAY: Millis = Millis(1_000);
+
 /// Hop-by-hop headers, which apply to a single connection.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     standard::CONNECTION,
@@ -45,47 +55,36 @@
     HeaderName::from_static("proxy-connection"),
 ];
 
-/// Reads the body of a request and chooses its route and service. Returns the
+/// Chooses the route and service of a request and reads its body. Returns the
 /// response to the caller if either fails.
 pub async fn receive_request(
     entry: &Rc<Entry>,
     mut head: request::Parts,
-    body: Incoming,
+    body: &mut Incoming,
     arrived: Millis,
 ) -> Result<Call, Response<Body>> {
     let time_left =
         parse_header_number(&head.headers, &header::TIME_LEFT).map(Millis);
     let time_left = time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
-    let catalog = entry.catalog();
-    let max_body_bytes = catalog
-        .as_ref()
-        .map_or(usize::MAX, |it| it.request_limits().max_body_bytes);
-    let body = timeout(
-        time_left.duration(),
-        Limited::new(body, max_body_bytes).collect(),
-    );
-    let body = match body.await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return Err(bad_request(status, "the body is too large\n"));
-        }
-        Ok(Err(_)) => {
-            let status = StatusCode::BAD_REQUEST;
-            return Err(bad_request(status, "the body ends early\n"));
-        }
-        Err(_) => {
-            let status = StatusCode::REQUEST_TIMEOUT;
-            return Err(bad_request(status, "the body takes too long\n"));
-        }
+    let catalog = entry.catalog().ok_or_else(no_configuration)?;
+    let mut found =
+        find_route(&catalog, &head).map_err(route_error_response)?;
+    let limits = catalog.request_limits();
+    let body_deadline = arrived + caller_timeout(&found, time_left);
+    let body_limits = BodyLimits::new(limits.max_body_bytes, body_deadline)
+        .with_headway_timeout(limits.idle_timeout + CALLER_IDLE_GRACE);
+    let account = &entry.caller_memory;
+    let read = body::read_body(body, account, body_limits, |_| {}).await;
+    let body = match read {
+        Ok(body) => body,
+        Err(error) => return Err(refuse_body(entry, &head, error, arrived)),
     };
     // The configuration may have changed while the body was read.
-    let Some(catalog) = entry.catalog() else {
-        let starting =
-            reply::not_run_response("starting\n", NO_CONFIG_RETRY_DELAY);
-        return Err(Outcome::NoConfiguration.attach_to(starting));
-    };
-    let found = find_route(&catalog, &head).map_err(route_error_response)?;
+    let newest = entry.catalog().ok_or_else(no_configuration)?;
+    if !Arc::ptr_eq(&newest, &catalog) {
+        found = find_route(&newest, &head).map_err(route_error_response)?;
+    }
+    let timeout_left = caller_timeout(&found, time_left);
     let RouteMatch { route, organisation } = found;
     let Some(service) = route.choose_service(entry.random_fraction()).cloned()
     else {
@@ -95,8 +94,6 @@
         );
         return Err(Outcome::NoTarget.attach_to(no_service));
     };
-    let timeout_left =
-        route.response_timeout.map_or(time_left, |it| it.min(time_left));
     let target_headers =
         headers_for_target(&head.headers, organisation.as_deref());
     let own_priority =
@@ -118,6 +115,63 @@
     Ok(Call::new(head, body, destination, times))
 }
 
+/// How long a caller waits for the answer to a request, at most for as long as
+/// its route allows.
+fn caller_timeout(found: &RouteMatch, time_left: Millis) -> Millis {
+    found.route.response_timeout.map_or(time_left, |it| it.min(time_left))
+}
+
+/// The response to a request whose body was not read to its end.
+fn refuse_body(
+    entry: &Entry,
+    head: &request::Parts,
+    error: BodyError,
+    arrived: Millis,
+) -> Response<Body> {
+    entry.metrics.record_refused_body(error.label());
+    let usage = entry.caller_memory.usage();
+    if let Some(count) = entry.refused_body_line.count(Millis::now()) {
+        let id = head.headers.get(&header::REQUEST_ID);
+        let id = id.and_then(|it| it.to_str().ok()).unwrap_or("-");
+        info!(entry.log, "body_refused"; "request" => id, "count" => count,
+            "reason" => error.label(), "held" => usage.held_bytes,
+            "allowed" => usage.capacity_bytes,
+            "unfinished" => usage.upload_count,
+            "took" => Millis::now().since(arrived).0);
+    }
+    let mut refusal = match error {
+        BodyError::TooLarge => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            bad_request(status, "the body is too large\n")
+        }
+        BodyError::Incomplete => {
+            let status = StatusCode::BAD_REQUEST;
+            bad_request(status, "the body ends early\n")
+        }
+        BodyError::TimedOut => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            bad_request(status, "the body takes too long\n")
+        }
+        BodyError::NoRoom => Outcome::NoMemory.attach_to(
+            reply::not_run_response("no memory\n", NO_MEMORY_RETRY_DELAY),
+        ),
+        BodyError::Evicted => {
+            Outcome::BodyEvicted.attach_to(reply::not_run_response(
+                "the body made no headway\n",
+                NO_MEMORY_RETRY_DELAY,
+            ))
+        }
+    };
+    reply::set_connection_close(&mut refusal);
+    refusal
+}
+
+fn no_configuration() -> Response<Body> {
+    let starting =
+        reply::not_run_response("starting\n", NO_CONFIG_RETRY_DELAY);
+    Outcome::NoConfiguration.attach_to(starting)
+}
+
 fn find_route(
     catalog: &RoutingCatalog,
     head: &request::Parts,
@@ -196,17 +250,21 @@
 /// The fingerprint of a request: a digest of everything that affects how a
 /// target runs it, and the shared parts of its prompt. The organisation stands
 /// for the caller, of whom targets see nothing else.
-pub fn compute_fingerprint(head: &request::Parts, body: &[u8]) -> Fingerprint {
+pub fn compute_fingerprint(
+    head: &request::Parts,
+    body: &StoredBody,
+) -> Fingerprint {
     let text =
         |name| head.headers.get(name).map_or(&[][..], |it| it.as_bytes());
     let path = head.uri.path_and_query().map_or("/", |it| it.as_str());
-    let request = WorkDigest::new(&[
+    let parts = [
         text(&header::ORGANISATION),
         text(&standard::HOST),
         head.method.as_str().as_bytes(),
         path.as_bytes(),
-        body,
-    ]);
+    ];
+    let pieces = body.pieces().iter().map(|it| &**it);
+    let request = WorkDigest::new_with_body(&parts, pieces);
     Fingerprint::new(request)
         .with_prompt_parts(&prompt::shared_part_ids(&head.headers))
 }
--- a/cowsliproad-direct/src/reply.rs
+++ b/cowsliproad-direct/src/reply.rs
@@ -11,18 +11,19 @@
 };
 
 use bytes::Bytes;
+use cowsliproad_admission::memory::Charge;
 use cowsliproad_kernel::clock::Millis;
+use cowsliproad_net::body::Pieces;
 use cowsliproad_platform::header;
 use http::{HeaderValue, Response, StatusCode};
 use http_body::Frame;
-use http_body_util::Full;
 use tokio::sync::mpsc;
 
 /// The body of a response.
 #[derive(Debug)]
 pub enum Body {
     /// A complete body in memory.
-    Whole(Full<Bytes>),
+    Whole(Pieces),
     /// A stream of events. If the channel closes without [`StreamPiece::End`],
     /// the response is aborted.
     Events(mpsc::Receiver<StreamPiece>),
@@ -31,8 +32,8 @@
 /// A part of an event stream.
 #[derive(Debug)]
 pub enum StreamPiece {
-    /// One or more complete events.
-    Events(Bytes),
+    /// One or more complete events, charged until they are passed on.
+    Events(Bytes, Charge),
     /// The end of a complete stream.
     End,
 }
@@ -55,7 +56,7 @@
                 .map_err(|never: Infallible| match never {}),
             Body::Events(pieces) => {
                 pieces.poll_recv(context).map(|it| match it {
-                    Some(StreamPiece::Events(bytes)) => {
+                    Some(StreamPiece::Events(bytes, _)) => {
                         Some(Ok(Frame::data(bytes)))
                     }
                     Some(StreamPiece::End) => None,
@@ -85,8 +86,7 @@
     status: StatusCode,
     text: &'static str,
 ) -> Response<Body> {
-    let body = Full::new(Bytes::from_static(text.as_bytes()));
-    let mut response = Response::new(Body::Whole(body));
+    let mut response = Response::new(Body::Whole(Pieces::from(text)));
     *response.status_mut() = status;
     response.headers_mut().insert(
         http::header::CONTENT_TYPE,
@@ -121,6 +121,12 @@
     plain_text_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n")
 }
 
+/// States that the connection closes after the response.
+pub fn set_connection_close(response: &mut Response<Body>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(http::header::CONNECTION, close);
+}
+
 /// Sets the response header that carries the id of the request.
 pub fn set_request_id(response: &mut Response<Body>, id: &HeaderValue) {
     response.headers_mut().insert(header::REQUEST_ID, id.clone());
--- a/cowsliproad-direct/src/settings.rs
+++ b/cowsliproad-direct/src/settings.rs
@@ -58,6 +58,10 @@
     /// most.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub max_open_files: Option<u64>,
+    /// The memory that the process may use. A quarter of it is for bodies and
+    /// answers that callers make the process hold, and half for connections.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// The minimum level of log messages.
     #[serde(default)]
     pub log_level: Level,
@@ -103,6 +107,7 @@
                 window_ms: Millis(10_000),
             },
             max_open_files: Some(4_096),
+            memory_mb: default_memory_mb(),
             log_level: Level::Info,
         }
     }
@@ -151,6 +156,10 @@
             let least = format!("at least {MIN_OPEN_FILES} is needed");
             return Err(("max_open_files", least));
         }
+        if self.memory_mb < MIN_MEMORY_MB {
+            let least = format!("at least {MIN_MEMORY_MB} is needed");
+            return Err(("memory_mb", least));
+        }
         let share = 0.0..=1.0;
         if !share.contains(&self.retries.retries_per_request) {
             return Err(("retries.ratio", "0 to 1 is needed".into()));
@@ -184,6 +193,15 @@
 /// processes.
 const MIN_OPEN_FILES: u64 = 64;
 
+/// The least `memory_mb`: a quarter of it has room for one request with a body
+/// and an answer of the largest sizes.
+const MIN_MEMORY_MB: u64 = 64;
+
+/// The memory of a process whose settings state none.
+fn default_memory_mb() -> u64 {
+    256
+}
+
 /// The least span of the retry budget's sliding window: two steps of that
 /// window.
 const MIN_SPAN: Millis = Millis(1_000);
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -8,6 +8,7 @@
 
 use std::rc::Rc;
 
+use cowsliproad_admission::memory::NoRoom;
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_net::timer::{self, sleep_until};
 use cowsliproad_relay::events::{EventSplitter, ServerSentEvent};
@@ -132,14 +133,16 @@
     call: &mut Call,
     choice: &ChosenTarget,
 ) -> Result<FirstReply, AttemptError> {
-    let mut opened = match open_target_stream(entry, call, choice, None)
-        .await?
-    {
-        Ok(opened) => opened,
-        Err(opened) => {
-            return read_whole_response(opened).await.map(FirstReply::Whole);
-        }
-    };
+    let mut opened =
+        match open_target_stream(entry, call, choice, None).await? {
+            Ok(opened) => opened,
+            Err(opened) => {
+                let account = &entry.caller_memory;
+                return read_whole_response(account, opened)
+                    .await
+                    .map(FirstReply::Whole);
+            }
+        };
     let deadline = call.deadline;
     let (mut head, target_stream) = (opened.0, &mut opened.1);
     let first_event = match target_stream.next_event(entry, deadline).await {
@@ -423,9 +426,9 @@
         first_event: Option<ServerSentEvent>,
     ) -> StreamEnd {
         if let Some(event) = first_event
-            && !self.send_event_to_caller(event).await
+            && let Err(end) = self.send_event_to_caller(event).await
         {
-            return StreamEnd::CallerLeft;
+            return end;
         }
         loop {
             let deadline = self.call.deadline;
@@ -436,8 +439,8 @@
             };
             match next {
                 NextEvent::Event(event) => {
-                    if !self.send_event_to_caller(event).await {
-                        return StreamEnd::CallerLeft;
+                    if let Err(end) = self.send_event_to_caller(event).await {
+                        return end;
                     }
                 }
                 NextEvent::Complete => {
@@ -498,22 +501,35 @@
         }
     }
 
-    /// Sends an event to the caller unless it was sent before. Returns false
-    /// if the caller left or the deadline passed.
-    async fn send_event_to_caller(&mut self, event: ServerSentEvent) -> bool {
+    /// Sends an event to the caller unless it was sent before. Fails if the
+    /// caller left, the deadline passed, or there is no memory for events that
+    /// callers have not read.
+    async fn send_event_to_caller(
+        &mut self,
+        event: ServerSentEvent,
+    ) -> Result<(), StreamEnd> {
         if event.id.is_some() && event.id <= self.last_event_id {
-            return true;
+            return Ok(());
         }
         self.last_event_id = event.id.or(self.last_event_id);
         self.event_count += 1;
         let now = Millis::now();
         let gap = self.last_event_at.replace(now).map(|it| now.since(it));
         self.longest_gap = self.longest_gap.max(gap.unwrap_or_default());
+        let length = event.bytes.len();
+        let charge = self
+            .entry
+            .caller_memory
+            .charge(length, now)
+            .map_err(|NoRoom| StreamEnd::Cut)?;
         let deadline = self.call.deadline;
         let sent = timer::timeout_at(
             deadline,
-            self.pieces.send(StreamPiece::Events(event.bytes)),
+            self.pieces.send(StreamPiece::Events(event.bytes, charge)),
         );
-        matches!(sent.await, Ok(Ok(())))
+        match sent.await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(StreamEnd::CallerLeft),
+        }
     }
 }
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -12,15 +12,14 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use bytes::Bytes;
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_net::{
+    body::Pieces,
     hooked::{HookedStream, ResetOnDrop},
     tcp,
     timer::{timeout, timeout_at},
 };
 use http::{HeaderMap, Request, Response};
-use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -77,7 +76,7 @@
 /// An idle connection in a pool.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Pieces>,
     expires_at: Millis,
     last_used: Millis,
 }
@@ -94,7 +93,7 @@
 /// A connection on which a response is being read.
 #[derive(Debug)]
 pub struct ConnectionLease {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Pieces>,
     endpoint: Rc<RefCell<Endpoint>>,
     idle_timeout: Millis,
 }
@@ -109,7 +108,7 @@
         &mut self,
         reuse: ConnectionReuse,
         now: Millis,
-    ) -> Option<SendRequest<Full<Bytes>>> {
+    ) -> Option<SendRequest<Pieces>> {
         self.idle.retain(|it| now < it.expires_at && !it.sender.is_closed());
         let is_usable = |it: &IdleConnection| match reuse {
             ConnectionReuse::Any => it.sender.is_ready(),
@@ -132,7 +131,7 @@
 
 fn pool_connection(
     endpoint: &RefCell<Endpoint>,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Pieces>,
     idle_timeout: Millis,
     now: Millis,
 ) {
@@ -155,7 +154,7 @@
 pub async fn send_request(
     attempt: &Attempt,
     choice: &ChosenTarget,
-    mut request: Request<Full<Bytes>>,
+    mut request: Request<Pieces>,
     reuse: ConnectionReuse,
 ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
     loop {
@@ -256,7 +255,7 @@
 /// Opens a connection to the chosen target.
 async fn connect_to_target(
     choice: &ChosenTarget,
-) -> Result<SendRequest<Full<Bytes>>, SendError> {
+) -> Result<SendRequest<Pieces>, SendError> {
     let connection_guard = OpenConnectionGuard::new(&choice.endpoint);
     let connecting = TcpStream::connect(choice.target.address);
     let stream = timeout(TARGET_CONNECT_TIMEOUT.duration(), connecting)
--- a/cowsliproad-direct/tests/crowds/bodies.rs
+++ b/cowsliproad-direct/tests/crowds/bodies.rs
@@ -13,7 +13,7 @@
     allowed: &[u16],
 ) {
     let mut scene = Scene::start().await;
-    let crowd = Crowd::start(&scene.entry, bodies(&scene)).await;
+    let crowd = Crowd::start(scene.address(), bodies(&scene)).await;
     scene.until_at_rest(&crowd).await;
     scene.check(name).await;
     crowd.check_answers(allowed);
@@ -120,6 +120,6 @@
     let length = format!("Content-Length: {}", max + (256 << 10));
     let mut bytes = head("/many/a", &length).into_bytes();
     bytes.resize(bytes.len() + max + (256 << 10), b'x');
-    let answer = send_then_read(&scene.entry, &bytes).await;
+    let answer = send_then_read(scene.address(), &bytes).await;
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
 }
--- a/cowsliproad-direct/tests/crowds/callers.rs
+++ b/cowsliproad-direct/tests/crowds/callers.rs
@@ -1,6 +1,6 @@
 //! Callers that don't behave, spoken for in raw bytes.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
 use tokio::{
@@ -11,7 +11,7 @@
     time::{sleep, timeout},
 };
 
-use crate::harness::{Entry, KEY, PATIENCE};
+use crate::harness::{KEY, PATIENCE};
 
 /// The pause between two writes, so that the bodies of a crowd grow together.
 const WRITE_INTERVAL: Duration = Duration::from_millis(5);
@@ -133,16 +133,18 @@
 impl Crowd {
     /// Callers that connect and then send such bodies, all at once.
     pub async fn start(
-        entry: &Entry,
+        address: SocketAddr,
         bodies: impl IntoIterator<Item = Body>,
     ) -> Crowd {
         let requests = bodies.into_iter();
-        Crowd::send(entry, requests.map(|it| it.writes()).collect()).await
+        Crowd::send(address, requests.map(|it| it.writes()).collect()).await
     }
 
     /// Callers that connect and then send these writes, all at once.
-    pub async fn send(entry: &Entry, requests: Vec<Vec<Arc<[u8]>>>) -> Crowd {
-        let address = entry.settings.caller_listen_address;
+    pub async fn send(
+        address: SocketAddr,
+        requests: Vec<Vec<Arc<[u8]>>>,
+    ) -> Crowd {
         let connected = requests.into_iter().map(async |writes| {
             let connecting = TcpStream::connect(address);
             let stream = timeout(PATIENCE, connecting).await.ok()?.ok()?;
@@ -220,8 +222,7 @@
 
 /// Sends bytes, then reads until the end, as callers do that read nothing
 /// before they have sent all.
-pub async fn send_then_read(entry: &Entry, bytes: &[u8]) -> String {
-    let address = entry.settings.caller_listen_address;
+pub async fn send_then_read(address: SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(address).await.expect("connected");
     // An answer may come before all is sent, and the connection may close.
     let _ = timeout(PATIENCE, stream.write_all(bytes)).await;
@@ -232,11 +233,10 @@
 
 /// Opens so many connections, sends the same bytes on each, and reads nothing.
 pub async fn open(
-    entry: &Entry,
+    address: SocketAddr,
     count: usize,
     bytes: &[u8],
 ) -> Vec<TcpStream> {
-    let address = entry.settings.caller_listen_address;
     let opened = (0..count).map(async |_| {
         let connecting = TcpStream::connect(address);
         let mut stream = timeout(PATIENCE, connecting).await.ok()?.ok()?;
--- a/cowsliproad-direct/tests/crowds/channels.rs
+++ b/cowsliproad-direct/tests/crowds/channels.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use cowsliproad_direct::settings::Settings;
 use cowsliproad_platform_standin::{catalog::RouteKind, target::TargetConfig};
 use http::StatusCode;
 use rustix::process::Signal;
@@ -9,9 +10,13 @@
 use crate::{
     callers::{Body, Crowd, head, open},
     harness::{KEY, until},
-    vm::{Scene, Usage, start_entry},
+    usage::Usage,
+    vm::{Scene, start_entry},
 };
 
+/// The length of an answer that a crowd doesn't read.
+const ANSWER_BYTES: usize = (1 << 20) - (4 << 10);
+
 /// Guards against unfinished bodies that hold all connections: ordinary callers
 /// were reset.
 #[tokio::test(flavor = "multi_thread")]
@@ -54,7 +59,7 @@
         slow.repeat((64 << 10) / slow.len()).into_bytes().into();
     writes.extend(vec![ahead; 8 * max / (64 << 10)]);
     let requests = vec![writes; scene.vm.callers_beyond_memory()];
-    let crowd = Crowd::send(&scene.entry, requests).await;
+    let crowd = Crowd::send(scene.address(), requests).await;
     scene.until_at_rest(&crowd).await;
     scene.check("sent ahead").await;
     crowd.check_answers(&[200, 503]);
@@ -74,7 +79,7 @@
     .await;
     let request = head("/stream/a", "Content-Length: 0");
     let count = scene.vm.open_files / 10;
-    let streams = open(&scene.entry, count, request.as_bytes()).await;
+    let streams = open(scene.address(), count, request.as_bytes()).await;
     tokio::time::sleep(Duration::from_secs(3)).await;
     scene.check("unread streams").await;
     drop(streams);
@@ -84,10 +89,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_are_not_read() {
     let mut scene = Scene::start().await;
-    let max = scene.vm.max_body_bytes;
-    let config =
-        TargetConfig::new("large-1", "large", "a")
-            .with_event_padding(max - (4 << 10));
+    let config = TargetConfig::new("large-1", "large", "a")
+        .with_event_padding(ANSWER_BYTES);
     scene.plant.catalog = scene
         .plant
         .catalog
@@ -101,8 +104,8 @@
     })
     .await;
     let request = head("/large/a", "Content-Length: 0");
-    let count = scene.vm.callers_beyond_memory();
-    let answers = open(&scene.entry, count, request.as_bytes()).await;
+    let count = scene.vm.memory_mb * (1 << 20) * 8 / 5 / ANSWER_BYTES;
+    let answers = open(scene.address(), count, request.as_bytes()).await;
     tokio::time::sleep(Duration::from_secs(3)).await;
     scene.check("unread answers").await;
     drop(answers);
@@ -116,8 +119,7 @@
     let settings = scene.plant.settings(&[]);
     // Nobody answers there.
     let log_address = ([127, 0, 0, 1], 9).into();
-    let settings =
-        cowsliproad_direct::settings::Settings { log_address, ..settings };
+    let settings = Settings { log_address, ..settings };
     let mut entry = start_entry(vm, settings);
     until("it listens", async || entry.status("/many/a", KEY).await.is_some())
         .await;
@@ -125,7 +127,8 @@
     let max = vm.max_body_bytes;
     let body = Body::with_length(16 * max, 4 * max);
     let bodies = vec![body; vm.callers_beyond_memory()];
-    let crowd = Crowd::start(&entry, bodies).await;
+    let crowd =
+        Crowd::start(entry.settings.caller_listen_address, bodies).await;
     scene.until_at_rest(&crowd).await;
     let status = entry.status("/many/a", KEY).await;
     assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
@@ -146,10 +149,10 @@
         Body::with_length(max, max - 1);
         scene.vm.callers_beyond_memory()
     ];
-    let crowd = Crowd::start(&scene.entry, bodies.clone()).await;
+    let crowd = Crowd::start(scene.address(), bodies.clone()).await;
     scene.until_at_rest(&crowd).await;
     scene.entry.signal(Signal::TERM);
-    let more = Crowd::start(&scene.entry, bodies).await;
+    let more = Crowd::start(scene.address(), bodies).await;
     scene.until_at_rest(&more).await;
     scene.check_process("stopping");
     crowd.check_answers(&[408, 503]);
--- a/cowsliproad-direct/tests/crowds/main.rs
+++ b/cowsliproad-direct/tests/crowds/main.rs
@@ -10,6 +10,7 @@
 mod bodies;
 mod callers;
 mod channels;
+mod usage;
 mod vm;
 
 #[path = "../entry/harness.rs"]
--- a/cowsliproad-direct/tests/crowds/vm.rs
+++ b/cowsliproad-direct/tests/crowds/vm.rs
@@ -1,18 +1,8 @@
-//! The VM of an entry process, and what the process uses of it.
+//! The VM of an entry process, and the platform around it.
 
-use std::{
-    collections::HashSet,
-    fs,
-    path::Path,
-    process::Stdio,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
-    thread,
-    time::Duration,
-};
+use std::{net::SocketAddr, process::Stdio, sync::Arc, time::Duration};
 
+use cowsliproad_direct::settings::Settings;
 use cowsliproad_net::client::Client;
 use cowsliproad_platform_standin::{catalog::RouteKind, target::TargetConfig};
 use http::{Request, StatusCode};
@@ -25,19 +15,11 @@
 use crate::{
     callers::Crowd,
     harness::{Entry, KEY, PATIENCE, Plant},
+    usage::Usage,
 };
 
-/// How often the use of the VM is read.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
-
-/// How often a crowd is checked for whether it has come to rest.
-const REST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
-/// A crowd is at rest if so many checks in a row find no change.
-const QUIET_CHECKS: usize = 6;
-
-/// Checks after which a crowd that goes on counts as at rest.
-const MAX_REST_CHECKS: usize = 400;
+/// The pause after a wave.
+const WAVE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Callers in a wave.
 const WAVE: usize = 20;
@@ -118,20 +100,14 @@
         Scene { vm, plant, entry, usage, _alone: alone }
     }
 
-    /// Waits until no caller of a crowd sends or gets anything more, and the
-    /// process has read all that it reads.
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.entry.settings.caller_listen_address
+    }
+
+    /// Waits until a crowd is at rest.
     pub async fn until_at_rest(&self, crowd: &Crowd) {
-        let mut before = None;
-        let mut quiet = 0;
-        for _ in 0..MAX_REST_CHECKS {
-            sleep(REST_CHECK_INTERVAL).await;
-            let now = Some((crowd.progress(), self.usage.unread()));
-            quiet = if now == before { quiet + 1 } else { 0 };
-            if quiet == QUIET_CHECKS {
-                return;
-            }
-            before = now;
-        }
+        self.usage.until_at_rest(crowd).await;
     }
 
     /// Has a crowd send the same in waves, each of which the process reads
@@ -141,11 +117,12 @@
         caller_count: usize,
         writes: &[Arc<[u8]>],
     ) -> Crowd {
-        let mut crowd = Crowd::send(&self.entry, Vec::new()).await;
+        let address = self.address();
+        let mut crowd = Crowd::send(address, Vec::new()).await;
         for _ in 0..caller_count.div_ceil(WAVE) {
             let wave = vec![writes.to_vec(); WAVE];
-            crowd.join(Crowd::send(&self.entry, wave).await);
-            sleep(REST_CHECK_INTERVAL).await;
+            crowd.join(Crowd::send(address, wave).await);
+            sleep(WAVE_INTERVAL).await;
         }
         crowd
     }
@@ -197,116 +174,11 @@
 }
 
 /// Starts an entry process that is told what its VM has.
-pub fn start_entry(
-    vm: Vm,
-    settings: cowsliproad_direct::settings::Settings,
-) -> Entry {
-    let settings = cowsliproad_direct::settings::Settings {
+pub fn start_entry(vm: Vm, settings: Settings) -> Entry {
+    let settings = Settings {
         max_open_files: Some(vm.open_files as u64),
+        memory_mb: vm.memory_mb as u64,
         ..settings
     };
     Entry::start_with_open_files(settings, Stdio::null(), vm.open_files as u64)
 }
-
-/// The most that a process has used of its VM.
-pub struct Usage {
-    memory: Arc<AtomicUsize>,
-    unread: Arc<AtomicUsize>,
-    files: Arc<AtomicUsize>,
-    is_over: Arc<AtomicBool>,
-}
-
-impl Usage {
-    /// Samples a process from now on.
-    pub fn watch(process_id: u32) -> Usage {
-        let usage = Usage {
-            memory: Arc::default(),
-            unread: Arc::default(),
-            files: Arc::default(),
-            is_over: Arc::default(),
-        };
-        let (memory, files) = (usage.memory.clone(), usage.files.clone());
-        let unread = usage.unread.clone();
-        let is_over = usage.is_over.clone();
-        thread::spawn(move || {
-            while !is_over.load(Ordering::Relaxed) {
-                if let Some(now) = Sample::read(process_id) {
-                    let bytes = now.resident_bytes + now.unread_bytes;
-                    memory.fetch_max(bytes, Ordering::Relaxed);
-                    unread.store(now.unread_bytes, Ordering::Relaxed);
-                    files.fetch_max(now.open_files, Ordering::Relaxed);
-                }
-                thread::sleep(SAMPLE_INTERVAL);
-            }
-        });
-        usage
-    }
-
-    /// Bytes and open files.
-    pub fn peak(&self) -> (usize, usize) {
-        let memory = self.memory.load(Ordering::Relaxed);
-        (memory, self.files.load(Ordering::Relaxed))
-    }
-
-    /// Bytes that were received and not yet read, at the last sample.
-    pub fn unread(&self) -> usize {
-        self.unread.load(Ordering::Relaxed)
-    }
-}
-
-impl Drop for Usage {
-    fn drop(&mut self) {
-        self.is_over.store(true, Ordering::Relaxed);
-    }
-}
-
-/// What a process uses at a moment.
-struct Sample {
-    resident_bytes: usize,
-    /// Bytes that were received on its connections and not yet read.
-    unread_bytes: usize,
-    open_files: usize,
-}
-
-impl Sample {
-    /// Reads what a process uses; `None` if the process is gone.
-    fn read(process_id: u32) -> Option<Sample> {
-        let process = Path::new("/proc").join(process_id.to_string());
-        let status = fs::read_to_string(process.join("status")).ok()?;
-        let resident =
-            status.lines().find_map(|it| it.strip_prefix("VmRSS:"))?;
-        let kilobytes: usize =
-            resident.split_whitespace().next()?.parse().ok()?;
-        let files: Vec<_> = fs::read_dir(process.join("fd"))
-            .ok()?
-            .filter_map(|it| fs::read_link(it.ok()?.path()).ok())
-            .collect();
-        let sockets: HashSet<&str> = files
-            .iter()
-            .filter_map(|it| it.to_str()?.strip_prefix("socket:["))
-            .filter_map(|it| it.strip_suffix(']'))
-            .collect();
-        let connections = fs::read_to_string(process.join("net/tcp")).ok()?;
-        let unread = connections
-            .lines()
-            .filter_map(|line| unread_bytes(line, &sockets));
-        Some(Sample {
-            resident_bytes: kilobytes * 1_024,
-            unread_bytes: unread.sum(),
-            open_files: files.len(),
-        })
-    }
-}
-
-/// The bytes that a line of the connection table says are unread, if it is of
-/// one of these sockets.
-fn unread_bytes(line: &str, sockets: &HashSet<&str>) -> Option<usize> {
-    const LISTENING: &str = "0A";
-    let fields: Vec<&str> = line.split_whitespace().collect();
-    // The queue of a listening socket counts connections.
-    if *fields.get(3)? == LISTENING || !sockets.contains(fields.get(9)?) {
-        return None;
-    }
-    let (_, received) = fields.get(4)?.split_once(':')?;
-    usize::from_str_radix(received, 16).ok()
-}
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -295,7 +295,7 @@
 
     /// Bytes that the process holds in memory.
     pub fn memory(&self) -> usize {
-        let path = format!("/proc/{}/status", self.child.id());
+        let path = format!("/proc/{}/status", self.process_id());
         let text = fs::read_to_string(path).expect("the process is there");
         let resident = text.lines().find_map(|it| it.strip_prefix("VmRSS:"));
         let resident = resident.and_then(|it| it.split_whitespace().next());
--- a/cowsliproad-net/src/lib.rs
+++ b/cowsliproad-net/src/lib.rs
@@ -7,6 +7,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod body;
 pub mod client;
 pub mod hooked;
 pub mod link;
