direct: bound the unread bytes of connections

A caller that doesn't read its answer holds its target back, and the kernel then keeps up to 32 MB that the target has sent, a connection. Callers who send ahead of a slow answer do the same on their own connections. Unread bytes are memory of the VM as well, and no bound of the process saw them.

Connections of callers and to targets now have a receive buffer of 16 KiB, of which the kernel makes 32, and a parse buffer of 32 KiB towards targets. A body of 4 MiB still takes one round trip for each 32 KiB at most.

--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -34,7 +34,7 @@
 use std::{io, path::PathBuf, rc::Rc};
 
 use cowsliproad_kernel::log;
-use cowsliproad_net::program;
+use cowsliproad_net::{program, tcp};
 use slog::info;
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -71,6 +71,7 @@
     let log = log::logger("direct", &settings.vm, settings.log_level);
     let caller_listener =
         TcpListener::bind(settings.caller_listen_address).await?;
+    tcp::bound_unread_bytes(&caller_listener)?;
     let readiness_listener =
         TcpListener::bind(settings.readiness_address).await?;
     let peer_listener = TcpListener::bind(settings.own_peer_address()).await?;
--- a/cowsliproad-direct/src/upstream.rs
+++ b/cowsliproad-direct/src/upstream.rs
@@ -55,6 +55,10 @@
 /// Idle connections pooled for one target.
 const MAX_IDLE_CONNECTIONS_PER_TARGET: usize = 16;
 
+/// The largest buffer of a connection for bytes of a target's response that
+/// are being parsed.
+const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// Why a request got no response, which decides whether it may be retried.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendError {
@@ -263,9 +267,12 @@
         .map_err(|_| SendError::Unsent("no connection in time"))?
         .map_err(|_| SendError::Unsent("no connection"))?;
     let stream = tcp::configure_socket(&stream)
+        .and_then(|()| tcp::bound_unread_bytes(&stream))
         .and_then(|()| HookedStream::new(stream, ResetOnDrop))
         .map_err(|_| SendError::Unsent("no connection"))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| SendError::Unsent("no connection"))?;
     tokio::task::spawn_local(async move {
