direct: have unfinished requests give way to new connections

What callers saw: with 2,000 callers that left their bodies or heads unfinished, ordinary callers were reset or never connected until those left.

Cause: a connection counted as in use from the first byte of a request, and only idle ones were closed for new ones.

When all connections are in use, one whose head or body has made no headway for a second goes first, then the longest idle ones, then the unfinished one that has waited longest. An unfinished body is refused with 503 and Retry-After, an unfinished head closed: neither was run. Connections that were told to close and don't, as their callers don't read, are dropped once they are a sixteenth more than the bound. A connection with one to a target costs up to 128 KiB, so there are no more of them than half of memory_mb allows: 1,040 at 260 MB.

The counter caller_connections has the outcome "closed unfinished", the line connections_closed tells both, once a second at most.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -31,7 +31,7 @@
     sync::Notify,
 };
 
-use self::connections::Room;
+use self::connections::{ClosedConnections, Room};
 use crate::{
     entry::{Entry, ProcessPhase},
     forward,
@@ -125,10 +125,18 @@
     entry.metrics.set_caller_connections(open);
     match room {
         Room::Given { id, closed } => {
-            if closed > 0 {
-                entry.metrics.record_caller_connections("closed idle", closed);
-                info!(entry.log, "connections_closed"; "idle" => closed,
-                    "open" => open);
+            if closed != ClosedConnections::default() {
+                let metrics = &entry.metrics;
+                metrics.record_caller_connections("closed idle", closed.idle);
+                metrics.record_caller_connections(
+                    "closed unfinished",
+                    closed.unfinished,
+                );
+                if let Some(count) = entry.closed_connections_line.count(now) {
+                    info!(entry.log, "connections_closed"; "count" => count,
+                        "idle" => closed.idle,
+                        "unfinished" => closed.unfinished, "open" => open);
+                }
             }
             let entry = entry.clone();
             tokio::task::spawn_local(async move {
@@ -158,10 +166,26 @@
     idle_since: Cell<Millis>,
     /// When the first byte of the next request head arrived.
     head_started_at: Cell<Option<Millis>>,
+    /// When the body of the request in flight last made headway, while it is
+    /// unfinished.
+    body_headway_at: Cell<Option<Millis>>,
     /// Whether the connection is to be closed because there are too many.
-    close_requested: Cell<bool>,
+    close_request: Cell<CloseRequest>,
     /// Wakes the connection's task to close it.
     close_wakeup: Notify,
+    /// Wakes the request that reads a body, to refuse it.
+    body_eviction: Notify,
+}
+
+/// How a connection was asked to close to make room for others.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum CloseRequest {
+    #[default]
+    None,
+    /// The connection closes after its answer.
+    AfterAnswer,
+    /// The connection closes at once.
+    AtOnce,
 }
 
 impl ConnectionActivity {
@@ -172,14 +196,75 @@
             && !self.is_closing()
     }
 
+    /// Since when the caller has not gone on with an unfinished head or body.
+    fn unfinished_since(&self) -> Option<Millis> {
+        if self.is_closing() {
+            return None;
+        }
+        match self.in_flight.get() {
+            0 => self.head_started_at.get(),
+            _ => self.body_headway_at.get(),
+        }
+    }
+
     fn is_closing(&self) -> bool {
-        self.close_requested.get()
+        self.close_request.get() != CloseRequest::None
     }
 
+    /// Has the connection closed: an unfinished body is refused, and an
+    /// unfinished head gets no answer.
     fn request_close(&self) {
-        self.close_requested.set(true);
+        let has_unfinished_head =
+            self.in_flight.get() == 0 && self.head_started_at.get().is_some();
+        let request = if has_unfinished_head {
+            CloseRequest::AtOnce
+        } else {
+            CloseRequest::AfterAnswer
+        };
+        self.close_request.set(request);
+        self.close_wakeup.notify_one();
+        if self.body_headway_at.get().is_some() {
+            self.body_eviction.notify_one();
+        }
+    }
+
+    /// Has the connection closed without waiting for its answer to be read.
+    fn request_drop(&self) {
+        self.close_request.set(CloseRequest::AtOnce);
         self.close_wakeup.notify_one();
     }
+
+    /// Records that a body is being read, until the returned guard is dropped.
+    pub fn start_body(&self) -> UnfinishedBody<'_> {
+        self.body_headway_at.set(Some(Millis::now()));
+        UnfinishedBody(self)
+    }
+
+    /// Records that what is left of a refused body is being read. The
+    /// connection is the first to give way.
+    pub fn start_discard(&self) -> UnfinishedBody<'_> {
+        self.body_headway_at.set(Some(Millis(0)));
+        UnfinishedBody(self)
+    }
+
+    /// Records the headway of the body that is being read.
+    pub fn note_body_headway(&self, at: Millis) {
+        self.body_headway_at.set(Some(at));
+    }
+
+    /// Completes when the body that is being read has to give way.
+    pub async fn body_eviction_requested(&self) {
+        self.body_eviction.notified().await;
+    }
+}
+
+/// Marks the body of a connection as unfinished until dropped.
+pub struct UnfinishedBody<'a>(&'a ConnectionActivity);
+
+impl Drop for UnfinishedBody<'_> {
+    fn drop(&mut self) {
+        self.0.body_headway_at.set(None);
+    }
 }
 
 /// Counts one in-flight request of a caller until dropped.
@@ -203,6 +288,11 @@
             activity: activity.clone(),
         }
     }
+
+    /// The activity on the connection of the request.
+    pub fn activity(&self) -> &ConnectionActivity {
+        &self.activity
+    }
 }
 
 impl Drop for InFlightRequestGuard {
@@ -304,7 +394,10 @@
     let idle = now.since(activity.idle_since.get());
     let max_idle = limits.idle_timeout + CALLER_IDLE_GRACE;
     let is_unread = !is_answering && idle > max_idle + limits.header_timeout;
-    if !is_answering && head_started_at.is_some_and(is_late) || is_unread {
+    if activity.close_request.get() == CloseRequest::AtOnce
+        || !is_answering && head_started_at.is_some_and(is_late)
+        || is_unread
+    {
         return ConnectionCheckResult::CloseAtOnce;
     }
     let idle_expired =
--- a/cowsliproad-direct/src/entry.rs
+++ b/cowsliproad-direct/src/entry.rs
@@ -245,6 +245,8 @@
     pub refused_body_line: LineLimit,
     /// The open connections of callers.
     pub caller_connections: RefCell<CallerConnections>,
+    /// Bounds the log lines of connections that are closed for others.
+    pub closed_connections_line: LineLimit,
     /// Bounds the log lines of connections that are turned away.
     pub turned_away_line: LineLimit,
     /// When this process tries a refused prompt part, from 0 to 1 of the time
@@ -334,8 +336,10 @@
         retry_budget.set_min_entry_count(peers.seed_count() + 1);
         let log_read_schedule = LogReadSchedule::new(settings.heartbeat_ms);
         let budget = MemoryBudget::new(settings.memory_mb);
-        let caller_connections =
-            CallerConnections::new(settings.max_open_files);
+        let caller_connections = CallerConnections::new(
+            settings.max_open_files,
+            budget.max_connections,
+        );
         Entry {
             settings: RefCell::new(Rc::new(settings)),
             log,
@@ -352,6 +356,7 @@
             caller_memory: Account::new(budget.caller_bytes),
             refused_body_line: LineLimit::default(),
             caller_connections: RefCell::new(caller_connections),
+            closed_connections_line: LineLimit::default(),
             turned_away_line: LineLimit::default(),
             trial_rank: rand::random(),
             zone_last_seen: RefCell::new(HashMap::new()),
--- a/cowsliproad-direct/src/forward.rs
+++ b/cowsliproad-direct/src/forward.rs
@@ -33,7 +33,8 @@
     let expects_continue = head.headers.contains_key(standard::EXPECT);
     let request_id = head.headers.get(&header::REQUEST_ID).cloned();
     let mut record = RequestRecord::new(entry, arrived);
-    let received = receive_request(entry, head, &mut body, arrived);
+    let received =
+        receive_request(entry, head, &mut body, arrived, in_flight.activity());
     let response = match received.await {
         Ok(mut call) => {
             record.set_destination(&call);
@@ -80,8 +81,8 @@
     }
     if !expects_continue {
         tokio::task::spawn_local(async move {
+            let _discarded = in_flight.activity().start_discard();
             discard_body(body).await;
-            drop(in_flight);
         });
     }
 }
--- a/cowsliproad-direct/src/receive.rs
+++ b/cowsliproad-direct/src/receive.rs
@@ -21,6 +21,7 @@
     HeaderMap, HeaderName, HeaderValue, Response, StatusCode,
     header as standard, request,
 };
+use http_body::Body as _;
 use hyper::body::Incoming;
 use slog::info;
 
@@ -28,7 +29,7 @@
     call::{
         Call, RequestDestination, RequestTimes, failure::TARGETS_FULL_BACKOFF,
     },
-    callers::CALLER_IDLE_GRACE,
+    callers::{CALLER_IDLE_GRACE, ConnectionActivity},
     entry::Entry,
     outcome::Outcome,
     reply::{self, Body},
@@ -62,6 +63,7 @@
     mut head: request::Parts,
     body: &mut Incoming,
     arrived: Millis,
+    activity: &ConnectionActivity,
 ) -> Result<Call, Response<Body>> {
     let time_left =
         parse_header_number(&head.headers, &header::TIME_LEFT).map(Millis);
@@ -73,9 +75,7 @@
     let body_deadline = arrived + caller_timeout(&found, time_left);
     let body_limits = BodyLimits::new(limits.max_body_bytes, body_deadline)
         .with_headway_timeout(limits.idle_timeout + CALLER_IDLE_GRACE);
-    let account = &entry.caller_memory;
-    let read = body::read_body(body, account, body_limits, |_| {}).await;
-    let body = match read {
+    let body = match read_body(entry, body, body_limits, activity).await {
         Ok(body) => body,
         Err(error) => return Err(refuse_body(entry, &head, error, arrived)),
     };
@@ -121,6 +121,26 @@
     found.route.response_timeout.map_or(time_left, |it| it.min(time_left))
 }
 
+/// Reads a body, unless its connection has to make room for another one.
+async fn read_body(
+    entry: &Entry,
+    body: &mut Incoming,
+    limits: BodyLimits,
+    activity: &ConnectionActivity,
+) -> Result<StoredBody, BodyError> {
+    if body.is_end_stream() {
+        return Ok(StoredBody::default());
+    }
+    let _unfinished = activity.start_body();
+    let account = &entry.caller_memory;
+    let on_headway = |at| activity.note_body_headway(at);
+    tokio::select! {
+        biased;
+        read = body::read_body(body, account, limits, on_headway) => read,
+        () = activity.body_eviction_requested() => Err(BodyError::Evicted),
+    }
+}
+
 /// The response to a request whose body was not read to its end.
 fn refuse_body(
     entry: &Entry,
