entry: keep bodies and answers of callers within one account

The product's own path read bodies in the same way: each was bounded, all together were not, and each was kept three times on its way. Heads that were never finished were awaited without a bound of their number, each with a buffer of 16 KiB. An agent's queue was bounded in requests, not in bytes.

A body that finds no room is refused with NoMemory (2012, NOT_FORWARDED, with a time to come back), an answer with AnswerTooMuch (3006, OUTCOME_UNKNOWN, to be asked for again). Refused bodies are read on for a while, so that the refusal arrives. Streams were within a window of 256 KiB a caller before, and stay so. Of more than 1,024 unfinished first heads the oldest are closed, and the listener has the small receive buffer. The queue of an agent takes 64 MiB of bodies (queue_bytes) and gives its worst place up for more urgent work.

--- a/cowsliproad-admission/src/queue.rs
+++ b/cowsliproad-admission/src/queue.rs
@@ -37,6 +37,8 @@
     pub urgency: Urgency,
     /// When the answer to the request becomes useless.
     pub deadline: Millis,
+    /// The memory that the request takes while it is queued.
+    pub bytes: usize,
     /// The queued request itself.
     pub work: T,
 }
@@ -52,6 +54,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct QueueConfig {
     capacity: usize,
+    byte_capacity: usize,
     normal_aging_delay: Millis,
     background_aging_delay: Millis,
 }
@@ -61,6 +64,7 @@
     pub fn new() -> QueueConfig {
         QueueConfig {
             capacity: 4096,
+            byte_capacity: 64 << 20,
             normal_aging_delay: Millis(2_000),
             background_aging_delay: Millis(30_000),
         }
@@ -71,6 +75,11 @@
         QueueConfig { capacity, ..self }
     }
 
+    /// Sets the maximum memory of all queued items.
+    pub fn with_byte_capacity(self, byte_capacity: usize) -> QueueConfig {
+        QueueConfig { byte_capacity, ..self }
+    }
+
     /// Returns how long work of an urgency class is queued before aged turns
     /// may serve the work.
     pub fn aging_delay(&self, urgency: Urgency) -> Millis {
@@ -126,6 +135,8 @@
     /// The number of items that have arrived at the queue.
     arrival_count: u64,
     items: BTreeMap<QueueRank, QueueItem<T>>,
+    /// The memory of all items.
+    queued_bytes: usize,
     /// The ranks of all items by deadline and arrival number.
     ranks_by_deadline: BTreeMap<(Millis, u64), QueueRank>,
     /// The ranks of all items by the time from which aged turns may serve the
@@ -147,6 +158,7 @@
             config,
             arrival_count: 0,
             items: BTreeMap::new(),
+            queued_bytes: 0,
             ranks_by_deadline: BTreeMap::new(),
             ranks_by_aging_time: BTreeMap::new(),
             aging_time_by_arrival_number: HashMap::new(),
@@ -165,8 +177,15 @@
         self.items.is_empty()
     }
 
+    /// Returns the memory of all queued items.
+    pub fn queued_bytes(&self) -> usize {
+        self.queued_bytes
+    }
+
     /// Queues an item, or refuses it if it would miss its deadline or has the
-    /// worst rank in a full queue.
+    /// worst rank in a full queue. A queue is full by its number of items or
+    /// by their memory; the item with the worst rank is removed if that makes
+    /// enough room.
     pub fn push(
         &mut self,
         item: QueueItem<T>,
@@ -183,13 +202,17 @@
                 self.estimate_retry_after(service_rate),
             );
         }
-        if self.items.len() < self.config.capacity {
+        let bytes = self.queued_bytes + item.bytes;
+        let fits = bytes <= self.config.byte_capacity;
+        if self.items.len() < self.config.capacity && fits {
             self.insert(rank, item, now);
             return PushOutcome::Queued;
         }
         let retry_after = self.estimate_retry_after(service_rate);
         match self.items.last_key_value() {
-            Some((worst, _)) if *worst > rank => {}
+            Some((worst, last))
+                if *worst > rank
+                    && bytes - last.bytes <= self.config.byte_capacity => {}
             _ => return PushOutcome::Refused(item, retry_after),
         }
         let displaced = self.remove_last_item();
@@ -289,6 +312,7 @@
         let aged_from = now + self.config.aging_delay(item.urgency);
         self.ranks_by_aging_time.insert((aged_from, rank.2), rank);
         self.aging_time_by_arrival_number.insert(rank.2, aged_from);
+        self.queued_bytes += item.bytes;
         self.items.insert(rank, item);
     }
 
@@ -299,6 +323,7 @@
 
     fn remove(&mut self, rank: QueueRank) -> Option<QueueItem<T>> {
         let item = self.items.remove(&rank)?;
+        self.queued_bytes -= item.bytes;
         self.ranks_by_deadline.remove(&(item.deadline, rank.2));
         if let Some(aged_from) =
             self.aging_time_by_arrival_number.remove(&rank.2)
--- a/cowsliproad-agent/src/gate.rs
+++ b/cowsliproad-agent/src/gate.rs
@@ -127,7 +127,8 @@
         meter: &Meter,
     ) -> TargetGate {
         let queue = QueueConfig::new()
-            .with_capacity(settings.max_queued_requests as usize);
+            .with_capacity(settings.max_queued_requests as usize)
+            .with_byte_capacity(settings.max_queued_bytes);
         let state = GateState {
             phase: ProcessPhase::Serving,
             ticket_register: TicketRegister::new(
--- a/cowsliproad-agent/src/gate/submit.rs
+++ b/cowsliproad-agent/src/gate/submit.rs
@@ -188,6 +188,7 @@
             organisation_weight: submit.queue_weight,
             urgency: submit.urgency,
             deadline: work.deadline,
+            bytes: work.request_body.len(),
             work: work.clone(),
         };
         let service_rate = self.service_rate(state);
--- a/cowsliproad-agent/src/settings.rs
+++ b/cowsliproad-agent/src/settings.rs
@@ -48,6 +48,13 @@
         default = "Settings::default_max_queued_requests"
     )]
     pub max_queued_requests: u32,
+    /// The maximum total size, in bytes, of the bodies of requests that wait
+    /// for a slot.
+    #[serde(
+        rename = "queue_bytes",
+        default = "Settings::default_max_queued_bytes"
+    )]
+    pub max_queued_bytes: usize,
     /// The maximum number of ticket records kept. A ticket record
     /// holds whether one submitted ticket was accepted or refused.
     #[serde(
@@ -108,6 +115,7 @@
             shared_key,
             target_slots: Settings::default_target_slots(),
             max_queued_requests: Settings::default_max_queued_requests(),
+            max_queued_bytes: Settings::default_max_queued_bytes(),
             max_ticket_records: Settings::default_max_ticket_records(),
             max_kept_answer_bytes: Settings::default_max_kept_answer_bytes(),
             answer_retention_time: Settings::default_answer_retention_time(),
@@ -137,6 +145,10 @@
         4096
     }
 
+    fn default_max_queued_bytes() -> usize {
+        64 << 20
+    }
+
     fn default_max_ticket_records() -> u32 {
         200_000
     }
--- a/cowsliproad-bench/src/baseline.rs
+++ b/cowsliproad-bench/src/baseline.rs
@@ -88,8 +88,11 @@
         let [_, service, kind] = path[..] else {
             return reply::text_response(StatusCode::NOT_FOUND, "");
         };
-        let body =
-            server::read_body(request.into_body(), MAX_ANSWER, PATIENCE);
+        let body = server::read_unaccounted_body(
+            request.into_body(),
+            MAX_ANSWER,
+            PATIENCE,
+        );
         let Ok(body) = body.await else {
             return reply::text_response(StatusCode::BAD_REQUEST, "");
         };
--- a/cowsliproad-bench/src/experiment/slopes.rs
+++ b/cowsliproad-bench/src/experiment/slopes.rs
@@ -371,6 +371,7 @@
             organisation_weight: 1,
             urgency: Urgency::Normal,
             deadline: Millis(1_000_000),
+            bytes: 0,
             work: index,
         };
         for index in 0..length {
--- a/cowsliproad-entry/src/answer.rs
+++ b/cowsliproad-entry/src/answer.rs
@@ -4,7 +4,12 @@
 use std::convert::Infallible;
 
 use bytes::Bytes;
-use cowsliproad_kernel::wire::{AnswerFormat, RequestFailure};
+use cowsliproad_admission::memory::{Account, Charge};
+use cowsliproad_kernel::{
+    clock::Millis,
+    code::{ExecutionStatus, ResultCode},
+    wire::{AnswerFormat, RequestFailure},
+};
 use cowsliproad_net::{reply, server::SyncStream};
 use futures_util::stream;
 use http::{HeaderValue, StatusCode, header};
@@ -14,27 +19,52 @@
 
 use crate::forward::{AnswerItem, RequestForwarder};
 
+/// Copies of a whole answer: its bytes, and the document that is sent.
+const ANSWER_COPIES: usize = 2;
+
+/// The failure of an answer that the entry process can't keep. The agent keeps
+/// an answer that the caller can reclaim.
+const NO_MEMORY_FAILURE: RequestFailure = RequestFailure {
+    code: ResultCode::AnswerTooMuch,
+    ran: ExecutionStatus::OutcomeUnknown,
+    retry_after: Some(Millis(1_000)),
+};
+
 /// The HTTP header that carries the resume token.
 pub const RESUME_TOKEN_HEADER: &str = "request-token";
 
-/// Waits for the whole answer and returns it as a JSON document.
+/// Waits for the whole answer and returns it as a JSON document. The answer and
+/// the document are charged until the document is sent.
 pub async fn whole_answer_response(
     mut forwarder: RequestForwarder,
+    account: &Account,
 ) -> (Response, Option<RequestFailure>) {
     let mut bytes = Vec::new();
+    let mut charges = Vec::new();
     let mut token = String::new();
     while let Some(item) = forwarder.next_item().await {
         match item {
             AnswerItem::Accepted(text) => token = text,
-            AnswerItem::Bytes(more) => bytes.extend_from_slice(&more),
-            AnswerItem::Restart => bytes.clear(),
+            AnswerItem::Bytes(more) => {
+                let length = ANSWER_COPIES * more.len();
+                let charge = account.charge(length, Millis::now());
+                let Ok(charge) = charge else {
+                    return failure_response(&NO_MEMORY_FAILURE, &token);
+                };
+                charges.push(charge);
+                bytes.extend_from_slice(&more);
+            }
+            AnswerItem::Restart => {
+                bytes.clear();
+                charges.clear();
+            }
             AnswerItem::Failed(failure) => {
-                let mut response = reply::problem_response(&failure, "");
-                set_resume_token(&mut response, &token);
-                return (response, Some(failure));
+                return failure_response(&failure, &token);
             }
             AnswerItem::Done(end) => {
-                let body = json_document(end.format, bytes);
+                let text = json_document(end.format, bytes);
+                let document = ChargedDocument { text, _charges: charges };
+                let body = Body::from(Bytes::from_owner(document));
                 let mut response = reply::json_response(StatusCode::OK, body);
                 set_resume_token(&mut response, &token);
                 return (response, None);
@@ -45,6 +75,27 @@
     (reply::text_response(StatusCode::INTERNAL_SERVER_ERROR, ""), None)
 }
 
+fn failure_response(
+    failure: &RequestFailure,
+    token: &str,
+) -> (Response, Option<RequestFailure>) {
+    let mut response = reply::problem_response(failure, "");
+    set_resume_token(&mut response, token);
+    (response, Some(*failure))
+}
+
+/// A JSON document with the charges that end when it is sent.
+struct ChargedDocument {
+    text: String,
+    _charges: Vec<Charge>,
+}
+
+impl AsRef<[u8]> for ChargedDocument {
+    fn as_ref(&self) -> &[u8] {
+        self.text.as_bytes()
+    }
+}
+
 /// Wraps a text answer in a JSON document. A JSON answer is returned as it
 /// stands.
 fn json_document(format: AnswerFormat, bytes: Vec<u8>) -> String {
--- a/cowsliproad-entry/src/callers.rs
+++ b/cowsliproad-entry/src/callers.rs
@@ -4,11 +4,13 @@
 mod head;
 
 use std::{
+    pin::Pin,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use cowsliproad_admission::{
+    memory::{Account, Charge},
     patience,
     register::TICKET_TTL,
     ticket::{self, Ticket, TokenPurpose},
@@ -24,14 +26,16 @@
     },
 };
 use cowsliproad_net::{
+    body::{self, BodyError, BodyLimits, discard_body},
     reply,
-    server::{self, BodyError, Handler},
+    server::{self, Handler},
     timer,
 };
 use http::{HeaderValue, Method, StatusCode, header};
+use http_body::Body as _;
 use serde_json::json;
 use slog::info;
-use volo_http::{request::Request, response::Response};
+use volo_http::{body::Body, request::Request, response::Response};
 
 pub use self::finish::RequestMetrics;
 use self::{
@@ -60,6 +64,13 @@
 /// the answer.
 const RECLAIM_TIMEOUT: Millis = Millis(20_000);
 
+/// Copies of a request body that are kept while the request is in flight: the
+/// body itself and that in the frame of an attempt.
+const BODY_COPIES: usize = 2;
+
+/// The `Retry-After` of a response to a request whose body found no memory.
+const NO_MEMORY_RETRY_AFTER: Millis = Millis(1_000);
+
 /// How long the agent may take to answer a cancel frame.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -216,6 +227,32 @@
         service: &str,
         type_name: &str,
         entry_in_flight: EntryInFlightGuard,
+    ) -> Result<Response, RequestRefusal> {
+        let (head, body) = request.into_parts();
+        let mut body = Box::pin(body);
+        let request = Request::from_parts(head, Body::empty());
+        let submitted = self
+            .submit_body(
+                request,
+                &mut body,
+                service,
+                type_name,
+                entry_in_flight,
+            )
+            .await;
+        if submitted.is_err() && !body.is_end_stream() {
+            tokio::spawn(discard_body(body));
+        }
+        submitted
+    }
+
+    async fn submit_body(
+        &self,
+        request: Request,
+        body: &mut Pin<Box<Body>>,
+        service: &str,
+        type_name: &str,
+        entry_in_flight: EntryInFlightGuard,
     ) -> Result<Response, RequestRefusal> {
         let arrived_at = Instant::now();
         let checked = self.check_request(&request, service, type_name)?;
@@ -223,7 +260,8 @@
         let delivery = requested_delivery(&request);
         let key = read_idempotency_key(&request)?;
         let ticket = self.verify_ticket(&request, &checked)?;
-        let body = self.read_json_body(request, &checked.request_type).await?;
+        let (body, body_charge) =
+            self.read_json_body(body, &checked.request_type).await?;
         let keep = delivery != AnswerDelivery::Whole || key.is_some();
         let organisation = &checked.organisation.declaration.name;
         let type_name = &checked.request_type.name;
@@ -252,6 +290,7 @@
             },
             answer_deadline: Millis::now() + checked.request_type.deadline_ms,
             request_body: body,
+            body_charge: Arc::new(body_charge),
             work_digest: work,
         };
         let recorder = RequestRecorder {
@@ -264,7 +303,8 @@
         };
         let forwarder =
             RequestForwarder::new(self.shared.clone(), work_request);
-        Ok(deliver_answer(forwarder, delivery, recorder, 0).await)
+        let account = &self.shared.caller_memory;
+        Ok(deliver_answer(forwarder, account, delivery, recorder, 0).await)
     }
 
     /// Reads out the kept answer of the request that a resume token names.
@@ -299,7 +339,10 @@
                 UnrecordedReclaim { _entry_in_flight: entry_in_flight },
             )
             .await),
-            _ => Ok(kept_answer_response(forwarder).await),
+            _ => {
+                let account = &self.shared.caller_memory;
+                Ok(kept_answer_response(forwarder, account).await)
+            }
         }
     }
 
@@ -547,17 +590,35 @@
     }
 
     /// Reads the request body within the size and time limits and checks that
-    /// it is one JSON value.
+    /// it is one JSON value. The charge is for the body and for the copy of an
+    /// attempt.
     async fn read_json_body(
         &self,
-        request: Request,
+        body: &mut Pin<Box<Body>>,
         request_type: &RequestType,
-    ) -> Result<Vec<u8>, RequestRefusal> {
+    ) -> Result<(Vec<u8>, Charge), RequestRefusal> {
+        let account = &self.shared.caller_memory;
         let limit = request_type.max_body_bytes as usize;
-        let patience = self.shared.settings.body_timeout.duration();
-        let body = request.into_body();
-        let body = server::read_body(body, limit, patience).await;
-        let body = body.map_err(|error| match error {
+        let deadline = Millis::now() + self.shared.settings.body_timeout;
+        let limits = BodyLimits::new(limit, deadline);
+        let stored = body::read_body(body, account, limits, |_| {}).await;
+        let copied = stored.and_then(|stored| {
+            let bytes = stored.pieces().concat();
+            drop(stored);
+            let charged_bytes = BODY_COPIES * bytes.len();
+            let charge = account.charge(charged_bytes, Millis::now())?;
+            Ok((bytes, charge))
+        });
+        let (body, charge) = copied.map_err(|error| match error {
+            BodyError::NoRoom | BodyError::Evicted => {
+                let failure = RequestFailure::new(
+                    ResultCode::NoMemory,
+                    ExecutionStatus::NotForwarded,
+                );
+                let failure = failure.with_retry_after(NO_MEMORY_RETRY_AFTER);
+                self.shared.request_metrics.record_refused_body(error.label());
+                RequestRefusal::new(failure)
+            }
             BodyError::TooLarge => refuse_unforwarded(
                 ResultCode::TooLarge,
                 &format!("at most {limit} bytes"),
@@ -574,12 +635,13 @@
                 refuse_unforwarded(ResultCode::BadJson, &error.to_string())
             },
         )?;
-        Ok(body.to_vec())
+        Ok((body, charge))
     }
 }
 
 async fn deliver_answer(
     mut forwarder: RequestForwarder,
+    account: &Account,
     delivery: AnswerDelivery,
     mut recorder: RequestRecorder,
     first_byte: u64,
@@ -587,7 +649,7 @@
     match delivery {
         AnswerDelivery::Whole => {
             let (response, failure) =
-                answer::whole_answer_response(forwarder).await;
+                answer::whole_answer_response(forwarder, account).await;
             recorder.answer_ended(failure.as_ref());
             response
         }
@@ -656,8 +718,12 @@
 
 /// Returns a kept answer as one document, or "accepted" with a `Retry-After`
 /// while the work is unfinished.
-async fn kept_answer_response(forwarder: RequestForwarder) -> Response {
-    let (response, failure) = answer::whole_answer_response(forwarder).await;
+async fn kept_answer_response(
+    forwarder: RequestForwarder,
+    account: &Account,
+) -> Response {
+    let (response, failure) =
+        answer::whole_answer_response(forwarder, account).await;
     match failure {
         Some(failure) if failure.code == ResultCode::TimedOut => {
             let failure = RequestFailure::new(
--- a/cowsliproad-entry/src/callers/finish.rs
+++ b/cowsliproad-entry/src/callers/finish.rs
@@ -22,6 +22,7 @@
 pub struct RequestMetrics {
     result_counter: Counter<u64>,
     duration_seconds: Histogram<f64>,
+    refused_bodies: Counter<u64>,
 }
 
 impl RequestMetrics {
@@ -32,8 +33,14 @@
             duration_seconds: meter
                 .f64_histogram("entry_request_seconds")
                 .build(),
+            refused_bodies: meter.u64_counter("entry_refused_bodies").build(),
         }
     }
+
+    /// Counts a body that was not kept for lack of memory, and why.
+    pub(super) fn record_refused_body(&self, reason: &'static str) {
+        self.refused_bodies.add(1, &[KeyValue::new("reason", reason)]);
+    }
 }
 
 /// Keeps a request counted as in flight in the entry process until dropped.
--- a/cowsliproad-entry/src/forward.rs
+++ b/cowsliproad-entry/src/forward.rs
@@ -21,6 +21,7 @@
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use cowsliproad_admission::{
+    memory::Charge,
     quarantine::{QuarantineVerdict, WorkDigest},
     ticket::{self, Ticket, TokenPurpose},
 };
@@ -116,6 +117,8 @@
     pub answer_deadline: Millis,
     /// The request body, one JSON value.
     pub request_body: Vec<u8>,
+    /// The charge of the body, which ends with the request.
+    pub body_charge: Arc<Charge>,
     /// A digest of the work, equal for all requests with the same
     /// organisation, service, type and body.
     pub work_digest: WorkDigest,
--- a/cowsliproad-entry/src/lib.rs
+++ b/cowsliproad-entry/src/lib.rs
@@ -40,7 +40,7 @@
     time::Duration,
 };
 
-use cowsliproad_admission::quarantine::CrashLedger;
+use cowsliproad_admission::{memory::Account, quarantine::CrashLedger};
 use cowsliproad_kernel::{clock::Millis, id, wire::ProcessPhase};
 use cowsliproad_net::{
     client::Client,
@@ -67,6 +67,8 @@
     /// The crashes recorded for each work digest, by which crash-inducing
     /// requests are refused.
     pub crash_ledger: Mutex<CrashLedger>,
+    /// The account of the bytes that callers make the process hold.
+    pub caller_memory: Account,
     /// The number of callers' requests in flight through the entry process.
     pub in_flight_requests: AtomicU32,
     /// Whether the entry process is stopping.
@@ -109,6 +111,10 @@
     accept_handle: AcceptHandle,
 }
 
+/// One part in so many of the memory is for bodies and answers that callers
+/// make the process hold.
+const CALLER_MEMORY_SHARE: usize = 4;
+
 /// The interval at which a stopping entry process checks whether its requests
 /// have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -129,11 +135,13 @@
     );
     let metrics = Metrics::new();
     let (control_queue, events) = control::new_control_queue();
+    let memory_bytes = (settings.memory_mb as usize).saturating_mul(1 << 20);
     let shared = Arc::new(EntryState {
         own_incarnation: id::Incarnation::random(),
         ticket_key: settings.shared_key.derive("cowsliproad ticket").0,
         published_view: PublishedView::new(),
         crash_ledger: Mutex::default(),
+        caller_memory: Account::new(memory_bytes / CALLER_MEMORY_SHARE),
         in_flight_requests: AtomicU32::new(0),
         is_stopping: AtomicBool::new(false),
         control_queue,
--- a/cowsliproad-entry/src/settings.rs
+++ b/cowsliproad-entry/src/settings.rs
@@ -56,6 +56,10 @@
         default = "Settings::default_max_in_flight_requests"
     )]
     pub max_in_flight_requests: u32,
+    /// The memory that the process may use, in MiB. A quarter of it is for
+    /// bodies and answers that callers make the process hold.
+    #[serde(default = "Settings::default_memory_mb")]
+    pub memory_mb: u64,
     /// How long a caller may take to send a request body.
     #[serde(rename = "body_ms", default = "Settings::default_body_timeout")]
     pub body_timeout: Millis,
@@ -121,6 +125,7 @@
             vm_list_address,
             shared_key,
             max_in_flight_requests: Settings::default_max_in_flight_requests(),
+            memory_mb: Settings::default_memory_mb(),
             body_timeout: Settings::default_body_timeout(),
             stop_grace_time: Settings::default_stop_grace_time(),
             stop_timeout: Settings::default_stop_timeout(),
@@ -153,6 +158,10 @@
         20_000
     }
 
+    fn default_memory_mb() -> u64 {
+        1_024
+    }
+
     fn default_body_timeout() -> Millis {
         Millis(10_000)
     }
@@ -182,6 +191,10 @@
     }
 }
 
+/// The least `memory_mb`: a quarter of it has room for an answer of the largest
+/// size.
+const MIN_MEMORY_MB: u64 = 64;
+
 impl Validate for Settings {
     fn validate(&self) -> Result<(), (&'static str, String)> {
         if self.name.is_empty() {
@@ -190,6 +203,9 @@
         if self.max_in_flight_requests == 0 {
             return Err(("max_in_flight", "at least 1".into()));
         }
+        if self.memory_mb < MIN_MEMORY_MB {
+            return Err(("memory_mb", format!("at least {MIN_MEMORY_MB}")));
+        }
         if self.max_snapshot_interval < Millis(2) {
             return Err(("snapshot_ms", "at least 2".into()));
         }
--- a/cowsliproad-net/src/reply.rs
+++ b/cowsliproad-net/src/reply.rs
@@ -6,7 +6,7 @@
 use volo_http::{body::Body, response::Response};
 
 /// Creates a JSON response.
-pub fn json_response(status: StatusCode, body: String) -> Response {
+pub fn json_response(status: StatusCode, body: impl Into<Body>) -> Response {
     response_with_content_type(status, "application/json", body)
 }
 
@@ -56,9 +56,9 @@
 fn response_with_content_type(
     status: StatusCode,
     content_type: &'static str,
-    body: String,
+    body: impl Into<Body>,
 ) -> Response {
-    let mut response = Response::new(Body::from(body));
+    let mut response = Response::new(body.into());
     *response.status_mut() = status;
     response
         .headers_mut()
--- a/cowsliproad-net/src/server.rs
+++ b/cowsliproad-net/src/server.rs
@@ -8,6 +8,7 @@
 //! for at most [`REQUEST_HEAD_TIMEOUT`].
 
 use std::{
+    collections::VecDeque,
     convert::Infallible,
     fmt, io,
     net::SocketAddr,
@@ -24,6 +25,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, watch},
+    task::AbortHandle,
 };
 use volo::{
     Service,
@@ -37,7 +39,10 @@
     server::Server,
 };
 
-use crate::timer::{sleep, timeout, timeout_at};
+use crate::{
+    tcp,
+    timer::{sleep, timeout, timeout_at},
+};
 
 /// The time limit for a connection to send its first request head.
 pub const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -46,6 +51,10 @@
 /// head and wait for the server.
 const MAX_PENDING_CONNECTIONS: usize = 1024;
 
+/// Connections whose first request head is awaited. Those of callers who send
+/// a head whole leave at once, so only unfinished heads reach the bound.
+const MAX_PENDING_HEADS: usize = 1_024;
+
 /// The largest request head to wait for. A connection with a longer head is
 /// passed to the server at once.
 const MAX_REQUEST_HEAD_BYTES: usize = 16 << 10;
@@ -103,6 +112,7 @@
         accept_handle: &AcceptHandle,
     ) -> io::Result<Listener> {
         let socket = TcpListener::bind(address).await?;
+        tcp::bound_unread_bytes(&socket)?;
         let address = socket.local_addr()?;
         let (sender, accepted_connections) =
             mpsc::channel(MAX_PENDING_CONNECTIONS);
@@ -151,6 +161,7 @@
     accept_handle: AcceptHandle,
     sender: mpsc::Sender<TcpStream>,
 ) {
+    let mut pending = PendingHeads::default();
     loop {
         let stream = tokio::select! {
             accepted = socket.accept() => accepted,
@@ -158,7 +169,8 @@
         };
         match stream {
             Ok((stream, _)) => {
-                tokio::spawn(queue_after_request_head(stream, sender.clone()));
+                let task = queue_after_request_head(stream, sender.clone());
+                pending.add(tokio::spawn(task).abort_handle());
             }
             // Most likely the process is out of file descriptors. Wait until
             // other connections are closed.
@@ -167,6 +179,27 @@
     }
 }
 
+/// The connections whose first request head is unfinished, the oldest first.
+#[derive(Debug, Default)]
+struct PendingHeads {
+    tasks: VecDeque<AbortHandle>,
+}
+
+impl PendingHeads {
+    /// Adds a connection, and closes the oldest one if there are too many.
+    fn add(&mut self, task: AbortHandle) {
+        if self.tasks.len() >= MAX_PENDING_HEADS {
+            self.tasks.retain(|it| !it.is_finished());
+        }
+        if self.tasks.len() >= MAX_PENDING_HEADS
+            && let Some(oldest) = self.tasks.pop_front()
+        {
+            oldest.abort();
+        }
+        self.tasks.push_back(task);
+    }
+}
+
 /// Queues a connection for the server once the socket buffer holds a complete
 /// request head.
 async fn queue_after_request_head(
@@ -252,8 +285,9 @@
 }
 
 /// Reads a request body of at most `max_body_bytes` bytes within
-/// `time_limit`.
-pub async fn read_body(
+/// `time_limit`, for stand-ins and baselines. Programs that strangers reach
+/// use [`crate::body::read_body`], which also bounds all bodies together.
+pub async fn read_unaccounted_body(
     body: Body,
     max_body_bytes: usize,
     time_limit: Duration,
--- a/cowsliproad-standin/src/lib.rs
+++ b/cowsliproad-standin/src/lib.rs
@@ -29,7 +29,8 @@
 
 async fn body(request: Request) -> Result<bytes::Bytes, BodyError> {
     let patience = std::time::Duration::from_secs(10);
-    server::read_body(request.into_body(), MAX_BODY, patience).await
+    server::read_unaccounted_body(request.into_body(), MAX_BODY, patience)
+        .await
 }
 
 fn path(request: &Request) -> Vec<String> {
--- a/tests/processes/harness.rs
+++ b/tests/processes/harness.rs
@@ -45,10 +45,21 @@
 
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
+        let pid = Pid::from_raw(self.process_id().cast_signed());
+        let pid = pid.expect("an id");
         kill_process(pid, signal).expect("the process is there");
     }
 
+    /// The process's id.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+
     /// Waits for the end.
     pub async fn ended(&mut self, patience: Duration) -> ExitStatus {
         let deadline = Instant::now() + patience;
@@ -95,6 +106,16 @@
 impl Plant {
     /// Starts entries and targets and loads both users' configuration.
     pub async fn start(name: &str, entries: usize, sites: usize) -> Plant {
+        Plant::start_with(name, entries, sites, |_| {}).await
+    }
+
+    /// The same with other settings of the entries.
+    pub async fn start_with(
+        name: &str,
+        entries: usize,
+        sites: usize,
+        adjust: impl Fn(&mut cowsliproad_entry::settings::Settings),
+    ) -> Plant {
         let directory = std::env::temp_dir()
             .join(format!("cowsliproad-{name}-{}", std::process::id()));
         fs::create_dir_all(&directory).expect("a directory for settings");
@@ -115,7 +136,9 @@
         }
         let mut settings = Vec::new();
         for index in 0..entries {
-            settings.push(entry_settings(index, log, vms, key));
+            let mut entry = entry_settings(index, log, vms, key);
+            adjust(&mut entry);
+            settings.push(entry);
         }
         let links: Vec<_> =
             settings.iter().map(|it| it.link_address).collect();
@@ -249,7 +272,11 @@
         settings: &T,
     ) -> Program {
         let path = self.directory.join(format!("{name}.json"));
-        let text = cowsliproad_kernel::settings::to_json(settings);
+        let mut fields = serde_json::to_value(settings).expect("it is JSON");
+        let omitted = std::env::var("OMITTED_SETTINGS").unwrap_or_default();
+        let object = fields.as_object_mut().expect("settings are an object");
+        object.retain(|name, _| !omitted.split(',').any(|it| it == name));
+        let text = cowsliproad_kernel::settings::to_json(&fields);
         fs::write(&path, text).expect("the settings are written");
         let path = path.display().to_string();
         Program::start(program, &["--settings".into(), path])
@@ -312,8 +339,13 @@
     }
 }
 
-/// A program of the workspace, which cargo builds beside the tests.
+/// A program of the workspace, which cargo builds beside the tests, or that of
+/// another landing in the folder `PROGRAMS`. `OMITTED_SETTINGS` leaves out the
+/// settings that it doesn't know.
 fn program(name: &str) -> PathBuf {
+    if let Some(directory) = std::env::var_os("PROGRAMS") {
+        return PathBuf::from(directory).join(name);
+    }
     let test = std::env::current_exe().expect("the test's own path");
     let directory = test.ancestors().nth(2).expect("the target directory");
     directory.join(name)
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -34,6 +34,7 @@
     let mut plant = Plant::start("stop", 1, 2).await;
     let patience = Duration::from_secs(20);
     let agent = &mut plant.sites[1].agent;
+    assert!(agent.is_running());
     agent.signal(Signal::TERM);
     assert!(agent.ended(patience).await.success());
     let entry = &mut plant.entries[0].program;
--- a/tests/properties/queue.rs
+++ b/tests/properties/queue.rs
@@ -29,6 +29,7 @@
         organisation_weight: 1,
         urgency,
         deadline: Millis(deadline),
+        bytes: 0,
         work: 0,
     }
 }
@@ -135,6 +136,36 @@
     ));
 }
 
+/// Guards against a queue within its number of items that holds more memory
+/// than its VM has.
+#[test]
+fn a_queue_of_large_bodies_gives_up_its_least_urgent_work() {
+    let config = QueueConfig::new().with_byte_capacity(1_000);
+    let mut queue = Queue::new(config);
+    let sized =
+        |urgency, bytes| QueueItem { bytes, ..item("a", urgency, 1_000_000) };
+    for _ in 0..2 {
+        let draft = sized(Urgency::Background, 500);
+        let outcome = queue.push(draft, PACE, Millis(0));
+        assert!(matches!(outcome, PushOutcome::Queued));
+    }
+    let another = sized(Urgency::Background, 1);
+    let outcome = queue.push(another, PACE, Millis(0));
+    assert!(matches!(outcome, PushOutcome::Refused(..)));
+    let too_large = sized(Urgency::Urgent, 501);
+    let outcome = queue.push(too_large, PACE, Millis(0));
+    assert!(matches!(outcome, PushOutcome::Refused(..)));
+    let urgent = sized(Urgency::Urgent, 500);
+    let outcome = queue.push(urgent, PACE, Millis(0));
+    assert!(matches!(
+        outcome,
+        PushOutcome::Displaced(it, _) if it.urgency == Urgency::Background
+    ));
+    assert_eq!(queue.queued_bytes(), 1_000);
+    while queue.pop(Millis(0)).is_some() {}
+    assert_eq!(queue.queued_bytes(), 0);
+}
+
 fn urgency() -> impl Strategy<Value = Urgency> {
     prop_oneof![
         Just(Urgency::Urgent),
@@ -166,6 +197,7 @@
             }
             let name = format!("o{organisation}");
             let item = QueueItem {
+                bytes: 0,
                 work: index as u64,
                 ..item(&name, *urgency, now.0 + deadline)
             };
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -84,6 +84,7 @@
                 _ => Urgency::Background,
             },
             deadline: self.now + Millis(deadline),
+            bytes: 0,
             work: name.into(),
         };
         match self.queue.push(item, PACE, self.now) {
