--- a/cowsliproad-direct/tests/crowds/channels.rs
+++ b/cowsliproad-direct/tests/crowds/channels.rs
@@ -27,7 +27,7 @@
     let count = scene.vm.callers_beyond_files();
     let crowd = scene.send_in_waves(count, &writes).await;
     for _ in 0..10 {
-        let answer = scene.entry.ask("/many/a").await;
+        let answer = scene.entry().ask("/many/a").await;
         let status = answer.map(|it| it.status());
         assert_eq!(status.ok(), Some(StatusCode::OK));
     }
@@ -74,7 +74,7 @@
         .with_event_padding(200 << 10);
     scene.plant.target_with(config).await;
     until("the target is known", async || {
-        scene.entry.metric("targets").await >= Some(9.0)
+        scene.entry().metric("targets").await >= Some(9.0)
     })
     .await;
     let request = head("/stream/a", "Content-Length: 0");
@@ -100,7 +100,7 @@
     scene.plant.catalog.publish(&scene.plant.log);
     scene.plant.target_with(config).await;
     until("the target is known", async || {
-        scene.entry.status("/large/a", KEY).await == Some(StatusCode::OK)
+        scene.entry().status("/large/a", KEY).await == Some(StatusCode::OK)
     })
     .await;
     let request = head("/large/a", "Content-Length: 0");
@@ -151,11 +151,11 @@
     ];
     let crowd = Crowd::start(scene.address(), bodies.clone()).await;
     scene.until_at_rest(&crowd).await;
-    scene.entry.signal(Signal::TERM);
+    scene.entry().signal(Signal::TERM);
     let more = Crowd::start(scene.address(), bodies).await;
     scene.until_at_rest(&more).await;
     scene.check_process("stopping");
     crowd.check_answers(&[408, 503]);
     more.check_answers(&[408, 503]);
-    assert!(scene.entry.ended().await.success());
+    assert!(scene.entry_mut().ended().await.success());
 }
--- a/cowsliproad-direct/tests/crowds/main.rs
+++ b/cowsliproad-direct/tests/crowds/main.rs
@@ -10,6 +10,7 @@
 mod bodies;
 mod callers;
 mod channels;
+mod siege;
 mod usage;
 mod vm;
 
--- a/cowsliproad-direct/tests/crowds/usage.rs
+++ b/cowsliproad-direct/tests/crowds/usage.rs
@@ -31,6 +31,7 @@
 /// The most that a process has used of its VM.
 pub struct Usage {
     memory: Arc<AtomicUsize>,
+    resident: Arc<AtomicUsize>,
     unread: Arc<AtomicUsize>,
     files: Arc<AtomicUsize>,
     is_over: Arc<AtomicBool>,
@@ -41,18 +42,21 @@
     pub fn watch(process_id: u32) -> Usage {
         let usage = Usage {
             memory: Arc::default(),
+            resident: Arc::default(),
             unread: Arc::default(),
             files: Arc::default(),
             is_over: Arc::default(),
         };
         let (memory, files) = (usage.memory.clone(), usage.files.clone());
-        let unread = usage.unread.clone();
+        let (resident, unread) =
+            (usage.resident.clone(), usage.unread.clone());
         let is_over = usage.is_over.clone();
         thread::spawn(move || {
             while !is_over.load(Ordering::Relaxed) {
                 if let Some(now) = Sample::read(process_id) {
                     let bytes = now.resident_bytes + now.unread_bytes;
                     memory.fetch_max(bytes, Ordering::Relaxed);
+                    resident.store(now.resident_bytes, Ordering::Relaxed);
                     unread.store(now.unread_bytes, Ordering::Relaxed);
                     files.fetch_max(now.open_files, Ordering::Relaxed);
                 }
@@ -68,6 +72,11 @@
         (memory, self.files.load(Ordering::Relaxed))
     }
 
+    /// Resident bytes at the last sample.
+    pub fn resident(&self) -> usize {
+        self.resident.load(Ordering::Relaxed)
+    }
+
     /// Waits until no caller of a crowd sends or gets anything more, and the
     /// process has read all that it reads.
     pub async fn until_at_rest(&self, crowd: &Crowd) {
--- a/cowsliproad-direct/tests/crowds/vm.rs
+++ b/cowsliproad-direct/tests/crowds/vm.rs
@@ -4,9 +4,13 @@
 
 use cowsliproad_direct::settings::Settings;
 use cowsliproad_net::client::Client;
-use cowsliproad_platform_standin::{catalog::RouteKind, target::TargetConfig};
+use cowsliproad_platform_standin::{
+    catalog::RouteKind,
+    target::{Target, TargetConfig},
+};
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use rustix::process::Signal;
 use tokio::{
     sync::{Mutex, MutexGuard},
     time::sleep,
@@ -65,7 +69,9 @@
 pub struct Scene {
     pub vm: Vm,
     pub plant: Plant,
-    pub entry: Entry,
+    pub targets: Vec<Arc<Target>>,
+    /// Gone only while the process is replaced.
+    entry: Option<Entry>,
     usage: Usage,
     _alone: MutexGuard<'static, ()>,
 }
@@ -85,24 +91,51 @@
             .with_route("/slow/", RouteKind::Once, "slow", 600_000)
             .with_route("/long/", RouteKind::Idempotent, "plain", 600_000);
         plant.catalog.publish(&plant.log);
+        let mut targets = Vec::new();
         for number in 0..4 {
             let id = format!("plain-{number}");
-            plant.target(&id, "plain").await;
+            targets.push(plant.target(&id, "plain").await);
             let slow =
                 TargetConfig::new(&format!("slow-{number}"), "slow", "a")
                     .with_response_delay(Duration::from_secs(2));
-            plant.target_with(slow).await;
+            targets.push(plant.target_with(slow).await);
         }
         let settings = plant.settings(&[]);
         let entry = start_entry(vm, settings);
         entry.until_ready().await;
         let usage = Usage::watch(entry.process_id());
-        Scene { vm, plant, entry, usage, _alone: alone }
+        let entry = Some(entry);
+        Scene { vm, plant, targets, entry, usage, _alone: alone }
+    }
+
+    /// Ends the process by a signal and starts another one in its place.
+    pub async fn restart(&mut self, signal: Signal) {
+        let mut gone = self.entry.take().expect("an entry process");
+        gone.signal(signal);
+        let status = gone.ended().await;
+        assert!(signal == Signal::KILL || status.success(), "{status}");
+        let settings = gone.settings.clone();
+        // The settings file goes with the process.
+        drop(gone);
+        let entry = start_entry(self.vm, settings);
+        self.usage = Usage::watch(entry.process_id());
+        entry.until_ready().await;
+        self.entry = Some(entry);
+    }
+
+    /// The entry process.
+    pub fn entry(&self) -> &Entry {
+        self.entry.as_ref().expect("an entry process")
+    }
+
+    /// The same, to wait for its end.
+    pub fn entry_mut(&mut self) -> &mut Entry {
+        self.entry.as_mut().expect("an entry process")
     }
 
     /// Where callers connect.
     pub fn address(&self) -> SocketAddr {
-        self.entry.settings.caller_listen_address
+        self.entry().settings.caller_listen_address
     }
 
     /// Waits until a crowd is at rest.
@@ -129,11 +162,13 @@
 
     /// Checks that the process lived within its VM so far.
     pub fn check_process(&mut self, crowd: &str) {
-        assert!(self.entry.is_running(), "{crowd}: the process ended");
+        assert!(self.entry_mut().is_running(), "{crowd}: the process ended");
         let (memory, files) = self.usage.peak();
+        let megabytes = |bytes| bytes as f64 / f64::from(1 << 20);
         eprintln!(
-            "{crowd}: peak {:.1} MB, {files} files",
-            memory as f64 / f64::from(1 << 20)
+            "{crowd}: peak {:.1} MB, now {:.1} MB, {files} files",
+            megabytes(memory),
+            megabytes(self.usage.resident()),
         );
         let (max, most) = (self.vm.memory_mb << 20, self.vm.open_files);
         assert!(memory <= max, "{crowd}: {memory} bytes, of {max}");
@@ -143,7 +178,7 @@
     /// Checks the same, and that callers who behave are answered: an ordinary
     /// one, and one with the largest body that is allowed.
     pub async fn check(&mut self, crowd: &str) {
-        let answer = self.entry.ask("/many/a").await;
+        let answer = self.entry().ask("/many/a").await;
         let status = answer.map(|it| it.status());
         assert_eq!(status.ok(), Some(StatusCode::OK), "{crowd}: ordinary");
         let status = self.send_large().await;
@@ -158,7 +193,7 @@
         for _ in 0..LARGE_TRIES {
             let body = "x".repeat(self.vm.max_body_bytes);
             let request: Request<Full<_>> =
-                self.entry.request("/many/large", KEY, &body);
+                self.entry().request("/many/large", KEY, &body);
             let answer = Client::new().call(request, 1 << 20, PATIENCE).await;
             let answer = answer.ok()?;
             status = Some(answer.status());
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -134,8 +134,12 @@
         assert!(self.plant.sites[1].agent.is_running(), "{crowd}");
         for (name, usage) in [("entry", &self.entry), ("agent", &self.agent)] {
             let (bytes, files) = usage.peak();
-            let megabytes = bytes as f64 / f64::from(1 << 20);
-            eprintln!("{crowd}: {name}: {megabytes:.1} MB, {files} files");
+            let megabytes = |bytes| bytes as f64 / f64::from(1 << 20);
+            let (peak, now) = (megabytes(bytes), megabytes(usage.resident()));
+            eprintln!(
+                "{crowd}: {name}: peak {peak:.1} MB, now {now:.1} MB, \
+                 {files} files"
+            );
             assert!(bytes <= MEMORY_MB << 20, "{crowd}: {name}: {bytes}");
         }
     }
