--- a/cowsliproad-entry/src/answer.rs
+++ b/cowsliproad-entry/src/answer.rs
@@ -22,12 +22,15 @@
 /// Copies of a whole answer: its bytes, and the document that is sent.
 const ANSWER_COPIES: usize = 2;
 
+/// The `Retry-After` of an answer that the entry process can't keep.
+const NO_MEMORY_RETRY_AFTER: Millis = Millis(1_000);
+
 /// The failure of an answer that the entry process can't keep. The agent keeps
 /// an answer that the caller can reclaim.
 const NO_MEMORY_FAILURE: RequestFailure = RequestFailure {
     code: ResultCode::AnswerTooMuch,
     ran: ExecutionStatus::OutcomeUnknown,
-    retry_after: Some(Millis(1_000)),
+    retry_after: Some(NO_MEMORY_RETRY_AFTER),
 };
 
 /// The HTTP header that carries the resume token.
