tests: have the refused caller send more than its kernel takes

a_refusal_reaches_a_caller_that_still_sends passed on and also without reading on after a refusal: 256 KiB beyond the limit stay in the caller's send buffer, and an orderly end that was received before the reset hides it. The caller now sends 6 MiB beyond, and its writes and reads must succeed, so the test is stricter than before.

--- a/cowsliproad-direct/tests/crowds/bodies.rs
+++ b/cowsliproad-direct/tests/crowds/bodies.rs
@@ -5,6 +5,9 @@
     vm::Scene,
 };
 
+/// More than a caller's kernel takes of a body that nobody reads.
+const BEYOND_SEND_BUFFER: usize = 6 << 20;
+
 /// Has a crowd send bodies and checks the process and ordinary callers while
 /// the crowd's connections are open, and again once they are gone.
 async fn check(
@@ -117,9 +120,11 @@
 async fn a_refusal_reaches_a_caller_that_still_sends() {
     let scene = Scene::start().await;
     let max = scene.vm.max_body_bytes;
-    let length = format!("Content-Length: {}", max + (256 << 10));
-    let mut bytes = head("/many/a", &length).into_bytes();
-    bytes.resize(bytes.len() + max + (256 << 10), b'x');
+    let sent = max + BEYOND_SEND_BUFFER;
+    let mut bytes =
+        head("/many/a", &format!("Content-Length: {sent}")).into_bytes();
+    bytes.resize(bytes.len() + sent, b'x');
     let answer = send_then_read(scene.address(), &bytes).await;
+    let answer = answer.expect("no reset");
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
 }
--- a/cowsliproad-direct/tests/crowds/callers.rs
+++ b/cowsliproad-direct/tests/crowds/callers.rs
@@ -1,6 +1,6 @@
 //! Callers that don't behave, spoken for in raw bytes.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
 use tokio::{
@@ -221,14 +221,16 @@
 }
 
 /// Sends bytes, then reads until the end, as callers do that read nothing
-/// before they have sent all.
-pub async fn send_then_read(address: SocketAddr, bytes: &[u8]) -> String {
-    let mut stream = TcpStream::connect(address).await.expect("connected");
-    // An answer may come before all is sent, and the connection may close.
-    let _ = timeout(PATIENCE, stream.write_all(bytes)).await;
+/// before they have sent all. Fails if the connection is reset.
+pub async fn send_then_read(
+    address: SocketAddr,
+    bytes: &[u8],
+) -> io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    timeout(PATIENCE, stream.write_all(bytes)).await??;
     let mut read = Vec::new();
-    let _ = timeout(PATIENCE, stream.read_to_end(&mut read)).await;
-    String::from_utf8_lossy(&read).into_owned()
+    timeout(PATIENCE, stream.read_to_end(&mut read)).await??;
+    Ok(String::from_utf8_lossy(&read).into_owned())
 }
 
 /// Opens so many connections, sends the same bytes on each, and reads nothing.
