entry: ask for 128 MB of memory at least

An entry process of the product's own path took 44 MB with next to nothing to hold (crowds of bodies that are refused at the head, at memory_mb 64), so a setting of 64 promised what the process can't keep.

--- a/cowsliproad-entry/src/settings.rs
+++ b/cowsliproad-entry/src/settings.rs
@@ -191,9 +191,8 @@
     }
 }
 
-/// The least `memory_mb`: a quarter of it has room for an answer of the largest
-/// size.
-const MIN_MEMORY_MB: u64 = 64;
+/// The least `memory_mb`: an idle entry process takes up to a third of it.
+const MIN_MEMORY_MB: u64 = 128;
 
 impl Validate for Settings {
     fn validate(&self) -> Result<(), (&'static str, String)> {
