direct: bound the wait for the body of a stream's failure

Callers saw: a stream whose target answers with a failure and a body without end gets no answer until its caller leaves.

Cause: the body of a stream's failure was read without any bound in time, while the head, the events and all of a plain answer have one.

Now the body is read until half the latency goal if another target can serve the request, and else until the deadline, or until just before callers of a silent stream give up. The answer is 502 or 504, since the target may have run the request; a stream that may be resumed is served by another target.

--- a/cowsliproad-direct/src/attempt.rs
+++ b/cowsliproad-direct/src/attempt.rs
@@ -172,6 +172,7 @@
             AttemptError::Refused(_)
             | AttemptError::Unsent(_)
             | AttemptError::Withheld(_)
+            | AttemptError::EndlessFailure
             | AttemptError::AnswerDropped => {
                 self.note_target_survived();
             }
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -153,6 +153,9 @@
     MayHaveRun(&'static str),
     /// The request may have run, and its connection broke.
     ConnectionBroken(&'static str),
+    /// The target answered with a failure whose body did not end in time. The
+    /// request may have run.
+    EndlessFailure,
     /// The target ran the request, and there is no memory for its answer.
     AnswerDropped,
 }
@@ -165,7 +168,8 @@
             AttemptError::Unsent(_) => "unsent",
             AttemptError::Withheld(_) => "withheld",
             AttemptError::MayHaveRun(_)
-            | AttemptError::ConnectionBroken(_) => "unknown",
+            | AttemptError::ConnectionBroken(_)
+            | AttemptError::EndlessFailure => "unknown",
             AttemptError::AnswerDropped => "dropped",
         }
     }
@@ -402,13 +406,28 @@
         let time_left = self.time_left();
         let is_last = self.attempted_targets.len() + 1
             >= self.route.max_attempts as usize;
-        let Some(aim) = self.route.latency_goal else { return time_left };
         if is_last || !self.route.allows_resend() {
             return time_left;
         }
-        let first_timeout =
-            Millis(aim.0 * FIRST_ATTEMPT_LATENCY_GOAL_PERCENT / 100);
-        first_timeout.max(MIN_ATTEMPT_TIMEOUT).min(time_left)
+        self.early_retry_timeout().min(time_left)
+    }
+
+    /// How long a target may take if another target can serve the request.
+    pub fn early_retry_timeout(&self) -> Millis {
+        let Some(aim) = self.route.latency_goal else {
+            return self.time_left();
+        };
+        let timeout = Millis(aim.0 * FIRST_ATTEMPT_LATENCY_GOAL_PERCENT / 100);
+        timeout.max(MIN_ATTEMPT_TIMEOUT)
+    }
+
+    /// When an answer that has not begun reaches no caller any more: at the
+    /// deadline, or when the caller of a stream gives up for silence.
+    pub fn latest_answer_time(&self) -> Millis {
+        let silence = self.route.caller_idle_timeout;
+        let gives_up_at = silence
+            .map(|it| self.arrived + (it - choose::RESPONSE_DELIVERY_MARGIN));
+        gives_up_at.map_or(self.deadline, |it| it.min(self.deadline))
     }
 }
 
--- a/cowsliproad-direct/src/call/choose.rs
+++ b/cowsliproad-direct/src/call/choose.rs
@@ -32,7 +32,7 @@
 
 /// Time reserved before a caller's deadline for delivering the response, also
 /// from a VM whose CPU share is used up for the moment.
-const RESPONSE_DELIVERY_MARGIN: Millis = Millis(100);
+pub(super) const RESPONSE_DELIVERY_MARGIN: Millis = Millis(100);
 
 /// Requests that wait for the end of a cooldown are spread over this time, so
 /// that the target doesn't get all of them at once.
--- a/cowsliproad-direct/src/call/failure.rs
+++ b/cowsliproad-direct/src/call/failure.rs
@@ -111,6 +111,11 @@
                 self.admission = Admission::Regular;
                 cause
             }
+            AttemptError::EndlessFailure => {
+                self.note_possible_run();
+                self.admission = Admission::Regular;
+                "a failure without end"
+            }
             AttemptError::AnswerDropped => {
                 self.note_possible_run();
                 // Another answer would find no memory either.
@@ -238,7 +243,8 @@
                 Outcome::Unsent
             }
             AttemptError::MayHaveRun(_)
-            | AttemptError::ConnectionBroken(_) => Outcome::AttemptFailed,
+            | AttemptError::ConnectionBroken(_)
+            | AttemptError::EndlessFailure => Outcome::AttemptFailed,
             AttemptError::AnswerDropped => Outcome::NoMemory,
         }
     }
--- a/cowsliproad-direct/src/call/moves.rs
+++ b/cowsliproad-direct/src/call/moves.rs
@@ -69,6 +69,7 @@
             }
             AttemptError::MayHaveRun(_)
             | AttemptError::ConnectionBroken(_)
+            | AttemptError::EndlessFailure
             | AttemptError::AnswerDropped => {}
         }
         info!(entry.log, "move_failed"; "request" => &*self.request_id,
--- a/cowsliproad-direct/src/limits.rs
+++ b/cowsliproad-direct/src/limits.rs
@@ -174,7 +174,11 @@
         // A refusal with a cooldown already keeps requests away from the
         // target.
         let is_failure = match error {
-            AttemptError::Withheld(_) | AttemptError::AnswerDropped => false,
+            // A failure status of a stream's target doesn't count against the
+            // target, whether or not the body ends.
+            AttemptError::Withheld(_)
+            | AttemptError::EndlessFailure
+            | AttemptError::AnswerDropped => false,
             AttemptError::Refused(_) => {
                 entry.cooldown_end(&self.target, now).is_none()
             }
--- a/cowsliproad-direct/src/stream.rs
+++ b/cowsliproad-direct/src/stream.rs
@@ -159,8 +159,7 @@
         match open_target_stream(entry, call, choice, None).await? {
             Ok(opened) => opened,
             Err(opened) => {
-                let account = &entry.caller_memory;
-                return read_whole_response(account, opened)
+                return read_failure(entry, call, opened)
                     .await
                     .map(FirstReply::Whole);
             }
@@ -187,6 +186,27 @@
     Ok(FirstReply::Stream(head, Box::new(opened.1), first_event))
 }
 
+/// Reads a response with a failure status, whose body may have no end. Gives up
+/// once another target can serve the request, and before the caller does.
+async fn read_failure(
+    entry: &Rc<Entry>,
+    call: &Call,
+    opened: OpenResponse,
+) -> Result<Response<Body>, AttemptError> {
+    let mut reading = pin!(read_whole_response(&entry.caller_memory, opened));
+    let latest = call.latest_answer_time();
+    let early = (Millis::now() + call.early_retry_timeout()).min(latest);
+    if let Ok(read) = timer::timeout_at(early, &mut reading).await {
+        return read;
+    }
+    if !call.can_move(entry)
+        && let Ok(read) = timer::timeout_at(latest, reading).await
+    {
+        return read;
+    }
+    Err(AttemptError::EndlessFailure)
+}
+
 /// Opens a stream at a target. A response with a failure status is returned as
 /// the inner error.
 async fn open_target_stream(
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod disruption_siege;
 
 mod endless;
+mod failures;
 mod foreign_answers;
 mod group_crashes;
 mod group_news;
