agent: wait for an engine's answer until one point in time

Callers saw: a request that must not be repeated fails when its engine sends nothing for `silence_ms`, long before its deadline; and when its engine sends bytes that complete no answer, its caller is told only that the outcome is unknown, while the engine's slot stays taken for good.

Cause: each byte of an answer was awaited for `silence_ms`, whatever the time left. So a pause ended the answer too early, and a trickle put its end off for ever.

Now such a request waits until its deadline, or for `silence_ms` if that is longer, for all of its answer, as it does at a plain service. A request that may be repeated is still given up after `silence_ms` without a byte.

--- a/cowsliproad-agent/src/adapter/engine.rs
+++ b/cowsliproad-agent/src/adapter/engine.rs
@@ -86,13 +86,16 @@
         work: &RequestWork,
     ) -> Result<AnswerFormat, RequestFailure> {
         let mut events = EventParser::default();
+        let patience = Patience::new(work, self.silence_timeout);
         let start = self.build_start_request(work)?;
-        let mut response = self.send_request(start).await?;
+        let mut response = self.send_request(start, &patience).await?;
         for _ in 0..=MAX_STREAM_RESUMES {
             if !response.status().is_success() {
                 break;
             }
-            match self.read_events(response, work, &mut events).await? {
+            let read =
+                read_events(response, work, &mut events, &patience).await?;
+            match read {
                 StreamResult::Complete => return Ok(AnswerFormat::Text),
                 StreamResult::Silent => break,
                 StreamResult::Broken => {
@@ -101,14 +104,14 @@
                         .build_resume_request(work, events.received_tokens)?;
                     // The longest wait for the permit that resuming needs, as
                     // one more request to the target.
-                    let byte_timeout = self.byte_timeout(work)?;
-                    if timeout(byte_timeout, self.pacer.acquire_permit())
+                    let permit_timeout = patience.byte_timeout()?;
+                    if timeout(permit_timeout, self.pacer.acquire_permit())
                         .await
                         .is_err()
                     {
                         break;
                     }
-                    let resumed = self.send_request(resume).await;
+                    let resumed = self.send_request(resume, &patience).await;
                     // The engine has started the request, so a failed resume
                     // leaves the outcome unknown.
                     response = resumed.map_err(|it| RequestFailure {
@@ -128,10 +131,11 @@
     async fn send_request(
         &self,
         request: Request<Full<Bytes>>,
+        patience: &Patience,
     ) -> Result<Response<Incoming>, RequestFailure> {
         let sent_at = Millis::now();
-        let head =
-            timeout(self.silence_timeout, self.client.send(request)).await;
+        let head_timeout = patience.byte_timeout()?;
+        let head = timeout(head_timeout, self.client.send(request)).await;
         let silent = RequestFailure::new(
             ResultCode::TimedOut,
             ExecutionStatus::OutcomeUnknown,
@@ -142,56 +146,6 @@
         Ok(head)
     }
 
-    async fn read_events(
-        &self,
-        response: Response<Incoming>,
-        work: &RequestWork,
-        events: &mut EventParser,
-    ) -> Result<StreamResult, RequestFailure> {
-        let mut body = response.into_body();
-        loop {
-            let wait = self.byte_timeout(work)?;
-            let Ok(frame) = timeout(wait, body.frame()).await else {
-                return Ok(StreamResult::Silent);
-            };
-            let Some(Ok(frame)) = frame else {
-                return Ok(StreamResult::Broken);
-            };
-            let Ok(bytes) = frame.into_data() else { continue };
-            let text = events.push_bytes(&bytes);
-            if !text.is_empty() {
-                work.append_answer_bytes(text.as_bytes());
-            }
-            if events.is_done {
-                return Ok(StreamResult::Complete);
-            }
-            if work.answer_length() > MAX_ANSWER_BYTES {
-                return Err(RequestFailure::new(
-                    ResultCode::TargetFailed,
-                    ExecutionStatus::OutcomeUnknown,
-                ));
-            }
-        }
-    }
-
-    /// How long to wait for the next answer byte.
-    fn byte_timeout(
-        &self,
-        work: &RequestWork,
-    ) -> Result<Duration, RequestFailure> {
-        let left = work.deadline.since(Millis::now()).duration();
-        match work.rerun_policy {
-            RerunPolicy::Never => Ok(self.silence_timeout),
-            RerunPolicy::Allowed if left.is_zero() => {
-                Err(RequestFailure::new(
-                    ResultCode::TimedOut,
-                    ExecutionStatus::OutcomeUnknown,
-                ))
-            }
-            RerunPolicy::Allowed => Ok(self.silence_timeout.min(left)),
-        }
-    }
-
     fn build_start_request(
         &self,
         work: &RequestWork,
@@ -247,6 +201,76 @@
     }
 }
 
+/// How long an engine's answer to one request is awaited.
+#[derive(Debug)]
+struct Patience {
+    rerun_policy: RerunPolicy,
+    silence_timeout: Duration,
+    /// When the whole answer is given up.
+    give_up_at: Millis,
+}
+
+impl Patience {
+    /// A request that must not be repeated gets at least the silence timeout,
+    /// since its outcome is worth knowing even late.
+    fn new(work: &RequestWork, silence_timeout: Duration) -> Patience {
+        let silence_end =
+            Millis::now() + Millis(silence_timeout.as_millis() as u64);
+        let give_up_at = match work.rerun_policy {
+            RerunPolicy::Allowed => work.deadline,
+            RerunPolicy::Never => work.deadline.max(silence_end),
+        };
+        let rerun_policy = work.rerun_policy;
+        Patience { rerun_policy, silence_timeout, give_up_at }
+    }
+
+    /// How long to wait for the next byte of the answer. Silence ends only a
+    /// request that may be repeated.
+    fn byte_timeout(&self) -> Result<Duration, RequestFailure> {
+        let left = self.give_up_at.since(Millis::now()).duration();
+        match self.rerun_policy {
+            _ if left.is_zero() => Err(RequestFailure::new(
+                ResultCode::TimedOut,
+                ExecutionStatus::OutcomeUnknown,
+            )),
+            RerunPolicy::Never => Ok(left),
+            RerunPolicy::Allowed => Ok(self.silence_timeout.min(left)),
+        }
+    }
+}
+
+async fn read_events(
+    response: Response<Incoming>,
+    work: &RequestWork,
+    events: &mut EventParser,
+    patience: &Patience,
+) -> Result<StreamResult, RequestFailure> {
+    let mut body = response.into_body();
+    loop {
+        let wait = patience.byte_timeout()?;
+        let Ok(frame) = timeout(wait, body.frame()).await else {
+            return Ok(StreamResult::Silent);
+        };
+        let Some(Ok(frame)) = frame else {
+            return Ok(StreamResult::Broken);
+        };
+        let Ok(bytes) = frame.into_data() else { continue };
+        let text = events.push_bytes(&bytes);
+        if !text.is_empty() {
+            work.append_answer_bytes(text.as_bytes());
+        }
+        if events.is_done {
+            return Ok(StreamResult::Complete);
+        }
+        if work.answer_length() > MAX_ANSWER_BYTES {
+            return Err(RequestFailure::new(
+                ResultCode::TargetFailed,
+                ExecutionStatus::OutcomeUnknown,
+            ));
+        }
+    }
+}
+
 /// Parses the answer text from server-sent events that arrive in arbitrary
 /// pieces.
 #[derive(Debug, Default)]
