agent: bound the bytes of an engine's unfinished event

Operators saw: an engine that sends bytes without the end of an event makes its agent keep all of them, until the process exceeds its memory; the search for the end takes time that grows with the square of the bytes.

Cause: the bound on the size of an answer counted parsed text only.

Now unfinished bytes count as well, and bytes are searched once.

Evidence: an_event_without_end_is_given_up_at_the_size_of_an_answer fails on the code before and holds now.

--- a/cowsliproad-agent/src/adapter/engine.rs
+++ b/cowsliproad-agent/src/adapter/engine.rs
@@ -262,7 +262,9 @@
         if events.is_done {
             return Ok(StreamResult::Complete);
         }
-        if work.answer_length() > MAX_ANSWER_BYTES {
+        if work.answer_length().max(events.unparsed_bytes.len())
+            > MAX_ANSWER_BYTES
+        {
             return Err(RequestFailure::new(
                 ResultCode::TargetFailed,
                 ExecutionStatus::OutcomeUnknown,
@@ -284,9 +286,15 @@
     /// Appends stream bytes and returns the text of the events that they
     /// complete.
     fn push_bytes(&mut self, bytes: &[u8]) -> String {
+        // Earlier bytes hold no end of an event, save for its first half.
+        let mut searched = self.unparsed_bytes.len().saturating_sub(1);
         self.unparsed_bytes.extend_from_slice(bytes);
         let mut text = String::new();
-        while let Some(end) = find_bytes(&self.unparsed_bytes, b"\n\n") {
+        while let Some(end) =
+            find_bytes(&self.unparsed_bytes[searched..], b"\n\n")
+        {
+            let end = searched + end;
+            searched = 0;
             let event: Vec<u8> =
                 self.unparsed_bytes.drain(..end + 2).collect();
             let event = event.strip_prefix(b"data: ").unwrap_or(&event);
--- a/cowsliproad-agent/tests/engine.rs
+++ b/cowsliproad-agent/tests/engine.rs
@@ -62,7 +62,8 @@
 
 async fn answer(mut stream: TcpStream, script: Script) -> std::io::Result<()> {
     let mut buffer = [0; 8_192];
-    stream.read(&mut buffer).await?;
+    // The request is small and arrives at once.
+    let _length = stream.read(&mut buffer).await?;
     for (pause, piece) in script.pieces {
         sleep(pause).await;
         stream.write_all(piece.as_bytes()).await?;
@@ -145,3 +146,15 @@
         assert!(begun.elapsed() >= TIME_LEFT, "{piece:?}");
     }
 }
+
+/// Guards against the bytes of an event without end, which take all memory.
+#[tokio::test]
+async fn an_event_without_end_is_given_up_at_the_size_of_an_answer() {
+    let begun = Instant::now();
+    let script = Script {
+        pieces: vec![(Duration::ZERO, HEAD)],
+        endless: (Duration::ZERO, "x".repeat(1 << 16)),
+    };
+    check_unknown_outcome(run(script).await);
+    assert!(begun.elapsed() < TIME_LEFT, "{:?}", begun.elapsed());
+}
