net: catch signals first, and log why a process ends

Operators saw: a process that gets SIGHUP while it starts ends by signal 1; one whose settings file is missing or half written at that moment ends with status 2; one whose log nobody reads doesn't end on SIGTERM; and a process that fails says why on standard error only. A task that panics leaves a process that lives and does less.

Cause: signals were caught by the tasks that wait for them, after the settings were read and all sockets were bound. An unfinished file was an error for good. The end of a process waited for the thread that writes the log. Nothing logged failures and panics.

Now a program catches its signals before anything else, reads a missing or unfinished file again for 5 s, waits 250 ms for its last lines, logs each end by itself and each panic, and restarts tasks of an entry that panic.

Whether the users' FAULT was one of these is only suspected: they have no logs.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -17,7 +17,8 @@
 use cowsliproad_kernel::clock::Millis;
 use cowsliproad_net::{
     hooked::{ConnectionHooks, HookedStream},
-    program, tcp,
+    signals::StopSignals,
+    tcp,
     timer::{sleep, sleep_until},
 };
 use cowsliproad_routing::catalog::RequestLimits;
@@ -72,15 +73,16 @@
 pub async fn serve_callers(
     entry: &Rc<Entry>,
     listener: TcpListener,
+    stop_signals: &mut StopSignals,
 ) -> io::Result<()> {
-    tokio::select! {
+    let signal = tokio::select! {
         never = accept_connections(entry, &listener) => match never {},
-        () = program::wait_for_stop_signal() => {}
-    }
+        signal = stop_signals.recv() => signal,
+    };
     let grace_end = Millis::now()
         + (entry.settings().shutdown_grace_ms - PROCESS_EXIT_MARGIN);
     entry.process_phase.set(ProcessPhase::Leaving);
-    info!(entry.log, "stopping"; "under_way" => entry.unfinished_request_count.get());
+    info!(entry.log, "stopping"; "signal" => signal, "under_way" => entry.unfinished_request_count.get());
     let drained_at = Millis::now() + LISTENER_CLOSE_DELAY;
     tokio::select! {
         never = accept_connections(entry, &listener) => match never {},
--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -31,10 +31,13 @@
 
 #![forbid(unsafe_code)]
 
-use std::{io, path::PathBuf, rc::Rc};
+use std::{io, rc::Rc};
 
 use cowsliproad_kernel::log;
-use cowsliproad_net::{program, tcp};
+use cowsliproad_net::{
+    program::{self, Startup},
+    tcp,
+};
 use slog::info;
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -62,59 +65,102 @@
 pub mod stream;
 pub mod upstream;
 
+/// The name of the program in its log lines.
+pub const LOG_NAME: &str = "direct";
+
+/// The sockets at which an entry process receives.
+struct Sockets {
+    callers: TcpListener,
+    readiness: Rc<TcpListener>,
+    peers: Rc<TcpListener>,
+    datagrams: Rc<UdpSocket>,
+}
+
+impl Sockets {
+    /// Binds all sockets.
+    async fn bind(settings: &Settings) -> io::Result<Sockets> {
+        let callers =
+            TcpListener::bind(settings.caller_listen_address).await?;
+        tcp::bound_unread_bytes(&callers)?;
+        let readiness = TcpListener::bind(settings.readiness_address).await?;
+        let peer_address = settings.own_peer_address();
+        let peers = TcpListener::bind(peer_address).await?;
+        let datagrams = UdpSocket::bind(peer_address).await?;
+        Ok(Sockets {
+            callers,
+            readiness: Rc::new(readiness),
+            peers: Rc::new(peers),
+            datagrams: Rc::new(datagrams),
+        })
+    }
+}
+
 /// Runs an entry process until it gets a stop signal and has finished its
 /// requests.
-pub async fn run(
-    settings_path: PathBuf,
-    settings: Settings,
-) -> io::Result<()> {
-    let log = log::logger("direct", &settings.vm, settings.log_level);
-    let caller_listener =
-        TcpListener::bind(settings.caller_listen_address).await?;
-    tcp::bound_unread_bytes(&caller_listener)?;
-    let readiness_listener =
-        TcpListener::bind(settings.readiness_address).await?;
-    let peer_listener = TcpListener::bind(settings.own_peer_address()).await?;
-    let peer_socket =
-        Rc::new(UdpSocket::bind(settings.own_peer_address()).await?);
+pub async fn run(startup: Startup<Settings>) -> io::Result<()> {
+    let Startup { settings, settings_watch, mut stop_signals } = startup;
+    let log = log::logger(LOG_NAME, &settings.vm, settings.log_level);
+    info!(log, "starting"; "callers" => %settings.caller_listen_address);
+    let sockets = tokio::select! {
+        sockets = Sockets::bind(&settings) => sockets?,
+        signal = stop_signals.recv() => {
+            info!(log, "stopped"; "signal" => signal);
+            return Ok(());
+        }
+    };
     info!(log, "started"; "callers" => %settings.caller_listen_address);
     let entry = Rc::new(Entry::new(settings, log.clone()));
-    entry.limits.borrow_mut().set_permit_socket(peer_socket.clone());
-    let readiness_server = readiness::serve_queries(
-        entry.clone(),
-        readiness_listener,
-        readiness::answer_query,
-    );
-    tokio::task::spawn_local(readiness_server);
-    let state_server = readiness::serve_queries(
-        entry.clone(),
-        peer_listener,
-        peers::serve_entry_state,
-    );
-    tokio::task::spawn_local(state_server);
-    tokio::task::spawn_local(peers::receive_datagrams(
-        entry.clone(),
-        peer_socket.clone(),
-    ));
-    tokio::task::spawn_local(peers::broadcast_digests(
-        entry.clone(),
-        peer_socket,
-    ));
-    tokio::task::spawn_local(follow::follow_config_topic(entry.clone()));
-    tokio::task::spawn_local(follow::follow_targets_topic(entry.clone()));
-    tokio::task::spawn_local(quarantine::follow_quarantine_topic(
-        entry.clone(),
-    ));
-    tokio::task::spawn_local(quarantine::write_quarantine_records(
-        entry.clone(),
-    ));
+    start_tasks(&entry, &sockets);
     let reloading_entry = entry.clone();
-    let settings_watch = program::watch_settings(settings_path, move |read| {
-        reloading_entry.reload_settings(read)
-    });
-    tokio::task::spawn_local(settings_watch);
-    callers::serve_callers(&entry, caller_listener).await?;
+    let watching = settings_watch
+        .watch(move |read| reloading_entry.reload_settings(read));
+    tokio::task::spawn_local(watching);
+    callers::serve_callers(&entry, sockets.callers, &mut stop_signals).await?;
     entry.report_stop();
     info!(log, "stopped");
     Ok(())
 }
+
+/// Starts the tasks that run for as long as the process.
+fn start_tasks(entry: &Rc<Entry>, sockets: &Sockets) {
+    let Sockets { readiness, peers, datagrams, .. } = sockets;
+    entry.limits.borrow_mut().set_permit_socket(datagrams.clone());
+    keep_running(entry, "readiness", readiness, |entry, listener| {
+        readiness::serve_queries(entry, listener, readiness::answer_query)
+    });
+    keep_running(entry, "peer state", peers, |entry, listener| {
+        readiness::serve_queries(entry, listener, peers::serve_entry_state)
+    });
+    keep_running(entry, "datagrams", datagrams, peers::receive_datagrams);
+    keep_running(entry, "digests", datagrams, peers::broadcast_digests);
+    keep_running(
+        entry,
+        "configuration",
+        &Rc::default(),
+        |entry, _: Rc<()>| follow::follow_config_topic(entry),
+    );
+    keep_running(entry, "targets", &Rc::default(), |entry, _: Rc<()>| {
+        follow::follow_targets_topic(entry)
+    });
+    keep_running(entry, "quarantine", &Rc::default(), |entry, _: Rc<()>| {
+        quarantine::follow_quarantine_topic(entry)
+    });
+    keep_running(entry, "records", &Rc::default(), |entry, _: Rc<()>| {
+        quarantine::write_quarantine_records(entry)
+    });
+}
+
+/// Keeps a task running that uses the entry process's state and a socket.
+fn keep_running<S: 'static, F: Future<Output = ()> + 'static>(
+    entry: &Rc<Entry>,
+    task_name: &'static str,
+    socket: &Rc<S>,
+    start: impl Fn(Rc<Entry>, Rc<S>) -> F + 'static,
+) {
+    let (entry, socket) = (entry.clone(), socket.clone());
+    tokio::task::spawn_local(async move {
+        let start = || start(entry.clone(), socket.clone());
+        let on_restart = || entry.metrics.record_task_restart(task_name);
+        program::supervise(&entry.log, task_name, start, on_restart).await;
+    });
+}
--- a/cowsliproad-direct/src/main.rs
+++ b/cowsliproad-direct/src/main.rs
@@ -6,25 +6,17 @@
 use std::process::ExitCode;
 
 use cowsliproad_direct::settings::Settings;
-use cowsliproad_net::program;
+use cowsliproad_net::program::Program;
 use cowsliproad_platform::SETTINGS_VARIABLE;
 
 fn main() -> ExitCode {
-    let about = "Forwards callers' requests directly to targets";
-    let example = Settings::example();
-    let name = "cowsliproad-direct";
-    let (path, settings) = program::load_settings_or_env(
-        name,
-        about,
-        &example,
-        SETTINGS_VARIABLE,
-    );
-    match program::run_single_threaded(cowsliproad_direct::run(path, settings))
-    {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("can't run: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    let program = Program {
+        name: "cowsliproad-direct",
+        log_name: cowsliproad_direct::LOG_NAME,
+        about: "Forwards callers' requests directly to targets",
+        example: Settings::example(),
+        path_variable: SETTINGS_VARIABLE,
+        vm_name: |settings| &settings.vm,
+    };
+    program.run(cowsliproad_direct::run)
 }
--- a/cowsliproad-direct/src/measure.rs
+++ b/cowsliproad-direct/src/measure.rs
@@ -54,6 +54,7 @@
     retries_allowed: Gauge<u64>,
     retry_reports: Counter<u64>,
     retry_report_bytes: Counter<u64>,
+    task_restarts: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -117,6 +118,7 @@
             retry_report_bytes: meter
                 .u64_counter("retry_report_bytes")
                 .build(),
+            task_restarts: meter.u64_counter("task_restarts").build(),
             log_answer_age: meter.u64_gauge("log_answer_age_ms").build(),
             metrics,
         }
@@ -199,6 +201,11 @@
         self.tries.add(1, &labels);
     }
 
+    /// Records that a task of the process panicked and starts again.
+    pub fn record_task_restart(&self, task_name: &'static str) {
+        self.task_restarts.add(1, &[KeyValue::new("task", task_name)]);
+    }
+
     /// Records the outcome of suspicions that a target crashed under requests.
     pub fn record_suspicion_outcomes(
         &self,
--- a/cowsliproad-direct/src/readiness.rs
+++ b/cowsliproad-direct/src/readiness.rs
@@ -30,7 +30,7 @@
 /// `answer_query`.
 pub async fn serve_queries(
     entry: Rc<Entry>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     answer_query: fn(&Entry, &Request<Incoming>) -> Response<Full<Bytes>>,
 ) {
     loop {
--- a/cowsliproad-direct/tests/entry/harness.rs
+++ b/cowsliproad-direct/tests/entry/harness.rs
@@ -247,18 +247,30 @@
     }
 
     fn start_command(
-        mut command: Command,
+        command: Command,
         settings: Settings,
         output: Stdio,
         clock: Option<HeldClock>,
     ) -> Entry {
-        let directory = std::env::temp_dir();
-        let name = format!(
-            "cowsliproad-{}.json",
-            settings.caller_listen_address.ip()
-        );
-        let file = directory.join(name);
+        let file = settings_file(&settings);
         write(&file, &settings);
+        Entry::spawn(command, settings, file, output, clock)
+    }
+
+    /// Starts a process whose settings file the test makes.
+    pub fn start_with_own_file(settings: Settings, output: Stdio) -> Entry {
+        let command = Command::new(entry_program());
+        let file = settings_file(&settings);
+        Entry::spawn(command, settings, file, output, None)
+    }
+
+    fn spawn(
+        mut command: Command,
+        settings: Settings,
+        file: PathBuf,
+        output: Stdio,
+        clock: Option<HeldClock>,
+    ) -> Entry {
         command.env(SETTINGS_VARIABLE, &file).stdout(output);
         if let Some(clock) = &clock {
             clock.apply_to(&mut command);
@@ -409,6 +421,12 @@
     }
 }
 
+/// Where the settings of an entry stand.
+pub fn settings_file(settings: &Settings) -> PathBuf {
+    let address = settings.caller_listen_address.ip();
+    std::env::temp_dir().join(format!("cowsliproad-{address}.json"))
+}
+
 /// A gauge or counter of a process whose metrics stand there.
 pub async fn metric(uri: &str, name: &str) -> Option<f64> {
     let request = Request::get(uri).body(Full::default());
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -39,6 +39,7 @@
 mod silence_siege;
 mod silent_log;
 mod slowness;
+mod starts;
 mod stop;
 mod streams;
 mod suspension;
--- a/cowsliproad-kernel/src/settings.rs
+++ b/cowsliproad-kernel/src/settings.rs
@@ -14,6 +14,15 @@
     file: String,
     field: String,
     reason: String,
+    may_be_unfinished: bool,
+}
+
+impl Error {
+    /// Whether the file may still be being written: it is missing, can't be
+    /// read, or ends early.
+    pub fn may_be_unfinished(&self) -> bool {
+        self.may_be_unfinished
+    }
 }
 
 /// A settings type that can validate its values.
@@ -30,6 +39,7 @@
         file: file.clone(),
         field: ".".into(),
         reason: error.to_string(),
+        may_be_unfinished: true,
     })?;
     parse(&file, &text)
 }
@@ -47,17 +57,20 @@
                 file: file.into(),
                 field: error.path().to_string(),
                 reason: error.inner().to_string(),
+                may_be_unfinished: error.inner().is_eof(),
             }
         })?;
     json.end().map_err(|error| Error {
         file: file.into(),
         field: ".".into(),
         reason: error.to_string(),
+        may_be_unfinished: false,
     })?;
     settings.validate().map_err(|(field, reason)| Error {
         file: file.into(),
         field: field.into(),
         reason,
+        may_be_unfinished: false,
     })?;
     Ok(settings)
 }
--- a/cowsliproad-net/src/lib.rs
+++ b/cowsliproad-net/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod reply;
 pub mod retry_after;
 pub mod server;
+pub mod signals;
 pub mod single;
 pub mod tcp;
 pub mod threads;
--- a/cowsliproad-rank/src/lib.rs
+++ b/cowsliproad-rank/src/lib.rs
@@ -16,10 +16,10 @@
 
 #![forbid(unsafe_code)]
 
-use std::{io, path::PathBuf};
+use std::io;
 
 use cowsliproad_kernel::log;
-use cowsliproad_net::program;
+use cowsliproad_net::program::Startup;
 use slog::{Logger, info, warn};
 
 use crate::{agent::Agent, settings::Settings};
@@ -32,18 +32,29 @@
 pub mod settings;
 pub mod wire;
 
+/// The name of the program in its log lines.
+pub const LOG_NAME: &str = "rank";
+
 /// Runs an agent until the process is asked to stop.
-pub async fn run(
-    settings_path: PathBuf,
-    settings: Settings,
-) -> io::Result<()> {
-    let log = log::logger("rank", &settings.vm_name, settings.log_level);
-    info!(log, "started"; "engine" => %settings.engine_address);
-    let agent = Agent::new(settings, log.clone()).await?;
+pub async fn run(startup: Startup<Settings>) -> io::Result<()> {
+    let Startup { settings, settings_watch, mut stop_signals } = startup;
+    let log = log::logger(LOG_NAME, &settings.vm_name, settings.log_level);
+    info!(log, "starting"; "engine" => %settings.engine_address);
+    let agent = tokio::select! {
+        agent = Agent::new(settings, log.clone()) => agent?,
+        signal = stop_signals.recv() => {
+            info!(log, "stopped"; "signal" => signal);
+            return Ok(());
+        }
+    };
+    info!(log, "started");
+    let stop = async {
+        let signal = stop_signals.recv().await;
+        info!(log, "stopping"; "signal" => signal);
+    };
     tokio::select! {
-        outcome = agent
-            .run_until_stopped(program::wait_for_stop_signal()) => outcome?,
-        () = program::watch_settings(settings_path, |reloaded| {
+        outcome = agent.run_until_stopped(stop) => outcome?,
+        () = settings_watch.watch(|reloaded| {
             log_settings_reload(&log, reloaded)
         }) => {}
     }
--- a/cowsliproad-rank/src/main.rs
+++ b/cowsliproad-rank/src/main.rs
@@ -4,25 +4,18 @@
 
 use std::process::ExitCode;
 
-use cowsliproad_net::program;
+use cowsliproad_net::program::Program;
 use cowsliproad_platform::SETTINGS_VARIABLE;
 use cowsliproad_rank::settings::Settings;
 
 fn main() -> ExitCode {
-    let about = "Reports an engine's load and leads its group's expert map";
-    let example = Settings::example();
-    let name = "cowsliproad-rank";
-    let (path, settings) = program::load_settings_or_env(
-        name,
-        about,
-        &example,
-        SETTINGS_VARIABLE,
-    );
-    match program::run_single_threaded(cowsliproad_rank::run(path, settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("can't run: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    let program = Program {
+        name: "cowsliproad-rank",
+        log_name: cowsliproad_rank::LOG_NAME,
+        about: "Reports an engine's load and leads its group's expert map",
+        example: Settings::example(),
+        path_variable: SETTINGS_VARIABLE,
+        vm_name: |settings| &settings.vm_name,
+    };
+    program.run(cowsliproad_rank::run)
 }
