net: wait for an address that is in use at the start

Operators saw: a process that starts while one of its ports is still in use, TCP or UDP, or before its address is there, ends at once with status 1, as just after a restart.

Cause: a failed bind was final, though a closed connection may hold its port for a minute.

The socket for callers is bound last, so that none waits for an entry that can't serve yet.

--- a/cowsliproad-direct/src/lib.rs
+++ b/cowsliproad-direct/src/lib.rs
@@ -38,7 +38,7 @@
     program::{self, Startup},
     tcp,
 };
-use slog::info;
+use slog::{Logger, info};
 use tokio::net::{TcpListener, UdpSocket};
 
 use crate::{entry::Entry, settings::Settings};
@@ -77,21 +77,17 @@
 }
 
 impl Sockets {
-    /// Binds all sockets.
-    async fn bind(settings: &Settings) -> io::Result<Sockets> {
-        let callers =
-            TcpListener::bind(settings.caller_listen_address).await?;
-        tcp::bound_unread_bytes(&callers)?;
-        let readiness = TcpListener::bind(settings.readiness_address).await?;
+    /// Binds all sockets, the one for callers last: nothing answers them until
+    /// all are bound.
+    async fn bind(settings: &Settings, log: &Logger) -> io::Result<Sockets> {
         let peer_address = settings.own_peer_address();
-        let peers = TcpListener::bind(peer_address).await?;
-        let datagrams = UdpSocket::bind(peer_address).await?;
-        Ok(Sockets {
-            callers,
-            readiness: Rc::new(readiness),
-            peers: Rc::new(peers),
-            datagrams: Rc::new(datagrams),
-        })
+        let datagrams = Rc::new(tcp::bind_udp(log, peer_address).await?);
+        let peers = Rc::new(tcp::listen(log, peer_address).await?);
+        let readiness = tcp::listen(log, settings.readiness_address).await?;
+        let readiness = Rc::new(readiness);
+        let callers = tcp::listen(log, settings.caller_listen_address).await?;
+        tcp::bound_unread_bytes(&callers)?;
+        Ok(Sockets { callers, readiness, peers, datagrams })
     }
 }
 
@@ -102,7 +98,7 @@
     let log = log::logger(LOG_NAME, &settings.vm, settings.log_level);
     info!(log, "starting"; "callers" => %settings.caller_listen_address);
     let sockets = tokio::select! {
-        sockets = Sockets::bind(&settings) => sockets?,
+        sockets = Sockets::bind(&settings, &log) => sockets?,
         signal = stop_signals.recv() => {
             info!(log, "stopped"; "signal" => signal);
             return Ok(());
--- a/cowsliproad-direct/tests/entry/starts.rs
+++ b/cowsliproad-direct/tests/entry/starts.rs
@@ -12,7 +12,10 @@
 use cowsliproad_direct::settings::Settings;
 use cowsliproad_kernel::clock::Millis;
 use rustix::process::Signal;
-use tokio::time::sleep;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    time::sleep,
+};
 
 use crate::harness::{Entry, Plant, settings_file, until, write};
 
@@ -150,6 +153,60 @@
     assert!(line.is_some(), "{}", log.text());
 }
 
+/// Guards against a process that ends at once since a port of its own is still
+/// in use, as just after a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_port_in_use_is_waited_for() {
+    for number in 0..4 {
+        let mut plant = Plant::start().await;
+        plant.target("i-1", "plain").await;
+        let settings = plant.settings(&[]);
+        let log = LogFile::new(&settings);
+        let (callers, readiness, peers) = (
+            settings.caller_listen_address,
+            settings.readiness_address,
+            settings.own_peer_address(),
+        );
+        let listener = match number {
+            0 => Some(TcpListener::bind(callers).await.expect("free")),
+            1 => Some(TcpListener::bind(readiness).await.expect("free")),
+            2 => Some(TcpListener::bind(peers).await.expect("free")),
+            _ => None,
+        };
+        let socket = match number {
+            3 => Some(UdpSocket::bind(peers).await.expect("free")),
+            _ => None,
+        };
+        let mut entry = Entry::start_with(settings, log.output());
+        sleep(MOMENT).await;
+        assert!(entry.is_running(), "{number}");
+        let line = log.line_with(&["event=address_unavailable"]);
+        assert!(line.is_some(), "{}", log.text());
+        drop((listener, socket));
+        entry.until_ready().await;
+    }
+}
+
+/// Guards against a process that a stop signal can't end while it waits for
+/// its port, or that doesn't log which signal ended it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_signal_ends_a_process_that_waits_for_its_port() {
+    let mut plant = Plant::start().await;
+    let settings = plant.settings(&[]);
+    let log = LogFile::new(&settings);
+    let taken = TcpListener::bind(settings.caller_listen_address).await;
+    let mut entry = Entry::start_with(settings, log.output());
+    until("it waits", async || {
+        log.line_with(&["event=address_unavailable"]).is_some()
+    })
+    .await;
+    entry.signal(Signal::TERM);
+    assert!(entry.ended().await.success());
+    let line = log.line_with(&["event=stopped", "signal=SIGTERM"]);
+    assert!(line.is_some(), "{}", log.text());
+    drop(taken);
+}
+
 /// Guards against a process that doesn't log which signal ended it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_leaves_its_signal_in_the_log() {
--- a/cowsliproad-rank/src/agent.rs
+++ b/cowsliproad-rank/src/agent.rs
@@ -24,7 +24,7 @@
 use cowsliproad_mapswitch::order::{
     self, DesiredState, Directive, Epoch, GroupState, RankReport,
 };
-use cowsliproad_net::timer::sleep_until;
+use cowsliproad_net::{tcp, timer::sleep_until};
 use cowsliproad_platform::engine::EngineState;
 use cowsliproad_routing::cooldown::Cooldown;
 use slog::{Logger, debug, info, warn};
@@ -200,11 +200,12 @@
         let own_address = at(settings.agent_datagram_port);
         Ok(Agent {
             engine_client: EngineClient::new(settings.engine_address),
-            entry_process_socket: UdpSocket::bind(at(
-                settings.entry_datagram_port
-            ))
+            entry_process_socket: tcp::bind_udp(
+                &log,
+                at(settings.entry_datagram_port),
+            )
             .await?,
-            agent_message_socket: UdpSocket::bind(own_address).await?,
+            agent_message_socket: tcp::bind_udp(&log, own_address).await?,
             own_address,
             log,
             retry_reports: RetryReports::default(),
--- a/cowsliproad-rank/tests/starts.rs
+++ b/cowsliproad-rank/tests/starts.rs
@@ -134,6 +134,31 @@
     agent.until_line(&["event=settings_read"]);
 }
 
+/// Guards against an agent that ends at once since a port of its own is still
+/// in use, or that no signal ends while it waits.
+#[test]
+fn an_agent_waits_for_its_ports() {
+    let settings = new_settings();
+    for port in [settings.entry_datagram_port, settings.agent_datagram_port] {
+        let taken = UdpSocket::bind(("127.0.0.1", port)).expect("free");
+        let mut agent = Agent::start(&format!("port-{port}"), &settings);
+        agent.until_line(&["event=address_unavailable"]);
+        assert!(agent.is_running());
+        drop(taken);
+        agent.until_line(&["event=started"]);
+        agent.signal(Signal::TERM);
+        assert!(agent.ended().success());
+        agent.until_line(&["event=stopping", "signal=SIGTERM"]);
+        agent.until_line(&["event=stopped"]);
+    }
+    let _taken = UdpSocket::bind(("127.0.0.1", settings.agent_datagram_port));
+    let mut agent = Agent::start("stop", &settings);
+    agent.until_line(&["event=address_unavailable"]);
+    agent.signal(Signal::TERM);
+    assert!(agent.ended().success());
+    agent.until_line(&["event=stopped", "signal=SIGTERM"]);
+}
+
 /// Guards against an agent that ends without a reason in its log.
 #[test]
 fn wrong_settings_end_the_agent_with_a_reason_in_its_log() {
