net: take no answer whose status is invalid

Callers saw: an answer with the status 101, 600, 700 or 999 of a target in trouble as the final answer to their request, 101 though they had asked for no upgrade. 000 and its like were refused before.

Cause: the HTTP library accepts every number from 100 to 999 as a status, and returns 101 as final; nothing looked at it.

Now a final status is one from 200 to 599 (RFC 9110, section 15). Another one is no answer: the request may have run, is sent to another target if that is allowed, and else gets 502. The clients of agents, of engines and of the log refuse it as well, and `cowsliproad-rank` takes data of its engine from a success only.

--- a/cowsliproad-agent/src/adapter/plain.rs
+++ b/cowsliproad-agent/src/adapter/plain.rs
@@ -126,9 +126,11 @@
             ResultCode::TimedOut,
             ExecutionStatus::OutcomeUnknown,
         ),
-        Error::Exchange(_) | Error::TooLarge => RequestFailure::new(
-            ResultCode::TargetFailed,
-            ExecutionStatus::OutcomeUnknown,
-        ),
+        Error::Exchange(_) | Error::Status(_) | Error::TooLarge => {
+            RequestFailure::new(
+                ResultCode::TargetFailed,
+                ExecutionStatus::OutcomeUnknown,
+            )
+        }
     }
 }
--- a/cowsliproad-direct/src/call.rs
+++ b/cowsliproad-direct/src/call.rs
@@ -24,7 +24,10 @@
     quarantine::{Admission, Fingerprint},
 };
 use cowsliproad_kernel::{Name, clock::Millis};
-use cowsliproad_net::body::{AnswerError, Pieces, read_answer};
+use cowsliproad_net::{
+    body::{AnswerError, Pieces, read_answer},
+    status,
+};
 use cowsliproad_platform::header;
 use cowsliproad_routing::catalog::Route;
 use http::{
@@ -299,6 +302,9 @@
                     }
                 })?;
         let (head, body) = response.into_parts();
+        if !status::is_final(head.status) {
+            return Err(AttemptError::MayHaveRun("an invalid status"));
+        }
         // The late answer to an earlier request says nothing of this one, and
         // may be of an earlier process at the address.
         let echoed_id = head.headers.get(&header::REQUEST_ID);
--- a/cowsliproad-direct/tests/entry/main.rs
+++ b/cowsliproad-direct/tests/entry/main.rs
@@ -40,6 +40,7 @@
 mod silent_log;
 mod slowness;
 mod starts;
+mod statuses;
 mod stop;
 mod streams;
 mod suspension;
--- a/cowsliproad-net/src/client.rs
+++ b/cowsliproad-net/src/client.rs
@@ -4,7 +4,7 @@
 use std::{fmt, net::IpAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
@@ -12,7 +12,7 @@
     rt::TokioExecutor,
 };
 
-use crate::timer;
+use crate::{status, timer};
 
 /// Why an HTTP request failed.
 #[derive(Debug)]
@@ -25,6 +25,9 @@
     /// The connection broke after the request may have been sent; the server
     /// may have processed it.
     Exchange(String),
+    /// The response has a status that no final answer may have; the server may
+    /// have processed the request.
+    Status(StatusCode),
     /// No complete response arrived in time; the server may have processed the
     /// request.
     Timeout,
@@ -69,13 +72,17 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
-        self.pool.request(request).await.map_err(|error| {
+        let answer = self.pool.request(request).await.map_err(|error| {
             if error.is_connect() {
                 Error::Connect(error.to_string())
             } else {
                 Error::Exchange(error.to_string())
             }
-        })
+        })?;
+        match status::is_final(answer.status()) {
+            true => Ok(answer),
+            false => Err(Error::Status(answer.status())),
+        }
     }
 
     /// Sends a request and reads the response with a body of at most
@@ -115,6 +122,7 @@
                 write!(f, "connection failed: {why}")
             }
             Error::Exchange(why) => write!(f, "HTTP exchange failed: {why}"),
+            Error::Status(status) => write!(f, "invalid status {status}"),
             Error::Timeout => f.write_str("no answer in time"),
             Error::TooLarge => f.write_str("the response is too large"),
         }
--- a/cowsliproad-net/src/lib.rs
+++ b/cowsliproad-net/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod server;
 pub mod signals;
 pub mod single;
+pub mod status;
 pub mod tcp;
 pub mod threads;
 pub mod timer;
--- a/cowsliproad-net/src/single.rs
+++ b/cowsliproad-net/src/single.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::{client::Error, tcp, timer};
+use crate::{client::Error, status, tcp, timer};
 
 /// The timeout of a connect. Later retransmissions of a lost SYN are seconds
 /// apart.
@@ -89,6 +89,9 @@
         let broke = |error: hyper::Error| Error::Exchange(error.to_string());
         let answer = sender.send_request(request).await.map_err(broke)?;
         let (head, body) = answer.into_parts();
+        if !status::is_final(head.status) {
+            return Err(Error::Status(head.status));
+        }
         let body = Limited::new(body, max_body_bytes).collect().await;
         let body = body.map_err(|error| {
             if error.is::<LengthLimitError>() {
--- a/cowsliproad-rank/src/engine.rs
+++ b/cowsliproad-rank/src/engine.rs
@@ -78,7 +78,7 @@
 
     /// Fetches the engine's load and its rank's report.
     pub async fn fetch_engine_state(&mut self) -> io::Result<EngineState> {
-        let (_, body) = self.send_request(engine::state_request()).await?;
+        let body = self.fetch(engine::state_request()).await?;
         Ok(engine::decode_state(&body)?)
     }
 
@@ -87,15 +87,13 @@
         &mut self,
         experts_per_set: usize,
     ) -> io::Result<SelectionCounts> {
-        let (_, body) =
-            self.send_request(engine::selection_counts_request()).await?;
+        let body = self.fetch(engine::selection_counts_request()).await?;
         Ok(engine::decode_selection_counts(&body, experts_per_set)?)
     }
 
     /// Fetches the lists of the experts that the engine holds.
     pub async fn fetch_expert_lists(&mut self) -> io::Result<ExpertLists> {
-        let (_, body) =
-            self.send_request(engine::expert_lists_request()).await?;
+        let body = self.fetch(engine::expert_lists_request()).await?;
         Ok(engine::decode_expert_lists(&body)?)
     }
 
@@ -114,11 +112,18 @@
         Ok(engine::decode_verdict(status))
     }
 
-    async fn send_request(
+    /// Sends a request for data and returns the body of a successful answer.
+    async fn fetch(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> io::Result<(StatusCode, Bytes)> {
-        self.send_request_with_timeout(ENGINE_ANSWER_TIMEOUT, request).await
+    ) -> io::Result<Bytes> {
+        let timeout = ENGINE_ANSWER_TIMEOUT;
+        let (status, body) =
+            self.send_request_with_timeout(timeout, request).await?;
+        match status.is_success() {
+            true => Ok(body),
+            false => Err(io::Error::other(format!("status {status}"))),
+        }
     }
 
     async fn send_request_with_timeout(
