direct: stay until the last answers are written

Cause: the wait at the end counted requests, and a request counts as finished once its answer is made; the HTTP library writes it later.

Now a stopping process also waits until callers' connections are closed, at most until the end of the grace time.

--- a/cowsliproad-direct/src/callers.rs
+++ b/cowsliproad-direct/src/callers.rs
@@ -10,7 +10,8 @@
 //! On SIGTERM the entry process stops reporting ready at once, but accepts
 //! connections until the load balancer has noticed. Every response from then
 //! on carries `Connection: close`. Idle connections are closed once no new
-//! connections are accepted.
+//! connections are accepted, and the others after their answer, for which the
+//! process stays until the grace period is over.
 
 use std::{cell::Cell, convert::Infallible, io, rc::Rc, time::Duration};
 
@@ -91,13 +92,19 @@
     drop(listener);
     entry.process_phase.set(ProcessPhase::Closing);
     entry.idle_close_requested.notify_waiters();
-    while entry.unfinished_request_count.get() > 0 && Millis::now() < grace_end
+    // A request counts as finished once its answer is made. Its connection
+    // closes when the answer is written, which takes as long as the caller
+    // takes to read.
+    let open_connections = || entry.caller_connections.borrow().len();
+    while (entry.unfinished_request_count.get() > 0 || open_connections() > 0)
+        && Millis::now() < grace_end
     {
         sleep(STOP_CHECK_INTERVAL.duration()).await;
     }
     // Lets the last responses leave the sockets.
     sleep(RESPONSE_FLUSH_DELAY.duration()).await;
-    info!(entry.log, "stopping"; "left" => entry.unfinished_request_count.get());
+    info!(entry.log, "stopping"; "left" => entry.unfinished_request_count.get(),
+        "connections" => open_connections());
     Ok(())
 }
 
--- a/cowsliproad-direct/tests/entry/stop.rs
+++ b/cowsliproad-direct/tests/entry/stop.rs
@@ -12,7 +12,7 @@
 use rustix::process::Signal;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time::sleep,
 };
 
@@ -143,3 +143,47 @@
         Ok(0) | Err(_) => None,
     }
 }
+
+/// The largest answer of a target, and how it is read: the kernel keeps a few
+/// megabytes of it.
+const LONG_ANSWER_BYTES: usize = 7 << 20;
+const READ_BYTES: usize = 64 << 10;
+const READ_PAUSE: Duration = Duration::from_millis(40);
+
+/// Guards against an answer that a stopping entry cuts since its caller reads
+/// slowly, though much of the grace time is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_writes_an_answer_that_is_read_slowly() {
+    let mut plant = Plant::start().await;
+    let config = TargetConfig::new("i-1", "plain", "a")
+        .with_event_padding(LONG_ANSWER_BYTES);
+    plant.target_with(config).await;
+    let mut entry = plant.entry().await;
+    let address = entry.settings.caller_listen_address;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(READ_BYTES as u32).expect("a buffer");
+    let mut stream = socket.connect(address).await.expect("a way");
+    let request = format!(
+        "POST /many/a HTTP/1.1\r\nhost: host.example\r\n\
+         authorization: Bearer {KEY}\r\nx-request-id: slow\r\n\
+         x-deadline-ms: 20000\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.expect("it is sent");
+    let mut buffer = vec![0; READ_BYTES];
+    let mut length = stream.read(&mut buffer).await.expect("an answer");
+    let told = Instant::now();
+    entry.signal(Signal::TERM);
+    loop {
+        let read = stream.read(&mut buffer).await;
+        let read = read.expect("the answer goes on");
+        if read == 0 {
+            break;
+        }
+        length += read;
+        sleep(READ_PAUSE).await;
+    }
+    assert!(length > LONG_ANSWER_BYTES, "{length} bytes");
+    assert!(entry.ended().await.success());
+    // It was still being written when the listener closed.
+    assert!(told.elapsed() > Duration::from_secs(3), "{:?}", told.elapsed());
+}
