net: bound the end of a process that panics or stops early

Operators saw: a process that is stopped while it waits for its settings leaves no line in its log (read), and one that panics while nobody reads its log could wait for the log's writer for ever (read).

Cause: the stop ended before a logger was made; the line of a panic was written on the panicking thread, and the bound on the end began after the main task had returned.

Evidence: a_stop_signal_ends_a_process_that_waits_for_its_settings in entry/starts.rs is new; the rest is read, not shown by a test.

--- a/cowsliproad-direct/tests/entry/starts.rs
+++ b/cowsliproad-direct/tests/entry/starts.rs
@@ -207,6 +207,21 @@
     drop(taken);
 }
 
+/// Guards against a process that a stop signal can't end while it waits for
+/// its settings, or that doesn't log which signal ended it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_signal_ends_a_process_that_waits_for_its_settings() {
+    let mut plant = Plant::start().await;
+    let settings = plant.settings(&[]);
+    let log = LogFile::new(&settings);
+    let mut entry = Entry::start_with_own_file(settings, log.output());
+    sleep(MOMENT).await;
+    entry.signal(Signal::TERM);
+    assert!(entry.ended().await.success());
+    let line = log.line_with(&["event=stopped", "signal=SIGTERM"]);
+    assert!(line.is_some(), "{}", log.text());
+}
+
 /// Guards against a process that doesn't log which signal ended it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_leaves_its_signal_in_the_log() {
--- a/cowsliproad-net/src/program.rs
+++ b/cowsliproad-net/src/program.rs
@@ -7,6 +7,7 @@
     panic::{self, AssertUnwindSafe},
     path::{Path, PathBuf},
     process::{self, ExitCode},
+    sync::mpsc,
     thread,
     time::SystemTime,
 };
@@ -18,7 +19,7 @@
     settings::{self, Validate},
 };
 use serde::{Serialize, de::DeserializeOwned};
-use slog::{Logger, error};
+use slog::{Logger, error, info};
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     task::LocalSet,
@@ -102,6 +103,8 @@
 enum End {
     /// The program was stopped, which it has logged.
     Stopped,
+    /// A signal stopped the process before its program began.
+    StoppedAtStart(&'static str),
     BadSettings(String),
     Failed(String),
 }
@@ -117,6 +120,12 @@
         let end = self.run_until_end(main, &mut vm);
         let (status, reason) = match end {
             End::Stopped => return ExitCode::SUCCESS,
+            End::StoppedAtStart(signal) => {
+                exit_later(0);
+                let log = log::logger(self.log_name, &vm, Level::Info);
+                info!(log, "stopped"; "signal" => signal);
+                return ExitCode::SUCCESS;
+            }
             End::BadSettings(reason) => (EXIT_BAD_SETTINGS, reason),
             End::Failed(reason) => (EXIT_FAILURE, reason),
         };
@@ -154,14 +163,14 @@
         let reading = read_unfinished_settings::<T>(&path);
         let settings = runtime.block_on(async {
             tokio::select! {
-                read = reading => Some(read),
-                _ = signals.stop.recv() => None,
+                read = reading => Ok(read),
+                signal = signals.stop.recv() => Err(signal),
             }
         });
         let settings = match settings {
-            Some(Ok(settings)) => settings,
-            Some(Err(error)) => return End::BadSettings(error.to_string()),
-            None => return End::Stopped,
+            Ok(Ok(settings)) => settings,
+            Ok(Err(error)) => return End::BadSettings(error.to_string()),
+            Err(signal) => return End::StoppedAtStart(signal),
         };
         *vm = (self.vm_name)(&settings).to_string();
         log_panics(self.log_name, vm.clone());
@@ -171,10 +180,13 @@
         let running = AssertUnwindSafe(|| {
             let tasks = LocalSet::new();
             tasks.spawn_local(timer::watch_suspensions());
+            // Dropped before the tasks, whose loggers then write their last
+            // lines.
+            let mut end = BoundedEnd { status: EXIT_FAILURE };
             let outcome = tasks.block_on(&runtime, main(startup));
-            // Dropping the tasks drops their loggers, which then write their
-            // last lines.
-            exit_later(if outcome.is_ok() { 0 } else { EXIT_FAILURE });
+            if outcome.is_ok() {
+                end.status = 0;
+            }
             outcome
         });
         match panic::catch_unwind(running) {
@@ -212,10 +224,19 @@
 fn log_panics(log_name: &'static str, vm: String) {
     let default = panic::take_hook();
     panic::set_hook(Box::new(move |panic| {
+        let vm = vm.clone();
         let at = panic.location().map(ToString::to_string);
-        let log = log::logger(log_name, &vm, Level::Error);
-        error!(log, "panicked"; "why" => panic_text(panic.payload()),
-            "at" => at);
+        let why = panic_text(panic.payload()).to_string();
+        let (written, line) = mpsc::channel();
+        thread::spawn(move || {
+            let log = log::logger(log_name, &vm, Level::Error);
+            error!(log, "panicked"; "why" => why, "at" => at);
+            drop(log);
+            // The panic may wait no longer.
+            let _ = written.send(());
+        });
+        // A line that nobody reads is written later, or never.
+        let _ = line.recv_timeout(EXIT_FLUSH_TIMEOUT.duration());
         default(panic);
     }));
 }
@@ -247,6 +268,17 @@
     text.unwrap_or("unknown")
 }
 
+/// Bounds the time that the process takes to end, from when this is dropped.
+struct BoundedEnd {
+    status: u8,
+}
+
+impl Drop for BoundedEnd {
+    fn drop(&mut self) {
+        exit_later(self.status);
+    }
+}
+
 /// Ends the process with `status` if it has not ended by itself after the
 /// flush timeout.
 fn exit_later(status: u8) {
